--- /dev/null
+++ b/src/jasminewalk/exceptions.py
@@ -0,0 +1,131 @@
+"""Every error of jasminewalk, each with its result code, message and exit code."""
+
+from jasminewalk.generated_codes import RESULTS, Code, Ran, Result
+
+__all__ = [
+    "BadConfigurationError",
+    "BadMessageError",
+    "BadRequestError",
+    "BadSettingsError",
+    "ConfigurationConflictError",
+    "GrantLapsedError",
+    "JasminewalkError",
+    "LogUnavailableError",
+    "NotInForceError",
+    "OrderRefusedError",
+    "RefusedError",
+    "StaleFencingNumberError",
+    "UnauthenticatedPeerError",
+]
+
+
+class JasminewalkError(Exception):
+    """Base of all errors that carry a result code.
+
+    :param detail: what was found and what is allowed; the code's message if empty.
+    :param code: result code, if it differs from the one of the class.
+    :param ran: whether the request ran, if it differs from the code's default.
+    :param retry_after_s: seconds after which to come back; 0 for no advice.
+    """
+
+    code: Code = Code.INTERNAL_ERROR
+
+    def __init__(
+        self,
+        detail: str = "",
+        *,
+        code: Code | None = None,
+        ran: Ran | None = None,
+        retry_after_s: float = 0.0,
+    ) -> None:
+        if code is not None:
+            self.code = code
+        self.detail = detail or self.result.message
+        self.ran: Ran = ran or self.result.ran
+        self.retry_after_s = retry_after_s
+        super().__init__(self.detail)
+
+    @property
+    def result(self) -> Result:
+        """Row of the table of result codes."""
+        return RESULTS[self.code]
+
+    @property
+    def exit_code(self) -> int:
+        """Exit code of the command line for this error."""
+        return self.result.exit_code
+
+    def __str__(self) -> str:
+        return f"{self.code.value} {self.code.name.lower()}: {self.detail}"
+
+
+class BadRequestError(JasminewalkError):
+    """A caller's request is malformed."""
+
+    code = Code.BAD_FIELD
+
+
+class RefusedError(JasminewalkError):
+    """A request was given up; ``ran`` says whether it ran."""
+
+    code = Code.NO_ENDPOINT
+
+
+class BadMessageError(JasminewalkError):
+    """A message of a peer cannot be decoded."""
+
+    code = Code.BAD_MESSAGE
+
+
+class UnauthenticatedPeerError(JasminewalkError):
+    """A peer did not show the shared key."""
+
+    code = Code.UNAUTHENTICATED_PEER
+
+
+class BadSettingsError(JasminewalkError):
+    """A settings file is not valid."""
+
+    code = Code.BAD_SETTINGS
+
+
+class BadConfigurationError(JasminewalkError):
+    """A configuration file is not valid."""
+
+    code = Code.BAD_CONFIGURATION
+
+
+class ConfigurationConflictError(JasminewalkError):
+    """Another change of the same subject was accepted first."""
+
+    code = Code.CONFIGURATION_CONFLICT
+
+
+class NotInForceError(JasminewalkError):
+    """A configuration is not yet in force on every live instance."""
+
+    code = Code.NOT_IN_FORCE
+
+
+class LogUnavailableError(JasminewalkError):
+    """The log service did not answer; an append may still have taken effect."""
+
+    code = Code.LOG_UNAVAILABLE
+
+
+class StaleFencingNumberError(JasminewalkError):
+    """An engine refused an order with an old fencing number."""
+
+    code = Code.STALE_FENCING_NUMBER
+
+
+class OrderRefusedError(JasminewalkError):
+    """An engine refused an order."""
+
+    code = Code.ORDER_REFUSED
+
+
+class GrantLapsedError(JasminewalkError):
+    """A grant lapsed before its order could be sent."""
+
+    code = Code.GRANT_LAPSED
