--- /dev/null
+++ b/src/jasminewalk/_http.py
@@ -0,0 +1,188 @@
+"""HTTP serving on anyio tasks and small helpers for ASGI applications."""
+
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
+from contextlib import asynccontextmanager, contextmanager
+from typing import Any
+
+import anyio
+import httpcore
+import msgspec
+import uvicorn
+
+from jasminewalk.exceptions import BadRequestError, JasminewalkError
+from jasminewalk.generated_codes import Code
+
+__all__ = [
+    "AsgiApp",
+    "HttpServer",
+    "Receive",
+    "Scope",
+    "Send",
+    "bind",
+    "http_client",
+    "read_body",
+    "send_json",
+    "split_address",
+    "url_of",
+]
+
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+AsgiApp = Callable[[Scope, Receive, Send], Awaitable[None]]
+
+BACKLOG = 2048
+START_POLL_S = 0.005
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of an address.
+
+    >>> split_address("127.0.0.1:80")
+    ('127.0.0.1', 80)
+
+    :param address: ``host:port``.
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def url_of(address: str, path: str) -> str:
+    """Return the URL of a path at an address.
+
+    :param address: ``host:port``.
+    :param path: path with its leading slash.
+    """
+    return f"http://{address}{path}"
+
+
+def bind(address: str) -> socket.socket:
+    """Return a listening socket; port 0 takes a free port.
+
+    :param address: ``host:port``.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(split_address(address))
+    sock.listen(BACKLOG)
+    sock.setblocking(False)
+    return sock
+
+
+class _Server(uvicorn.Server):
+    """Uvicorn server that leaves signals to the daemon."""
+
+    @contextmanager
+    def capture_signals(self) -> Any:
+        yield
+
+
+class HttpServer:
+    """One HTTP listener, served inside the caller's task group.
+
+    The socket is bound by the constructor, so the address is known at once.
+
+    :param app: ASGI application.
+    :param address: ``host:port`` to listen on; port 0 takes a free port.
+    """
+
+    def __init__(self, app: AsgiApp, address: str) -> None:
+        self.socket = bind(address)
+        host, port = self.socket.getsockname()[:2]
+        self.address = f"{host}:{port}"
+        config = uvicorn.Config(
+            app,
+            http="httptools",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            date_header=False,
+            timeout_keep_alive=75,
+        )
+        self.server = _Server(config)
+
+    async def serve(self) -> None:
+        """Serve until ``stop`` is called; open requests are finished first."""
+        try:
+            await self.server.serve(sockets=[self.socket])
+        finally:
+            self.socket.close()
+
+    async def wait_started(self) -> None:
+        """Wait until requests are accepted."""
+        while not self.server.started:
+            await anyio.sleep(START_POLL_S)
+
+    def stop(self) -> None:
+        """Stop accepting, finish open requests, then return from ``serve``."""
+        self.server.should_exit = True
+
+
+@asynccontextmanager
+async def http_client(
+    max_connections: int = 4096,
+) -> AsyncIterator[httpcore.AsyncConnectionPool]:
+    """Open a pool of HTTP connections.
+
+    :param max_connections: most connections open at once.
+    """
+    pool = httpcore.AsyncConnectionPool(
+        max_connections=max_connections,
+        max_keepalive_connections=max_connections,
+        keepalive_expiry=30.0,
+    )
+    async with pool:
+        yield pool
+
+
+async def read_body(receive: Receive, max_bytes: int) -> bytes:
+    """Return the whole body of a request.
+
+    :param receive: ASGI receive function.
+    :param max_bytes: largest body allowed.
+    :raises BadRequestError: if the body is larger.
+    :raises JasminewalkError: if the caller hung up.
+    """
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise JasminewalkError(code=Code.CALLER_GONE)
+        part = message.get("body", b"")
+        size += len(part)
+        if size > max_bytes:
+            raise BadRequestError(
+                f"The body has more than {max_bytes} bytes.", code=Code.BODY_TOO_LARGE
+            )
+        parts.append(part)
+        if not message.get("more_body", False):
+            return b"".join(parts)
+
+
+async def send_json(
+    send: Send,
+    status: int,
+    value: Any,
+    headers: list[tuple[bytes, bytes]] | None = None,
+) -> None:
+    """Send a whole JSON answer.
+
+    :param send: ASGI send function.
+    :param status: HTTP status.
+    :param value: what to encode; attrs objects are allowed.
+    :param headers: further headers.
+    """
+    body = msgspec.json.encode(value)
+    all_headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(body)).encode()),
+        *(headers or []),
+    ]
+    await send(
+        {"type": "http.response.start", "status": status, "headers": all_headers}
+    )
+    await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/src/jasminewalk/channel.py
@@ -0,0 +1,191 @@
+"""Control channel between entries and sidecars over pynng.
+
+A sidecar listens, entries dial; either side sends sealed messages at any time.
+"""
+
+import secrets
+from abc import ABC, abstractmethod
+from typing import Any
+
+import anyio
+import pynng
+from absl import logging
+
+from jasminewalk.codec import Envelope, MessageCodec
+from jasminewalk.exceptions import BadMessageError, UnauthenticatedPeerError
+from jasminewalk.generated_settings import PeerSettings
+
+__all__ = ["MessageHandler", "PeerDialer", "PeerListener", "new_incarnation"]
+
+SEND_TIMEOUT_MS = 200
+SEND_BUFFER_MESSAGES = 128
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 1000
+INCARNATION_BYTES = 8
+MAX_TRACKED_SENDERS = 4096
+
+
+def new_incarnation() -> str:
+    """Return an identifier for the life of one process."""
+    return secrets.token_hex(INCARNATION_BYTES)
+
+
+class MessageHandler(ABC):
+    """Receiver of opened control messages."""
+
+    @abstractmethod
+    def on_message(self, envelope: Envelope, pipe: Any) -> None:
+        """Take one message.
+
+        :param envelope: the message and its sender.
+        :param pipe: connection it came from, to answer on.
+        """
+
+    @abstractmethod
+    def on_rejected(self, code: int) -> None:
+        """Count a message that was dropped.
+
+        :param code: result code that says why.
+        """
+
+
+class _Peer:
+    """What both ends of a channel share: sealing, opening, replay protection.
+
+    :param name: name of this process.
+    :param incarnation: identifier of this process's life.
+    :param settings: settings for peers.
+    :param handler: receiver of messages.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: str,
+        settings: PeerSettings,
+        handler: MessageHandler,
+    ) -> None:
+        self.name = name
+        self.incarnation = incarnation
+        self.handler = handler
+        self.codec = MessageCodec(settings.shared_key, settings.message_bytes)
+        self.sequence = 0
+        self.last_seen: dict[tuple[str, str], int] = {}
+        self.socket = pynng.Pair1(
+            polyamorous=True,
+            send_timeout=SEND_TIMEOUT_MS,
+            send_buffer_size=SEND_BUFFER_MESSAGES,
+            recv_buffer_size=SEND_BUFFER_MESSAGES,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+            recv_max_size=settings.message_bytes,
+        )
+
+    def seal(self, message: Any) -> bytes:
+        """Return the next sealed message.
+
+        :param message: object of a class from ``generated_messages``.
+        """
+        self.sequence += 1
+        return self.codec.seal(self.name, self.incarnation, self.sequence, message)
+
+    async def receive(self) -> None:
+        """Pass on messages until the socket is closed."""
+        while True:
+            try:
+                received = await self.socket.arecv_msg()
+            except pynng.Closed:
+                return
+            except pynng.NNGException as error:
+                logging.warning("[channel] Receive failed. error=%s", error)
+                await anyio.sleep(RECONNECT_MIN_MS / 1000)
+                continue
+            self.take(received.bytes, received.pipe)
+
+    def take(self, data: bytes, pipe: Any) -> None:
+        """Open one message and pass it on, or count why not.
+
+        :param data: bytes from the socket.
+        :param pipe: connection it came from.
+        """
+        try:
+            envelope = self.codec.open(data)
+            self.check_order(envelope)
+        except (BadMessageError, UnauthenticatedPeerError) as error:
+            logging.warning("[channel] Message dropped. error=%s", error)
+            self.handler.on_rejected(error.code)
+            return
+        self.handler.on_message(envelope, pipe)
+
+    def check_order(self, envelope: Envelope) -> None:
+        """Refuse a message that was seen before.
+
+        :param envelope: the opened message.
+        :raises BadMessageError: if its sequence number is not new.
+        """
+        sender = (envelope.sender, envelope.incarnation)
+        if envelope.sequence <= self.last_seen.get(sender, 0):
+            raise BadMessageError(f"Message {envelope.sequence} is a replay.")
+        self.last_seen.pop(sender, None)
+        self.last_seen[sender] = envelope.sequence
+        if len(self.last_seen) > MAX_TRACKED_SENDERS:
+            self.last_seen.pop(next(iter(self.last_seen)))
+
+    async def send_to(self, pipe: Any, message: Any) -> bool:
+        """Send a message on one connection; return whether it left.
+
+        :param pipe: the connection.
+        :param message: object of a class from ``generated_messages``.
+        """
+        try:
+            await pipe.asend(self.seal(message))
+        except pynng.NNGException:
+            return False
+        return True
+
+    def close(self) -> None:
+        """Close the socket."""
+        self.socket.close()
+
+
+class PeerListener(_Peer):
+    """Sidecar's end of the channel.
+
+    :param address: ``host:port`` to listen on.
+    """
+
+    def __init__(self, address: str, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.socket.listen(f"tcp://{address}")
+
+    async def broadcast(self, message: Any) -> int:
+        """Send a message to every connected entry; return how many took it.
+
+        :param message: object of a class from ``generated_messages``.
+        """
+        sent = 0
+        for pipe in list(self.socket.pipes):
+            sent += await self.send_to(pipe, message)
+        return sent
+
+
+class PeerDialer(_Peer):
+    """Entry's end of the channel to one sidecar.
+
+    :param address: ``host:port`` of the sidecar's control address.
+    """
+
+    def __init__(self, address: str, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.address = address
+        self.socket.dial(f"tcp://{address}", block=False)
+
+    async def send(self, message: Any) -> bool:
+        """Send a message to the sidecar; return whether it left.
+
+        :param message: object of a class from ``generated_messages``.
+        """
+        sent = False
+        for pipe in list(self.socket.pipes):
+            sent = await self.send_to(pipe, message)
+        return sent
