--- a/src/jasminewalk/generated_requests.py
+++ b/src/jasminewalk/generated_requests.py
@@ -14,6 +14,8 @@
     "GenerateRequest",
     "Instance",
     "RefusalBody",
+    "ServiceCall",
+    "ServiceReply",
 ]
 
 
@@ -169,3 +171,53 @@
     pool: str = ""
     failure_domain: str = ""
     state: Literal["live", "leaving"]
+
+
+@attrs.frozen(kw_only=True)
+class ServiceCall:
+    """One attempt at a call of a plain service, as an entry hands it to a
+    sidecar.
+
+    :param request_id: identifier of the request.
+    :param attempt: number of the attempt from 1.
+    :param organisation: organisation name.
+    :param service: service name.
+    :param request_class: class name.
+    :param method: HTTP method.
+    :param path: path with query below the service.
+    :param headers: headers as name and value.
+    :param body: request body.
+    :param key: idempotency key; empty for a call that may be repeated.
+    :param deadline_s: seconds left until the deadline.
+    :param priority: higher runs first.
+    """
+
+    request_id: str
+    attempt: int
+    organisation: str
+    service: str
+    request_class: str = ""
+    method: str
+    path: str
+    headers: list[list[str]] = attrs.field(factory=list)
+    body: bytes = b""
+    key: str = ""
+    deadline_s: float
+    priority: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class ServiceReply:
+    """Answer of a plain service, as a sidecar passes it on.
+
+    :param status: HTTP status.
+    :param headers: headers as name and value.
+    :param body: body of the answer.
+    :param replayed: whether the answer is that of an earlier request with the
+        same key.
+    """
+
+    status: int
+    headers: list[list[str]] = attrs.field(factory=list)
+    body: bytes = b""
+    replayed: bool = False
