--- a/src/jasminewalk/generated_codes.py
+++ b/src/jasminewalk/generated_codes.py
@@ -38,6 +38,7 @@
     KEY_EXPIRED = 1404
     KEY_REUSED = 1405
     CALLER_GONE = 1406
+    ENDPOINT_FAILED = 1407
     UNAUTHENTICATED_PEER = 1501
     BAD_MESSAGE = 1502
     BAD_SETTINGS = 1601
@@ -223,6 +224,13 @@
         ran="unknown",
         message="The caller closed the connection.",
     ),
+    Code.ENDPOINT_FAILED: Result(
+        code=Code.ENDPOINT_FAILED,
+        http_status=502,
+        exit_code=5,
+        ran="unknown",
+        message="The endpoint failed while it worked on the request.",
+    ),
     Code.UNAUTHENTICATED_PEER: Result(
         code=Code.UNAUTHENTICATED_PEER,
         http_status=403,
--- a/src/jasminewalk/generated_requests.py
+++ b/src/jasminewalk/generated_requests.py
@@ -65,6 +65,9 @@
     :param t: text of the token.
     :param end: finish reason on the last frame: stop or length.
     :param code: result code when the stream broke.
+    :param ran: whether the request ran when the stream broke.
+    :param retry_after_s: seconds after which to come back when the stream
+        broke.
     :param cached: prompt tokens found in the prefix cache, on the first frame.
     """
 
@@ -72,6 +75,8 @@
     t: str = ""
     end: str = ""
     code: int = 0
+    ran: Literal["", "not_run", "ran", "unknown"] = ""
+    retry_after_s: float = 0.0
     cached: int = 0
 
 
