--- /dev/null
+++ b/src/jasminewalk/sidecar_http.py
@@ -0,0 +1,153 @@
+"""HTTP application that a sidecar offers to entries."""
+
+from typing import Protocol
+
+import msgspec
+from absl import logging
+
+from jasminewalk._http import Receive, Scope, Send, read_body, send_json
+from jasminewalk.exceptions import BadMessageError, JasminewalkError
+from jasminewalk.generated_codes import Code
+from jasminewalk.generated_requests import (
+    GenerateRequest,
+    RefusalBody,
+    ServiceCall,
+)
+from jasminewalk.metrics import Metrics
+from jasminewalk.peer_auth import AUTH_HEADER, PeerAuthenticator
+
+__all__ = ["SidecarApp", "error_body"]
+
+_decode_generate = msgspec.msgpack.Decoder(GenerateRequest).decode
+_decode_call = msgspec.msgpack.Decoder(ServiceCall).decode
+
+
+class Generations(Protocol):
+    """Part of the sidecar that runs generations."""
+
+    async def handle(
+        self, request: GenerateRequest, receive: Receive, send: Send
+    ) -> None:
+        """Answer one generation."""
+
+    def cancel(self, request_id: str, attempt: int) -> None:
+        """Stop one attempt."""
+
+
+class Calls(Protocol):
+    """Part of the sidecar that runs calls of a plain service."""
+
+    async def handle(self, call: ServiceCall, receive: Receive, send: Send) -> None:
+        """Answer one call."""
+
+
+def error_body(error: JasminewalkError, request_id: str = "") -> RefusalBody:
+    """Return the body that describes an error.
+
+    :param error: the error.
+    :param request_id: identifier of the request.
+    """
+    return RefusalBody(
+        code=error.code,
+        name=error.code.name.lower(),
+        message=error.detail,
+        ran=error.ran,
+        request_id=request_id,
+        retry_after_s=error.retry_after_s,
+    )
+
+
+class SidecarApp:
+    """ASGI application that authenticates entries and dispatches their requests.
+
+    :param authenticator: checks the peers' signature.
+    :param body_bytes: largest body in bytes.
+    :param metrics: counts refused peers and bad messages.
+    :param generations: runs generations; nothing beside a service.
+    :param calls: runs calls; nothing beside an engine.
+    """
+
+    def __init__(
+        self,
+        *,
+        authenticator: PeerAuthenticator,
+        body_bytes: int,
+        metrics: Metrics,
+        generations: Generations | None = None,
+        calls: Calls | None = None,
+    ) -> None:
+        self.authenticator = authenticator
+        self.body_bytes = body_bytes
+        self.metrics = metrics
+        self.generations = generations
+        self.calls = calls
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one HTTP request.
+
+        :param scope: ASGI scope.
+        :param receive: ASGI receive function.
+        :param send: ASGI send function.
+        """
+        if scope["type"] != "http":
+            return
+        try:
+            body = await read_body(receive, self.body_bytes)
+            self.authenticate(scope, body)
+            await self.dispatch(scope, body, receive, send)
+        except JasminewalkError as error:
+            self.metrics.count("peer_errors", code=str(error.code.value))
+            logging.warning(
+                "[sidecar] Request refused. path=%s error=%s", scope["path"], error
+            )
+            await send_json(send, error.result.http_status, error_body(error))
+
+    def authenticate(self, scope: Scope, body: bytes) -> None:
+        """Check the signature of a request.
+
+        :param scope: ASGI scope.
+        :param body: body of the request.
+        :raises UnauthenticatedPeerError: if the signature is missing or wrong.
+        """
+        signature = dict(scope["headers"]).get(AUTH_HEADER, b"")
+        self.authenticator.check(signature, scope["method"], scope["path"], body)
+
+    async def dispatch(
+        self, scope: Scope, body: bytes, receive: Receive, send: Send
+    ) -> None:
+        """Hand an authenticated request to the part that answers it.
+
+        :param scope: ASGI scope.
+        :param body: body of the request.
+        :param receive: ASGI receive function.
+        :param send: ASGI send function.
+        :raises JasminewalkError: if the request is malformed or unknown.
+        """
+        method, path = scope["method"], scope["path"]
+        try:
+            if self.generations and (method, path) == ("POST", "/generate"):
+                await self.generations.handle(_decode_generate(body), receive, send)
+            elif self.calls and (method, path) == ("POST", "/call"):
+                await self.calls.handle(_decode_call(body), receive, send)
+            elif self.generations and method == "DELETE":
+                await self.cancel(path, send)
+            else:
+                raise JasminewalkError(
+                    f"There is no {method} {path}.", code=Code.UNKNOWN_PATH
+                )
+        except msgspec.MsgspecError as error:
+            raise BadMessageError(str(error)) from error
+
+    async def cancel(self, path: str, send: Send) -> None:
+        """Stop the attempt that a path names.
+
+        :param path: ``/generate/{request_id}/{attempt}``.
+        :param send: ASGI send function.
+        :raises JasminewalkError: if the path names no attempt.
+        """
+        parts = path.strip("/").split("/")
+        if len(parts) != 3 or parts[0] != "generate" or not parts[2].isdigit():
+            raise JasminewalkError(code=Code.UNKNOWN_PATH)
+        if self.generations is not None:
+            self.generations.cancel(parts[1], int(parts[2]))
+        await send_json(send, 200, {})
