--- a/src/jasminewalk/engine_model.py
+++ b/src/jasminewalk/engine_model.py
@@ -7,7 +7,6 @@
 import random
 
 import attrs
-import xxhash
 
 from jasminewalk.generated_requests import (
     EngineOrder,
