--- a/src/jasminewalk/log_follower.py
+++ b/src/jasminewalk/log_follower.py
@@ -28,6 +28,7 @@
         :param event: object of one of the event classes of ``fold``.
         """
 
+    @abstractmethod
     def on_records(self, first_offset: int, entries: Sequence[LogEntry]) -> None:
         """Take the records that were just folded, in log order.
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """Fixtures that all tests share."""
 
+import socket
 from pathlib import Path
 
 import pytest
@@ -36,3 +37,10 @@
 @pytest.fixture
 def clock():
     return ManualClock()
+
+
+@pytest.fixture
+def free_address():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
--- /dev/null
+++ b/tests/test_channel.py
@@ -0,0 +1,88 @@
+import anyio
+import pytest
+
+from jasminewalk.channel import MessageHandler, PeerDialer, PeerListener
+from jasminewalk.generated_messages import EntryHello, Leaving
+from jasminewalk.generated_settings import PeerSettings
+
+pytestmark = pytest.mark.anyio
+PEERS = PeerSettings(shared_key="0123456789abcdef")
+OTHER_PEERS = PeerSettings(shared_key="fedcba9876543210")
+BOUND_S = 20
+
+
+class Recorder(MessageHandler):
+    def __init__(self):
+        self.messages = []
+        self.rejected = []
+        self.changed = anyio.Event()
+
+    def on_message(self, envelope, pipe):
+        self.messages.append((envelope.sender, envelope.message))
+        self.changed.set()
+
+    def on_rejected(self, code):
+        self.rejected.append(code)
+        self.changed.set()
+
+
+async def send_until_taken(dialer, message):
+    with anyio.fail_after(BOUND_S):
+        while not await dialer.send(message):
+            await anyio.sleep(0.01)
+
+
+@pytest.fixture
+def listener_handler():
+    return Recorder()
+
+
+@pytest.fixture
+async def listener(listener_handler, free_address):
+    peer = PeerListener(free_address, "sidecar", "i1", PEERS, listener_handler)
+    yield peer
+    peer.close()
+
+
+async def test_messages_travel_both_ways(listener, listener_handler, free_address):
+    handler = Recorder()
+    dialer = PeerDialer(free_address, "entry", "i2", PEERS, handler)
+    hello = EntryHello(entry="entry", incarnation="i2")
+    leaving = Leaving(endpoint="e", incarnation="i1", reason="drain")
+    async with anyio.create_task_group() as group:
+        group.start_soon(listener.receive)
+        group.start_soon(dialer.receive)
+        await send_until_taken(dialer, hello)
+        with anyio.fail_after(BOUND_S):
+            await listener_handler.changed.wait()
+            assert await listener.broadcast(leaving) == 1
+            await handler.changed.wait()
+        dialer.close()
+        listener.close()
+    assert listener_handler.messages == [("entry", hello)]
+    assert handler.messages == [("sidecar", leaving)]
+
+
+async def test_wrong_key_is_refused_and_counted(
+    listener, listener_handler, free_address
+):
+    dialer = PeerDialer(free_address, "entry", "i2", OTHER_PEERS, Recorder())
+    async with anyio.create_task_group() as group:
+        group.start_soon(listener.receive)
+        await send_until_taken(dialer, EntryHello(entry="entry", incarnation="i2"))
+        with anyio.fail_after(BOUND_S):
+            await listener_handler.changed.wait()
+        dialer.close()
+        listener.close()
+    assert listener_handler.messages == []
+    assert listener_handler.rejected == [1501]
+
+
+def test_replayed_message_is_refused(listener_handler, free_address):
+    peer = PeerListener(free_address, "sidecar", "i1", PEERS, listener_handler)
+    data = peer.codec.seal("entry", "i2", 1, EntryHello(entry="e", incarnation="i2"))
+    peer.take(data, None)
+    peer.take(data, None)
+    peer.close()
+    assert len(listener_handler.messages) == 1
+    assert listener_handler.rejected == [1502]
