--- /dev/null
+++ b/src/jasminewalk/operators_http.py
@@ -0,0 +1,105 @@
+"""HTTP application for operators that every daemon offers on its control address."""
+
+from abc import ABC, abstractmethod
+from typing import Any
+
+from jasminewalk._http import Receive, Scope, Send, send_json
+from jasminewalk.exceptions import JasminewalkError
+from jasminewalk.generated_codes import Code
+
+__all__ = ["OperatorsApp", "StatusSource"]
+
+METRICS_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
+
+
+class StatusSource(ABC):
+    """What a daemon tells operators about itself."""
+
+    @property
+    @abstractmethod
+    def is_ready(self) -> bool:
+        """Whether the daemon takes work."""
+
+    @abstractmethod
+    def status(self) -> Any:
+        """Return the daemon's state as attrs objects."""
+
+    @abstractmethod
+    def render_metrics(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+
+    def explain(self, request_id: str) -> Any:
+        """Return what is known about a request, or nothing.
+
+        :param request_id: identifier of the request.
+        """
+        return None
+
+
+class OperatorsApp:
+    """ASGI application with health, metrics, status and request traces.
+
+    :param source: the daemon.
+    """
+
+    def __init__(self, source: StatusSource) -> None:
+        self.source = source
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one HTTP request.
+
+        :param scope: ASGI scope.
+        :param receive: ASGI receive function.
+        :param send: ASGI send function.
+        """
+        if scope["type"] != "http":
+            return
+        path = scope["path"]
+        if path == "/healthz":
+            await send_json(send, 200, {"ok": True})
+        elif path == "/readyz":
+            ready = self.source.is_ready
+            await send_json(send, 200 if ready else 503, {"ready": ready})
+        elif path == "/metrics":
+            await self.send_metrics(send)
+        elif path == "/status":
+            await send_json(send, 200, self.source.status())
+        elif path.startswith("/explain/"):
+            await self.send_trace(path.removeprefix("/explain/"), send)
+        else:
+            await self.send_unknown(path, send)
+
+    async def send_metrics(self, send: Send) -> None:
+        """Send the metrics.
+
+        :param send: ASGI send function.
+        """
+        body = self.source.render_metrics()
+        headers = [
+            (b"content-type", METRICS_TYPE),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": body})
+
+    async def send_trace(self, request_id: str, send: Send) -> None:
+        """Send what is known about a request.
+
+        :param request_id: identifier of the request.
+        :param send: ASGI send function.
+        """
+        trace = self.source.explain(request_id)
+        if trace is None:
+            await self.send_unknown(f"request {request_id}", send)
+        else:
+            await send_json(send, 200, trace)
+
+    async def send_unknown(self, what: str, send: Send) -> None:
+        """Send an error for what does not exist.
+
+        :param what: what was asked for.
+        :param send: ASGI send function.
+        """
+        error = JasminewalkError(f"There is no {what}.", code=Code.UNKNOWN_PATH)
+        body = {"code": error.code, "name": "unknown_path", "message": error.detail}
+        await send_json(send, error.result.http_status, body)
