--- a/src/jasminewalk/generated_requests.py
+++ b/src/jasminewalk/generated_requests.py
@@ -35,6 +35,7 @@
     :param expected_tokens: output tokens expected.
     :param deadline_s: seconds left until the deadline.
     :param priority: higher runs first.
+    :param weight: share of the organisation against others.
     :param resume_from: output tokens the caller already has.
     :param resume_text: text of the output tokens the caller already has.
     :param adapter: adapter name.
@@ -52,6 +53,7 @@
     expected_tokens: int = 0
     deadline_s: float
     priority: int = 0
+    weight: float = 1.0
     resume_from: int = 0
     resume_text: str = ""
     adapter: str = ""
--- a/src/jasminewalk/log_follower.py
+++ b/src/jasminewalk/log_follower.py
@@ -2,7 +2,6 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
-from typing import Any
 
 import anyio
 from absl import logging
@@ -10,6 +9,7 @@
 from jasminewalk.clock import Clock
 from jasminewalk.exceptions import LogUnavailableError
 from jasminewalk.fold import LogFold
+from jasminewalk.fold_events import FoldEvent
 from jasminewalk.generated_settings import LogSettings
 from jasminewalk.interfaces import Log, LogEntry, LogPage
 
@@ -22,10 +22,10 @@
     """Receiver of what new log records change."""
 
     @abstractmethod
-    def on_fold_event(self, event: Any) -> None:
+    def on_fold_event(self, event: FoldEvent) -> None:
         """Take one event.
 
-        :param event: object of one of the event classes of ``fold``.
+        :param event: what a record changed.
         """
 
     @abstractmethod
@@ -67,6 +67,7 @@
         self.fed_s = float("-inf")
         self.read_s = float("-inf")
         self.tail = 0
+        self.failing = False
         self.ready = anyio.Event()
         self.wanted = anyio.Event()
 
@@ -75,8 +76,6 @@
         """Whether the last read of the log succeeded."""
         return self.read_s > float("-inf") and not self.failing
 
-    failing = False
-
     def want_records(self) -> None:
         """Read the log now, even while a feed is fresh."""
         self.wanted.set()
@@ -100,13 +99,17 @@
     def apply(self, entries: Sequence[LogEntry]) -> None:
         """Fold records and pass on what they change.
 
+        A rebuilt fold continues after its snapshot, so the rest is read again.
+
         :param entries: records in log order from the fold's next offset on.
         """
         if not entries:
             return
-        events: list[Any] = []
+        events: list[FoldEvent] = []
         for entry in entries:
             events.extend(self.fold.apply(entry))
+            if self.fold.next_offset <= entry.offset:
+                break
         self.listener.on_records(entries[0].offset, entries)
         for event in events:
             self.listener.on_fold_event(event)
@@ -118,8 +121,9 @@
         """
         self.read_s = self.clock.monotonic()
         self.tail = max(self.tail, page.tail)
+        self.fold.retained_from(page.first)
         self.apply([e for e in page.entries if e.offset >= self.fold.next_offset])
-        if self.fold.next_offset >= page.tail:
+        if self.fold.tail_reached(page.tail):
             self.ready.set()
 
     async def run(self) -> None:
--- a/src/jasminewalk/sidecar_streams.py
+++ b/src/jasminewalk/sidecar_streams.py
@@ -29,14 +29,11 @@
 _encode = msgspec.json.Encoder().encode
 
 
-def profile_of(
-    request: GenerateRequest, pool: str, weight: float, now_s: float
-) -> RequestProfile:
+def profile_of(request: GenerateRequest, pool: str, now_s: float) -> RequestProfile:
     """Return what decisions need to know about a generation.
 
     :param request: the attempt.
     :param pool: pool of the endpoint.
-    :param weight: share of the organisation.
     :param now_s: current instant in seconds.
     """
     left = max(1, request.max_tokens - request.resume_from)
@@ -54,7 +51,7 @@
         arrived_s=now_s,
         deadline_s=now_s + request.deadline_s,
         priority=request.priority,
-        weight=weight,
+        weight=request.weight,
     )
 
 
@@ -118,7 +115,6 @@
     :param pool: pool of the endpoint.
     :param clock: source of time.
     :param progress_timeout_s: seconds without output after which a stream ends.
-    :param weight_of: returns the share of an organisation.
     """
 
     def __init__(
@@ -129,14 +125,12 @@
         pool: str,
         clock: Clock,
         progress_timeout_s: float,
-        weight_of: Callable[[str], float] = lambda organisation: 1.0,
     ) -> None:
         self.engine = engine
         self.queue = queue
         self.pool = pool
         self.clock = clock
         self.progress_timeout_s = progress_timeout_s
-        self.weight_of = weight_of
         self.streams: dict[str, Stream] = {}
         self.completed = 0
         self.failed = 0
@@ -151,8 +145,7 @@
         :param send: ASGI send function.
         """
         now_s = self.clock.monotonic()
-        weight = self.weight_of(request.organisation)
-        profile = profile_of(request, self.pool, weight, now_s)
+        profile = profile_of(request, self.pool, now_s)
         if profile.request_id in self.streams:
             refusal = Refusal(Code.BAD_MESSAGE, "The attempt is already here.", 0.0)
             await self.send_refusal(request, refusal, send)
