--- /dev/null
+++ b/src/jasminewalk/_fold_claims.py
@@ -0,0 +1,258 @@
+"""Claims of non-idempotent requests and their outcomes."""
+
+from collections.abc import Iterable
+
+import attrs
+import xxhash
+
+from jasminewalk.fold_events import (
+    ClaimAccepted,
+    ClaimDuplicate,
+    ClaimEnded,
+    ClaimRejection,
+    FoldEvent,
+)
+from jasminewalk.generated_records import (
+    Claim,
+    ClaimBatchRecord,
+    ClaimEntry,
+    ClaimOutcome,
+    OutcomeBatchRecord,
+)
+
+__all__ = ["ClaimTable", "key_hash"]
+
+MAX_CLAIMS = 50_000
+MAX_BODY_BYTES = 16 << 20
+MAX_EXPIRED_KEYS = 200_000
+
+
+def key_hash(key: str) -> int:
+    """Return the hash under which an expired key is remembered.
+
+    :param key: key of a claim.
+    """
+    return xxhash.xxh3_64_intdigest(key)
+
+
+class ClaimTable:
+    """Claims by key, in order of their offsets.
+
+    The window is a number of claims and of body bytes, so that every reader of
+    the same records forgets the same keys at the same offset.
+
+    :param max_claims: most claims kept with their outcome.
+    :param max_body_bytes: most bytes of answers kept.
+    :param max_expired_keys: most hashes of older keys kept.
+    """
+
+    def __init__(
+        self,
+        max_claims: int = MAX_CLAIMS,
+        max_body_bytes: int = MAX_BODY_BYTES,
+        max_expired_keys: int = MAX_EXPIRED_KEYS,
+    ) -> None:
+        self.max_claims = max_claims
+        self.max_body_bytes = max_body_bytes
+        self.max_expired_keys = max_expired_keys
+        self.claim_by_key: dict[str, ClaimEntry] = {}
+        self.expired: dict[int, None] = {}
+        self.open_by_endpoint: dict[str, dict[str, None]] = {}
+        self.body_bytes = 0
+
+    def get(self, key: str) -> ClaimEntry | None:
+        """Return the claim of a key, if it is kept.
+
+        :param key: key of the claim.
+        """
+        return self.claim_by_key.get(key)
+
+    def is_expired(self, key: str) -> bool:
+        """Return whether a key was used by a claim that is no longer kept.
+
+        :param key: key of the claim.
+        """
+        return key not in self.claim_by_key and key_hash(key) in self.expired
+
+    def claim(
+        self, offset: int, record: ClaimBatchRecord, is_registered: bool
+    ) -> list[FoldEvent]:
+        """Fold a batch of claims.
+
+        :param offset: offset of the record.
+        :param record: the record.
+        :param is_registered: whether the claimant is the registered sidecar.
+        """
+        events: list[FoldEvent] = []
+        for claim in record.claims:
+            events.extend(self.claim_one(offset, record, claim, is_registered))
+        self.expire()
+        return events
+
+    def claim_one(
+        self, offset: int, record: ClaimBatchRecord, claim: Claim, is_registered: bool
+    ) -> list[FoldEvent]:
+        """Fold one claim of a batch.
+
+        :param offset: offset of the record.
+        :param record: the record.
+        :param claim: the claim.
+        :param is_registered: whether the claimant is the registered sidecar.
+        """
+        current = self.claim_by_key.get(claim.key)
+        if current is not None and current.record_id == record.record_id:
+            return []
+        rejection = self.rejection(current, claim, is_registered)
+        if rejection is not None:
+            return [
+                ClaimDuplicate(
+                    record_id=record.record_id,
+                    key=claim.key,
+                    request_id=claim.request_id,
+                    rejection=rejection,
+                    winner=current,
+                )
+            ]
+        entry = ClaimEntry(
+            key=claim.key,
+            claim=offset,
+            record_id=record.record_id,
+            endpoint=record.endpoint,
+            incarnation=record.incarnation,
+            fingerprint=claim.fingerprint,
+            request_id=claim.request_id,
+        )
+        self.claim_by_key.pop(claim.key, None)
+        self.put(entry)
+        return [ClaimAccepted(record_id=record.record_id, claim=entry)]
+
+    def rejection(
+        self, current: ClaimEntry | None, claim: Claim, is_registered: bool
+    ) -> ClaimRejection | None:
+        """Return why a claim is not accepted, or nothing.
+
+        :param current: the claim that holds the key.
+        :param claim: the new claim.
+        :param is_registered: whether the claimant is the registered sidecar.
+        """
+        if not is_registered:
+            return "not_registered"
+        if current is None:
+            return "key_expired" if self.is_expired(claim.key) else None
+        if current.fingerprint != claim.fingerprint:
+            return "key_reused"
+        if current.outcome == "not_run":
+            return None
+        return "ended" if current.outcome else "held"
+
+    def end(self, record: OutcomeBatchRecord) -> list[FoldEvent]:
+        """Fold a batch of outcomes; only the claimant can end its open claim.
+
+        :param record: the record.
+        """
+        events: list[FoldEvent] = []
+        for outcome in record.outcomes:
+            current = self.claim_by_key.get(outcome.key)
+            if current is None or current.outcome or current.claim != outcome.claim:
+                continue
+            holder = (current.endpoint, current.incarnation)
+            if holder == (record.endpoint, record.incarnation):
+                events.append(self.ended(current, outcome))
+        self.expire()
+        return events
+
+    def ended(self, current: ClaimEntry, outcome: ClaimOutcome) -> ClaimEnded:
+        """Store the outcome of an open claim.
+
+        :param current: the open claim.
+        :param outcome: its outcome.
+        """
+        entry = attrs.evolve(
+            current,
+            outcome=outcome.outcome,
+            status=outcome.status,
+            headers=outcome.headers,
+            body=outcome.body,
+            whole=outcome.whole,
+        )
+        self.put(entry)
+        return ClaimEnded(claim=entry)
+
+    def supersede(self, endpoint: str, incarnation: str) -> list[FoldEvent]:
+        """End the open claims of an endpoint's earlier sidecars as unknown.
+
+        :param endpoint: endpoint name.
+        :param incarnation: identifier of the process that is registered now.
+        """
+        events: list[FoldEvent] = []
+        for key in list(self.open_by_endpoint.get(endpoint, ())):
+            current = self.claim_by_key[key]
+            if current.incarnation == incarnation:
+                continue
+            entry = attrs.evolve(current, outcome="unknown")
+            self.put(entry)
+            events.append(ClaimEnded(claim=entry))
+        return events
+
+    def put(self, entry: ClaimEntry) -> None:
+        """Store a claim.
+
+        :param entry: the claim.
+        """
+        before = self.claim_by_key.get(entry.key)
+        self.body_bytes += len(entry.body) - (len(before.body) if before else 0)
+        self.claim_by_key[entry.key] = entry
+        open_keys = self.open_by_endpoint.setdefault(entry.endpoint, {})
+        if entry.outcome:
+            open_keys.pop(entry.key, None)
+        else:
+            open_keys[entry.key] = None
+        if not open_keys:
+            del self.open_by_endpoint[entry.endpoint]
+
+    def expire(self) -> None:
+        """Replace the oldest claims by the hashes of their keys."""
+        while self.claim_by_key and self.is_over_window():
+            oldest = next(iter(self.claim_by_key))
+            entry = self.claim_by_key.pop(oldest)
+            self.body_bytes -= len(entry.body)
+            self.open_by_endpoint.get(entry.endpoint, {}).pop(oldest, None)
+            self.expired[key_hash(oldest)] = None
+        while len(self.expired) > self.max_expired_keys:
+            del self.expired[next(iter(self.expired))]
+
+    def is_over_window(self) -> bool:
+        """Return whether more claims or bytes are kept than allowed."""
+        too_many = len(self.claim_by_key) > self.max_claims
+        return too_many or self.body_bytes > self.max_body_bytes
+
+    def replace(
+        self, claims: Iterable[ClaimEntry], expired_keys: Iterable[int]
+    ) -> list[FoldEvent]:
+        """Take over the claims of a snapshot and return what ended.
+
+        :param claims: claims of the snapshot, oldest first.
+        :param expired_keys: hashes of expired keys, oldest first.
+        """
+        old = self.claim_by_key
+        self.claim_by_key = {}
+        self.open_by_endpoint = {}
+        self.body_bytes = 0
+        self.expired = dict.fromkeys(expired_keys)
+        events: list[FoldEvent] = []
+        for entry in claims:
+            self.put(entry)
+            if entry.outcome and not was_ended(old.get(entry.key), entry):
+                events.append(ClaimEnded(claim=entry))
+        return events
+
+
+def was_ended(before: ClaimEntry | None, entry: ClaimEntry) -> bool:
+    """Return whether a claim had its outcome before.
+
+    :param before: the claim as it was.
+    :param entry: the claim as it is.
+    """
+    if before is None:
+        return False
+    return before.claim == entry.claim and before.outcome == entry.outcome
--- /dev/null
+++ b/src/jasminewalk/_fold_grants.py
@@ -0,0 +1,261 @@
+"""Registrations of sidecars, grants of changes and the roles of each pool."""
+
+from collections.abc import Iterable
+
+import attrs
+import msgspec
+
+from jasminewalk.fold_events import (
+    FoldEvent,
+    GrantAccepted,
+    GrantEnded,
+    GrantRejected,
+    GrantRejection,
+    RegistrationAccepted,
+    RegistrationRejected,
+)
+from jasminewalk.generated_configuration import Fleet, Pool
+from jasminewalk.generated_records import (
+    EndpointEntry,
+    GrantOutcomeRecord,
+    GrantRecord,
+    PoolEntry,
+    RegistrationRecord,
+)
+
+__all__ = ["EndpointTable"]
+
+FLEET_SUBJECT = "fleet/default"
+PREFILL_ROLES = frozenset({"mixed", "prefill"})
+DECODE_ROLES = frozenset({"mixed", "decode"})
+
+
+class EndpointTable:
+    """Endpoints with their registered sidecar and their last grant."""
+
+    def __init__(self) -> None:
+        self.entry_by_endpoint: dict[str, EndpointEntry] = {}
+        self.endpoints_by_pool: dict[str, dict[str, None]] = {}
+        self.revision_by_pool: dict[str, int] = {}
+        self.pools: dict[str, Pool] = {}
+
+    def observe_fleet(self, document: str) -> None:
+        """Take the minimum numbers per role from the fleet's configuration.
+
+        :param document: JSON text; one that cannot be read changes nothing.
+        """
+        try:
+            fleet = msgspec.json.decode(document or "{}", type=Fleet)
+        except (msgspec.MsgspecError, ValueError):
+            return
+        self.pools = fleet.pools
+
+    def register(self, offset: int, record: RegistrationRecord) -> list[FoldEvent]:
+        """Fold a registration.
+
+        :param offset: offset of the record.
+        :param record: the record.
+        """
+        current = self.entry_by_endpoint.get(record.endpoint)
+        if current is not None and current.registration_id == record.record_id:
+            return []
+        base = current.registration if current else 0
+        if record.base_registration != base:
+            return [
+                RegistrationRejected(
+                    record_id=record.record_id, endpoint=record.endpoint, winner=base
+                )
+            ]
+        self.put(registered(current, offset, record))
+        return [
+            RegistrationAccepted(
+                record_id=record.record_id,
+                endpoint=record.endpoint,
+                incarnation=record.incarnation,
+                offset=offset,
+                left=record.left,
+            )
+        ]
+
+    def grant(self, offset: int, record: GrantRecord) -> list[FoldEvent]:
+        """Fold a proposed change.
+
+        :param offset: offset of the record.
+        :param record: the record.
+        """
+        current = self.entry_by_endpoint.get(record.endpoint)
+        if current is not None and current.grant_id == record.record_id:
+            return []
+        rejection = self.rejection(current, record)
+        if current is None or rejection is not None:
+            return [
+                GrantRejected(
+                    record_id=record.record_id,
+                    endpoint=record.endpoint,
+                    rejection=rejection or "not_registered",
+                    winner=current.grant if current else 0,
+                )
+            ]
+        entry = attrs.evolve(
+            current,
+            grant=offset,
+            grant_id=record.record_id,
+            grant_holder=record.incarnation,
+            open=True,
+            wanted_role=record.role,
+            wanted_models=record.models,
+            wanted_version=record.version,
+            lifetime_s=record.lifetime_s,
+        )
+        self.put(entry)
+        if record.role != current.role:
+            self.revision_by_pool[current.pool] = offset
+        return [GrantAccepted(record_id=record.record_id, grant=offset, state=entry)]
+
+    def rejection(
+        self, current: EndpointEntry | None, record: GrantRecord
+    ) -> GrantRejection | None:
+        """Return which check a proposed change fails, or nothing.
+
+        :param current: the endpoint as it is.
+        :param record: the proposed change.
+        """
+        if current is None or current.incarnation != record.incarnation:
+            return "not_registered"
+        if current.left or current.pool != record.pool:
+            return "not_registered"
+        if record.base_grant != current.grant:
+            return "base_grant"
+        if current.open and current.grant_holder == record.incarnation:
+            return "grant_open"
+        if record.role == current.role:
+            return None
+        if record.base_pool_revision != self.pool_revision(current.pool):
+            return "pool_revision"
+        return None if self.keeps_minimum(current) else "minimum"
+
+    def keeps_minimum(self, current: EndpointEntry) -> bool:
+        """Return whether the pool can do without an endpoint while it changes.
+
+        :param current: the endpoint.
+        """
+        pool = self.pools.get(current.pool)
+        if pool is None:
+            return True
+        others = [
+            entry.role
+            for entry in self.members(current.pool)
+            if entry.endpoint != current.endpoint
+            and entry.endpoint not in pool.withdrawn
+            and not entry.open
+        ]
+        return enough(current.role, others, PREFILL_ROLES, pool.min_prefill) and (
+            enough(current.role, others, DECODE_ROLES, pool.min_decode)
+        )
+
+    def end(self, record: GrantOutcomeRecord) -> list[FoldEvent]:
+        """Fold the outcome of a grant; only the open grant can end.
+
+        :param record: the record.
+        """
+        current = self.entry_by_endpoint.get(record.endpoint)
+        if current is None or not current.open or current.grant != record.grant:
+            return []
+        self.put(attrs.evolve(current, open=False, role=record.role))
+        return [
+            GrantEnded(
+                endpoint=record.endpoint,
+                grant=record.grant,
+                outcome=record.outcome,
+                role=record.role,
+            )
+        ]
+
+    def put(self, entry: EndpointEntry) -> None:
+        """Store the entry of an endpoint.
+
+        :param entry: the entry.
+        """
+        before = self.entry_by_endpoint.get(entry.endpoint)
+        if before is not None and before.pool != entry.pool:
+            self.endpoints_by_pool[before.pool].pop(entry.endpoint, None)
+        self.entry_by_endpoint[entry.endpoint] = entry
+        self.endpoints_by_pool.setdefault(entry.pool, {})[entry.endpoint] = None
+
+    def members(self, pool: str) -> list[EndpointEntry]:
+        """Return the registered endpoints of a pool that have not left.
+
+        :param pool: pool name.
+        """
+        entries = (
+            self.entry_by_endpoint[name]
+            for name in self.endpoints_by_pool.get(pool, ())
+        )
+        return [entry for entry in entries if not entry.left]
+
+    def pool_revision(self, pool: str) -> int:
+        """Return the offset of the last accepted role change of a pool; 0 for none.
+
+        :param pool: pool name.
+        """
+        return self.revision_by_pool.get(pool, 0)
+
+    def pool_entries(self) -> list[PoolEntry]:
+        """Return the pools as a snapshot holds them."""
+        return [
+            PoolEntry(pool=pool, revision=revision)
+            for pool, revision in self.revision_by_pool.items()
+        ]
+
+    def replace(
+        self, endpoints: Iterable[EndpointEntry], pools: Iterable[PoolEntry]
+    ) -> None:
+        """Take over the endpoints and pools of a snapshot.
+
+        :param endpoints: endpoints of the snapshot.
+        :param pools: pools of the snapshot.
+        """
+        self.entry_by_endpoint = {}
+        self.endpoints_by_pool = {}
+        for entry in endpoints:
+            self.put(entry)
+        self.revision_by_pool = {entry.pool: entry.revision for entry in pools}
+
+
+def registered(
+    current: EndpointEntry | None, offset: int, record: RegistrationRecord
+) -> EndpointEntry:
+    """Return the entry of an endpoint after a registration; its grant stays.
+
+    :param current: the endpoint as it was.
+    :param offset: offset of the record.
+    :param record: the registration.
+    """
+    base = current or EndpointEntry(
+        endpoint=record.endpoint,
+        pool=record.pool,
+        incarnation=record.incarnation,
+        registration=offset,
+    )
+    return attrs.evolve(
+        base,
+        pool=record.pool,
+        incarnation=record.incarnation,
+        registration=offset,
+        registration_id=record.record_id,
+        role=record.role,
+        left=record.left,
+    )
+
+
+def enough(role: str, others: list[str], capable: frozenset[str], minimum: int) -> bool:
+    """Return whether enough other endpoints can do what one endpoint does.
+
+    :param role: role of the endpoint that changes.
+    :param others: roles of the other endpoints.
+    :param capable: roles that can do the work.
+    :param minimum: least number of endpoints that can do it.
+    """
+    if role not in capable:
+        return True
+    return sum(other in capable for other in others) >= minimum
--- /dev/null
+++ b/src/jasminewalk/_fold_rebuild.py
@@ -0,0 +1,87 @@
+"""Assembly of snapshot chunks into the state of a whole fold."""
+
+import attrs
+
+from jasminewalk.generated_records import (
+    ClaimEntry,
+    EndpointEntry,
+    PoolEntry,
+    SnapshotEntry,
+    SnapshotRecord,
+)
+
+__all__ = ["SnapshotAssembler", "SnapshotState"]
+
+MAX_PARTIAL_SNAPSHOTS = 4
+
+
+@attrs.frozen(kw_only=True)
+class SnapshotState:
+    """State that the log's records up to an offset add up to.
+
+    :param covers: offset up to which the records are covered.
+    :param entries: subjects of the configuration.
+    :param endpoints: endpoints with their registrations and grants.
+    :param pools: pools with their last role change.
+    :param claims: claims, oldest first.
+    :param expired_keys: hashes of expired keys, oldest first.
+    """
+
+    covers: int
+    entries: list[SnapshotEntry] = attrs.field(factory=list)
+    endpoints: list[EndpointEntry] = attrs.field(factory=list)
+    pools: list[PoolEntry] = attrs.field(factory=list)
+    claims: list[ClaimEntry] = attrs.field(factory=list)
+    expired_keys: list[int] = attrs.field(factory=list)
+
+
+class SnapshotAssembler:
+    """Collects chunks until a snapshot is whole.
+
+    :param keep: whether the chunks' content is kept, or only their numbers.
+    """
+
+    def __init__(self, keep: bool) -> None:
+        self.keep = keep
+        self.partial: dict[str, dict[int, SnapshotRecord]] = {}
+
+    def add(self, record: SnapshotRecord) -> SnapshotState | None:
+        """Take a chunk; return the state when it completes its snapshot.
+
+        :param record: the chunk.
+        """
+        chunks = self.partial.pop(record.snapshot_id, {})
+        chunks[record.chunk] = record if self.keep else bare(record)
+        if len(chunks) == record.chunks:
+            return assembled(record.covers, chunks)
+        self.partial[record.snapshot_id] = chunks
+        if len(self.partial) > MAX_PARTIAL_SNAPSHOTS:
+            del self.partial[next(iter(self.partial))]
+        return None
+
+
+def bare(record: SnapshotRecord) -> SnapshotRecord:
+    """Return a chunk without its content.
+
+    :param record: the chunk.
+    """
+    return attrs.evolve(
+        record, entries=[], endpoints=[], pools=[], claims=[], expired_keys=[]
+    )
+
+
+def assembled(covers: int, chunks: dict[int, SnapshotRecord]) -> SnapshotState:
+    """Return the state that all chunks of a snapshot hold.
+
+    :param covers: offset up to which the records are covered.
+    :param chunks: chunks by their number.
+    """
+    state = SnapshotState(covers=covers)
+    for number in sorted(chunks):
+        chunk = chunks[number]
+        state.entries.extend(chunk.entries)
+        state.endpoints.extend(chunk.endpoints)
+        state.pools.extend(chunk.pools)
+        state.claims.extend(chunk.claims)
+        state.expired_keys.extend(chunk.expired_keys)
+    return state
--- /dev/null
+++ b/src/jasminewalk/_fold_subjects.py
@@ -0,0 +1,119 @@
+"""Subjects of the configuration, changed by compare-and-set."""
+
+from collections.abc import Iterable
+
+from jasminewalk.fold_events import FoldEvent, SubjectChanged, SubjectRejected
+from jasminewalk.generated_records import ConfigurationRecord, SnapshotEntry
+
+__all__ = ["SubjectTable"]
+
+MAX_DELETED_SUBJECTS = 10_000
+
+
+class SubjectTable:
+    """Configuration documents by subject.
+
+    A removed subject keeps its revision, so that a late record cannot restore it.
+    """
+
+    def __init__(self) -> None:
+        self.entry_by_subject: dict[str, SnapshotEntry] = {}
+        self.deleted: dict[str, None] = {}
+
+    def apply(self, offset: int, record: ConfigurationRecord) -> list[FoldEvent]:
+        """Fold one proposed change.
+
+        :param offset: offset of the record.
+        :param record: the record.
+        """
+        current = self.entry_by_subject.get(record.subject)
+        if current is not None and current.record_id == record.record_id:
+            return []
+        revision = current.revision if current else 0
+        if record.base_revision != revision:
+            return [
+                SubjectRejected(
+                    record_id=record.record_id,
+                    subject=record.subject,
+                    winner_revision=revision,
+                    winner_author=current.author if current else "",
+                )
+            ]
+        entry = SnapshotEntry(
+            subject=record.subject,
+            revision=offset,
+            document="" if record.deleted else record.document,
+            record_id=record.record_id,
+            deleted=record.deleted,
+            author=record.author,
+            reason=record.reason,
+        )
+        self.put(entry)
+        return [changed(entry)]
+
+    def put(self, entry: SnapshotEntry) -> None:
+        """Store the entry of a subject.
+
+        :param entry: the entry.
+        """
+        self.entry_by_subject[entry.subject] = entry
+        self.deleted.pop(entry.subject, None)
+        if not entry.deleted:
+            return
+        self.deleted[entry.subject] = None
+        if len(self.deleted) > MAX_DELETED_SUBJECTS:
+            oldest = next(iter(self.deleted))
+            del self.deleted[oldest]
+            del self.entry_by_subject[oldest]
+
+    def entries(self) -> list[SnapshotEntry]:
+        """Return all entries, the removed ones last in order of removal."""
+        live = [e for e in self.entry_by_subject.values() if not e.deleted]
+        return live + [self.entry_by_subject[subject] for subject in self.deleted]
+
+    def replaced_by(self, entries: Iterable[SnapshotEntry]) -> list[FoldEvent]:
+        """Take over the entries of a snapshot and return what changed.
+
+        :param entries: entries of the snapshot.
+        """
+        old = self.entry_by_subject
+        self.entry_by_subject = {}
+        self.deleted = {}
+        events: list[FoldEvent] = []
+        for entry in entries:
+            self.put(entry)
+            before = old.pop(entry.subject, None)
+            if before is None or before.revision != entry.revision:
+                events.append(changed(entry))
+        events.extend(removed(entry) for entry in old.values() if not entry.deleted)
+        return events
+
+
+def changed(entry: SnapshotEntry) -> SubjectChanged:
+    """Return the event for an entry that is now in force.
+
+    :param entry: the entry.
+    """
+    return SubjectChanged(
+        subject=entry.subject,
+        revision=entry.revision,
+        document=entry.document,
+        deleted=entry.deleted,
+        record_id=entry.record_id,
+        reason=entry.reason,
+    )
+
+
+def removed(entry: SnapshotEntry) -> SubjectChanged:
+    """Return the event for an entry that a snapshot no longer holds.
+
+    :param entry: the entry that was in force.
+    """
+    return SubjectChanged(
+        subject=entry.subject,
+        revision=entry.revision,
+        document="",
+        deleted=True,
+        record_id="",
+        reason="",
+    )
--- /dev/null
+++ b/src/jasminewalk/fold.py
@@ -0,0 +1,265 @@
+"""Folds the records of the log into the state that all processes agree on."""
+
+from typing import Any
+
+from absl import logging
+
+from jasminewalk._fold_claims import ClaimTable
+from jasminewalk._fold_grants import FLEET_SUBJECT, EndpointTable
+from jasminewalk._fold_rebuild import SnapshotAssembler, SnapshotState
+from jasminewalk._fold_subjects import SubjectTable
+from jasminewalk.codec import decode_record
+from jasminewalk.exceptions import BadMessageError
+from jasminewalk.fold_events import (
+    FoldEvent,
+    RecordIgnored,
+    SnapshotCompleted,
+    StateReplaced,
+    SubjectChanged,
+)
+from jasminewalk.generated_records import (
+    ClaimBatchRecord,
+    ClaimEntry,
+    ConfigurationRecord,
+    EndpointEntry,
+    GrantOutcomeRecord,
+    GrantRecord,
+    OutcomeBatchRecord,
+    RegistrationRecord,
+    SnapshotEntry,
+    SnapshotRecord,
+)
+from jasminewalk.interfaces import LogEntry
+
+__all__ = ["LogFold"]
+
+FIRST_OFFSET = 1
+
+
+class LogFold:
+    """State of the whole system as the log's records add up to it.
+
+    The fold reads no clock and draws no random numbers: the same records give
+    the same state everywhere. Read the log from ``next_offset`` on, tell
+    ``retained_from`` what the log still keeps and apply each entry; after
+    ``StateReplaced`` the next offset has moved back.
+
+    A reader that the log's retention has overtaken keeps its old state, but is
+    not ``ready``, until a snapshot whose following records are still kept is
+    whole. Offsets of the log have no gaps.
+
+    :param claims: table of claims, to choose another window.
+    """
+
+    def __init__(self, claims: ClaimTable | None = None) -> None:
+        self.next_offset = FIRST_OFFSET
+        self.rebuilding = False
+        self.tail_seen = False
+        self.ignored_records = 0
+        self.snapshot_covers = 0
+        self.oldest_after_gap = 0
+        self.subjects = SubjectTable()
+        self.endpoints = EndpointTable()
+        self.claims = claims or ClaimTable()
+        self.assembler = SnapshotAssembler(keep=False)
+
+    @property
+    def ready(self) -> bool:
+        """Whether the state is current: a tail was reached without a gap since."""
+        return self.tail_seen and not self.rebuilding
+
+    def tail_reached(self, tail: int) -> bool:
+        """Note a tail that was read after the start; return whether it is folded.
+
+        :param tail: offset one past the newest record when the tail was read.
+        """
+        if not self.rebuilding and self.next_offset >= tail:
+            self.tail_seen = True
+        return self.ready
+
+    def apply(self, entry: LogEntry) -> list[FoldEvent]:
+        """Fold one entry; any other than the next one changes nothing.
+
+        :param entry: the entry.
+        """
+        if entry.offset != self.next_offset:
+            return []
+        self.next_offset = entry.offset + 1
+        try:
+            record = decode_record(entry.data)
+        except BadMessageError as error:
+            return [self.ignored(entry.offset, str(error))]
+        if isinstance(record, SnapshotRecord):
+            return self.apply_snapshot(entry.offset, record)
+        if self.rebuilding:
+            return []
+        return self.apply_record(entry.offset, record)
+
+    def apply_record(self, offset: int, record: Any) -> list[FoldEvent]:
+        """Fold one decoded record that is not part of a snapshot.
+
+        :param offset: offset of the record.
+        :param record: the record.
+        """
+        match record:
+            case ConfigurationRecord():
+                return self.apply_configuration(offset, record)
+            case RegistrationRecord():
+                return self.apply_registration(offset, record)
+            case GrantRecord():
+                return self.endpoints.grant(offset, record)
+            case GrantOutcomeRecord():
+                return self.endpoints.end(record)
+            case ClaimBatchRecord():
+                registered = self.is_registered(record.endpoint, record.incarnation)
+                return self.claims.claim(offset, record, registered)
+            case OutcomeBatchRecord():
+                return self.claims.end(record)
+        return [self.ignored(offset, f"No rule for {type(record).__name__}.")]
+
+    def apply_configuration(
+        self, offset: int, record: ConfigurationRecord
+    ) -> list[FoldEvent]:
+        """Fold a change of the configuration.
+
+        :param offset: offset of the record.
+        :param record: the record.
+        """
+        events = self.subjects.apply(offset, record)
+        self.observe_fleet(events)
+        return events
+
+    def apply_registration(
+        self, offset: int, record: RegistrationRecord
+    ) -> list[FoldEvent]:
+        """Fold a registration, which ends the claims of earlier processes.
+
+        :param offset: offset of the record.
+        :param record: the record.
+        """
+        events = self.endpoints.register(offset, record)
+        if self.is_registered(record.endpoint, record.incarnation):
+            events += self.claims.supersede(record.endpoint, record.incarnation)
+        return events
+
+    def apply_snapshot(self, offset: int, record: SnapshotRecord) -> list[FoldEvent]:
+        """Take a chunk of a snapshot.
+
+        A reader without a gap knows the state already and only notes how far
+        snapshots cover.
+
+        :param offset: offset of the chunk.
+        :param record: the chunk.
+        """
+        state = self.assembler.add(record)
+        if state is None:
+            return []
+        if self.rebuilding and state.covers + 1 >= self.oldest_after_gap:
+            return self.install(state)
+        self.snapshot_covers = max(self.snapshot_covers, state.covers)
+        return [SnapshotCompleted(covers=state.covers, offset=offset)]
+
+    def retained_from(self, first: int) -> None:
+        """Start to rebuild the state if records that were not read are gone.
+
+        :param first: offset of the oldest record that the log still keeps.
+        """
+        if first <= self.next_offset:
+            return
+        logging.warning(
+            "[fold] Records were lost. next=%d first=%d", self.next_offset, first
+        )
+        self.rebuilding = True
+        self.oldest_after_gap = first
+        self.next_offset = first
+        self.assembler = SnapshotAssembler(keep=True)
+
+    def install(self, state: SnapshotState) -> list[FoldEvent]:
+        """Replace the state by that of a snapshot and read on after it.
+
+        :param state: the snapshot's state.
+        """
+        self.rebuilding = False
+        self.assembler = SnapshotAssembler(keep=False)
+        self.next_offset = state.covers + 1
+        self.snapshot_covers = state.covers
+        events = self.subjects.replaced_by(state.entries)
+        self.observe_fleet(events)
+        self.endpoints.replace(state.endpoints, state.pools)
+        events += self.claims.replace(state.claims, state.expired_keys)
+        logging.info("[fold] State rebuilt. covers=%d", state.covers)
+        return [StateReplaced(covers=state.covers), *events]
+
+    def state(self) -> SnapshotState:
+        """Return the whole state, for a snapshot."""
+        return SnapshotState(
+            covers=self.next_offset - 1,
+            entries=self.subjects.entries(),
+            endpoints=list(self.endpoints.entry_by_endpoint.values()),
+            pools=self.endpoints.pool_entries(),
+            claims=list(self.claims.claim_by_key.values()),
+            expired_keys=list(self.claims.expired),
+        )
+
+    def observe_fleet(self, events: list[FoldEvent]) -> None:
+        """Take the pools' minimum numbers from a change of the fleet.
+
+        :param events: events of the configuration.
+        """
+        for event in events:
+            if isinstance(event, SubjectChanged) and event.subject == FLEET_SUBJECT:
+                self.endpoints.observe_fleet(event.document)
+
+    def ignored(self, offset: int, reason: str) -> RecordIgnored:
+        """Count and log a record that changes nothing.
+
+        :param offset: offset of the record.
+        :param reason: what is wrong with it.
+        """
+        self.ignored_records += 1
+        logging.error("[fold] Record ignored. offset=%d reason=%s", offset, reason)
+        return RecordIgnored(offset=offset, reason=reason)
+
+    def subject(self, subject: str) -> SnapshotEntry | None:
+        """Return the revision of a subject in force; a removed one has none.
+
+        :param subject: subject, as kind/name.
+        """
+        return self.subjects.entry_by_subject.get(subject)
+
+    def endpoint(self, endpoint: str) -> EndpointEntry | None:
+        """Return the registration and last grant of an endpoint.
+
+        :param endpoint: endpoint name.
+        """
+        return self.endpoints.entry_by_endpoint.get(endpoint)
+
+    def is_registered(self, endpoint: str, incarnation: str) -> bool:
+        """Return whether a process is the registered sidecar of its endpoint.
+
+        :param endpoint: endpoint name.
+        :param incarnation: identifier of the process.
+        """
+        entry = self.endpoint(endpoint)
+        return entry is not None and entry.incarnation == incarnation and not entry.left
+
+    def claim(self, key: str) -> ClaimEntry | None:
+        """Return the claim of a key, if it is kept.
+
+        :param key: key of the claim.
+        """
+        return self.claims.get(key)
+
+    def roles(self, pool: str) -> dict[str, str]:
+        """Return the role of each endpoint of a pool.
+
+        :param pool: pool name.
+        """
+        return {entry.endpoint: entry.role for entry in self.endpoints.members(pool)}
+
+    def pool_revision(self, pool: str) -> int:
+        """Return the offset of the last accepted role change of a pool; 0 for none.
+
+        :param pool: pool name.
+        """
+        return self.endpoints.pool_revision(pool)
--- /dev/null
+++ b/src/jasminewalk/fold_events.py
@@ -0,0 +1,236 @@
+"""Events that folding a record of the log produces."""
+
+from typing import Literal
+
+import attrs
+
+from jasminewalk.generated_records import ClaimEntry, EndpointEntry
+
+__all__ = [
+    "ClaimAccepted",
+    "ClaimDuplicate",
+    "ClaimEnded",
+    "ClaimRejection",
+    "FoldEvent",
+    "GrantAccepted",
+    "GrantEnded",
+    "GrantRejected",
+    "GrantRejection",
+    "RecordIgnored",
+    "RegistrationAccepted",
+    "RegistrationRejected",
+    "SnapshotCompleted",
+    "StateReplaced",
+    "SubjectChanged",
+    "SubjectRejected",
+]
+
+GrantRejection = Literal[
+    "not_registered", "grant_open", "base_grant", "pool_revision", "minimum"
+]
+ClaimRejection = Literal["held", "ended", "key_reused", "key_expired", "not_registered"]
+
+
+@attrs.frozen(kw_only=True)
+class SubjectChanged:
+    """A change of the configuration was accepted.
+
+    :param subject: what changed, as kind/name.
+    :param revision: offset of the record.
+    :param document: JSON text of the document in force.
+    :param deleted: whether the subject was removed.
+    :param record_id: identifier of the record.
+    :param reason: why it was published.
+    """
+
+    subject: str
+    revision: int
+    document: str
+    deleted: bool
+    record_id: str
+    reason: str
+
+
+@attrs.frozen(kw_only=True)
+class SubjectRejected:
+    """A change of the configuration lost against another one.
+
+    :param record_id: identifier of the losing record.
+    :param subject: what should have changed.
+    :param winner_revision: revision in force; 0 for none.
+    :param winner_author: who published the revision in force.
+    """
+
+    record_id: str
+    subject: str
+    winner_revision: int
+    winner_author: str
+
+
+@attrs.frozen(kw_only=True)
+class RegistrationAccepted:
+    """A sidecar process became the only writer for its endpoint.
+
+    :param record_id: identifier of the record.
+    :param endpoint: endpoint name.
+    :param incarnation: identifier of the process.
+    :param offset: offset of the record.
+    :param left: whether the endpoint left the pool.
+    """
+
+    record_id: str
+    endpoint: str
+    incarnation: str
+    offset: int
+    left: bool
+
+
+@attrs.frozen(kw_only=True)
+class RegistrationRejected:
+    """A registration was based on an old one.
+
+    :param record_id: identifier of the losing record.
+    :param endpoint: endpoint name.
+    :param winner: offset of the registration in force.
+    """
+
+    record_id: str
+    endpoint: str
+    winner: int
+
+
+@attrs.frozen(kw_only=True)
+class GrantAccepted:
+    """A grant gave its holder the right to make one change.
+
+    :param record_id: identifier of the record.
+    :param grant: offset of the record, which is the fencing number.
+    :param state: the endpoint with its new grant.
+    """
+
+    record_id: str
+    grant: int
+    state: EndpointEntry
+
+
+@attrs.frozen(kw_only=True)
+class GrantRejected:
+    """A proposed change was not accepted.
+
+    :param record_id: identifier of the losing record.
+    :param endpoint: endpoint name.
+    :param rejection: which check failed.
+    :param winner: offset of the last grant of the endpoint; 0 for none.
+    """
+
+    record_id: str
+    endpoint: str
+    rejection: GrantRejection
+    winner: int
+
+
+@attrs.frozen(kw_only=True)
+class GrantEnded:
+    """A grant got its outcome.
+
+    :param endpoint: endpoint name.
+    :param grant: offset of the grant.
+    :param outcome: how the change ended.
+    :param role: role in force afterwards.
+    """
+
+    endpoint: str
+    grant: int
+    outcome: Literal["done", "abandoned"]
+    role: Literal["mixed", "prefill", "decode"]
+
+
+@attrs.frozen(kw_only=True)
+class ClaimAccepted:
+    """A claim is the first one for its key.
+
+    :param record_id: identifier of the record with the claim.
+    :param claim: the claim.
+    """
+
+    record_id: str
+    claim: ClaimEntry
+
+
+@attrs.frozen(kw_only=True)
+class ClaimDuplicate:
+    """A claim was not accepted.
+
+    :param record_id: identifier of the record with the claim.
+    :param key: key of the claim.
+    :param request_id: identifier of the request that lost.
+    :param rejection: why it was not accepted.
+    :param winner: the claim that holds the key, if there is one.
+    """
+
+    record_id: str
+    key: str
+    request_id: str
+    rejection: ClaimRejection
+    winner: ClaimEntry | None = None
+
+
+@attrs.frozen(kw_only=True)
+class ClaimEnded:
+    """A claim got its outcome.
+
+    :param claim: the claim with its outcome.
+    """
+
+    claim: ClaimEntry
+
+
+@attrs.frozen(kw_only=True)
+class SnapshotCompleted:
+    """All chunks of a snapshot were seen.
+
+    :param covers: offset up to which the records are covered.
+    :param offset: offset of the last chunk.
+    """
+
+    covers: int
+    offset: int
+
+
+@attrs.frozen(kw_only=True)
+class StateReplaced:
+    """The state was rebuilt from a snapshot; read on from ``next_offset``.
+
+    :param covers: offset up to which the records are covered.
+    """
+
+    covers: int
+
+
+@attrs.frozen(kw_only=True)
+class RecordIgnored:
+    """A record could not be decoded and changed nothing.
+
+    :param offset: offset of the record.
+    :param reason: what was wrong with it.
+    """
+
+    offset: int
+    reason: str
+
+
+FoldEvent = (
+    SubjectChanged
+    | SubjectRejected
+    | RegistrationAccepted
+    | RegistrationRejected
+    | GrantAccepted
+    | GrantRejected
+    | GrantEnded
+    | ClaimAccepted
+    | ClaimDuplicate
+    | ClaimEnded
+    | SnapshotCompleted
+    | StateReplaced
+    | RecordIgnored
+)
--- a/src/jasminewalk/generated_records.py
+++ b/src/jasminewalk/generated_records.py
@@ -10,11 +10,15 @@
 __all__ = [
     "Claim",
     "ClaimBatchRecord",
+    "ClaimEntry",
     "ClaimOutcome",
     "ConfigurationRecord",
+    "EndpointEntry",
     "GrantOutcomeRecord",
     "GrantRecord",
     "OutcomeBatchRecord",
+    "PoolEntry",
+    "RegistrationRecord",
     "SnapshotEntry",
     "SnapshotRecord",
     "TYPE_BY_NUMBER",
@@ -135,6 +139,7 @@
     :param status: HTTP status of the answer.
     :param headers: headers of the answer as name and value.
     :param body: body of the answer.
+    :param whole: whether the body is kept in full.
     """
 
     key: str
@@ -143,6 +148,7 @@
     status: int = 0
     headers: list[list[str]] = attrs.field(factory=list)
     body: bytes = b""
+    whole: bool = True
 
 
 @attrs.frozen(kw_only=True)
@@ -161,6 +167,30 @@
     outcomes: list[ClaimOutcome]
 
 
+@attrs.frozen(kw_only=True)
+class RegistrationRecord:
+    """Makes a sidecar process the only writer for its endpoint, or says that
+    it left.
+
+    :param record_id: unique identifier of the record.
+    :param endpoint: endpoint name.
+    :param pool: pool name.
+    :param incarnation: identifier of the sidecar process.
+    :param base_registration: offset of the last registration of the endpoint;
+        0 for none.
+    :param role: role that the endpoint reports.
+    :param left: whether the endpoint leaves the pool.
+    """
+
+    record_id: str
+    endpoint: str
+    pool: str
+    incarnation: str
+    base_registration: int
+    role: Literal["mixed", "prefill", "decode"] = "mixed"
+    left: bool = False
+
+
 @attrs.frozen(kw_only=True)
 class SnapshotEntry:
     """One subject of the configuration as a snapshot holds it.
@@ -168,11 +198,103 @@
     :param subject: subject.
     :param revision: offset of the revision in force.
     :param document: JSON text of the document.
+    :param record_id: identifier of the record of the revision.
+    :param deleted: whether the subject was removed.
+    :param author: who published it.
+    :param reason: why it was published.
     """
 
     subject: str
     revision: int
     document: str
+    record_id: str = ""
+    deleted: bool = False
+    author: str = ""
+    reason: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class EndpointEntry:
+    """One endpoint with its registration and its last grant as a snapshot
+    holds them.
+
+    :param endpoint: endpoint name.
+    :param pool: pool name.
+    :param incarnation: identifier of the registered sidecar process.
+    :param registration: offset of the registration.
+    :param registration_id: identifier of the record of the registration.
+    :param role: role in force.
+    :param left: whether the endpoint left the pool.
+    :param grant: offset of the last grant; 0 for none.
+    :param grant_id: identifier of the record of the grant.
+    :param grant_holder: identifier of the sidecar process that holds the
+        grant.
+    :param open: whether the grant has no outcome yet.
+    :param wanted_role: role that the grant wants.
+    :param wanted_models: models and adapters that the grant wants.
+    :param wanted_version: software version that the grant wants.
+    :param lifetime_s: seconds the grant is valid for.
+    """
+
+    endpoint: str
+    pool: str
+    incarnation: str
+    registration: int
+    registration_id: str = ""
+    role: Literal["mixed", "prefill", "decode"] = "mixed"
+    left: bool = False
+    grant: int = 0
+    grant_id: str = ""
+    grant_holder: str = ""
+    open: bool = False
+    wanted_role: Literal["mixed", "prefill", "decode"] = "mixed"
+    wanted_models: list[str] = attrs.field(factory=list)
+    wanted_version: str = ""
+    lifetime_s: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class PoolEntry:
+    """The last accepted role change of a pool as a snapshot holds it.
+
+    :param pool: pool name.
+    :param revision: offset of the last accepted role change.
+    """
+
+    pool: str
+    revision: int
+
+
+@attrs.frozen(kw_only=True)
+class ClaimEntry:
+    """One claim with its outcome as a snapshot holds it.
+
+    :param key: key of the claim.
+    :param claim: offset of the record with the claim.
+    :param record_id: identifier of the record with the claim.
+    :param endpoint: endpoint name of the claimant.
+    :param incarnation: identifier of the claimant's process.
+    :param fingerprint: hash of the request.
+    :param request_id: identifier of the request.
+    :param outcome: what happened; empty while open.
+    :param status: HTTP status of the answer.
+    :param headers: headers of the answer as name and value.
+    :param body: body of the answer.
+    :param whole: whether the body is kept in full.
+    """
+
+    key: str
+    claim: int
+    record_id: str
+    endpoint: str
+    incarnation: str
+    fingerprint: str
+    request_id: str
+    outcome: Literal["", "ran", "not_run", "unknown"] = ""
+    status: int = 0
+    headers: list[list[str]] = attrs.field(factory=list)
+    body: bytes = b""
+    whole: bool = True
 
 
 @attrs.frozen(kw_only=True)
@@ -185,6 +307,10 @@
     :param chunk: number of the chunk from 0.
     :param chunks: number of chunks.
     :param entries: subjects of the chunk.
+    :param endpoints: endpoints of the chunk.
+    :param pools: pools of the chunk.
+    :param claims: claims of the chunk, oldest first.
+    :param expired_keys: hashes of expired keys, oldest first.
     """
 
     record_id: str
@@ -193,6 +319,10 @@
     chunk: int
     chunks: int
     entries: list[SnapshotEntry] = attrs.field(factory=list)
+    endpoints: list[EndpointEntry] = attrs.field(factory=list)
+    pools: list[PoolEntry] = attrs.field(factory=list)
+    claims: list[ClaimEntry] = attrs.field(factory=list)
+    expired_keys: list[int] = attrs.field(factory=list)
 
 
 TYPE_BY_NUMBER: dict[int, type] = {
@@ -201,5 +331,6 @@
     3: GrantOutcomeRecord,
     4: ClaimBatchRecord,
     5: OutcomeBatchRecord,
+    7: RegistrationRecord,
     6: SnapshotRecord,
 }
--- /dev/null
+++ b/src/jasminewalk/snapshots.py
@@ -0,0 +1,171 @@
+"""Decides when to write a snapshot of the state and cuts it into chunks."""
+
+import random
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+import msgspec
+
+from jasminewalk._fold_rebuild import SnapshotState
+from jasminewalk.fold import LogFold
+from jasminewalk.generated_records import SnapshotRecord
+from jasminewalk.log_writer import new_record_id
+
+__all__ = ["SnapshotPlanner", "SnapshotSettings", "cut_into_chunks"]
+
+EXPIRED_KEY_BYTES = 9
+
+
+@attrs.frozen(kw_only=True)
+class SnapshotSettings:
+    """When snapshots are written.
+
+    :param retention_s: seconds that the log keeps a record.
+    :param interval_s: seconds after which a snapshot is due; 0 takes a quarter of
+        the retention.
+    :param jitter_s: longest further wait; 0 takes an eighth of the retention.
+    :param chunk_bytes: largest chunk in bytes, but for a single larger item.
+    :param chunks_per_s: chunks written a second.
+    """
+
+    retention_s: float
+    interval_s: float = 0.0
+    jitter_s: float = 0.0
+    chunk_bytes: int = 256 << 10
+    chunks_per_s: float = 5.0
+
+
+class SnapshotPlanner:
+    """Writes a snapshot after a jittered wait unless another process was faster.
+
+    :param fold: state to write.
+    :param settings: when snapshots are written.
+    :param rng: random source.
+    """
+
+    def __init__(
+        self, fold: LogFold, settings: SnapshotSettings, rng: random.Random
+    ) -> None:
+        self.fold = fold
+        self.settings = settings
+        self.rng = rng
+        self.due_s: float | None = None
+        self.covers = 0
+        self.chunks: list[SnapshotRecord] = []
+        self.next_chunk_s = 0.0
+
+    def wait_s(self) -> float:
+        """Return a new wait before the next snapshot."""
+        quarter_s = self.settings.retention_s / 4
+        interval_s = self.settings.interval_s or quarter_s
+        return interval_s + self.rng.uniform(
+            0.0, self.settings.jitter_s or quarter_s / 2
+        )
+
+    def tick(self, now_s: float) -> list[SnapshotRecord]:
+        """Return the chunks to append now.
+
+        :param now_s: current instant in seconds.
+        """
+        if self.due_s is None or self.fold.snapshot_covers > self.covers:
+            self.restart(now_s)
+        if self.chunks:
+            return self.next_chunks(now_s)
+        if now_s < (self.due_s or 0.0) or not self.fold.ready:
+            return []
+        self.due_s = now_s + self.wait_s()
+        if self.fold.next_offset - 1 <= self.fold.snapshot_covers:
+            return []
+        self.chunks = cut_into_chunks(
+            self.fold.state(), self.settings.chunk_bytes, self.rng
+        )
+        return self.next_chunks(now_s)
+
+    def restart(self, now_s: float) -> None:
+        """Wait anew, since a snapshot was completed; drop one that is older.
+
+        :param now_s: current instant in seconds.
+        """
+        self.covers = self.fold.snapshot_covers
+        self.due_s = now_s + self.wait_s()
+        if self.chunks and self.chunks[0].covers <= self.covers:
+            self.chunks = []
+
+    def next_chunks(self, now_s: float) -> list[SnapshotRecord]:
+        """Return the next chunk when its turn has come.
+
+        :param now_s: current instant in seconds.
+        """
+        if now_s < self.next_chunk_s:
+            return []
+        self.next_chunk_s = now_s + 1.0 / self.settings.chunks_per_s
+        return [self.chunks.pop(0)]
+
+    def next_wake_s(self) -> float:
+        """Return the instant at which ``tick`` has something to do."""
+        if self.chunks:
+            return self.next_chunk_s
+        return self.due_s or 0.0
+
+
+@attrs.define
+class _Cutter:
+    chunk_bytes: int
+    chunks: list[dict[str, list[Any]]] = attrs.field(factory=lambda: [{}])
+    used_bytes: int = 0
+
+    def add(self, field: str, item: Any, size_bytes: int) -> None:
+        """Add an item to the last chunk, or to a new one if that is full."""
+        if self.used_bytes and self.used_bytes + size_bytes > self.chunk_bytes:
+            self.chunks.append({})
+            self.used_bytes = 0
+        self.chunks[-1].setdefault(field, []).append(item)
+        self.used_bytes += size_bytes
+
+
+def cut_into_chunks(
+    state: SnapshotState, chunk_bytes: int, rng: random.Random
+) -> list[SnapshotRecord]:
+    """Return the records of a snapshot.
+
+    :param state: the whole state.
+    :param chunk_bytes: largest chunk in bytes, but for a single larger item.
+    :param rng: random source for identifiers.
+    """
+    cutter = _Cutter(chunk_bytes)
+    for field, item, size_bytes in sized_items(state):
+        cutter.add(field, item, size_bytes)
+    snapshot_id = new_record_id(rng)
+    return [
+        SnapshotRecord(
+            record_id=new_record_id(rng),
+            snapshot_id=snapshot_id,
+            covers=state.covers,
+            chunk=number,
+            chunks=len(cutter.chunks),
+            **content,
+        )
+        for number, content in enumerate(cutter.chunks)
+    ]
+
+
+def sized_items(state: SnapshotState) -> Iterator[tuple[str, Any, int]]:
+    """Yield each item of a state with its field and its size in bytes.
+
+    :param state: the whole state.
+    """
+    for entry in state.entries:
+        yield "entries", entry, _encoded_bytes(entry)
+    for endpoint in state.endpoints:
+        yield "endpoints", endpoint, _encoded_bytes(endpoint)
+    for pool in state.pools:
+        yield "pools", pool, _encoded_bytes(pool)
+    for claim in state.claims:
+        yield "claims", claim, _encoded_bytes(claim)
+    for key in state.expired_keys:
+        yield "expired_keys", key, EXPIRED_KEY_BYTES
+
+
+def _encoded_bytes(item: Any) -> int:
+    return len(msgspec.msgpack.encode(item))
