Encode control messages by position

Cause: a node may spend 13 KB a second on control, and field names were most of a load report. A sealed LoadReport of an engine went from 466 to 221 bytes (fields as an array, HMAC tag cut to 16 bytes); opening one went from 9.9 to 14.1 us and sealing stayed at 7.8 us. Ruled out: compression, which costs more time than it saves on messages this small. Log records keep their field names, since they outlive versions.

--- a/src/jasminewalk/codec.py
+++ b/src/jasminewalk/codec.py
@@ -1,8 +1,10 @@
 """Encoding of control messages and log records, with peer authentication.
 
-A record is a msgpack array of its type number and its fields. A control message
-is the same, preceded by an HMAC-SHA-256 tag over the sender, its incarnation,
-the sequence number and the body.
+A log record is a msgpack array of its type number and a map of its fields. A
+control message has its fields as an array in the order of the schema, since field
+names would be most of its bytes; it is preceded by a truncated HMAC-SHA-256 tag
+over the sender, its incarnation, the sequence number and the body. Either way a
+field that a newer peer appended is ignored.
 """
 
 import hashlib
@@ -15,15 +17,22 @@
 from jasminewalk import generated_messages, generated_records
 from jasminewalk.exceptions import BadMessageError, UnauthenticatedPeerError
 
-__all__ = ["Envelope", "MessageCodec", "decode_record", "encode_record"]
+__all__ = [
+    "Envelope",
+    "MessageCodec",
+    "PositionalCodec",
+    "TypedCodec",
+    "decode_record",
+    "encode_record",
+]
 
-TAG_BYTES = 32
+TAG_BYTES = 16
 
 _encoder = msgspec.msgpack.Encoder()
 
 
 class TypedCodec:
-    """Encodes attrs objects as their type number and fields.
+    """Encodes attrs objects as their type number and a map of their fields.
 
     Fields that this version does not know are ignored.
 
@@ -33,11 +42,17 @@
     def __init__(self, type_by_number: dict[int, type]) -> None:
         self.number_by_type = {kind: n for n, kind in type_by_number.items()}
         self.decoders: dict[int, msgspec.msgpack.Decoder[Any]] = {
-            number: msgspec.msgpack.Decoder(kind)
-            for number, kind in type_by_number.items()
+            number: self.decoder(kind) for number, kind in type_by_number.items()
         }
         self.frame_decoder = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw])
 
+    def decoder(self, kind: type) -> msgspec.msgpack.Decoder[Any]:
+        """Return the decoder for the fields of a class.
+
+        :param kind: attrs class.
+        """
+        return msgspec.msgpack.Decoder(kind)
+
     def encode(self, value: Any) -> bytes:
         """Return the bytes of an object of a known class.
 
@@ -61,6 +76,64 @@
             raise BadMessageError(str(error)) from error
 
 
+class PositionalCodec(TypedCodec):
+    """Encodes attrs objects as their type number and an array of their fields.
+
+    :param type_by_number: attrs classes by their number.
+    """
+
+    def __init__(self, type_by_number: dict[int, type]) -> None:
+        self.names_by_type = {
+            kind: tuple(field.name for field in attrs.fields(kind))
+            for kind in type_by_number.values()
+        }
+        self.kind_by_struct: dict[type, type] = {}
+        super().__init__(type_by_number)
+
+    def decoder(self, kind: type) -> msgspec.msgpack.Decoder[Any]:
+        """Return the decoder for the fields of a class.
+
+        :param kind: attrs class.
+        """
+        fields = [positional_field(field) for field in attrs.fields(kind)]
+        struct = msgspec.defstruct(kind.__name__, fields, array_like=True, kw_only=True)
+        self.kind_by_struct[struct] = kind
+        return msgspec.msgpack.Decoder(struct)
+
+    def encode(self, value: Any) -> bytes:
+        """Return the bytes of an object of a known class.
+
+        :param value: the object.
+        """
+        kind = type(value)
+        fields = [getattr(value, name) for name in self.names_by_type[kind]]
+        return _encoder.encode((self.number_by_type[kind], fields))
+
+    def decode(self, data: bytes) -> Any:
+        """Return the object that the bytes hold.
+
+        :param data: what ``encode`` returned.
+        :raises BadMessageError: if the bytes are malformed or of unknown type.
+        """
+        struct = super().decode(data)
+        kind = self.kind_by_struct[type(struct)]
+        names = self.names_by_type[kind]
+        return kind(**{name: getattr(struct, name) for name in names})
+
+
+def positional_field(field: Any) -> Any:
+    """Return what ``msgspec.defstruct`` needs to know about a field.
+
+    :param field: attribute of an attrs class.
+    """
+    if field.default is attrs.NOTHING:
+        return (field.name, field.type)
+    factory = getattr(field.default, "factory", None)
+    if factory is not None:
+        return (field.name, field.type, msgspec.field(default_factory=factory))
+    return (field.name, field.type, field.default)
+
+
 _records = TypedCodec(generated_records.TYPE_BY_NUMBER)
 
 
@@ -112,7 +185,7 @@
     def __init__(self, shared_key: str, max_bytes: int = 4 << 20) -> None:
         self.key = shared_key.encode()
         self.max_bytes = max_bytes
-        self.codec = TypedCodec(generated_messages.TYPE_BY_NUMBER)
+        self.codec = PositionalCodec(generated_messages.TYPE_BY_NUMBER)
         self.header_decoder = msgspec.msgpack.Decoder(tuple[str, str, int, bytes])
 
     def seal(self, sender: str, incarnation: str, sequence: int, message: Any) -> bytes:
@@ -153,4 +226,4 @@
 
         :param body: the bytes.
         """
-        return hmac.digest(self.key, body, hashlib.sha256)
+        return hmac.digest(self.key, body, hashlib.sha256)[:TAG_BYTES]
