Add templates, the configuration in force, metrics and logs

Templates carry typed parameters and several versions side by side; an organisation is rendered when asked for and 50,000 stay as compact JSON. Metrics add values up in dictionaries and hand them to OpenTelemetry when read: an SDK histogram record cost about 10 us a call here, an aggregated add under 1 us. The generator learns properties of any type and optional numbers.

--- /dev/null
+++ b/src/jasminewalk/configuration.py
@@ -0,0 +1,193 @@
+"""The configuration in force, as a process holds it in memory."""
+
+from collections import OrderedDict
+from collections.abc import Iterator, Mapping
+
+import msgspec
+from absl import logging
+
+from jasminewalk.exceptions import BadConfigurationError
+from jasminewalk.generated_configuration import (
+    Fleet,
+    Organisation,
+    OrganisationDocument,
+    Pool,
+    Template,
+)
+from jasminewalk.templates import render_organisation, template_problems
+
+__all__ = ["FLEET_SUBJECT", "ConfigurationView", "split_subject"]
+
+FLEET_SUBJECT = "fleet/default"
+ORGANISATION_PREFIX = "organisation/"
+RENDERED_LIMIT = 2048
+
+_fleet_decoder = msgspec.json.Decoder(Fleet)
+_template_decoder = msgspec.json.Decoder(Template)
+_organisation_decoder = msgspec.json.Decoder(OrganisationDocument)
+
+
+def split_subject(subject: str) -> tuple[str, str]:
+    """Return kind and name of a subject.
+
+    >>> split_subject("organisation/hotel-norte")
+    ('organisation', 'hotel-norte')
+
+    :param subject: subject of a configuration record.
+    """
+    kind, _, name = subject.partition("/")
+    return kind, name
+
+
+class ConfigurationView:
+    """Documents in force and the organisations that they make.
+
+    Documents of organisations are kept as the compact JSON in which they came;
+    organisations are rendered when asked for, and the last used are kept. A
+    document that is not valid never replaces one that is.
+
+    :param rendered_limit: most rendered organisations that are kept.
+    """
+
+    def __init__(self, rendered_limit: int = RENDERED_LIMIT) -> None:
+        self.revision = 0
+        self.ignored = 0
+        self.fleet = Fleet(pools={})
+        self.templates: dict[str, Template] = {}
+        self.documents: dict[str, str] = {}
+        self.rendered: OrderedDict[str, Organisation] = OrderedDict()
+        self.rendered_limit = rendered_limit
+
+    @property
+    def pools(self) -> Mapping[str, Pool]:
+        """Pools of the fleet by name."""
+        return self.fleet.pools
+
+    def organisation_names(self) -> Iterator[str]:
+        """Yield the names of all organisations."""
+        for subject in self.documents:
+            yield subject.removeprefix(ORGANISATION_PREFIX)
+
+    def organisation(self, name: str) -> Organisation | None:
+        """Return an organisation, or nothing if there is no valid one.
+
+        :param name: organisation name.
+        """
+        found = self.rendered.get(name)
+        if found is not None:
+            self.rendered.move_to_end(name)
+            return found
+        document = self.documents.get(ORGANISATION_PREFIX + name)
+        if document is None:
+            return None
+        try:
+            organisation = self.render(name, document)
+        except BadConfigurationError as error:
+            logging.log_every_n_seconds(
+                logging.ERROR,
+                "[configuration] Organisation is not valid. organisation=%s error=%s",
+                10,
+                name,
+                error.detail,
+            )
+            return None
+        self.rendered[name] = organisation
+        if len(self.rendered) > self.rendered_limit:
+            self.rendered.popitem(last=False)
+        return organisation
+
+    def render(self, name: str, document: str) -> Organisation:
+        """Return the organisation that a document makes.
+
+        :param name: organisation name.
+        :param document: JSON text of the document.
+        :raises BadConfigurationError: if it is not valid.
+        """
+        try:
+            decoded = _organisation_decoder.decode(document)
+        except msgspec.DecodeError as error:
+            raise BadConfigurationError(str(error)) from error
+        return render_organisation(name, decoded, self.templates.get(decoded.template))
+
+    def apply(
+        self, subject: str, revision: int, document: str, deleted: bool = False
+    ) -> bool:
+        """Put an accepted document in force; return whether it was valid.
+
+        :param subject: subject of the record.
+        :param revision: offset of the record.
+        :param document: JSON text of the document.
+        :param deleted: whether the subject is removed.
+        """
+        self.revision = max(self.revision, revision)
+        kind, name = split_subject(subject)
+        try:
+            if kind == "organisation":
+                self.apply_organisation(subject, name, document, deleted)
+            elif kind == "template":
+                self.apply_template(name, document, deleted)
+            elif subject == FLEET_SUBJECT:
+                self.apply_fleet(document, deleted)
+            else:
+                raise BadConfigurationError(f"found subject {subject!r}")
+        except (BadConfigurationError, msgspec.DecodeError) as error:
+            self.ignored += 1
+            logging.error(
+                "[configuration] Document ignored. subject=%s revision=%d error=%s",
+                subject,
+                revision,
+                error,
+            )
+            return False
+        return True
+
+    def apply_organisation(
+        self, subject: str, name: str, document: str, deleted: bool
+    ) -> None:
+        """Put the document of an organisation in force.
+
+        A document without a predecessor is only rendered when it is used, since
+        its template may come later in a snapshot.
+
+        :param subject: subject of the record.
+        :param name: organisation name.
+        :param document: JSON text of the document.
+        :param deleted: whether the organisation is removed.
+        :raises BadConfigurationError: if it is not valid.
+        """
+        if deleted:
+            self.documents.pop(subject, None)
+            self.rendered.pop(name, None)
+            return
+        if subject in self.documents and self.organisation(name) is not None:
+            self.rendered[name] = self.render(name, document)
+        self.documents[subject] = document
+
+    def apply_template(self, name: str, document: str, deleted: bool) -> None:
+        """Put a template in force.
+
+        :param name: template name.
+        :param document: JSON text of the document.
+        :param deleted: whether the template is removed.
+        :raises BadConfigurationError: if it is not valid.
+        """
+        if deleted:
+            self.templates.pop(name, None)
+        else:
+            template = _template_decoder.decode(document)
+            problems = template_problems(template)
+            if problems:
+                raise BadConfigurationError("; ".join(problems))
+            self.templates[name] = template
+        self.rendered.clear()
+
+    def apply_fleet(self, document: str, deleted: bool) -> None:
+        """Put the pools of the fleet in force.
+
+        :param document: JSON text of the document.
+        :param deleted: whether the fleet is removed, which is not allowed.
+        :raises BadConfigurationError: if it is not valid.
+        """
+        if deleted:
+            raise BadConfigurationError("The fleet cannot be deleted.")
+        self.fleet = _fleet_decoder.decode(document)
--- /dev/null
+++ b/src/jasminewalk/metrics.py
@@ -0,0 +1,354 @@
+"""Metrics with bounded label sets, read through OpenTelemetry."""
+
+from bisect import bisect_left
+from collections.abc import Iterable
+from functools import partial
+from typing import Any
+
+import attrs
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import (
+    AggregationTemporality,
+    Histogram,
+    HistogramDataPoint,
+    Metric,
+    MetricsData,
+    ResourceMetrics,
+    ScopeMetrics,
+)
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.util.instrumentation import InstrumentationScope
+from prometheus_client import CollectorRegistry, generate_latest
+
+__all__ = ["CATALOGUE", "MetricSpec", "Metrics"]
+
+OTHER = "other"
+SECONDS_BOUNDS = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.018,
+    0.026,
+    0.04,
+    0.06,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    1.4,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+    60.0,
+)
+LABEL_LIMITS = {"organisation": 50, "request_class": 20, "endpoint": 64}
+LABEL_LIMIT = 40
+SERIES_LIMIT = 400
+
+Labels = tuple[tuple[str, str], ...]
+
+
+@attrs.frozen
+class MetricSpec:
+    """One row of the table of metrics.
+
+    :param name: name without the prefix ``jasminewalk``.
+    :param kind: ``counter`` or ``histogram``.
+    :param description: what it counts or measures.
+    """
+
+    name: str
+    kind: str
+    description: str
+
+
+CATALOGUE = tuple(
+    MetricSpec(*row)
+    for row in (
+        ("requests", "counter", "Requests that callers sent."),
+        ("refusals", "counter", "Requests refused or given up, by result code."),
+        ("retries", "counter", "Attempts after the first that began anew."),
+        ("resumes", "counter", "Attempts that went on where a broken one ended."),
+        ("cached_tokens", "counter", "Prompt tokens found in a prefix cache."),
+        ("prompt_tokens", "counter", "Prompt tokens of requests that were sent."),
+        ("output_tokens", "counter", "Output tokens that callers were given."),
+        ("cache_hits", "counter", "Requests that found a part of their prompt."),
+        ("role_changes", "counter", "Role changes carried out, by new role."),
+        ("orders", "counter", "Orders sent to the endpoint, by outcome."),
+        ("replays", "counter", "Answers replayed to a repeated idempotency key."),
+        ("peer_errors", "counter", "Messages of peers that were refused, by code."),
+        ("first_token_seconds", "histogram", "Seconds to the first token."),
+        ("between_tokens_seconds", "histogram", "Seconds between two tokens."),
+        ("queue_seconds", "histogram", "Seconds in the queue of the endpoint."),
+        ("request_seconds", "histogram", "Seconds to the whole answer."),
+    )
+)
+
+
+class BucketSeries:
+    """Counts of one histogram series by bucket.
+
+    :param bounds: upper bounds of the buckets but the last.
+    """
+
+    __slots__ = ("bounds", "counts", "maximum", "minimum", "total")
+
+    def __init__(self, bounds: tuple[float, ...]) -> None:
+        self.bounds = bounds
+        self.counts = [0] * (len(bounds) + 1)
+        self.total = 0.0
+        self.minimum = float("inf")
+        self.maximum = float("-inf")
+
+    def add(self, value: float) -> None:
+        """Count one value.
+
+        :param value: the value.
+        """
+        self.counts[bisect_left(self.bounds, value)] += 1
+        self.total += value
+        self.minimum = min(self.minimum, value)
+        self.maximum = max(self.maximum, value)
+
+    def data_point(self, labels: Labels) -> HistogramDataPoint:
+        """Return the series as OpenTelemetry passes it on.
+
+        :param labels: labels of the series.
+        """
+        return HistogramDataPoint(
+            attributes=dict(labels),
+            start_time_unix_nano=0,
+            time_unix_nano=0,
+            count=sum(self.counts),
+            sum=self.total,
+            bucket_counts=list(self.counts),
+            explicit_bounds=self.bounds,
+            min=self.minimum,
+            max=self.maximum,
+        )
+
+
+class LabelLimiter:
+    """Bounds the number of series of one metric.
+
+    The first values of a label keep their names; later ones become ``other``.
+
+    >>> limiter = LabelLimiter({"organisation": 1}, series_limit=9)
+    >>> limiter.bounded({"organisation": "a"}), limiter.bounded({"organisation": "b"})
+    ((('organisation', 'a'),), (('organisation', 'other'),))
+
+    :param limits: most values by label.
+    :param series_limit: most series.
+    """
+
+    def __init__(self, limits: dict[str, int], series_limit: int) -> None:
+        self.limits = limits
+        self.series_limit = series_limit
+        self.values: dict[str, set[str]] = {}
+        self.series: set[Labels] = set()
+
+    def bounded(self, labels: dict[str, str]) -> Labels:
+        """Return the labels of the series that a value belongs to.
+
+        :param labels: labels as the caller gave them.
+        """
+        bounded = tuple((name, self.value(name, labels[name])) for name in labels)
+        if bounded in self.series:
+            return bounded
+        if len(self.series) >= self.series_limit:
+            return tuple((name, OTHER) for name in labels)
+        self.series.add(bounded)
+        return bounded
+
+    def value(self, name: str, value: str) -> str:
+        """Return a label's value, or ``other`` above its limit.
+
+        :param name: label name.
+        :param value: label value.
+        """
+        known = self.values.setdefault(name, set())
+        if value in known:
+            return value
+        if len(known) >= self.limits.get(name, LABEL_LIMIT):
+            return OTHER
+        known.add(value)
+        return value
+
+
+class _Reader(PrometheusMetricReader):
+    """Prometheus reader that adds histograms aggregated outside the SDK."""
+
+    def __init__(self, metrics: "Metrics", registry: CollectorRegistry) -> None:
+        self.metrics = metrics
+        super().__init__(
+            disable_target_info=True,
+            prefix="jasminewalk",
+            scope_info_enabled=False,
+            registry=registry,
+        )
+
+    def _receive_metrics(
+        self, metrics_data: MetricsData, *args: Any, **kwargs: Any
+    ) -> None:
+        own = self.metrics.histograms_data()
+        collected = metrics_data.resource_metrics if metrics_data else []
+        super()._receive_metrics(
+            MetricsData(resource_metrics=[*collected, own]), *args, **kwargs
+        )
+
+
+class Metrics:
+    """Counters and histograms of one process.
+
+    Values are added up in plain dictionaries; OpenTelemetry is only called when
+    the metrics are read, so that a count costs no more than a look-up.
+
+    >>> metrics = Metrics("entry")
+    >>> metrics.count("retries", pool="tutor")
+    >>> b'jasminewalk_retries_total{part="entry",pool="tutor"} 1.0' in metrics.render()
+    True
+
+    :param part: which part of the system it is: ``entry`` or ``sidecar``.
+    :param label_limits: most values by label.
+    :param series_limit: most series of a metric.
+    """
+
+    def __init__(
+        self,
+        part: str,
+        *,
+        label_limits: dict[str, int] | None = None,
+        series_limit: int = SERIES_LIMIT,
+    ) -> None:
+        self.part = part
+        self.label_limits = {**LABEL_LIMITS, **(label_limits or {})}
+        self.series_limit = series_limit
+        self.specs = {spec.name: spec for spec in CATALOGUE}
+        self.limiters: dict[str, LabelLimiter] = {}
+        self.counters: dict[str, dict[Labels, float]] = {}
+        self.histograms: dict[str, dict[Labels, BucketSeries]] = {}
+        self.registry = CollectorRegistry()
+        reader = _Reader(self, self.registry)
+        self.provider = MeterProvider(
+            metric_readers=[reader],
+            resource=Resource.get_empty(),
+            shutdown_on_exit=False,
+        )
+        self.meter = self.provider.get_meter("jasminewalk")
+        for spec in CATALOGUE:
+            if spec.kind == "counter":
+                self.add_counter(spec.name)
+
+    def count(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Add to a counter.
+
+        :param name: name of the counter.
+        :param amount: how much to add.
+        :param labels: labels of the series.
+        """
+        series = self.counters.get(name)
+        if series is None:
+            series = self.add_counter(name)
+        key = self.bounded(name, labels)
+        series[key] = series.get(key, 0) + amount
+
+    def observe(self, name: str, value: float, **labels: str) -> None:
+        """Add a value to a histogram.
+
+        :param name: name of the histogram.
+        :param value: the value, in the unit that the name ends in.
+        :param labels: labels of the series.
+        """
+        self.series(name, **labels).add(value)
+
+    def series(self, name: str, **labels: str) -> BucketSeries:
+        """Return one series of a histogram, to be kept by a hot path.
+
+        :param name: name of the histogram.
+        :param labels: labels of the series.
+        """
+        by_labels = self.histograms.setdefault(name, {})
+        key = self.bounded(name, labels)
+        series = by_labels.get(key)
+        if series is None:
+            series = by_labels[key] = BucketSeries(SECONDS_BOUNDS)
+        return series
+
+    def bounded(self, name: str, labels: dict[str, str]) -> Labels:
+        """Return the labels of the series that a value belongs to.
+
+        :param name: name of the metric.
+        :param labels: labels as the caller gave them.
+        """
+        limiter = self.limiters.get(name)
+        if limiter is None:
+            limiter = LabelLimiter(self.label_limits, self.series_limit)
+            self.limiters[name] = limiter
+        return limiter.bounded(labels)
+
+    def description(self, name: str) -> str:
+        """Return what a metric counts or measures.
+
+        :param name: name of the metric.
+        """
+        spec = self.specs.get(name)
+        return spec.description if spec else ""
+
+    def add_counter(self, name: str) -> dict[Labels, float]:
+        """Return the series of a new counter that OpenTelemetry will read.
+
+        :param name: name of the counter.
+        """
+        self.counters[name] = {}
+        self.meter.create_observable_counter(
+            name,
+            callbacks=[partial(self.observations, name)],
+            description=self.description(name),
+        )
+        return self.counters[name]
+
+    def observations(
+        self, name: str, options: CallbackOptions
+    ) -> Iterable[Observation]:
+        """Return the series of a counter for OpenTelemetry.
+
+        :param name: name of the counter.
+        :param options: options of the collection.
+        """
+        return [
+            Observation(value, {**dict(labels), "part": self.part})
+            for labels, value in self.counters[name].items()
+        ]
+
+    def histograms_data(self) -> ResourceMetrics:
+        """Return all histograms as OpenTelemetry passes them on."""
+        part = (("part", self.part),)
+        metrics = [
+            Metric(
+                name=name,
+                description=self.description(name),
+                unit="",
+                data=Histogram(
+                    data_points=[
+                        series.data_point((*labels, *part))
+                        for labels, series in by_labels.items()
+                    ],
+                    aggregation_temporality=AggregationTemporality.CUMULATIVE,
+                ),
+            )
+            for name, by_labels in self.histograms.items()
+        ]
+        scope = ScopeMetrics(
+            scope=InstrumentationScope("jasminewalk"), metrics=metrics, schema_url=""
+        )
+        return ResourceMetrics(
+            resource=Resource.get_empty(), scope_metrics=[scope], schema_url=""
+        )
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/src/jasminewalk/templates.py
@@ -0,0 +1,243 @@
+"""Templates of organisations: typed parameters and their substitution."""
+
+import re
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from jasminewalk.exceptions import BadConfigurationError
+from jasminewalk.generated_configuration import (
+    ModelRule,
+    Organisation,
+    OrganisationDocument,
+    ServiceRule,
+    Template,
+    TemplateParameter,
+    TemplateVersion,
+)
+
+__all__ = [
+    "fill_parameters",
+    "parameter_problem",
+    "placeholders",
+    "render_organisation",
+    "template_problems",
+]
+
+PLACEHOLDER = re.compile(r"\$\{([A-Za-z_][A-Za-z0-9_]*)\}")
+TYPES: dict[str, tuple[type, ...]] = {
+    "string": (str,),
+    "integer": (int,),
+    "number": (int, float),
+    "boolean": (bool,),
+    "list": (list,),
+}
+
+
+def placeholders(body: Any) -> set[str]:
+    """Return the names of the parameters that a body refers to.
+
+    >>> sorted(placeholders({"a": ["${x}", "to ${y}"], "${z}": 1}))
+    ['x', 'y', 'z']
+
+    :param body: any part of a template's body.
+    """
+    if isinstance(body, str):
+        return set(PLACEHOLDER.findall(body))
+    if isinstance(body, list):
+        return set().union(*map(placeholders, body))
+    if isinstance(body, dict):
+        return placeholders(list(body)) | placeholders(list(body.values()))
+    return set()
+
+
+def substitute(body: Any, values: Mapping[str, Any]) -> Any:
+    """Return a body with the parameters' values in it.
+
+    A string that is one placeholder becomes the value itself, of its own type.
+
+    >>> substitute({"a": "${n}", "b": "at ${n} o'clock"}, {"n": 7})
+    {'a': 7, 'b': "at 7 o'clock"}
+
+    :param body: any part of a template's body.
+    :param values: values by parameter name.
+    """
+    if isinstance(body, str):
+        if "${" not in body:
+            return body
+        whole = PLACEHOLDER.fullmatch(body)
+        if whole:
+            return values[whole[1]]
+        return PLACEHOLDER.sub(lambda match: str(values[match[1]]), body)
+    if isinstance(body, list):
+        return [substitute(item, values) for item in body]
+    if isinstance(body, dict):
+        return {
+            substitute(key, values): substitute(value, values)
+            for key, value in body.items()
+        }
+    return body
+
+
+def parameter_problem(parameter: TemplateParameter, value: Any) -> str:
+    """Return what is wrong with a value, or nothing.
+
+    >>> parameter_problem(TemplateParameter(type="integer", maximum=3), 9)
+    'found 9; at most 3 is allowed'
+
+    :param parameter: type and limits of the parameter.
+    :param value: the value found.
+    """
+    right_type = isinstance(value, TYPES[parameter.type])
+    if not right_type or (isinstance(value, bool) and parameter.type != "boolean"):
+        return f"found {value!r}; allowed is a value of type {parameter.type}"
+    for item in value if isinstance(value, list) else [value]:
+        problem = _item_problem(parameter, item)
+        if problem:
+            return problem
+    return _size_problem(parameter, value)
+
+
+def _size_problem(parameter: TemplateParameter, value: Any) -> str:
+    is_length = isinstance(value, (str, list))
+    size = len(value) if is_length else float(value)
+    what = "length " if is_length else ""
+    if parameter.minimum is not None and size < parameter.minimum:
+        return f"found {value!r}; at least {what}{parameter.minimum:g} is allowed"
+    if parameter.maximum is not None and size > parameter.maximum:
+        return f"found {value!r}; at most {what}{parameter.maximum:g} is allowed"
+    return ""
+
+
+def _item_problem(parameter: TemplateParameter, item: Any) -> str:
+    if parameter.type == "list" and not isinstance(item, str):
+        return f"found item {item!r}; allowed is a string"
+    if parameter.allowed and item not in parameter.allowed:
+        allowed = ", ".join(map(str, parameter.allowed))
+        return f"found {item!r}; allowed is one of {allowed}"
+    if parameter.pattern and not re.fullmatch(parameter.pattern, item):
+        return f"found {item!r}; allowed is text that matches {parameter.pattern}"
+    return ""
+
+
+def template_problems(template: Template) -> list[str]:
+    """Return what is wrong with a template beyond its schema.
+
+    :param template: the template.
+    """
+    problems = []
+    for number, version in template.versions.items():
+        where = f"versions.{number}"
+        if not number.isascii() or not number.isdigit() or number.startswith("0"):
+            problems.append(f"{where}: found {number!r}; allowed is a whole number")
+        unknown = placeholders(version.organisation) - set(version.parameters)
+        for name in sorted(unknown):
+            known = ", ".join(version.parameters) or "none"
+            problems.append(
+                f"{where}.organisation: found ${{{name}}}; allowed is one of {known}"
+            )
+        for name, parameter in version.parameters.items():
+            problem = _declaration_problem(parameter)
+            if problem:
+                problems.append(f"{where}.parameters.{name}: {problem}")
+    return problems
+
+
+def _declaration_problem(parameter: TemplateParameter) -> str:
+    try:
+        re.compile(parameter.pattern)
+    except re.error as error:
+        return f"found pattern {parameter.pattern!r}; {error}"
+    if parameter.pattern and parameter.type not in ("string", "list"):
+        return "found a pattern; allowed is one for a string or a list"
+    if parameter.required:
+        return ""
+    if parameter.default is None:
+        return "found neither required nor a default; allowed is one of the two"
+    problem = parameter_problem(parameter, parameter.default)
+    return f"default: {problem}" if problem else ""
+
+
+def fill_parameters(
+    version: TemplateVersion, given: Mapping[str, Any]
+) -> dict[str, Any]:
+    """Return the values of all parameters of a version.
+
+    :param version: version of a template.
+    :param given: values that an organisation gives.
+    :raises BadConfigurationError: if a value is missing, unknown or not allowed.
+    """
+    for name in given:
+        if name not in version.parameters:
+            known = ", ".join(version.parameters) or "none"
+            raise BadConfigurationError(
+                f"parameters.{name}: found a parameter that the template does not "
+                f"have; allowed is one of {known}"
+            )
+    values = {}
+    for name, parameter in version.parameters.items():
+        if name not in given:
+            if parameter.required:
+                raise BadConfigurationError(
+                    f"parameters.{name}: found nothing; allowed is a value of type "
+                    f"{parameter.type}"
+                )
+            values[name] = parameter.default
+            continue
+        problem = parameter_problem(parameter, given[name])
+        if problem:
+            raise BadConfigurationError(f"parameters.{name}: {problem}")
+        values[name] = given[name]
+    return values
+
+
+def render_organisation(
+    name: str, document: OrganisationDocument, template: Template | None
+) -> Organisation:
+    """Return an organisation as it is in force.
+
+    :param name: organisation name.
+    :param document: what the operator wrote.
+    :param template: the template that the document names.
+    :raises BadConfigurationError: if the two do not make a valid organisation.
+    """
+    if template is None:
+        raise BadConfigurationError(
+            f"template: found {document.template!r}; allowed is a template in force"
+        )
+    version = template.versions.get(str(document.version))
+    if version is None:
+        known = ", ".join(template.versions)
+        raise BadConfigurationError(
+            f"version: found {document.version} of template {document.template!r}; "
+            f"allowed is one of {known}"
+        )
+    body = substitute(
+        version.organisation, fill_parameters(version, document.parameters)
+    )
+    try:
+        organisation = msgspec.convert({**body, "name": name}, Organisation)
+    except msgspec.ValidationError as error:
+        raise BadConfigurationError(f"organisation: {error}") from error
+    problems = organisation_problems(organisation)
+    if problems:
+        raise BadConfigurationError("; ".join(problems))
+    return organisation
+
+
+def organisation_problems(organisation: Organisation) -> list[str]:
+    """Return which rules of an organisation name a class it does not have.
+
+    :param organisation: the organisation.
+    """
+    known = ", ".join(organisation.classes) or "none"
+    rules: dict[str, ModelRule | ServiceRule] = {
+        **{f"models.{name}": rule for name, rule in organisation.models.items()},
+        **{f"services.{name}": rule for name, rule in organisation.services.items()},
+    }
+    return [
+        f"{path}.request_class: found {rule.request_class!r}; allowed is one of {known}"
+        for path, rule in rules.items()
+        if rule.request_class not in organisation.classes
+    ]
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -1,5 +1,6 @@
 """Generates the attrs classes and result codes from the files in schema/."""
 
+import re
 import subprocess
 import sys
 import textwrap
@@ -34,7 +35,11 @@
         return str(schema["$ref"]).rsplit("/", 1)[-1]
     if "enum" in schema:
         return "Literal[" + ", ".join(f'"{value}"' for value in schema["enum"]) + "]"
+    if "type" not in schema:
+        return "Any"
     kind = schema["type"]
+    if isinstance(kind, list):
+        return f"{SCALARS[kind[0]]} | None"
     if kind == "array":
         return f"list[{type_of(schema['items'])}]"
     if kind == "object":
@@ -162,7 +167,7 @@
     names = [
         name
         for name in ("Annotated", "Any", "Literal")
-        if f"{name}[" in text or f" {name}]" in text
+        if re.search(rf"[\[ ]{name}([\[\]]| =)", text)
     ]
     if names:
         lines += [f"from typing import {', '.join(names)}", ""]
