Decide about non-idempotent requests by claims on the log

A request runs only after its claim was read back as the first for its key; a claim that lands after it was given up is withdrawn. Registrations make one sidecar process the only writer for its endpoint.

--- /dev/null
+++ b/src/jasminewalk/_claim_state.py
@@ -0,0 +1,172 @@
+"""Requests, keys and batches that the at-most-once controller keeps."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from jasminewalk.claim_actions import (
+    ClaimAction,
+    ClaimSettings,
+    RefuseRequest,
+    ReplyToRequest,
+)
+from jasminewalk.generated_codes import RESULTS, Code, Ran
+from jasminewalk.generated_records import (
+    Claim,
+    ClaimBatchRecord,
+    ClaimEntry,
+    ClaimOutcome,
+    OutcomeBatchRecord,
+)
+from jasminewalk.log_writer import AppendRecord, GroupCommit, new_record_id
+from jasminewalk.types import Refusal
+
+__all__ = [
+    "ClaimBatches",
+    "ClaimRequest",
+    "KeyState",
+    "refusal_of",
+    "refuse",
+    "replay",
+]
+
+
+@attrs.define(kw_only=True)
+class ClaimRequest:
+    """A request that was not answered yet.
+
+    :param request_id: identifier of the request, its attempt included.
+    :param key: organisation, service and idempotency key.
+    :param fingerprint: hash of the request.
+    :param deadline_s: instant of the deadline in seconds.
+    :param give_up_s: instant at which it is refused if nothing is decided.
+    :param record_id: identifier of the record with its claim, once there is one.
+    :param running: whether it was handed to the service.
+    """
+
+    request_id: str
+    key: str
+    fingerprint: str
+    deadline_s: float
+    give_up_s: float
+    record_id: str = ""
+    running: bool = False
+
+
+@attrs.define
+class KeyState:
+    """What one process knows of a key.
+
+    :param owner: the request that claims the key or runs.
+    :param waiting: requests that wait for another one's outcome, by identifier.
+    :param outcome: outcome that is not on the log yet.
+    """
+
+    owner: ClaimRequest | None = None
+    waiting: dict[str, ClaimRequest] = attrs.field(factory=dict)
+    outcome: ClaimOutcome | None = None
+
+
+class ClaimBatches:
+    """Collects claims and outcomes into records.
+
+    :param settings: limits of the claims.
+    :param rng: random source for identifiers.
+    """
+
+    def __init__(self, settings: ClaimSettings, rng: random.Random) -> None:
+        self.settings = settings
+        self.rng = rng
+        self.claims: GroupCommit[ClaimRequest] = GroupCommit(
+            settings.batch_s, settings.max_batch
+        )
+        self.outcomes: GroupCommit[ClaimOutcome] = GroupCommit(
+            settings.batch_s, settings.max_batch
+        )
+
+    def due_claims(
+        self, now_s: float, is_wanted: Callable[[ClaimRequest], bool]
+    ) -> list[ClaimAction]:
+        """Return the record of the claims that are due.
+
+        :param now_s: current instant in seconds.
+        :param is_wanted: returns whether a request still wants its claim.
+        """
+        due = [request for request in self.claims.take(now_s) if is_wanted(request)]
+        if not due:
+            return []
+        record = ClaimBatchRecord(
+            record_id=new_record_id(self.rng),
+            endpoint=self.settings.endpoint,
+            incarnation=self.settings.incarnation,
+            claims=[
+                Claim(key=r.key, fingerprint=r.fingerprint, request_id=r.request_id)
+                for r in due
+            ],
+        )
+        for request in due:
+            request.record_id = record.record_id
+        give_up_s = max(request.give_up_s for request in due)
+        return [AppendRecord(record=record, give_up_s=give_up_s)]
+
+    def due_outcomes(self, now_s: float) -> list[ClaimAction]:
+        """Return the record of the outcomes that are due.
+
+        :param now_s: current instant in seconds.
+        """
+        due = self.outcomes.take(now_s)
+        if not due:
+            return []
+        record = OutcomeBatchRecord(
+            record_id=new_record_id(self.rng),
+            endpoint=self.settings.endpoint,
+            incarnation=self.settings.incarnation,
+            outcomes=due,
+        )
+        return [AppendRecord(record=record)]
+
+
+def refusal_of(
+    code: Code, ran: Ran | None = None, retry_after_s: float = 0.0
+) -> Refusal:
+    """Return a refusal with the message of its code.
+
+    :param code: result code.
+    :param ran: whether the request ran, if not as the code says.
+    :param retry_after_s: seconds after which to come back.
+    """
+    result = RESULTS[code]
+    return Refusal(code, result.message, retry_after_s, ran or result.ran)
+
+
+def refuse(request: ClaimRequest, refusal: Refusal) -> RefuseRequest:
+    """Return the action that refuses a request.
+
+    :param request: the request.
+    :param refusal: why.
+    """
+    return RefuseRequest(request_id=request.request_id, refusal=refusal)
+
+
+def replay(
+    request: ClaimRequest, ended: ClaimEntry | ClaimOutcome
+) -> ReplyToRequest | RefuseRequest | None:
+    """Return the answer that an ended claim gives to a duplicate, if it does.
+
+    :param request: the duplicate.
+    :param ended: the claim or its outcome.
+    """
+    if ended.outcome == "unknown":
+        return refuse(request, refusal_of(Code.OUTCOME_UNKNOWN))
+    if ended.outcome != "ran":
+        return None
+    if not ended.whole:
+        return refuse(request, refusal_of(Code.OUTCOME_UNKNOWN, "ran"))
+    return ReplyToRequest(
+        request_id=request.request_id,
+        status=ended.status,
+        headers=ended.headers,
+        body=ended.body,
+        replayed=True,
+    )
--- a/src/jasminewalk/_fold_claims.py
+++ b/src/jasminewalk/_fold_claims.py
@@ -32,7 +32,7 @@
 
     :param key: key of a claim.
     """
-    return xxhash.xxh3_64_intdigest(key)
+    return xxhash.xxh3_64_intdigest(key.encode())
 
 
 class ClaimTable:
--- a/src/jasminewalk/_fold_grants.py
+++ b/src/jasminewalk/_fold_grants.py
@@ -1,6 +1,6 @@
 """Registrations of sidecars, grants of changes and the roles of each pool."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import attrs
 import msgspec
@@ -248,7 +248,9 @@
     )
 
 
-def enough(role: str, others: list[str], capable: frozenset[str], minimum: int) -> bool:
+def enough(
+    role: str, others: Sequence[str], capable: frozenset[str], minimum: int
+) -> bool:
     """Return whether enough other endpoints can do what one endpoint does.
 
     :param role: role of the endpoint that changes.
--- /dev/null
+++ b/src/jasminewalk/at_most_once.py
@@ -0,0 +1,518 @@
+"""Runs each non-idempotent request at most once, whoever sends it how often."""
+
+import random
+from typing import Any, Literal
+
+from jasminewalk._claim_state import (
+    ClaimBatches,
+    ClaimRequest,
+    KeyState,
+    refusal_of,
+    refuse,
+    replay,
+)
+from jasminewalk.claim_actions import (
+    ClaimAction,
+    ClaimSettings,
+    RefuseRequest,
+    ReplyToRequest,
+    RunRequest,
+)
+from jasminewalk.fold import LogFold
+from jasminewalk.fold_events import (
+    ClaimAccepted,
+    ClaimDuplicate,
+    ClaimEnded,
+    FoldEvent,
+    StateReplaced,
+)
+from jasminewalk.generated_codes import Code
+from jasminewalk.generated_records import ClaimEntry, ClaimOutcome
+from jasminewalk.types import Refusal
+
+__all__ = [
+    "ClaimAction",
+    "ClaimController",
+    "ClaimSettings",
+    "RefuseRequest",
+    "ReplyToRequest",
+    "RunRequest",
+]
+
+Outcome = Literal["ran", "not_run", "unknown"]
+
+
+class ClaimController:
+    """Decides for the sidecar of a service which requests run.
+
+    A request runs only after its claim was read back from the log as the first
+    for its key. A claim that lands after it was given up is ended as not run.
+
+    :param settings: limits of the claims.
+    :param fold: state of the log.
+    :param rng: random source for identifiers.
+    """
+
+    def __init__(
+        self, settings: ClaimSettings, fold: LogFold, rng: random.Random
+    ) -> None:
+        self.settings = settings
+        self.fold = fold
+        self.rng = rng
+        self.log_available = True
+        self.draining = False
+        self.keys: dict[str, KeyState] = {}
+        self.key_by_request: dict[str, str] = {}
+        self.batches = ClaimBatches(settings, rng)
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request waits or runs and every outcome is on the log."""
+        return not self.keys and not self.batches.outcomes.items
+
+    def request(
+        self,
+        now_s: float,
+        *,
+        request_id: str,
+        key: str,
+        fingerprint: str,
+        deadline_s: float,
+    ) -> list[ClaimAction]:
+        """Take a request.
+
+        :param now_s: current instant in seconds.
+        :param request_id: identifier of the request, its attempt included.
+        :param key: organisation, service and idempotency key.
+        :param fingerprint: hash of the request.
+        :param deadline_s: instant of the deadline in seconds.
+        """
+        request = ClaimRequest(
+            request_id=request_id,
+            key=key,
+            fingerprint=fingerprint,
+            deadline_s=deadline_s,
+            give_up_s=min(deadline_s, now_s + self.settings.outcome_wait_s),
+        )
+        self.key_by_request[request_id] = key
+        return self.decide(now_s, request)
+
+    def decide(self, now_s: float, request: ClaimRequest) -> list[ClaimAction]:
+        """Replay, refuse, wait or claim, as the state of the key asks for.
+
+        :param now_s: current instant in seconds.
+        :param request: a request without a claim of its own.
+        """
+        known = self.known_outcome(request)
+        if known is not None:
+            return self.close(known)
+        state = self.keys.get(request.key)
+        if self.is_held(request, state):
+            self.key_state(request.key).waiting[request.request_id] = request
+            return []
+        refusal = self.refusal(now_s, request)
+        if refusal is not None:
+            return self.close(refuse(request, refusal))
+        request.record_id = ""
+        request.give_up_s = min(request.deadline_s, now_s + self.settings.claim_wait_s)
+        self.key_state(request.key).owner = request
+        self.batches.claims.add(now_s, request)
+        return self.due_claims(now_s)
+
+    def known_outcome(
+        self, request: ClaimRequest
+    ) -> ReplyToRequest | RefuseRequest | None:
+        """Return the answer that an earlier request decides, if one does.
+
+        :param request: the request.
+        """
+        entry = self.fold.claim(request.key)
+        if entry is None:
+            if not self.fold.claims.is_expired(request.key):
+                return self.reused_locally(request)
+            return refuse(request, refusal_of(Code.KEY_EXPIRED))
+        if entry.fingerprint != request.fingerprint:
+            return refuse(request, refusal_of(Code.KEY_REUSED))
+        state = self.keys.get(request.key)
+        outcome = state.outcome if state else None
+        if outcome is not None and outcome.claim == entry.claim:
+            return replay(request, outcome)
+        return replay(request, entry)
+
+    def reused_locally(self, request: ClaimRequest) -> RefuseRequest | None:
+        """Refuse a request whose key is being claimed for another one.
+
+        :param request: the request.
+        """
+        state = self.keys.get(request.key)
+        owner = state.owner if state else None
+        if owner is None or owner.fingerprint == request.fingerprint:
+            return None
+        return refuse(request, refusal_of(Code.KEY_REUSED))
+
+    def is_held(self, request: ClaimRequest, state: KeyState | None) -> bool:
+        """Return whether another request has or may get the claim of the key.
+
+        :param request: the request.
+        :param state: what this process knows of the key.
+        """
+        if state is not None and state.owner not in (None, request):
+            return True
+        entry = self.fold.claim(request.key)
+        return entry is not None and not entry.outcome
+
+    def refusal(self, now_s: float, request: ClaimRequest) -> Refusal | None:
+        """Return why a request cannot be claimed now, or nothing.
+
+        :param now_s: current instant in seconds.
+        :param request: the request.
+        """
+        settings = self.settings
+        if now_s >= request.deadline_s:
+            return refusal_of(Code.DEADLINE_PASSED, "not_run")
+        if self.draining:
+            return refusal_of(Code.DRAINING, retry_after_s=settings.retry_after_s)
+        if not self.fold.is_registered(settings.endpoint, settings.incarnation):
+            return refusal_of(Code.NOT_READY, retry_after_s=settings.retry_after_s)
+        if not self.log_available or not self.fold.ready:
+            return refusal_of(
+                Code.LOG_UNAVAILABLE, retry_after_s=settings.retry_after_s
+            )
+        return None
+
+    def due_claims(self, now_s: float) -> list[ClaimAction]:
+        """Return the record of the claims that are due.
+
+        :param now_s: current instant in seconds.
+        """
+        return self.batches.due_claims(now_s, self.owns)
+
+    def owns(self, request: ClaimRequest) -> bool:
+        """Return whether a request still wants the claim of its key.
+
+        :param request: the request.
+        """
+        state = self.keys.get(request.key)
+        return state is not None and state.owner is request
+
+    def on_event(self, now_s: float, event: FoldEvent) -> list[ClaimAction]:
+        """Take what a record of the log changed.
+
+        :param now_s: current instant in seconds.
+        :param event: what a record changed.
+        """
+        match event:
+            case ClaimAccepted():
+                return self.accepted(now_s, event.claim)
+            case ClaimDuplicate():
+                return self.rejected(now_s, event.record_id, event.key)
+            case ClaimEnded():
+                return self.ended(now_s, event.claim)
+            case StateReplaced():
+                return self.replaced(now_s)
+        return []
+
+    def accepted(self, now_s: float, claim: ClaimEntry) -> list[ClaimAction]:
+        """Run the request of an accepted claim, or end the claim as not run.
+
+        :param now_s: current instant in seconds.
+        :param claim: the claim.
+        """
+        settings = self.settings
+        if (claim.endpoint, claim.incarnation) != (
+            settings.endpoint,
+            settings.incarnation,
+        ):
+            return []
+        state = self.keys.get(claim.key)
+        owner = state.owner if state else None
+        if owner is None or owner.record_id != claim.record_id:
+            return self.withdraw(now_s, claim)
+        if owner.running:
+            return []
+        if now_s < owner.give_up_s:
+            owner.running = True
+            return [RunRequest(request_id=owner.request_id)]
+        return [*self.withdraw(now_s, claim), *self.give_up(now_s, owner)]
+
+    def withdraw(self, now_s: float, claim: ClaimEntry) -> list[ClaimAction]:
+        """End an own claim that nothing runs for.
+
+        :param now_s: current instant in seconds.
+        :param claim: the claim.
+        """
+        outcome = ClaimOutcome(key=claim.key, claim=claim.claim, outcome="not_run")
+        return self.record_outcome(now_s, outcome)
+
+    def rejected(self, now_s: float, record_id: str, key: str) -> list[ClaimAction]:
+        """Decide anew about a request whose claim was not accepted.
+
+        :param now_s: current instant in seconds.
+        :param record_id: identifier of the record with the claim.
+        :param key: key of the claim.
+        """
+        state = self.keys.get(key)
+        owner = state.owner if state else None
+        if state is None or owner is None or owner.running:
+            return []
+        if owner.record_id != record_id:
+            return []
+        state.owner = None
+        owner.give_up_s = min(owner.deadline_s, now_s + self.settings.outcome_wait_s)
+        return self.decide(now_s, owner)
+
+    def ended(self, now_s: float, claim: ClaimEntry) -> list[ClaimAction]:
+        """Decide anew about the requests that waited for a claim's outcome.
+
+        :param now_s: current instant in seconds.
+        :param claim: the claim with its outcome.
+        """
+        state = self.keys.get(claim.key)
+        if state is None:
+            return []
+        self.drop_recorded(claim.key, state)
+        return self.decide_waiting(now_s, claim.key)
+
+    def drop_recorded(self, key: str, state: KeyState) -> None:
+        """Forget an outcome that the fold has, or has no more use for.
+
+        :param key: the key.
+        :param state: what this process knows of it.
+        """
+        if state.outcome is None:
+            return
+        entry = self.fold.claim(key)
+        if entry is None or entry.outcome or entry.claim != state.outcome.claim:
+            state.outcome = None
+            self.forget_key(key)
+
+    def decide_waiting(self, now_s: float, key: str) -> list[ClaimAction]:
+        """Decide anew about the requests that wait for a key.
+
+        :param now_s: current instant in seconds.
+        :param key: the key.
+        """
+        state = self.keys.get(key)
+        if state is None:
+            return []
+        waiting = list(state.waiting.values())
+        state.waiting.clear()
+        actions: list[ClaimAction] = []
+        for request in waiting:
+            actions.extend(self.decide(now_s, request))
+        self.forget_key(key)
+        return actions
+
+    def replaced(self, now_s: float) -> list[ClaimAction]:
+        """Compare all requests with a state that was rebuilt from a snapshot.
+
+        :param now_s: current instant in seconds.
+        """
+        actions: list[ClaimAction] = []
+        for key, state in list(self.keys.items()):
+            entry = self.fold.claim(key)
+            owner = state.owner
+            if owner is not None and owner.record_id and entry is not None:
+                if entry.record_id == owner.record_id and not entry.outcome:
+                    actions.extend(self.accepted(now_s, entry))
+                elif not owner.running:
+                    actions.extend(self.rejected(now_s, owner.record_id, key))
+            if entry is not None and entry.outcome:
+                actions.extend(self.ended(now_s, entry))
+        return actions + self.withdraw_orphans(now_s)
+
+    def withdraw_orphans(self, now_s: float) -> list[ClaimAction]:
+        """End own open claims that no request of this process has."""
+        actions: list[ClaimAction] = []
+        own = self.fold.claims.open_by_endpoint.get(self.settings.endpoint, {})
+        for key in list(own):
+            entry = self.fold.claim(key)
+            if key in self.keys or entry is None:
+                continue
+            if entry.incarnation == self.settings.incarnation:
+                actions.extend(self.withdraw(now_s, entry))
+        return actions
+
+    def finished(
+        self,
+        now_s: float,
+        request_id: str,
+        *,
+        status: int,
+        headers: list[list[str]],
+        body: bytes,
+    ) -> list[ClaimAction]:
+        """Take the service's answer.
+
+        :param now_s: current instant in seconds.
+        :param request_id: identifier of the request that ran.
+        :param status: HTTP status.
+        :param headers: headers as name and value.
+        :param body: body of the answer.
+        """
+        whole = len(body) <= self.settings.max_body_bytes
+        kept = {"status": status, "headers": headers, "body": body if whole else b""}
+        reply = ReplyToRequest(
+            request_id=request_id,
+            status=status,
+            headers=headers,
+            body=body,
+            replayed=False,
+        )
+        return self.settle(now_s, request_id, reply, "ran", whole=whole, **kept)
+
+    def not_started(
+        self, now_s: float, request_id: str, refusal: Refusal
+    ) -> list[ClaimAction]:
+        """Take that nothing of the request was sent to the service.
+
+        :param now_s: current instant in seconds.
+        :param request_id: identifier of the request.
+        :param refusal: why; its ``ran`` is ``not_run``.
+        """
+        answer = RefuseRequest(request_id=request_id, refusal=refusal)
+        return self.settle(now_s, request_id, answer, "not_run")
+
+    def lost(self, now_s: float, request_id: str) -> list[ClaimAction]:
+        """Take that the service's answer was lost after the request was sent.
+
+        :param now_s: current instant in seconds.
+        :param request_id: identifier of the request.
+        """
+        refusal = refusal_of(Code.OUTCOME_UNKNOWN)
+        answer = RefuseRequest(request_id=request_id, refusal=refusal)
+        return self.settle(now_s, request_id, answer, "unknown")
+
+    def settle(
+        self,
+        now_s: float,
+        request_id: str,
+        answer: ReplyToRequest | RefuseRequest,
+        outcome: Outcome,
+        **content: Any,
+    ) -> list[ClaimAction]:
+        """Answer the request that ran and record its outcome.
+
+        :param now_s: current instant in seconds.
+        :param request_id: identifier of the request.
+        :param answer: answer to its caller.
+        :param outcome: what happened.
+        :param content: fields of the outcome.
+        """
+        key = self.key_by_request.get(request_id, "")
+        state = self.keys.get(key)
+        owner = state.owner if state else None
+        entry = self.fold.claim(key)
+        if state is None or owner is None or owner.request_id != request_id:
+            return []
+        if not owner.running:
+            return []
+        state.owner = None
+        actions = self.close(answer)
+        if entry is None or entry.record_id != owner.record_id or entry.outcome:
+            return actions + self.decide_waiting(now_s, key)
+        record = ClaimOutcome(key=key, claim=entry.claim, outcome=outcome, **content)
+        if outcome != "not_run":
+            state.outcome = record
+            actions += self.decide_waiting(now_s, key)
+        return actions + self.record_outcome(now_s, record)
+
+    def record_outcome(self, now_s: float, outcome: ClaimOutcome) -> list[ClaimAction]:
+        """Put an outcome into the next batch.
+
+        :param now_s: current instant in seconds.
+        :param outcome: the outcome.
+        """
+        self.batches.outcomes.add(now_s, outcome)
+        return self.batches.due_outcomes(now_s)
+
+    def cancel(self, now_s: float, request_id: str) -> list[ClaimAction]:
+        """Take that the caller has gone; a request that runs is not stopped.
+
+        :param now_s: current instant in seconds.
+        :param request_id: identifier of the request.
+        """
+        key = self.key_by_request.get(request_id, "")
+        state = self.keys.get(key)
+        if state is None:
+            return []
+        state.waiting.pop(request_id, None)
+        owner = state.owner
+        if owner is not None and owner.request_id == request_id:
+            if owner.running:
+                return []
+            state.owner = None
+        self.key_by_request.pop(request_id, None)
+        return self.decide_waiting(now_s, key)
+
+    def tick(self, now_s: float) -> list[ClaimAction]:
+        """Append what is due and give up what has waited too long.
+
+        :param now_s: current instant in seconds.
+        """
+        actions: list[ClaimAction] = []
+        for key, state in list(self.keys.items()):
+            self.drop_recorded(key, state)
+            owner = state.owner
+            if owner is not None and not owner.running and now_s >= owner.give_up_s:
+                actions.extend(self.give_up(now_s, owner))
+            for request in list(state.waiting.values()):
+                if now_s >= request.give_up_s:
+                    del state.waiting[request.request_id]
+                    refusal = refusal_of(
+                        Code.OUTCOME_UNKNOWN, retry_after_s=self.settings.retry_after_s
+                    )
+                    actions.extend(self.close(refuse(request, refusal)))
+        actions.extend(self.due_claims(now_s))
+        actions.extend(self.batches.due_outcomes(now_s))
+        return actions
+
+    def give_up(self, now_s: float, owner: ClaimRequest) -> list[ClaimAction]:
+        """Refuse a request whose claim was not read back in time.
+
+        It cannot run any more: should its claim land, it is withdrawn.
+
+        :param now_s: current instant in seconds.
+        :param owner: the request.
+        """
+        self.keys[owner.key].owner = None
+        late = now_s >= owner.deadline_s
+        code = Code.DEADLINE_PASSED if late else Code.LOG_UNAVAILABLE
+        refusal = refusal_of(code, "not_run", retry_after_s=self.settings.retry_after_s)
+        actions = self.close(refuse(owner, refusal))
+        return actions + self.decide_waiting(now_s, owner.key)
+
+    def close(self, answer: ReplyToRequest | RefuseRequest) -> list[ClaimAction]:
+        """Forget a request and return its answer.
+
+        :param answer: the answer.
+        """
+        key = self.key_by_request.pop(answer.request_id, "")
+        self.forget_key(key)
+        return [answer]
+
+    def key_state(self, key: str) -> KeyState:
+        """Return what this process knows of a key.
+
+        :param key: the key.
+        """
+        return self.keys.setdefault(key, KeyState())
+
+    def forget_key(self, key: str) -> None:
+        """Forget a key that no request of this process is about.
+
+        :param key: the key.
+        """
+        state = self.keys.get(key)
+        if state is None or state.owner or state.waiting or state.outcome:
+            return
+        del self.keys[key]
+
+    def next_wake_s(self) -> float:
+        """Return the instant at which ``tick`` has something to do."""
+        instants = [self.batches.claims.due_s, self.batches.outcomes.due_s]
+        for state in self.keys.values():
+            if state.owner is not None and not state.owner.running:
+                instants.append(state.owner.give_up_s)
+            instants.extend(request.give_up_s for request in state.waiting.values())
+        return min(instants)
--- a/src/jasminewalk/log_writer.py
+++ b/src/jasminewalk/log_writer.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "AppendGivenUp",
+    "AppendRecord",
     "GroupCommit",
     "LogWriter",
     "LogWriterSettings",
@@ -49,6 +50,18 @@
     outage_failures: int = 2
 
 
+@attrs.frozen(kw_only=True)
+class AppendRecord:
+    """A decision's wish to put a record on the log; hand it to ``submit``.
+
+    :param record: object of a class from ``generated_records``.
+    :param give_up_s: instant after which the record is no longer wanted.
+    """
+
+    record: Any
+    give_up_s: float = float("inf")
+
+
 @attrs.frozen(kw_only=True)
 class SendAppend:
     """Append these bytes to the log, then report ``answered`` or ``failed``.
--- /dev/null
+++ b/src/jasminewalk/registration.py
@@ -0,0 +1,96 @@
+"""Makes one sidecar process the only writer for its endpoint."""
+
+import random
+
+from jasminewalk.fold import LogFold
+from jasminewalk.fold_events import FoldEvent, RegistrationRejected, StateReplaced
+from jasminewalk.generated_records import RegistrationRecord
+from jasminewalk.log_writer import AppendRecord, new_record_id
+
+__all__ = ["Registrar"]
+
+
+class Registrar:
+    """Registers a sidecar process on the log and notices a newer one.
+
+    A process that was replaced never registers again: it is ``superseded`` and
+    should stop.
+
+    :param endpoint: endpoint name.
+    :param pool: pool name.
+    :param incarnation: identifier of the process.
+    :param fold: state of the log.
+    :param rng: random source for identifiers.
+    """
+
+    def __init__(
+        self,
+        *,
+        endpoint: str,
+        pool: str,
+        incarnation: str,
+        fold: LogFold,
+        rng: random.Random,
+    ) -> None:
+        self.endpoint = endpoint
+        self.pool = pool
+        self.incarnation = incarnation
+        self.fold = fold
+        self.rng = rng
+        self.role: str | None = None
+        self.record: RegistrationRecord | None = None
+        self.was_registered = False
+
+    @property
+    def registered(self) -> bool:
+        """Whether this process is the only writer for its endpoint."""
+        return self.fold.is_registered(self.endpoint, self.incarnation)
+
+    @property
+    def superseded(self) -> bool:
+        """Whether another process took over after this one had registered."""
+        return self.was_registered and not self.registered
+
+    def register(self, role: str = "mixed") -> list[AppendRecord]:
+        """Ask to become the only writer; call it once the fold is ready.
+
+        :param role: role that the endpoint reports.
+        """
+        self.role = role
+        return self.append(left=False)
+
+    def leave(self) -> list[AppendRecord]:
+        """Say that the endpoint leaves its pool for good."""
+        return self.append(left=True) if self.registered else []
+
+    def on_event(self, event: FoldEvent) -> list[AppendRecord]:
+        """Take what a record changed; try again after a lost race.
+
+        :param event: what a record changed.
+        """
+        self.was_registered = self.was_registered or self.registered
+        if self.record is None or self.was_registered:
+            return []
+        if isinstance(event, RegistrationRejected):
+            lost = event.record_id == self.record.record_id
+            return self.append(left=False) if lost else []
+        if isinstance(event, StateReplaced):
+            return self.append(left=False)
+        return []
+
+    def append(self, left: bool) -> list[AppendRecord]:
+        """Return the registration to append, based on the one in force.
+
+        :param left: whether the endpoint leaves the pool.
+        """
+        current = self.fold.endpoint(self.endpoint)
+        self.record = RegistrationRecord(
+            record_id=new_record_id(self.rng),
+            endpoint=self.endpoint,
+            pool=self.pool,
+            incarnation=self.incarnation,
+            base_registration=current.registration if current else 0,
+            role=self.role or "mixed",  # type: ignore[arg-type]
+            left=left,
+        )
+        return [AppendRecord(record=self.record)]
