--- /dev/null
+++ b/src/jasminewalk/queueing.py
@@ -0,0 +1,353 @@
+"""Final admission and order of the requests that wait for one endpoint."""
+
+import attrs
+
+from jasminewalk.generated_codes import Code
+from jasminewalk.generated_requests import EngineState
+from jasminewalk.types import Refusal, RequestProfile
+
+__all__ = ["EndpointQueue", "Expired", "QueueSettings"]
+
+
+@attrs.frozen(kw_only=True)
+class QueueSettings:
+    """How a sidecar admits and orders requests.
+
+    :param max_running: most requests on the endpoint; 0 follows its batch.
+    :param max_queued: most requests that wait.
+    :param ahead_s: seconds of prefill that the engine may hold in its own queue.
+    :param prefill_share: part of a mixed step that goes to prefill.
+    :param slack_s: seconds by which a prediction may miss the deadline.
+    :param decode_margin: factor of the predicted time to decode.
+    :param min_retry_after_s: least seconds to come back after.
+    :param default_prefill_tokens_per_s: prefill speed before the first report.
+    :param default_decode_tokens_per_s: decode speed before the first report.
+    :param share_window_s: seconds of work by which an organisation's place in
+        the queue may move.
+    :param fairness: whether organisations take turns within a priority.
+    """
+
+    max_running: int = 0
+    max_queued: int = 512
+    ahead_s: float = 0.1
+    prefill_share: float = 0.5
+    slack_s: float = 0.0
+    decode_margin: float = 1.0
+    min_retry_after_s: float = 0.2
+    default_prefill_tokens_per_s: float = 4000.0
+    default_decode_tokens_per_s: float = 40.0
+    share_window_s: float = 2.0
+    fairness: bool = True
+
+
+@attrs.frozen
+class Expired:
+    """A request that was given up while it waited.
+
+    :param profile: the request.
+    :param refusal: why, and when to come back.
+    """
+
+    profile: RequestProfile
+    refusal: Refusal
+
+
+@attrs.define
+class _Waiting:
+    """A request that waits.
+
+    :param profile: the request.
+    :param rank: place in the queue; lower goes first.
+    :param latest_start_s: instant after which the deadline cannot be met.
+    """
+
+    profile: RequestProfile
+    rank: tuple[float, float, float]
+    latest_start_s: float
+
+
+@attrs.define
+class _Running:
+    """A request on the endpoint.
+
+    :param profile: the request.
+    :param started_s: instant at which it was handed over.
+    :param prefilling: whether its first token has not come yet, as estimated.
+    """
+
+    profile: RequestProfile
+    started_s: float
+    prefilling: bool = True
+
+
+class EndpointQueue:
+    """Requests of one endpoint, from their offer to their end.
+
+    :param settings: how to admit and order.
+    """
+
+    def __init__(self, settings: QueueSettings) -> None:
+        self.settings = settings
+        self.waiting: dict[str, _Waiting] = {}
+        self.running: dict[str, _Running] = {}
+        self.served: dict[str, float] = {}
+        self.served_floor = 0.0
+        self.state: EngineState | None = None
+        self.draining = False
+        self.prefill_free_s = 0.0
+
+    # State
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing waits or runs."""
+        return not self.waiting and not self.running
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait."""
+        return len(self.waiting)
+
+    @property
+    def queued_prefill_tokens(self) -> int:
+        """Prompt tokens of the requests that wait."""
+        return sum(item.profile.prompt_tokens for item in self.waiting.values())
+
+    @property
+    def limit(self) -> int:
+        """Most requests on the endpoint at once."""
+        if self.settings.max_running:
+            return self.settings.max_running
+        return max(1, self.state.max_batch) if self.state else 1
+
+    @property
+    def prefill_tokens_per_s(self) -> float:
+        """Prompt tokens per second beside a running batch."""
+        speed = self.state.prefill_tokens_per_s if self.state else 0.0
+        speed = speed or self.settings.default_prefill_tokens_per_s
+        return speed * (1.0 - self.settings.prefill_share)
+
+    @property
+    def decode_tokens_per_s(self) -> float:
+        """Output tokens per second of one stream."""
+        speed = self.state.decode_tokens_per_s if self.state else 0.0
+        return speed or self.settings.default_decode_tokens_per_s
+
+    def observe_state(self, now_s: float, state: EngineState) -> None:
+        """Take the engine's report.
+
+        :param now_s: current instant in seconds.
+        :param state: the report.
+        """
+        del now_s
+        self.state = state
+
+    def drain(self) -> None:
+        """Refuse new requests; those that wait still run."""
+        self.draining = True
+
+    def resume(self) -> None:
+        """Take new requests again."""
+        self.draining = False
+
+    # Admission
+
+    def offer(self, now_s: float, profile: RequestProfile) -> Refusal | None:
+        """Take a request, or return why not.
+
+        :param now_s: current instant in seconds.
+        :param profile: the request.
+        """
+        if self.draining:
+            reason = "The endpoint is draining."
+            return Refusal(Code.DRAINING, reason, self.settings.min_retry_after_s)
+        if len(self.waiting) >= self.settings.max_queued:
+            return self.overloaded("The queue is full.", self.wait_s(profile))
+        item = _Waiting(
+            profile, self.rank(now_s, profile), self.latest_start_s(profile)
+        )
+        wait_s = self.wait_s(profile, item.rank)
+        late_s = now_s + wait_s - item.latest_start_s
+        if late_s > self.settings.slack_s:
+            reason = f"The wait of {wait_s:.2f} s is {late_s:.2f} s too long."
+            return self.overloaded(reason, late_s)
+        self.waiting[profile.request_id] = item
+        return None
+
+    def overloaded(self, reason: str, after_s: float) -> Refusal:
+        """Return a refusal for lack of time.
+
+        :param reason: why, for people to read.
+        :param after_s: seconds of backlog that must go first.
+        """
+        after_s = max(self.settings.min_retry_after_s, after_s)
+        return Refusal(Code.OVERLOADED, reason, after_s)
+
+    def service_s(self, profile: RequestProfile) -> float:
+        """Return the seconds that a request takes once it is on the endpoint.
+
+        :param profile: the request.
+        """
+        decode_s = max(0, profile.expected_tokens - 1) / self.decode_tokens_per_s
+        return decode_s * self.settings.decode_margin
+
+    def latest_start_s(self, profile: RequestProfile) -> float:
+        """Return the instant by which a request must start to be in time.
+
+        :param profile: the request.
+        """
+        return min(
+            profile.deadline_s - self.service_s(profile),
+            profile.first_token_deadline_s,
+        )
+
+    def wait_s(
+        self, profile: RequestProfile, rank: tuple[float, float, float] | None = None
+    ) -> float:
+        """Return the seconds until a request's first token.
+
+        :param profile: the request.
+        :param rank: its place in the queue; behind all if absent.
+        """
+        ahead = [
+            item.profile
+            for item in self.waiting.values()
+            if rank is None or item.rank <= rank
+        ]
+        tokens = sum(other.prompt_tokens for other in ahead)
+        tokens += sum(
+            item.profile.prompt_tokens
+            for item in self.running.values()
+            if item.prefilling
+        )
+        if not self.running and not tokens:
+            return 0.0
+        slots_s = self.slot_wait_s(len(ahead))
+        return max(slots_s, tokens / self.prefill_tokens_per_s)
+
+    def slot_wait_s(self, ahead: int) -> float:
+        """Return the seconds until a place on the endpoint is free.
+
+        :param ahead: requests that go first.
+        """
+        excess = ahead + 1 + len(self.running) - self.limit
+        if excess <= 0 or not self.running:
+            return 0.0
+        left = self.state.decode_tokens_left if self.state else 0
+        per_request_s = left / len(self.running) / self.decode_tokens_per_s
+        return excess * per_request_s / self.limit
+
+    def rank(self, now_s: float, profile: RequestProfile) -> tuple[float, float, float]:
+        """Return the place of a request: priority, then share and deadline.
+
+        :param now_s: current instant in seconds.
+        :param profile: the request.
+        """
+        due_s = self.latest_start_s(profile)
+        if due_s == float("inf"):
+            due_s = now_s
+        if self.settings.fairness:
+            due_s += self.share_delay_s(profile.organisation)
+        return (-float(profile.priority), due_s, now_s)
+
+    def share_delay_s(self, organisation: str) -> float:
+        """Return by how much an organisation that got more goes later.
+
+        :param organisation: organisation name.
+        """
+        ahead_s = self.served.get(organisation, self.served_floor) - self.served_floor
+        return min(self.settings.share_window_s, max(0.0, ahead_s))
+
+    # Start and end
+
+    def start(self, now_s: float) -> list[RequestProfile]:
+        """Return the requests to hand to the endpoint now, and count them there.
+
+        :param now_s: current instant in seconds.
+        """
+        started: list[RequestProfile] = []
+        if not self.waiting:
+            return started
+        for item in sorted(self.waiting.values(), key=lambda item: item.rank):
+            if len(self.running) >= self.limit:
+                break
+            if self.prefill_free_s > now_s + self.settings.ahead_s:
+                break
+            del self.waiting[item.profile.request_id]
+            self.begin(now_s, item.profile)
+            started.append(item.profile)
+        return started
+
+    def begin(self, now_s: float, profile: RequestProfile) -> None:
+        """Count a request as handed to the endpoint.
+
+        :param now_s: current instant in seconds.
+        :param profile: the request.
+        """
+        self.running[profile.request_id] = _Running(profile, now_s)
+        prefill_s = profile.prompt_tokens / self.prefill_tokens_per_s
+        self.prefill_free_s = max(now_s, self.prefill_free_s) + prefill_s
+        work_s = (prefill_s + self.service_s(profile) / self.limit) / profile.weight
+        organisation = profile.organisation
+        old_s = max(self.served_floor, self.served.get(organisation, 0.0))
+        self.served[organisation] = old_s + work_s
+        active = {item.profile.organisation for item in self.waiting.values()}
+        active.add(organisation)
+        lowest_s = min(self.served.get(name, self.served_floor) for name in active)
+        self.served_floor = max(self.served_floor, lowest_s)
+        if len(self.served) > 4 * self.settings.max_queued:
+            self.served = {
+                name: served_s
+                for name, served_s in self.served.items()
+                if served_s > self.served_floor
+            }
+
+    def first_token(self, now_s: float, request_id: str) -> None:
+        """Take note that the endpoint has done a request's prefill.
+
+        :param now_s: current instant in seconds.
+        :param request_id: identifier of the request.
+        """
+        item = self.running.get(request_id)
+        if item is None or not item.prefilling:
+            return
+        item.prefilling = False
+        left = sum(
+            other.profile.prompt_tokens
+            for other in self.running.values()
+            if other.prefilling
+        )
+        self.prefill_free_s = now_s + left / self.prefill_tokens_per_s
+
+    def finished(self, now_s: float, request_id: str) -> None:
+        """Take note that a request has left the endpoint.
+
+        :param now_s: current instant in seconds.
+        :param request_id: identifier of the request.
+        """
+        self.first_token(now_s, request_id)
+        self.running.pop(request_id, None)
+
+    def cancel(self, request_id: str) -> None:
+        """Forget a request wherever it is.
+
+        :param request_id: identifier of the request.
+        """
+        self.waiting.pop(request_id, None)
+        self.running.pop(request_id, None)
+
+    def expired(self, now_s: float) -> list[Expired]:
+        """Give up the waiting requests that can no longer be in time.
+
+        :param now_s: current instant in seconds.
+        """
+        given_up: list[Expired] = []
+        for item in list(self.waiting.values()):
+            late_s = now_s - item.latest_start_s
+            if late_s <= self.settings.slack_s:
+                continue
+            del self.waiting[item.profile.request_id]
+            after_s = self.wait_s(item.profile)
+            reason = "The wait has used up the time that the answer needs."
+            given_up.append(Expired(item.profile, self.overloaded(reason, after_s)))
+        return given_up
--- /dev/null
+++ b/src/jasminewalk/speeds.py
@@ -0,0 +1,261 @@
+"""What an entry believes about one endpoint: its backlog and its real speeds."""
+
+import attrs
+
+from jasminewalk.generated_messages import LoadReport
+
+__all__ = ["EndpointView", "Flight", "Prediction", "SpeedSettings"]
+
+IDLE_LATENCY_S = 0.005
+MAX_RATIO = 8.0
+
+
+@attrs.frozen(kw_only=True)
+class SpeedSettings:
+    """How speeds are learned and backlogs estimated.
+
+    :param prefill_share: part of a mixed step that goes to prefill.
+    :param learning_rate: weight of a new observation of a latency.
+    :param default_prefill_tokens_per_s: prefill speed before the first report.
+    :param default_decode_tokens_per_s: decode speed before the first report.
+    :param service_s: duration of a call of a plain service before any is seen.
+    :param slow_ratio: how many times slower than predicted counts as slow.
+    :param slow_samples: observations before an endpoint can count as slow.
+    :param probation_s: seconds between trial requests to a slow endpoint.
+    :param failures_to_probation: failures in a row that start a probation.
+    :param count_own: whether requests sent since the report are counted.
+    """
+
+    prefill_share: float = 0.5
+    learning_rate: float = 0.1
+    default_prefill_tokens_per_s: float = 4000.0
+    default_decode_tokens_per_s: float = 40.0
+    service_s: float = 0.02
+    slow_ratio: float = 3.0
+    slow_samples: int = 8
+    probation_s: float = 2.0
+    failures_to_probation: int = 2
+    count_own: bool = True
+
+
+@attrs.define(kw_only=True)
+class Flight:
+    """A request that this entry sent and that has not ended.
+
+    :param request_id: identifier of the request.
+    :param endpoint: endpoint name.
+    :param organisation: organisation name.
+    :param request_class: class name.
+    :param pool: pool name.
+    :param sent_s: instant of sending in seconds.
+    :param prefill_tokens: prompt tokens expected to need prefill.
+    :param output_tokens: output tokens expected.
+    :param prefix_hashes: hashes of the prompt's leading blocks.
+    :param cached_tokens: prompt tokens expected in the prefix cache.
+    :param predicted_first_s: predicted seconds to the first token.
+    :param predicted_decode_s: predicted seconds from the first to the last token.
+    :param first_token_s: instant of the first token, if it came.
+    """
+
+    request_id: str
+    endpoint: str
+    organisation: str
+    request_class: str
+    pool: str
+    sent_s: float
+    prefill_tokens: int
+    output_tokens: int
+    prefix_hashes: tuple[int, ...] = ()
+    cached_tokens: int = 0
+    predicted_first_s: float = 0.0
+    predicted_decode_s: float = 0.0
+    first_token_s: float | None = None
+
+
+@attrs.frozen
+class Prediction:
+    """When an endpoint would answer a request.
+
+    :param first_token_s: seconds to the first token.
+    :param finish_s: seconds to the last token.
+    :param work_s: seconds of the endpoint that the request takes.
+    """
+
+    first_token_s: float
+    finish_s: float
+    work_s: float
+
+
+class EndpointView:
+    """Load, speeds and health of one endpoint, as one entry knows them.
+
+    :param endpoint: endpoint name.
+    :param settings: how to learn and estimate.
+    """
+
+    def __init__(self, endpoint: str, settings: SpeedSettings) -> None:
+        self.endpoint = endpoint
+        self.settings = settings
+        self.report: LoadReport | None = None
+        self.figures_s = float("-inf")
+        self.flights: dict[str, Flight] = {}
+        self.first_ratio = 1.0
+        self.decode_ratio = 1.0
+        self.samples = 0
+        self.failures = 0
+        self.trial_s = float("-inf")
+
+    def observe(self, now_s: float, report: LoadReport) -> None:
+        """Take a load report; older ones than the newest are ignored.
+
+        :param now_s: current instant in seconds.
+        :param report: the report.
+        """
+        known = self.report
+        if known is not None and known.incarnation == report.incarnation:
+            if report.sequence <= known.sequence:
+                return
+        elif known is not None:
+            self.failures = 0
+        self.report = report
+        self.figures_s = now_s - report.report_age_s
+
+    def age_s(self, now_s: float) -> float:
+        """Return the age of the load figures; infinite before the first.
+
+        :param now_s: current instant in seconds.
+        """
+        return now_s - self.figures_s
+
+    @property
+    def is_service(self) -> bool:
+        """Whether the endpoint is a plain service."""
+        return self.report is not None and self.report.kind == "service"
+
+    @property
+    def prefill_tokens_per_s(self) -> float:
+        """Prompt tokens per second while nothing decodes."""
+        reported = self.report.prefill_tokens_per_s if self.report else 0.0
+        return reported or self.settings.default_prefill_tokens_per_s
+
+    @property
+    def decode_tokens_per_s(self) -> float:
+        """Output tokens per second of one stream while nothing prefills."""
+        reported = self.report.decode_tokens_per_s if self.report else 0.0
+        return reported or self.settings.default_decode_tokens_per_s
+
+    def predict(
+        self, now_s: float, prefill_tokens: int, output_tokens: int, others: float = 1.0
+    ) -> Prediction:
+        """Return when a request sent now would be answered.
+
+        :param now_s: current instant in seconds.
+        :param prefill_tokens: prompt tokens that need prefill.
+        :param output_tokens: output tokens expected.
+        :param others: requests of all entries for each one of this entry.
+        """
+        if self.is_service:
+            return self.predict_service(now_s, others)
+        report = self.report
+        running = float(report.running + report.queued) if report else 0.0
+        backlog = float(report.queued_prefill_tokens) if report else 0.0
+        decode_left = float(report.decode_tokens_left) if report else 0.0
+        figures_s = self.figures_s if self.settings.count_own else now_s
+        for flight in self.flights.values():
+            if flight.sent_s > figures_s and flight.first_token_s is None:
+                running += others
+                backlog += flight.prefill_tokens * others
+                decode_left += flight.output_tokens * others
+        share = self.settings.prefill_share if running else 0.0
+        prefill_rate = self.prefill_tokens_per_s * (1.0 - share)
+        elapsed_s = min(self.age_s(now_s), 60.0)
+        backlog = max(0.0, backlog - elapsed_s * prefill_rate)
+        decode_rate = self.decode_tokens_per_s
+        if backlog:
+            decode_rate *= 1.0 - self.settings.prefill_share
+        max_batch = report.max_batch if report else 1
+        wait_s = 0.0
+        if running >= max_batch:
+            per_request = max(1.0, decode_left / running)
+            left = running - elapsed_s * max_batch * decode_rate / per_request
+            excess = max(0.0, left + 1.0 - max_batch)
+            wait_s = excess * per_request / (max_batch * decode_rate)
+        first_s = IDLE_LATENCY_S + wait_s + (backlog + prefill_tokens) / prefill_rate
+        first_s *= self.first_ratio
+        decode_s = output_tokens / decode_rate * self.decode_ratio
+        work_s = prefill_tokens / self.prefill_tokens_per_s
+        return Prediction(first_s, first_s + decode_s, work_s)
+
+    def predict_service(self, now_s: float, others: float) -> Prediction:
+        """Return when a plain service would answer a call sent now.
+
+        :param now_s: current instant in seconds.
+        :param others: requests of all entries for each one of this entry.
+        """
+        report = self.report
+        waiting = float(report.queued + report.running) if report else 0.0
+        waiting += others * sum(
+            f.sent_s > self.figures_s for f in self.flights.values()
+        )
+        slots = max(1, report.max_batch) if report else 1
+        call_s = self.settings.service_s * self.first_ratio
+        finish_s = call_s * (1.0 + waiting / slots)
+        return Prediction(finish_s, finish_s, call_s)
+
+    def observe_first_token(self, now_s: float, flight: Flight) -> None:
+        """Learn from the time that a first token took.
+
+        :param now_s: current instant in seconds.
+        :param flight: the request.
+        """
+        if flight.first_token_s is not None:
+            return
+        flight.first_token_s = now_s
+        self.failures = 0
+        observed_s = now_s - flight.sent_s
+        ratio = observed_s / max(flight.predicted_first_s, IDLE_LATENCY_S)
+        self.first_ratio = self.learned(self.first_ratio, ratio * self.first_ratio)
+        self.samples += 1
+
+    def observe_finish(self, now_s: float, flight: Flight, output_tokens: int) -> None:
+        """Learn from the time that an answer took.
+
+        :param now_s: current instant in seconds.
+        :param flight: the request.
+        :param output_tokens: length of the answer.
+        """
+        self.failures = 0
+        if flight.first_token_s is None or output_tokens < 2:
+            return
+        expected_s = flight.predicted_decode_s * output_tokens / flight.output_tokens
+        ratio = (now_s - flight.first_token_s) / max(expected_s, IDLE_LATENCY_S)
+        self.decode_ratio = self.learned(self.decode_ratio, ratio * self.decode_ratio)
+
+    def learned(self, old: float, new: float) -> float:
+        """Return a ratio moved towards a new observation, within limits.
+
+        :param old: ratio so far.
+        :param new: ratio observed.
+        """
+        rate = self.settings.learning_rate
+        bounded = min(MAX_RATIO, max(1.0 / MAX_RATIO, new))
+        return old + rate * (bounded - old)
+
+    def observe_failure(self) -> None:
+        """Count a failed request."""
+        self.failures += 1
+
+    def on_probation(self, now_s: float) -> bool:
+        """Return whether the endpoint should get no more than trial requests.
+
+        :param now_s: current instant in seconds.
+        """
+        settings = self.settings
+        slow = (
+            self.samples >= settings.slow_samples
+            and self.first_ratio > settings.slow_ratio
+            and self.decode_ratio > settings.slow_ratio
+        )
+        if not slow and self.failures < settings.failures_to_probation:
+            return False
+        return bool(self.flights) or now_s - self.trial_s < settings.probation_s
