Model an engine with continuous batching on a virtual clock

Steps run in batches while nothing changes, so a request costs a handful of events and not one per token.

--- /dev/null
+++ b/src/jasminewalk/_engine_cache.py
@@ -0,0 +1,152 @@
+"""Prefix cache of a modelled engine and the events it publishes."""
+
+import random
+from collections import OrderedDict, deque
+from collections.abc import Sequence
+
+import attrs
+
+from jasminewalk.generated_standins import EngineModelSettings
+from jasminewalk.interfaces import CachePage
+
+__all__ = ["PrefixCache"]
+
+RESTART_GAP_EVENTS = 1000
+
+
+@attrs.frozen
+class _Event:
+    """One change of the cache.
+
+    :param sequence: number of the event.
+    :param at_s: instant in seconds.
+    :param block: hash of the block.
+    :param added: whether the block was stored, not evicted.
+    """
+
+    sequence: int
+    at_s: float
+    block: int
+    added: bool
+
+
+class PrefixCache:
+    """Least-recently-used set of prefix blocks in what running streams leave free.
+
+    :param settings: size, lag and loss of events.
+    :param rng: random source for lost events.
+    """
+
+    def __init__(self, settings: EngineModelSettings, rng: random.Random) -> None:
+        self.settings = settings
+        self.rng = rng
+        self.blocks: OrderedDict[int, None] = OrderedDict()
+        self.events: deque[_Event] = deque(maxlen=settings.event_buffer)
+        self.next_sequence = 0
+        self.reserved = 0
+
+    def cached_tokens(self, hashes: Sequence[int]) -> int:
+        """Return how many leading tokens of a prompt are cached.
+
+        :param hashes: hashes of the prompt's leading blocks, first block first.
+        """
+        count = 0
+        for block in hashes:
+            if block not in self.blocks:
+                break
+            self.blocks.move_to_end(block)
+            count += 1
+        return count * self.settings.block_tokens
+
+    def store(self, now_s: float, hashes: Sequence[int]) -> None:
+        """Keep the blocks of a prompt.
+
+        :param now_s: current instant in seconds.
+        :param hashes: hashes of the prompt's leading blocks, first block first.
+        """
+        for block in hashes:
+            if block in self.blocks:
+                self.blocks.move_to_end(block)
+            else:
+                self.blocks[block] = None
+                self.note(now_s, block, added=True)
+        self.evict(now_s)
+
+    def can_reserve(self, blocks: int) -> bool:
+        """Return whether a stream of this many blocks fits.
+
+        :param blocks: blocks of the stream.
+        """
+        return self.reserved + blocks <= self.settings.cache_blocks
+
+    def reserve(self, now_s: float, blocks: int) -> None:
+        """Take blocks for a running stream, or give them back if negative.
+
+        :param now_s: current instant in seconds.
+        :param blocks: blocks of the stream.
+        """
+        self.reserved += blocks
+        self.evict(now_s)
+
+    def evict(self, now_s: float) -> None:
+        """Drop the least recently used blocks that no longer fit.
+
+        :param now_s: current instant in seconds.
+        """
+        room = self.settings.cache_blocks - self.reserved
+        while len(self.blocks) > room:
+            block, _ = self.blocks.popitem(last=False)
+            self.note(now_s, block, added=False)
+
+    def note(self, now_s: float, block: int, *, added: bool) -> None:
+        """Number an event and keep it, unless it is lost.
+
+        :param now_s: current instant in seconds.
+        :param block: hash of the block.
+        :param added: whether the block was stored, not evicted.
+        """
+        loss = self.settings.event_loss
+        if not loss or self.rng.random() >= loss:
+            self.events.append(_Event(self.next_sequence, now_s, block, added))
+        self.next_sequence += 1
+
+    def clear(self) -> None:
+        """Forget everything, as a restart does; numbers go on after a gap."""
+        self.blocks.clear()
+        self.events.clear()
+        self.reserved = 0
+        self.next_sequence += RESTART_GAP_EVENTS
+
+    def page(self, now_s: float, sequence: int) -> CachePage:
+        """Return a run of events without a gap, as far as they are published.
+
+        :param now_s: current instant in seconds.
+        :param sequence: first number wanted.
+        """
+        visible_s = now_s - self.settings.event_lag_s
+        first = following = sequence
+        added: list[int] = []
+        removed: list[int] = []
+        for event in self.events_from(sequence):
+            if event.at_s > visible_s:
+                break
+            if not added and not removed:
+                first = following = event.sequence
+            if event.sequence != following:
+                break
+            (added if event.added else removed).append(event.block)
+            following += 1
+        return CachePage(first, following, added, removed)
+
+    def events_from(self, sequence: int) -> list[_Event]:
+        """Return the kept events from a sequence number on.
+
+        :param sequence: first number wanted.
+        """
+        found = []
+        for event in reversed(self.events):
+            if event.sequence < sequence:
+                break
+            found.append(event)
+        found.reverse()
+        return found
--- /dev/null
+++ b/src/jasminewalk/_engine_speeds.py
@@ -0,0 +1,66 @@
+"""Step durations of a modelled engine in each role."""
+
+from typing import Literal
+
+from jasminewalk.generated_standins import EngineModelSettings
+
+__all__ = ["EngineSpeeds", "Role"]
+
+Role = Literal["mixed", "prefill", "decode"]
+
+
+class EngineSpeeds:
+    """How long a step takes in the role in force.
+
+    :param settings: speeds of the mixed role and factors of the others.
+    """
+
+    def __init__(self, settings: EngineModelSettings) -> None:
+        self.settings = settings
+        self.role: Role = settings.role
+
+    @property
+    def chunk_tokens(self) -> int:
+        """Most prompt tokens in one step."""
+        factor = {
+            "mixed": 1.0,
+            "prefill": self.settings.prefill_role_chunk_factor,
+            "decode": self.settings.decode_role_chunk_factor,
+        }[self.role]
+        return max(1, int(self.settings.prefill_chunk_tokens * factor))
+
+    def factor(self, work: Role) -> float:
+        """Return the factor that the role in force gives to a kind of work.
+
+        :param work: role that is made for this work.
+        """
+        if self.role == "mixed":
+            return 1.0
+        if self.role == work:
+            return self.settings.specialised_gain
+        return self.settings.specialised_loss
+
+    def prefill_s(self, tokens: int) -> float:
+        """Return the seconds that a prefill chunk adds to a step.
+
+        :param tokens: prompt tokens in the chunk.
+        """
+        if tokens == 0:
+            return 0.0
+        speed = self.settings.prefill_tokens_per_s * self.factor("prefill")
+        return self.settings.chunk_overhead_s + tokens / speed
+
+    def decode_s(self, batch: int) -> float:
+        """Return the seconds that one token of each stream adds to a step.
+
+        :param batch: decoding streams.
+        """
+        if batch == 0:
+            return 0.0
+        growth = self.settings.decode_step_per_stream_s * (batch - 1)
+        return (self.settings.decode_step_s + growth) / self.factor("decode")
+
+    @property
+    def prefill_tokens_per_s(self) -> float:
+        """Prompt tokens per second while nothing decodes."""
+        return self.chunk_tokens / self.prefill_s(self.chunk_tokens)
--- a/src/jasminewalk/engine_model.py
+++ b/src/jasminewalk/engine_model.py
@@ -1,13 +1,27 @@
 """Model of an engine with continuous batching, driven on a virtual clock.
 
 Plain synchronous code: the HTTP stand-in drives it on a real clock and the
-measurement tool on a virtual one.
+measurement tool on a virtual one. Time passes in runs of equal steps; each step
+computes at most one prefill chunk and one token of every decoding stream.
 """
 
 import random
+from collections import deque
 
 import attrs
-
+import msgspec
+
+from jasminewalk._engine_batch import Batch, FrameOut
+from jasminewalk._engine_cache import PrefixCache
+from jasminewalk._engine_speeds import EngineSpeeds
+from jasminewalk._engine_steps import Stream
+from jasminewalk._engine_text import output_length, prompt_digest, token_text
+from jasminewalk.exceptions import (
+    BadRequestError,
+    OrderRefusedError,
+    StaleFencingNumberError,
+)
+from jasminewalk.generated_codes import Code, Ran
 from jasminewalk.generated_requests import (
     EngineOrder,
     EngineState,
@@ -25,43 +39,49 @@
     "token_text",
 ]
 
+MAX_IMPORTS = 1024
+MAX_SAMPLES = 64
+SAMPLES_PER_LAG = 4
+
 
-def token_text(prompt: str, index: int) -> str:
-    """Return the text of one output token, the same for every engine.
+@attrs.frozen(kw_only=True)
+class _KvHandle:
+    """Exported KV cache of a stream.
 
-    :param prompt: rendered prompt.
-    :param index: number of the output token from 0.
+    :param request_id: identifier of the request.
+    :param digest: digest of the prompt.
+    :param tokens: prompt and output tokens it holds.
     """
-    raise NotImplementedError
+
+    request_id: str
+    digest: int
+    tokens: int
 
 
-def output_length(prompt: str, max_tokens: int) -> int:
-    """Return how many tokens the answer to a prompt has, at most ``max_tokens``.
+@attrs.define
+class _Change:
+    """An order that is being carried out.
 
-    :param prompt: rendered prompt.
-    :param max_tokens: most output tokens.
+    :param order: the order.
+    :param end_s: instant at which it is done.
+    :param away: whether the engine serves nothing meanwhile.
     """
-    raise NotImplementedError
 
+    order: EngineOrder
+    end_s: float
+    away: bool
 
-@attrs.frozen(kw_only=True)
-class FrameOut:
-    """A frame that the engine sent.
 
-    :param request_id: identifier of the request.
-    :param attempt: number of the attempt.
-    :param frame: the frame; ``code`` is set if the stream was refused or broke.
-    :param at_s: instant in seconds.
-    :param largest_gap_s: largest seconds between two tokens, on the last frame.
-    :param p95_gap_s: 95th percentile of them, on the last frame.
+@attrs.frozen
+class _Sample:
+    """Load at some instant.
+
+    :param at_s: the instant in seconds.
+    :param state: the load.
     """
 
-    request_id: str
-    attempt: int
-    frame: Frame
     at_s: float
-    largest_gap_s: float = 0.0
-    p95_gap_s: float = 0.0
+    state: EngineState
 
 
 class EngineModel:
@@ -80,7 +100,23 @@
         *,
         emit_tokens: bool = True,
     ) -> None:
-        raise NotImplementedError
+        self.settings = settings
+        self.cache = PrefixCache(settings, rng)
+        self.speeds = EngineSpeeds(settings)
+        self.batch = Batch(settings, self.speeds, self.cache, emit_tokens=emit_tokens)
+        self.models = list(settings.models)
+        self.version = settings.version
+        self.samples: deque[_Sample] = deque(maxlen=MAX_SAMPLES)
+        self.change: _Change | None = None
+        self.paused_s: float | None = None
+        self.down = False
+        self.arrivals = 0
+        self.broken_streams = 0
+        self.stale_orders = 0
+        self.orders: list[EngineOrder] = []
+        self.fencing_number = 0
+
+    # Requests
 
     def submit(
         self, now_s: float, request: GenerateRequest, output_tokens: int | None = None
@@ -91,7 +127,45 @@
         :param request: what to generate.
         :param output_tokens: whole length of the answer, if the workload fixes it.
         """
-        raise NotImplementedError
+        self.catch_up(now_s)
+        total = output_tokens or output_length(request.prompt, request.max_tokens)
+        total = max(1, min(total, request.max_tokens))
+        tokens = request.prompt_tokens + request.max_tokens
+        blocks = -(-tokens // self.settings.block_tokens)
+        code = self.refusal(request, blocks)
+        if code is not None:
+            self.send_failure(now_s, request, code, "not_run")
+            return
+        if request.resume_from >= total:
+            end = self.batch.finish_reason(request, total)
+            self.batch.send(now_s, request, Frame(n=-1, end=end))
+            return
+        self.arrivals += 1
+        stream = Stream(
+            request=request,
+            digest=prompt_digest(request.prompt),
+            order=(-request.priority, self.arrivals),
+            total_tokens=total,
+            blocks=blocks,
+        )
+        self.batch.add(self.batch_time(now_s), stream)
+
+    def refusal(self, request: GenerateRequest, blocks: int) -> Code | None:
+        """Return why a request is not taken, or nothing.
+
+        :param request: what to generate.
+        :param blocks: KV cache blocks it needs.
+        """
+        if not self.serving:
+            return Code.NO_ENDPOINT
+        wanted = {request.model, request.adapter} - {""}
+        if self.models and not wanted <= set(self.models):
+            return Code.UNKNOWN_MODEL
+        if blocks > self.settings.cache_blocks or request.max_tokens < 1:
+            return Code.BAD_FIELD
+        if (request.request_id, request.attempt) in self.batch.streams:
+            return Code.BAD_FIELD
+        return None
 
     def cancel(self, now_s: float, request_id: str, attempt: int) -> bool:
         """Stop a stream without a further frame; return whether it was there.
@@ -100,88 +174,292 @@
         :param request_id: identifier of the request.
         :param attempt: number of the attempt.
         """
-        raise NotImplementedError
-
-    def advance(self, now_s: float) -> list[FrameOut]:
-        """Work up to an instant and return the frames sent until then, in order.
+        self.catch_up(now_s)
+        stream = self.batch.streams.get((request_id, attempt))
+        if stream is None:
+            return False
+        now_s = self.batch_time(now_s)
+        self.batch.drop(now_s, stream)
+        self.batch.replan(now_s)
+        return True
+
+    def send_failure(
+        self, now_s: float, request: GenerateRequest, code: Code, ran: Ran
+    ) -> None:
+        """Send a frame that says why there is no whole answer.
 
         :param now_s: current instant in seconds.
+        :param request: what was asked.
+        :param code: result code.
+        :param ran: whether the request ran.
         """
-        raise NotImplementedError
+        self.batch.send(now_s, request, Frame(code=int(code), ran=ran))
+
+    # Time
+
+    @property
+    def serving(self) -> bool:
+        """Whether requests are taken."""
+        return not self.down and not (self.change and self.change.away)
 
     @property
     def next_event_s(self) -> float:
         """Instant at which ``advance`` will have something new; may be infinite."""
-        raise NotImplementedError
+        if self.batch.out:
+            return self.batch.out[0].at_s
+        if self.paused_s is not None:
+            return float("inf")
+        change_s = self.change.end_s if self.change else float("inf")
+        return min(change_s, self.batch.next_event_s)
 
-    def state(self, now_s: float) -> EngineState:
-        """Return the engine's report; its load figures are old by the report lag.
+    def advance(self, now_s: float) -> list[FrameOut]:
+        """Work up to an instant and return the frames sent until then, in order.
 
         :param now_s: current instant in seconds.
         """
-        raise NotImplementedError
+        self.catch_up(now_s)
+        out, self.batch.out = self.batch.out, []
+        return out
 
-    def order(self, now_s: float, order: EngineOrder) -> None:
-        """Start to carry out an order; running streams break on a role change.
+    def batch_time(self, now_s: float) -> float:
+        """Return the instant that the batch has reached.
 
         :param now_s: current instant in seconds.
-        :param order: the wanted state.
-        :raises StaleFencingNumberError: if a newer fencing number was seen.
-        :raises OrderRefusedError: if another order is being carried out.
         """
-        raise NotImplementedError
+        return now_s if self.paused_s is None else self.paused_s
 
-    def cache_events(self, now_s: float, sequence: int) -> CachePage:
-        """Return cache events from a sequence number on.
+    def catch_up(self, now_s: float) -> None:
+        """Work up to an instant.
 
         :param now_s: current instant in seconds.
-        :param sequence: first number wanted.
         """
-        raise NotImplementedError
+        if self.paused_s is not None:
+            return
+        if self.change and self.change.end_s <= now_s:
+            self.finish_change()
+        self.batch.catch_up(now_s)
 
-    def export_kv(self, now_s: float, request_id: str, attempt: int) -> bytes:
-        """Return the KV cache of a running stream as one handle.
+    def pause(self, now_s: float) -> None:
+        """Freeze; requests are taken but nothing moves.
 
         :param now_s: current instant in seconds.
-        :param request_id: identifier of the request.
-        :param attempt: number of the attempt.
-        :raises BadRequestError: if there is no such stream.
         """
-        raise NotImplementedError
+        self.catch_up(now_s)
+        if self.paused_s is None:
+            self.paused_s = now_s
 
-    def import_kv(self, now_s: float, handle: bytes) -> None:
-        """Keep an exported KV cache for the request's next attempt here.
+    def unpause(self, now_s: float) -> None:
+        """Go on after a freeze.
 
         :param now_s: current instant in seconds.
-        :param handle: what ``export_kv`` returned.
-        :raises BadRequestError: if the handle is malformed.
         """
-        raise NotImplementedError
+        if self.paused_s is None:
+            return
+        lost_s = now_s - self.paused_s
+        self.paused_s = None
+        if self.change:
+            self.change.end_s += lost_s
+        if self.batch.run:
+            self.batch.run.start_s += lost_s
 
     def crash(self, now_s: float) -> list[FrameOut]:
         """Go down; return a frame with a code for each stream that broke.
 
         :param now_s: current instant in seconds.
         """
-        raise NotImplementedError
+        self.unpause(now_s)
+        self.catch_up(now_s)
+        self.break_streams(now_s)
+        self.down = True
+        self.change = None
+        self.samples.clear()
+        out, self.batch.out = self.batch.out, []
+        return out
 
     def restart(self, now_s: float) -> None:
         """Come up again with an empty cache and the first role and models.
 
         :param now_s: current instant in seconds.
         """
-        raise NotImplementedError
+        self.break_streams(now_s)
+        self.cache.clear()
+        self.batch.imports.clear()
+        self.change = None
+        self.speeds.role = self.settings.role
+        self.models = list(self.settings.models)
+        self.version = self.settings.version
+        if not self.settings.keeps_fencing:
+            self.fencing_number = 0
+        self.down = False
+
+    def break_streams(self, now_s: float) -> None:
+        """Break every stream.
 
-    def pause(self, now_s: float) -> None:
-        """Freeze; requests are taken but nothing moves.
+        :param now_s: current instant in seconds.
+        """
+        for request in self.batch.clear():
+            self.broken_streams += 1
+            self.send_failure(now_s, request, Code.ENDPOINT_FAILED, "unknown")
+        self.cache.reserved = 0
+
+    # Orders
+
+    def order(self, now_s: float, order: EngineOrder) -> None:
+        """Start to carry out an order; running streams break on a role change.
+
+        :param now_s: current instant in seconds.
+        :param order: the wanted state.
+        :raises StaleFencingNumberError: if a newer fencing number was seen.
+        :raises OrderRefusedError: if another order is being carried out.
+        """
+        self.catch_up(now_s)
+        if self.down:
+            raise OrderRefusedError("The engine is down.")
+        if order.fencing_number < self.fencing_number:
+            self.stale_orders += 1
+            if self.settings.checks_fencing:
+                raise StaleFencingNumberError(
+                    f"Number {order.fencing_number} is older than"
+                    f" {self.fencing_number}."
+                )
+        if self.change and self.change.order != order:
+            raise OrderRefusedError("Another order is being carried out.")
+        self.fencing_number = max(self.fencing_number, order.fencing_number)
+        self.orders.append(order)
+        if self.change is None:
+            self.begin_change(now_s, order)
+
+    def begin_change(self, now_s: float, order: EngineOrder) -> None:
+        """Work out what an order changes and how long that takes.
 
         :param now_s: current instant in seconds.
+        :param order: the wanted state.
         """
-        raise NotImplementedError
+        new_role = order.role != self.speeds.role
+        new_version = order.version not in ("", self.version)
+        loads = len(set(order.models) - set(self.models))
+        seconds = loads * self.settings.model_load_s
+        seconds += self.settings.role_change_s if new_role else 0.0
+        seconds += self.settings.version_change_s if new_version else 0.0
+        away = new_role or new_version
+        if away:
+            self.break_streams(now_s)
+        self.change = _Change(order, now_s + seconds, away)
+        if seconds == 0.0:
+            self.finish_change()
+
+    def finish_change(self) -> None:
+        """Take the state that the order in progress wants."""
+        if self.change is None:
+            return
+        order = self.change.order
+        self.change = None
+        if order.role != self.speeds.role or order.version not in ("", self.version):
+            self.cache.clear()
+        self.speeds.role = order.role
+        self.models = list(order.models)
+        self.version = order.version or self.version
+
+    # Reports
 
-    def unpause(self, now_s: float) -> None:
-        """Go on after a freeze.
+    def state(self, now_s: float) -> EngineState:
+        """Return the engine's report; its load figures are old by the report lag.
+
+        :param now_s: current instant in seconds.
+        """
+        self.catch_up(now_s)
+        lag_s = self.settings.report_lag_s
+        if not self.samples or now_s - self.samples[-1].at_s >= lag_s / SAMPLES_PER_LAG:
+            self.samples.append(_Sample(now_s, self.load()))
+        while len(self.samples) > 1 and self.samples[1].at_s <= now_s - lag_s:
+            self.samples.popleft()
+        sample = self.samples[0]
+        return attrs.evolve(
+            sample.state,
+            fencing_number=self.fencing_number,
+            role=self.speeds.role,
+            models=list(self.models),
+            version=self.version,
+            changing=self.change is not None,
+            age_s=now_s - sample.at_s,
+        )
+
+    def load(self) -> EngineState:
+        """Return the load now."""
+        batch = self.batch
+        waiting = [item[1] for item in batch.waiting if not item[1].ended]
+        prefilling = [item[1] for item in batch.prefilling]
+        left = sum(stream.prefill_left for stream in prefilling)
+        left += sum(stream.request.prompt_tokens for stream in waiting)
+        step_s = self.speeds.decode_s(max(1, len(batch.decoding)))
+        return EngineState(
+            role=self.speeds.role,
+            models=[],
+            queued=len(waiting),
+            queued_prefill_tokens=left,
+            running=len(prefilling) + len(batch.decoding),
+            decode_tokens_left=sum(map(self.expected_left, batch.streams.values())),
+            max_batch=self.settings.max_batch,
+            prefill_tokens_per_s=self.speeds.prefill_tokens_per_s,
+            decode_tokens_per_s=1.0 / step_s,
+            kv_used=self.cache.reserved / self.settings.cache_blocks,
+        )
+
+    def expected_left(self, stream: Stream) -> int:
+        """Return the output tokens that a stream is expected to produce yet.
+
+        :param stream: the stream.
+        """
+        request = stream.request
+        expected = request.expected_tokens or request.max_tokens
+        done = request.resume_from
+        if stream.decoding:
+            done += self.batch.log.steps - stream.joined_step + 1
+        return max(1, expected - done)
+
+    def cache_events(self, now_s: float, sequence: int) -> CachePage:
+        """Return cache events from a sequence number on.
+
+        :param now_s: current instant in seconds.
+        :param sequence: first number wanted.
+        """
+        self.catch_up(now_s)
+        return self.cache.page(now_s, sequence)
+
+    # KV cache
+
+    def export_kv(self, now_s: float, request_id: str, attempt: int) -> bytes:
+        """Return the KV cache of a running stream as one handle.
 
         :param now_s: current instant in seconds.
+        :param request_id: identifier of the request.
+        :param attempt: number of the attempt.
+        :raises BadRequestError: if no such stream decodes.
+        """
+        self.catch_up(now_s)
+        stream = self.batch.decoding.get((request_id, attempt))
+        if stream is None:
+            raise BadRequestError(
+                f"No stream {request_id} {attempt} decodes.", code=Code.UNKNOWN_PATH
+            )
+        done = self.batch.log.steps - stream.joined_step + 1
+        request = stream.request
+        tokens = request.prompt_tokens + request.resume_from + done
+        handle = _KvHandle(request_id=request_id, digest=stream.digest, tokens=tokens)
+        return msgspec.msgpack.encode(handle)
+
+    def import_kv(self, now_s: float, handle: bytes) -> None:
+        """Keep an exported KV cache for the request's next attempt here.
+
+        :param now_s: current instant in seconds.
+        :param handle: what ``export_kv`` returned.
+        :raises BadRequestError: if the handle is malformed.
         """
-        raise NotImplementedError
+        try:
+            found = msgspec.msgpack.decode(handle, type=_KvHandle)
+        except msgspec.MsgspecError as error:
+            raise BadRequestError(str(error)) from error
+        imports = self.batch.imports
+        imports[(found.request_id, found.digest)] = found.tokens
+        if len(imports) > MAX_IMPORTS:
+            imports.popitem(last=False)
