Give an engine its orders under grants from the log

One order at a time, stated in full and sent only under a grant that was read back and has not lapsed since before its append. A new process finishes what an earlier one left open, after its lapse where the engine ignores fencing numbers.

--- /dev/null
+++ b/src/jasminewalk/authority.py
@@ -0,0 +1,472 @@
+"""Gives an engine its orders, each under a grant from the log."""
+
+import random
+from typing import Literal
+
+import attrs
+
+from jasminewalk.fold import LogFold
+from jasminewalk.fold_events import (
+    FoldEvent,
+    GrantAccepted,
+    GrantEnded,
+    GrantRejected,
+    StateReplaced,
+)
+from jasminewalk.generated_records import (
+    EndpointEntry,
+    GrantOutcomeRecord,
+    GrantRecord,
+)
+from jasminewalk.generated_requests import EngineOrder, EngineState
+from jasminewalk.log_writer import AppendRecord, new_record_id
+from jasminewalk.order_actions import (
+    ChangeEnded,
+    OrderAction,
+    OrderSettings,
+    ProposalRejected,
+    ReserveWeights,
+    ResumeWork,
+    Role,
+    SendOrder,
+    StartDrain,
+    WantedState,
+)
+
+__all__ = ["OrderController"]
+
+Phase = Literal["proposed", "draining", "ordered", "ended"]
+
+
+@attrs.define(kw_only=True)
+class _Change:
+    record_id: str
+    wanted: WantedState
+    proposed_s: float
+    is_takeover: bool
+    phase: Phase = "proposed"
+    grant: int = 0
+    sent_s: float = 0.0
+
+
+class OrderController:
+    """Brings one engine into its wanted state, one order at a time.
+
+    An order is sent only under a grant of this process that was read back from
+    the log as accepted and has not lapsed, counted from before its append was
+    sent. A grant that an earlier process left open is taken over: the change
+    that it stood for is ordered again under a newer grant.
+
+    :param settings: limits of the orders.
+    :param fold: state of the log.
+    :param rng: random source for identifiers and jitter.
+    """
+
+    def __init__(
+        self, settings: OrderSettings, fold: LogFold, rng: random.Random
+    ) -> None:
+        self.settings = settings
+        self.fold = fold
+        self.rng = rng
+        self.wanted: WantedState | None = None
+        self.actual: EngineState | None = None
+        self.actual_s = float("-inf")
+        self.change: _Change | None = None
+        self.older_grant = 0
+        self.older_grant_s = 0.0
+        self.retry_at_s = 0.0
+        self.reserved: tuple[str, ...] = ()
+        self.reserving = False
+
+    @property
+    def changing(self) -> bool:
+        """Whether a change is under way."""
+        return self.change is not None
+
+    @property
+    def entry(self) -> EndpointEntry | None:
+        """The endpoint as the log has it, if this process is registered for it."""
+        settings = self.settings
+        if not self.fold.is_registered(settings.endpoint, settings.incarnation):
+            return None
+        return self.fold.endpoint(settings.endpoint)
+
+    def want(self, now_s: float, wanted: WantedState) -> list[OrderAction]:
+        """Set the state that the engine should be in.
+
+        :param now_s: current instant in seconds.
+        :param wanted: the state, stated in full.
+        """
+        self.wanted = wanted
+        return self.tick(now_s)
+
+    def observe_engine(self, now_s: float, state: EngineState) -> list[OrderAction]:
+        """Take what the engine reports of itself.
+
+        :param now_s: current instant in seconds.
+        :param state: the engine's state; ``age_s`` tells how old it is.
+        """
+        self.actual = state
+        self.actual_s = now_s - state.age_s
+        return self.tick(now_s)
+
+    def weights_ready(
+        self, now_s: float, artifacts: tuple[str, ...]
+    ) -> list[OrderAction]:
+        """Take that the weight store allows a load now.
+
+        :param now_s: current instant in seconds.
+        :param artifacts: what was reserved.
+        """
+        self.reserved = artifacts
+        self.reserving = False
+        return self.tick(now_s)
+
+    def tick(self, now_s: float) -> list[OrderAction]:
+        """Go on with the change under way, or start the next one.
+
+        :param now_s: current instant in seconds.
+        """
+        entry = self.entry
+        if entry is None:
+            return self.drop_change()
+        if self.change is None:
+            return self.consider(now_s, entry) if self.fold.ready else []
+        return self.advance(now_s, entry, self.change)
+
+    def drop_change(self) -> list[OrderAction]:
+        """Forget the change, since another process has the authority now."""
+        if self.change is None or self.change.phase == "proposed":
+            self.change = None
+            return []
+        self.change = None
+        return [ResumeWork()]
+
+    def consider(self, now_s: float, entry: EndpointEntry) -> list[OrderAction]:
+        """Start a change if one is due.
+
+        :param now_s: current instant in seconds.
+        :param entry: the endpoint as the log has it.
+        """
+        if now_s < self.retry_at_s:
+            return []
+        if entry.open and entry.grant_holder == self.settings.incarnation:
+            self.retry_at_s = now_s + self.settings.retry_s
+            return self.append_outcome(entry, "abandoned", self.actual_role(entry))
+        if entry.open:
+            return self.take_over(now_s, entry)
+        if self.wanted is None or self.actual is None or self.actual.changing:
+            return []
+        if matches(self.actual, self.wanted):
+            return []
+        missing = self.missing_artifacts(self.wanted)
+        if missing and self.settings.reserves_weights and missing != self.reserved:
+            return self.reserve(missing)
+        return self.propose(now_s, entry, self.wanted, is_takeover=False)
+
+    def take_over(self, now_s: float, entry: EndpointEntry) -> list[OrderAction]:
+        """Order the change of an earlier process again, once that may not.
+
+        :param now_s: current instant in seconds.
+        :param entry: the endpoint with the open grant.
+        """
+        if self.older_grant != entry.grant:
+            self.older_grant = entry.grant
+            self.older_grant_s = now_s
+        lapsed_s = self.older_grant_s + entry.lifetime_s + self.settings.margin_s
+        if not self.settings.checks_fencing and now_s < lapsed_s:
+            return []
+        wanted = WantedState(
+            role=entry.wanted_role,
+            models=tuple(entry.wanted_models),
+            version=entry.wanted_version,
+            reason=f"finish grant {entry.grant}",
+        )
+        return self.propose(now_s, entry, wanted, is_takeover=True)
+
+    def missing_artifacts(self, wanted: WantedState) -> tuple[str, ...]:
+        """Return the wanted models and adapters that are not loaded.
+
+        :param wanted: the wanted state.
+        """
+        loaded = self.actual.models if self.actual else []
+        return tuple(name for name in wanted.models if name not in loaded)
+
+    def reserve(self, artifacts: tuple[str, ...]) -> list[OrderAction]:
+        """Ask the weight store once for what a change has to load.
+
+        :param artifacts: models and adapters that are not loaded.
+        """
+        if self.reserving:
+            return []
+        self.reserving = True
+        return [ReserveWeights(artifacts=artifacts)]
+
+    def propose(
+        self, now_s: float, entry: EndpointEntry, wanted: WantedState, is_takeover: bool
+    ) -> list[OrderAction]:
+        """Append a proposal; the grant counts from now on.
+
+        :param now_s: current instant in seconds.
+        :param entry: the endpoint as the log has it.
+        :param wanted: the wanted state.
+        :param is_takeover: whether it finishes an earlier process's change.
+        """
+        record = GrantRecord(
+            record_id=new_record_id(self.rng),
+            endpoint=self.settings.endpoint,
+            pool=self.settings.pool,
+            incarnation=self.settings.incarnation,
+            base_grant=entry.grant,
+            base_pool_revision=self.fold.pool_revision(self.settings.pool),
+            role=wanted.role,
+            models=list(wanted.models),
+            version=wanted.version,
+            lifetime_s=self.settings.lifetime_s,
+            reason=wanted.reason,
+        )
+        self.change = _Change(
+            record_id=record.record_id,
+            wanted=wanted,
+            proposed_s=now_s,
+            is_takeover=is_takeover,
+        )
+        return [AppendRecord(record=record, give_up_s=self.lapses_s(self.change))]
+
+    def on_event(self, now_s: float, event: FoldEvent) -> list[OrderAction]:
+        """Take what a record of the log changed.
+
+        :param now_s: current instant in seconds.
+        :param event: what a record changed.
+        """
+        change = self.change
+        if change is None:
+            return []
+        match event:
+            case GrantAccepted() if event.record_id == change.record_id:
+                return self.accepted(now_s, change, event.grant)
+            case GrantRejected() if event.record_id == change.record_id:
+                return self.rejected(now_s, change, event)
+            case GrantEnded() if event.grant == change.grant:
+                self.change = None
+            case StateReplaced():
+                return self.replaced(now_s, change)
+        return []
+
+    def accepted(self, now_s: float, change: _Change, grant: int) -> list[OrderAction]:
+        """Drain the engine under an accepted grant.
+
+        :param now_s: current instant in seconds.
+        :param change: the change.
+        :param grant: offset of the grant.
+        """
+        if change.phase != "proposed":
+            return []
+        change.grant = grant
+        change.phase = "draining"
+        reason = change.wanted.reason
+        return [StartDrain(reason=reason), *self.tick(now_s)]
+
+    def rejected(
+        self, now_s: float, change: _Change, event: GrantRejected
+    ) -> list[OrderAction]:
+        """Give up a proposal that the log did not accept.
+
+        :param now_s: current instant in seconds.
+        :param change: the change.
+        :param event: which check failed.
+        """
+        self.change = None
+        self.retry_at_s = now_s + self.settings.retry_s * self.rng.uniform(0.5, 1.0)
+        if event.rejection not in ("minimum", "pool_revision"):
+            return []
+        entry = self.entry
+        if change.is_takeover:
+            if entry is None or event.rejection == "pool_revision":
+                return []
+            kept = attrs.evolve(change.wanted, role=entry.role)
+            return self.propose(now_s, entry, kept, is_takeover=True)
+        if self.wanted == change.wanted:
+            self.wanted = None
+        return [ProposalRejected(wanted=change.wanted, rejection=event.rejection)]
+
+    def replaced(self, now_s: float, change: _Change) -> list[OrderAction]:
+        """Compare the change with a state that was rebuilt from a snapshot.
+
+        :param now_s: current instant in seconds.
+        :param change: the change.
+        """
+        entry = self.entry
+        if entry is None:
+            return self.drop_change()
+        if entry.grant_id == change.record_id and entry.open:
+            return self.accepted(now_s, change, entry.grant)
+        if entry.grant_id == change.record_id or change.phase != "proposed":
+            return self.drop_change()
+        return []
+
+    def advance(
+        self, now_s: float, entry: EndpointEntry, change: _Change
+    ) -> list[OrderAction]:
+        """Go on with a change.
+
+        :param now_s: current instant in seconds.
+        :param entry: the endpoint as the log has it.
+        :param change: the change.
+        """
+        if change.phase == "proposed":
+            if now_s >= self.lapses_s(change):
+                self.change = None
+            return []
+        if change.phase == "draining":
+            lapsed = now_s >= self.lapses_s(change)
+            return self.abandon(entry, change) if lapsed else []
+        if change.phase == "ordered":
+            return self.watch_engine(now_s, entry, change)
+        return []
+
+    def drained(self, now_s: float) -> list[OrderAction]:
+        """Take that the engine has no work left.
+
+        :param now_s: current instant in seconds.
+        """
+        change = self.change
+        entry = self.entry
+        if change is None or entry is None or change.phase != "draining":
+            return []
+        if now_s >= self.lapses_s(change):
+            return self.abandon(entry, change)
+        change.phase = "ordered"
+        return self.send(now_s, change)
+
+    def send(self, now_s: float, change: _Change) -> list[OrderAction]:
+        """Send the order.
+
+        :param now_s: current instant in seconds.
+        :param change: the change.
+        """
+        change.sent_s = now_s
+        order = EngineOrder(
+            fencing_number=change.grant,
+            role=change.wanted.role,
+            models=list(change.wanted.models),
+            version=change.wanted.version,
+        )
+        return [SendOrder(order=order, valid_until_s=self.lapses_s(change))]
+
+    def order_stale(self) -> list[OrderAction]:
+        """Take that the engine refused the order, since it saw a newer one.
+
+        Any other answer, or none, needs no call: the engine's state shows what
+        became of the order, and it is sent again in time.
+        """
+        change = self.change
+        if change is None or change.phase != "ordered":
+            return []
+        return self.drop_change()
+
+    def watch_engine(
+        self, now_s: float, entry: EndpointEntry, change: _Change
+    ) -> list[OrderAction]:
+        """End a change once the engine shows its end, or send the order again.
+
+        :param now_s: current instant in seconds.
+        :param entry: the endpoint as the log has it.
+        :param change: the change.
+        """
+        actual = self.actual
+        is_fresh = self.actual_s > change.sent_s
+        is_settled = is_fresh and actual is not None and not actual.changing
+        if actual and is_settled and matches(actual, change.wanted):
+            return self.end(entry, change, "done", change.wanted.role)
+        lapses_s = self.lapses_s(change)
+        if now_s < lapses_s:
+            is_due = now_s >= change.sent_s + self.settings.order_timeout_s
+            return self.send(now_s, change) if is_due and not is_busy(actual) else []
+        if actual and is_settled and self.actual_s >= lapses_s + self.settings.margin_s:
+            return self.end(entry, change, "abandoned", actual.role)
+        return []
+
+    def abandon(self, entry: EndpointEntry, change: _Change) -> list[OrderAction]:
+        """End a change whose order was never sent.
+
+        :param entry: the endpoint as the log has it.
+        :param change: the change.
+        """
+        return self.end(entry, change, "abandoned", self.actual_role(entry))
+
+    def end(
+        self,
+        entry: EndpointEntry,
+        change: _Change,
+        outcome: Literal["done", "abandoned"],
+        role: Role,
+    ) -> list[OrderAction]:
+        """Record how a change ended; its order is never sent after this.
+
+        :param entry: the endpoint as the log has it.
+        :param change: the change.
+        :param outcome: how it ended.
+        :param role: role in force.
+        """
+        change.phase = "ended"
+        self.reserved = ()
+        return [
+            *self.append_outcome(entry, outcome, role),
+            ChangeEnded(outcome=outcome, wanted=change.wanted, role=role),
+            ResumeWork(),
+        ]
+
+    def append_outcome(
+        self,
+        entry: EndpointEntry,
+        outcome: Literal["done", "abandoned"],
+        role: Role,
+    ) -> list[OrderAction]:
+        """Return the record that ends the open grant.
+
+        :param entry: the endpoint as the log has it.
+        :param outcome: how the change ended.
+        :param role: role in force.
+        """
+        record = GrantOutcomeRecord(
+            record_id=new_record_id(self.rng),
+            endpoint=self.settings.endpoint,
+            grant=entry.grant,
+            outcome=outcome,
+            role=role,
+        )
+        return [AppendRecord(record=record)]
+
+    def actual_role(self, entry: EndpointEntry) -> Role:
+        """Return the role in force, as far as it is known.
+
+        :param entry: the endpoint as the log has it.
+        """
+        return self.actual.role if self.actual is not None else entry.role
+
+    def lapses_s(self, change: _Change) -> float:
+        """Return the instant at which a change's grant lapses.
+
+        :param change: the change.
+        """
+        return change.proposed_s + self.settings.lifetime_s
+
+
+def is_busy(actual: EngineState | None) -> bool:
+    """Return whether an engine reports that it carries out an order.
+
+    :param actual: what the engine reports.
+    """
+    return actual is not None and actual.changing
+
+
+def matches(actual: EngineState, wanted: WantedState) -> bool:
+    """Return whether an engine is in the wanted state.
+
+    :param actual: what the engine reports.
+    :param wanted: the wanted state.
+    """
+    if actual.role != wanted.role or set(actual.models) != set(wanted.models):
+        return False
+    return not wanted.version or actual.version == wanted.version
