--- a/src/jasminewalk/generated_messages.py
+++ b/src/jasminewalk/generated_messages.py
@@ -147,6 +147,11 @@
     :param output_tokens: output tokens expected.
     :param requests: requests that arrived.
     :param refused: requests that were refused.
+    :param request_class: class of the requests.
+    :param prefill_tokens_per_s: prefill speed of the engines that the entry
+        sees together.
+    :param decode_tokens_per_s: decode speed of full batches of these engines
+        together.
     """
 
     entry: str
@@ -157,6 +162,9 @@
     output_tokens: int
     requests: int
     refused: int = 0
+    request_class: str = ""
+    prefill_tokens_per_s: float = 0.0
+    decode_tokens_per_s: float = 0.0
 
 
 TYPE_BY_NUMBER: dict[int, type] = {
--- a/src/jasminewalk/routing.py
+++ b/src/jasminewalk/routing.py
@@ -112,7 +112,7 @@
         self.cache_sequences: dict[str, tuple[str, int]] = {}
         self.flights: dict[str, Flight] = {}
         self.shares: dict[str, FairShares] = {}
-        self.demands: dict[str, _Demand] = {}
+        self.demands: dict[tuple[str, str], _Demand] = {}
         self.budget = RetryBudget(settings.retry_ratio)
         self.lengths: dict[tuple[str, str], float] = {}
         self.refused_until_s: dict[str, float] = {}
@@ -535,7 +535,7 @@
         :param profile: the request.
         :param best: best endpoint for it.
         """
-        demand = self.demand_of(now_s, profile.pool)
+        demand = self.demand_of(now_s, profile)
         demand.prompt_tokens += profile.prompt_tokens
         demand.cached_tokens += best.cached_tokens
         demand.output_tokens += self.expected_tokens(profile)
@@ -550,36 +550,55 @@
         :param now_s: current instant in seconds.
         :param profile: the request.
         """
-        self.demand_of(now_s, profile.pool).refused += 1
+        self.demand_of(now_s, profile).refused += 1
 
-    def demand_of(self, now_s: float, pool: str) -> _Demand:
-        """Return the demand counted for a pool.
+    def demand_of(self, now_s: float, profile: RequestProfile) -> _Demand:
+        """Return the demand counted for a request's pool and class.
 
         :param now_s: current instant in seconds.
-        :param pool: pool name.
+        :param profile: the request.
         """
-        demand = self.demands.get(pool)
+        key = (profile.pool, profile.request_class)
+        demand = self.demands.get(key)
         if demand is None:
-            demand = self.demands[pool] = _Demand(now_s)
+            demand = self.demands[key] = _Demand(now_s)
         return demand
 
     def demand(self, now_s: float) -> list[PoolDemand]:
-        """Return the work that arrived since the last call, by pool.
+        """Return the work that arrived since the last call, by pool and class.
 
         :param now_s: current instant in seconds.
         """
+        prefill, decode = self.pool_speeds()
         counted = [
             PoolDemand(
                 entry=self.settings.entry,
                 pool=pool,
+                request_class=request_class,
                 period_s=max(1e-3, now_s - demand.since_s),
                 prompt_tokens=demand.prompt_tokens,
                 cached_tokens=demand.cached_tokens,
                 output_tokens=demand.output_tokens,
                 requests=demand.requests,
                 refused=demand.refused,
+                prefill_tokens_per_s=prefill.get(pool, 0.0),
+                decode_tokens_per_s=decode.get(pool, 0.0),
             )
-            for pool, demand in self.demands.items()
+            for (pool, request_class), demand in self.demands.items()
         ]
-        self.demands = {pool: _Demand(now_s) for pool in self.demands}
+        self.demands = {key: _Demand(now_s) for key in self.demands}
         return counted
+
+    def pool_speeds(self) -> tuple[dict[str, float], dict[str, float]]:
+        """Return prefill and full-batch decode tokens per second by pool."""
+        prefill: dict[str, float] = {}
+        decode: dict[str, float] = {}
+        for view in self.views.values():
+            report = view.report
+            if report is None or report.kind == "service":
+                continue
+            pool = report.pool
+            prefill[pool] = prefill.get(pool, 0.0) + view.prefill_tokens_per_s
+            batch = view.decode_tokens_per_s * report.max_batch
+            decode[pool] = decode.get(pool, 0.0) + batch
+        return prefill, decode
