Read and check settings and configuration files

Addresses have a pattern in the schema. A check renders every organisation that a change can touch and looks up its pools, models and failure domains in the fleet; published template versions never change.

--- a/src/jasminewalk/configuration.py
+++ b/src/jasminewalk/configuration.py
@@ -15,6 +15,7 @@
     Template,
 )
 from jasminewalk.templates import render_organisation, template_problems
+from jasminewalk.yaml_files import path_text
 
 __all__ = ["FLEET_SUBJECT", "ConfigurationView", "split_subject"]
 
@@ -177,7 +178,8 @@
             template = _template_decoder.decode(document)
             problems = template_problems(template)
             if problems:
-                raise BadConfigurationError("; ".join(problems))
+                path = path_text(problems[0].path)
+                raise BadConfigurationError(f"{path}: {problems[0].text}")
             self.templates[name] = template
         self.rendered.clear()
 
--- /dev/null
+++ b/src/jasminewalk/configuration_checks.py
@@ -0,0 +1,199 @@
+"""Checks of what configuration documents make together."""
+
+import msgspec
+
+from jasminewalk.configuration import ConfigurationView
+from jasminewalk.configuration_files import ConfigurationDocument
+from jasminewalk.exceptions import BadConfigurationError
+from jasminewalk.generated_configuration import (
+    Organisation,
+    OrganisationDocument,
+    Pool,
+    Template,
+)
+from jasminewalk.templates import (
+    find_version,
+    parameter_problems,
+    render_organisation,
+    template_problems,
+)
+from jasminewalk.yaml_files import Problem, ValuePath, path_text
+
+__all__ = ["check_documents"]
+
+
+def check_documents(
+    documents: list[ConfigurationDocument], view: ConfigurationView
+) -> None:
+    """Check what documents make together with the configuration in force.
+
+    :param documents: documents to be published, fleet and templates first.
+    :param view: configuration in force; the documents are applied to it.
+    :raises BadConfigurationError: if the result would not be valid.
+    """
+    messages: list[str] = []
+    for document in documents:
+        problems = change_problems(document, view)
+        messages.extend(map(document.source.message, problems))
+        if not problems:
+            view.apply(document.subject, 0, document.text, document.deleted)
+    if not messages:
+        messages = effect_messages(documents, view)
+    if messages:
+        raise BadConfigurationError("\n".join(messages))
+
+
+def change_problems(
+    document: ConfigurationDocument, view: ConfigurationView
+) -> list[Problem]:
+    """Return why one document cannot be put in force.
+
+    :param document: the document.
+    :param view: configuration with the documents before it in force.
+    """
+    if document.deleted:
+        return []
+    if document.kind == "template":
+        return template_change_problems(document, view)
+    if document.kind == "organisation":
+        return organisation_change_problems(document, view)
+    return []
+
+
+def template_change_problems(
+    document: ConfigurationDocument, view: ConfigurationView
+) -> list[Problem]:
+    """Return why a template cannot be put in force.
+
+    Versions that were published stay as they are, since organisations use them.
+
+    :param document: the template.
+    :param view: configuration in force.
+    """
+    template = msgspec.convert(document.body, Template)
+    problems = template_problems(template)
+    current = view.templates.get(document.name)
+    for number, version in (current.versions if current else {}).items():
+        path = ("versions", number)
+        if number not in template.versions:
+            text = "found no version; a published version must stay"
+            problems.append(Problem(path, text))
+        elif template.versions[number] != version:
+            text = "found a changed version; a published version never changes"
+            problems.append(Problem(path, text + ", add another one"))
+    return problems
+
+
+def organisation_change_problems(
+    document: ConfigurationDocument, view: ConfigurationView
+) -> list[Problem]:
+    """Return why an organisation cannot be put in force.
+
+    :param document: the organisation.
+    :param view: configuration in force.
+    """
+    wanted = msgspec.convert(document.body, OrganisationDocument)
+    template = view.templates.get(wanted.template)
+    try:
+        version = find_version(wanted, template)
+        problems = parameter_problems(version, wanted.parameters)
+        if not problems:
+            render_organisation(document.name, wanted, template)
+    except BadConfigurationError as error:
+        field, _, text = error.detail.partition(": ")
+        return [Problem((field,), text)]
+    return problems
+
+
+def effect_messages(
+    documents: list[ConfigurationDocument], view: ConfigurationView
+) -> list[str]:
+    """Return which organisations the fleet as a whole cannot serve.
+
+    Only organisations that the documents can have touched are looked at.
+
+    :param documents: documents that were applied.
+    :param view: configuration with the documents in force.
+    """
+    source_by_name = {
+        document.name: document.source
+        for document in documents
+        if document.kind == "organisation" and not document.deleted
+    }
+    everything = any(document.kind != "organisation" for document in documents)
+    names = list(view.organisation_names()) if everything else list(source_by_name)
+    messages = []
+    for name in names:
+        source = source_by_name.get(name)
+        for problem in served_problems(name, view):
+            if source is not None:
+                messages.append(source.message(problem))
+            else:
+                messages.append(
+                    f"organisation/{name}: {path_text(problem.path)}: {problem.text}"
+                )
+    return messages
+
+
+def served_problems(name: str, view: ConfigurationView) -> list[Problem]:
+    """Return why the fleet cannot serve an organisation.
+
+    :param name: organisation name.
+    :param view: the configuration.
+    """
+    organisation = view.organisation(name)
+    if organisation is None:
+        return [Problem(("template",), "found a template or version not in force")]
+    problems = domain_problems(organisation, view)
+    for model, rule in organisation.models.items():
+        path = ("models", model)
+        wanted = [model, rule.adapter] if rule.adapter else [model]
+        problems += pool_problems(path, rule.pool, "engine", wanted, view)
+    for service, service_rule in organisation.services.items():
+        path = ("services", service)
+        problems += pool_problems(path, service_rule.pool, "service", [], view)
+    return problems
+
+
+def domain_problems(
+    organisation: Organisation, view: ConfigurationView
+) -> list[Problem]:
+    """Return which failure domains of an organisation the fleet does not have.
+
+    :param organisation: the organisation.
+    :param view: the configuration.
+    """
+    known = view.fleet.failure_domains
+    return [
+        Problem(
+            ("failure_domains",),
+            f"found {domain!r}; allowed is one of {', '.join(known)}",
+        )
+        for domain in organisation.failure_domains
+        if known and domain not in known
+    ]
+
+
+def pool_problems(
+    path: ValuePath, pool: str, kind: str, models: list[str], view: ConfigurationView
+) -> list[Problem]:
+    """Return why a pool cannot serve a rule of an organisation.
+
+    :param path: path of the rule.
+    :param pool: pool name.
+    :param kind: kind of endpoint that the rule needs.
+    :param models: models and adapters that the rule needs.
+    :param view: the configuration.
+    """
+    found: Pool | None = view.pools.get(pool)
+    if found is None:
+        known = ", ".join(view.pools) or "none"
+        return [Problem(path, f"found pool {pool!r}; allowed is one of {known}")]
+    if found.kind != kind:
+        text = f"found pool {pool!r} of kind {found.kind}; allowed is kind {kind}"
+        return [Problem(path, text)]
+    return [
+        Problem(path, f"found {model!r}, which is not among the models of pool {pool}")
+        for model in models
+        if found.models and model not in found.models
+    ]
--- /dev/null
+++ b/src/jasminewalk/configuration_files.py
@@ -0,0 +1,181 @@
+"""Reading and checking of configuration files."""
+
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any, Literal
+
+import attrs
+import msgspec
+
+from jasminewalk.exceptions import BadConfigurationError
+from jasminewalk.schemas import definition, document_problems
+from jasminewalk.yaml_files import (
+    Problem,
+    YamlDocument,
+    read_documents,
+)
+
+__all__ = [
+    "ConfigurationDocument",
+    "is_configuration",
+    "read_configuration",
+]
+
+Kind = Literal["fleet", "template", "organisation"]
+
+CLASS_BY_KIND = {
+    "fleet": "Fleet",
+    "template": "Template",
+    "organisation": "OrganisationDocument",
+}
+HEAD_NAMES = ("kind", "name", "deleted")
+NAME_PATTERN = r"^[a-z0-9][a-z0-9._-]{0,62}$"
+HEAD_SCHEMA = {
+    "type": "object",
+    "properties": {
+        "kind": {"enum": list(CLASS_BY_KIND), "description": "what the document is"},
+        "name": {
+            "type": "string",
+            "pattern": NAME_PATTERN,
+            "description": "a name of lower-case letters, digits, dots and hyphens",
+        },
+        "deleted": {"type": "boolean"},
+    },
+    "required": ["kind", "name"],
+}
+
+
+@attrs.frozen(kw_only=True)
+class ConfigurationDocument:
+    """One document of a configuration file.
+
+    :param kind: what the document is.
+    :param name: name of the fleet, template or organisation.
+    :param body: the document without its head.
+    :param deleted: whether the subject is to be removed.
+    :param source: where it was read.
+    """
+
+    kind: Kind
+    name: str
+    body: dict[str, Any]
+    deleted: bool
+    source: YamlDocument
+
+    @property
+    def subject(self) -> str:
+        """Subject of the document on the log."""
+        return f"{self.kind}/{self.name}"
+
+    @property
+    def text(self) -> str:
+        """Compact JSON of the document; equal documents have equal text."""
+        if self.deleted:
+            return ""
+        return msgspec.json.encode(self.body, order="sorted").decode()
+
+
+def is_configuration(documents: Iterable[YamlDocument]) -> bool:
+    """Return whether the documents are configuration rather than settings.
+
+    :param documents: documents of a file.
+    """
+    return any(
+        isinstance(document.data, dict)
+        and "kind" in document.data
+        and "endpoint_address" not in document.data
+        for document in documents
+    )
+
+
+def configuration_paths(file: str) -> list[str]:
+    """Return the files of a configuration, in the order in which they are read.
+
+    :param file: name of a YAML file or of a directory of them.
+    """
+    path = Path(file)
+    if not path.is_dir():
+        return [file]
+    return sorted(str(found) for found in path.rglob("*.yaml"))
+
+
+def read_configuration(file: str) -> list[ConfigurationDocument]:
+    """Return the documents of a file or directory, fleet and templates first.
+
+    :param file: name of a YAML file or of a directory of them.
+    :raises BadConfigurationError: if a document does not follow the schema.
+    """
+    sources = [
+        document
+        for path in configuration_paths(file)
+        for document in read_documents(path, BadConfigurationError)
+    ]
+    if not sources:
+        raise BadConfigurationError(f"{file}: found no documents; allowed is one")
+    messages: list[str] = []
+    documents: dict[str, ConfigurationDocument] = {}
+    for source in sources:
+        problems = head_problems(source) or body_problems(source)
+        messages.extend(map(source.message, problems))
+        if problems:
+            continue
+        document = document_of(source)
+        if document.subject in documents:
+            problem = Problem(("name",), f"found {document.subject} a second time")
+            messages.append(source.message(problem))
+        documents[document.subject] = document
+    if messages:
+        raise BadConfigurationError("\n".join(messages))
+    order = list(CLASS_BY_KIND)
+    return sorted(documents.values(), key=lambda document: order.index(document.kind))
+
+
+def head_problems(source: YamlDocument) -> list[Problem]:
+    """Return what is wrong with a document's kind, name and marks.
+
+    :param source: the document.
+    """
+    problems = document_problems(source, HEAD_SCHEMA)
+    if problems:
+        return problems
+    is_fleet = source.data["kind"] == "fleet"
+    if is_fleet and source.data["name"] != "default":
+        text = f"found {source.data['name']!r}; allowed is default"
+        return [Problem(("name",), text)]
+    if is_fleet and source.data.get("deleted"):
+        return [Problem(("deleted",), "found true; a fleet cannot be deleted")]
+    return []
+
+
+def body_problems(source: YamlDocument) -> list[Problem]:
+    """Return where a document's body does not follow the schema.
+
+    :param source: the document.
+    """
+    if source.data.get("deleted"):
+        return []
+    class_name = CLASS_BY_KIND[source.data["kind"]]
+    schema = definition("configuration", class_name)
+    return document_problems(source, schema, body_of(source))
+
+
+def body_of(source: YamlDocument) -> dict[str, Any]:
+    """Return a document without its head.
+
+    :param source: the document.
+    """
+    return {key: value for key, value in source.data.items() if key not in HEAD_NAMES}
+
+
+def document_of(source: YamlDocument) -> ConfigurationDocument:
+    """Return the configuration document that a valid source holds.
+
+    :param source: the document.
+    """
+    return ConfigurationDocument(
+        kind=source.data["kind"],
+        name=source.data["name"],
+        body=body_of(source),
+        deleted=source.data.get("deleted", False),
+        source=source,
+    )
--- a/src/jasminewalk/generated_configuration.py
+++ b/src/jasminewalk/generated_configuration.py
@@ -122,9 +122,12 @@
     """The pools of the fleet.
 
     :param pools: pools by name.
+    :param failure_domains: failure domains that organisations may name; empty
+        for any.
     """
 
     pools: dict[str, Pool]
+    failure_domains: list[str] = attrs.field(factory=list)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/jasminewalk/generated_settings.py
+++ b/src/jasminewalk/generated_settings.py
@@ -27,7 +27,7 @@
     :param retention_s: seconds that the log keeps a record.
     """
 
-    address: str
+    address: Annotated[str, msgspec.Meta(pattern="^[^:\\s]+:[0-9]{1,5}$")]
     timeout_s: Annotated[float, msgspec.Meta(gt=0)] = 2.0
     poll_wait_s: Annotated[float, msgspec.Meta(gt=0)] = 1.0
     retry_s: Annotated[float, msgspec.Meta(gt=0)] = 0.2
@@ -75,10 +75,12 @@
     name: str
     failure_domain: str
     region: str = ""
-    listen: str
-    control_listen: str = "127.0.0.1:0"
+    listen: Annotated[str, msgspec.Meta(pattern="^[^:\\s]+:[0-9]{1,5}$")]
+    control_listen: Annotated[str, msgspec.Meta(pattern="^[^:\\s]+:[0-9]{1,5}$")] = (
+        "127.0.0.1:0"
+    )
     log: LogSettings
-    instances_address: str
+    instances_address: Annotated[str, msgspec.Meta(pattern="^[^:\\s]+:[0-9]{1,5}$")]
     instances_poll_s: Annotated[float, msgspec.Meta(gt=0)] = 1.0
     peers: PeerSettings
     body_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 8388608
@@ -120,12 +122,16 @@
     pool: str
     failure_domain: str
     region: str = ""
-    listen: str
-    control_listen: str
-    metrics_listen: str = "127.0.0.1:0"
-    endpoint_address: str
+    listen: Annotated[str, msgspec.Meta(pattern="^[^:\\s]+:[0-9]{1,5}$")]
+    control_listen: Annotated[str, msgspec.Meta(pattern="^[^:\\s]+:[0-9]{1,5}$")]
+    metrics_listen: Annotated[str, msgspec.Meta(pattern="^[^:\\s]+:[0-9]{1,5}$")] = (
+        "127.0.0.1:0"
+    )
+    endpoint_address: Annotated[str, msgspec.Meta(pattern="^[^:\\s]+:[0-9]{1,5}$")]
     log: LogSettings
-    weights_address: str = ""
+    weights_address: Annotated[
+        str, msgspec.Meta(pattern="^$|^[^:\\s]+:[0-9]{1,5}$")
+    ] = ""
     peers: PeerSettings
     checks_fencing: bool = True
     report_s: Annotated[float, msgspec.Meta(gt=0)] = 0.5
--- a/src/jasminewalk/templates.py
+++ b/src/jasminewalk/templates.py
@@ -16,16 +16,21 @@
     TemplateParameter,
     TemplateVersion,
 )
+from jasminewalk.yaml_files import Problem, ValuePath, path_text
 
 __all__ = [
     "fill_parameters",
+    "find_version",
+    "organisation_problems",
     "parameter_problem",
+    "parameter_problems",
     "placeholders",
     "render_organisation",
     "template_problems",
 ]
 
 PLACEHOLDER = re.compile(r"\$\{([A-Za-z_][A-Za-z0-9_]*)\}")
+VERSION_NUMBER = re.compile(r"[1-9][0-9]*")
 TYPES: dict[str, tuple[type, ...]] = {
     "string": (str,),
     "integer": (int,),
@@ -121,26 +126,32 @@
     return ""
 
 
-def template_problems(template: Template) -> list[str]:
+def template_problems(template: Template) -> list[Problem]:
     """Return what is wrong with a template beyond its schema.
 
     :param template: the template.
     """
     problems = []
     for number, version in template.versions.items():
-        where = f"versions.{number}"
-        if not number.isascii() or not number.isdigit() or number.startswith("0"):
-            problems.append(f"{where}: found {number!r}; allowed is a whole number")
-        unknown = placeholders(version.organisation) - set(version.parameters)
-        for name in sorted(unknown):
-            known = ", ".join(version.parameters) or "none"
+        path = ("versions", number)
+        if not VERSION_NUMBER.fullmatch(number):
             problems.append(
-                f"{where}.organisation: found ${{{name}}}; allowed is one of {known}"
+                Problem(path, f"found {number!r}; allowed is a whole number from 1")
             )
-        for name, parameter in version.parameters.items():
-            problem = _declaration_problem(parameter)
-            if problem:
-                problems.append(f"{where}.parameters.{name}: {problem}")
+        problems.extend(_version_problems(version, path))
+    return problems
+
+
+def _version_problems(version: TemplateVersion, path: ValuePath) -> list[Problem]:
+    problems = []
+    known = ", ".join(version.parameters) or "none"
+    for name in sorted(placeholders(version.organisation) - set(version.parameters)):
+        text = f"found ${{{name}}}; allowed is one of {known}"
+        problems.append(Problem((*path, "organisation"), text))
+    for name, parameter in version.parameters.items():
+        text = _declaration_problem(parameter)
+        if text:
+            problems.append(Problem((*path, "parameters", name), text))
     return problems
 
 
@@ -159,6 +170,31 @@
     return f"default: {problem}" if problem else ""
 
 
+def parameter_problems(
+    version: TemplateVersion, given: Mapping[str, Any]
+) -> list[Problem]:
+    """Return what is wrong with the values that an organisation gives.
+
+    :param version: version of a template.
+    :param given: values by parameter name.
+    """
+    problems = []
+    known = ", ".join(version.parameters) or "none"
+    for name in given:
+        if name not in version.parameters:
+            text = f"found an unknown parameter; allowed is one of {known}"
+            problems.append(Problem(("parameters", name), text))
+    for name, parameter in version.parameters.items():
+        if name in given:
+            text = parameter_problem(parameter, given[name])
+            if text:
+                problems.append(Problem(("parameters", name), text))
+        elif parameter.required:
+            text = f"found no {name}; it is needed: {parameter.description}"
+            problems.append(Problem(("parameters",), text))
+    return problems
+
+
 def fill_parameters(
     version: TemplateVersion, given: Mapping[str, Any]
 ) -> dict[str, Any]:
@@ -168,39 +204,25 @@
     :param given: values that an organisation gives.
     :raises BadConfigurationError: if a value is missing, unknown or not allowed.
     """
-    for name in given:
-        if name not in version.parameters:
-            known = ", ".join(version.parameters) or "none"
-            raise BadConfigurationError(
-                f"parameters.{name}: found a parameter that the template does not "
-                f"have; allowed is one of {known}"
-            )
-    values = {}
-    for name, parameter in version.parameters.items():
-        if name not in given:
-            if parameter.required:
-                raise BadConfigurationError(
-                    f"parameters.{name}: found nothing; allowed is a value of type "
-                    f"{parameter.type}"
-                )
-            values[name] = parameter.default
-            continue
-        problem = parameter_problem(parameter, given[name])
-        if problem:
-            raise BadConfigurationError(f"parameters.{name}: {problem}")
-        values[name] = given[name]
-    return values
+    _raise_if_any(parameter_problems(version, given))
+    defaults = {name: rule.default for name, rule in version.parameters.items()}
+    return {**defaults, **given}
 
 
-def render_organisation(
-    name: str, document: OrganisationDocument, template: Template | None
-) -> Organisation:
-    """Return an organisation as it is in force.
+def _raise_if_any(problems: list[Problem]) -> None:
+    if problems:
+        texts = [f"{path_text(problem.path)}: {problem.text}" for problem in problems]
+        raise BadConfigurationError("; ".join(texts))
+
+
+def find_version(
+    document: OrganisationDocument, template: Template | None
+) -> TemplateVersion:
+    """Return the version of a template that an organisation names.
 
-    :param name: organisation name.
     :param document: what the operator wrote.
     :param template: the template that the document names.
-    :raises BadConfigurationError: if the two do not make a valid organisation.
+    :raises BadConfigurationError: if there is no such template or version.
     """
     if template is None:
         raise BadConfigurationError(
@@ -208,11 +230,25 @@
         )
     version = template.versions.get(str(document.version))
     if version is None:
-        known = ", ".join(template.versions)
+        known = ", ".join(template.versions) or "none"
         raise BadConfigurationError(
             f"version: found {document.version} of template {document.template!r}; "
             f"allowed is one of {known}"
         )
+    return version
+
+
+def render_organisation(
+    name: str, document: OrganisationDocument, template: Template | None
+) -> Organisation:
+    """Return an organisation as it is in force.
+
+    :param name: organisation name.
+    :param document: what the operator wrote.
+    :param template: the template that the document names.
+    :raises BadConfigurationError: if the two do not make a valid organisation.
+    """
+    version = find_version(document, template)
     body = substitute(
         version.organisation, fill_parameters(version, document.parameters)
     )
@@ -220,24 +256,25 @@
         organisation = msgspec.convert({**body, "name": name}, Organisation)
     except msgspec.ValidationError as error:
         raise BadConfigurationError(f"organisation: {error}") from error
-    problems = organisation_problems(organisation)
-    if problems:
-        raise BadConfigurationError("; ".join(problems))
+    _raise_if_any(organisation_problems(organisation))
     return organisation
 
 
-def organisation_problems(organisation: Organisation) -> list[str]:
+def organisation_problems(organisation: Organisation) -> list[Problem]:
     """Return which rules of an organisation name a class it does not have.
 
     :param organisation: the organisation.
     """
     known = ", ".join(organisation.classes) or "none"
-    rules: dict[str, ModelRule | ServiceRule] = {
-        **{f"models.{name}": rule for name, rule in organisation.models.items()},
-        **{f"services.{name}": rule for name, rule in organisation.services.items()},
+    rules: dict[ValuePath, ModelRule | ServiceRule] = {
+        **{("models", name): rule for name, rule in organisation.models.items()},
+        **{("services", name): rule for name, rule in organisation.services.items()},
     }
     return [
-        f"{path}.request_class: found {rule.request_class!r}; allowed is one of {known}"
+        Problem(
+            (*path, "request_class"),
+            f"found {rule.request_class!r}; allowed is one of {known}",
+        )
         for path, rule in rules.items()
         if rule.request_class not in organisation.classes
     ]
--- /dev/null
+++ b/src/jasminewalk/yaml_files.py
@@ -0,0 +1,140 @@
+"""Reading of YAML files with the line of each value."""
+
+from pathlib import Path
+from typing import Any
+
+import attrs
+import yaml
+
+from jasminewalk.exceptions import JasminewalkError
+
+__all__ = ["ValuePath", "Problem", "YamlDocument", "path_text", "read_documents"]
+
+ValuePath = tuple[str | int, ...]
+
+
+@attrs.frozen
+class Problem:
+    """One thing that is wrong in a file.
+
+    :param path: keys and indices that lead to the value.
+    :param text: what was found and what is allowed.
+    """
+
+    path: ValuePath
+    text: str
+
+
+@attrs.frozen(kw_only=True)
+class YamlDocument:
+    """One document of a YAML file.
+
+    :param file: name of the file, for messages.
+    :param data: the document's value.
+    :param lines: line of each value, counted from 1.
+    :param problems: what is wrong with the YAML itself.
+    """
+
+    file: str
+    data: Any
+    lines: dict[ValuePath, int]
+    problems: list[Problem] = attrs.field(factory=list)
+
+    def message(self, problem: Problem) -> str:
+        """Return a problem with its file, line and path.
+
+        :param problem: the problem.
+        """
+        path = problem.path
+        while path not in self.lines and path:
+            path = path[:-1]
+        where = f"{self.file}:{self.lines.get(path, 1)}"
+        name = path_text(problem.path)
+        return (
+            f"{where}: {name}: {problem.text}" if name else f"{where}: {problem.text}"
+        )
+
+
+def path_text(path: ValuePath) -> str:
+    """Return a path as people write it.
+
+    >>> path_text(("pools", "tutor", "withdrawn", 0))
+    'pools.tutor.withdrawn[0]'
+
+    :param path: keys and indices.
+    """
+    text = ""
+    for part in path:
+        if isinstance(part, int):
+            text += f"[{part}]"
+        else:
+            text += f".{part}" if text else part
+    return text
+
+
+def read_documents(file: str, error: type[JasminewalkError]) -> list[YamlDocument]:
+    """Return the documents of a YAML file; empty ones are left out.
+
+    :param file: name of the file.
+    :param error: class of the error to raise.
+    :raises JasminewalkError: if the file cannot be read or is not YAML.
+    """
+    try:
+        text = Path(file).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as cause:
+        reason = getattr(cause, "strerror", None) or str(cause)
+        raise error(f"{file}: cannot be read: {reason}") from cause
+    loader = yaml.SafeLoader(text)
+    documents = []
+    try:
+        while loader.check_node():
+            document = _document(file, loader, loader.get_node())
+            if document.data is not None:
+                documents.append(document)
+    except yaml.YAMLError as cause:
+        raise error(_yaml_message(file, cause)) from cause
+    finally:
+        loader.dispose()
+    return documents
+
+
+def _yaml_message(file: str, cause: yaml.YAMLError) -> str:
+    mark = getattr(cause, "problem_mark", None)
+    line = mark.line + 1 if mark else 1
+    problem = getattr(cause, "problem", None) or str(cause)
+    return f"{file}:{line}: found text that is not YAML: {problem}"
+
+
+def _document(file: str, loader: yaml.SafeLoader, node: Any) -> YamlDocument:
+    lines: dict[ValuePath, int] = {}
+    problems: list[Problem] = []
+    data = _value(loader, node, (), lines, problems)
+    return YamlDocument(file=file, data=data, lines=lines, problems=problems)
+
+
+def _value(
+    loader: yaml.SafeLoader,
+    node: yaml.Node,
+    path: ValuePath,
+    lines: dict[ValuePath, int],
+    problems: list[Problem],
+) -> Any:
+    lines[path] = node.start_mark.line + 1
+    if isinstance(node, yaml.SequenceNode):
+        return [
+            _value(loader, item, (*path, index), lines, problems)
+            for index, item in enumerate(node.value)
+        ]
+    if not isinstance(node, yaml.MappingNode):
+        return loader.construct_object(node, deep=True)
+    loader.flatten_mapping(node)
+    found: dict[str, Any] = {}
+    for key_node, value_node in node.value:
+        key = str(loader.construct_object(key_node, deep=True))
+        key_path = (*path, key)
+        value = _value(loader, value_node, key_path, lines, problems)
+        lines[key_path] = key_node.start_mark.line + 1
+        if key in found:
+            problems.append(Problem(key_path, "found twice; allowed is once"))
+        found[key] = value
+    return found
