--- /dev/null
+++ b/src/jasminewalk/log_appender.py
@@ -0,0 +1,122 @@
+"""Carries out the appends that a ``LogWriter`` asks for."""
+
+import random
+
+import anyio
+from absl import logging
+from anyio.abc import TaskGroup
+
+from jasminewalk.clock import Clock
+from jasminewalk.exceptions import LogUnavailableError
+from jasminewalk.fold_events import FoldEvent
+from jasminewalk.interfaces import Log
+from jasminewalk.log_follower import LogFollower
+from jasminewalk.log_writer import (
+    AppendGivenUp,
+    AppendRecord,
+    LogWriter,
+    LogWriterSettings,
+    SendAppend,
+    WriterAction,
+)
+
+__all__ = ["LogAppender"]
+
+IDLE_WAIT_S = 1.0
+MIN_WAIT_S = 0.005
+
+
+class LogAppender:
+    """Appends records until each was read back from the log or is given up.
+
+    :param log: the platform's log.
+    :param follower: reads the log.
+    :param clock: source of time.
+    :param rng: source of jitter.
+    :param settings: limits of the writer.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: Log,
+        follower: LogFollower,
+        clock: Clock,
+        rng: random.Random,
+        settings: LogWriterSettings | None = None,
+    ) -> None:
+        self.log = log
+        self.follower = follower
+        self.clock = clock
+        self.writer = LogWriter(settings or LogWriterSettings(), rng)
+        self.wanted = anyio.Event()
+        self.actions: list[WriterAction] = []
+
+    @property
+    def is_available(self) -> bool:
+        """Whether the log can be read and written, as far as is known."""
+        return self.follower.reachable and not self.writer.is_outage
+
+    def submit(self, append: AppendRecord) -> None:
+        """Append a record.
+
+        :param append: the record and how long it is wanted.
+        """
+        now_s = self.clock.monotonic()
+        self.actions += self.writer.submit(now_s, append.record, append.give_up_s)
+        self.wanted.set()
+
+    def on_fold_event(self, event: FoldEvent) -> None:
+        """Note that a record was read back.
+
+        :param event: what a record changed.
+        """
+        record_id = getattr(event, "record_id", "")
+        if record_id:
+            self.writer.seen(record_id)
+        self.writer.folded(self.follower.fold.next_offset)
+
+    async def run(self) -> None:
+        """Append until cancelled."""
+        async with anyio.create_task_group() as group:
+            while True:
+                self.act(group)
+                wait_s = self.writer.next_wake_s() - self.clock.monotonic()
+                with anyio.move_on_after(min(IDLE_WAIT_S, max(MIN_WAIT_S, wait_s))):
+                    await self.wanted.wait()
+                self.wanted = anyio.Event()
+                if self.writer.pending:
+                    self.follower.want_records()
+
+    def act(self, group: TaskGroup) -> None:
+        """Start what is due.
+
+        :param group: task group for the appends.
+        """
+        self.writer.folded(self.follower.fold.next_offset)
+        actions = self.actions + self.writer.tick(self.clock.monotonic())
+        self.actions = []
+        for action in actions:
+            if isinstance(action, SendAppend):
+                group.start_soon(self.append, action)
+            elif isinstance(action, AppendGivenUp) and action.may_have_landed:
+                logging.warning("[log] Append given up. record_id=%s", action.record_id)
+
+    async def append(self, action: SendAppend) -> None:
+        """Send one append to the log.
+
+        :param action: the record.
+        """
+        try:
+            offset = await self.log.append(action.data)
+        except LogUnavailableError as error:
+            logging.warning(
+                "[log] Append unanswered. record_id=%s error=%s",
+                action.record_id,
+                error,
+            )
+            self.writer.failed(self.clock.monotonic(), action.record_id)
+        else:
+            self.writer.answered(action.record_id, offset)
+        self.follower.want_records()
+        self.wanted.set()
--- /dev/null
+++ b/src/jasminewalk/sidecar_engine.py
@@ -0,0 +1,190 @@
+"""The part of a sidecar that deals with a model engine."""
+
+import contextlib
+
+import anyio
+import attrs
+import msgspec
+from absl import logging
+
+from jasminewalk.engine_client import HttpEngine
+from jasminewalk.exceptions import JasminewalkError
+from jasminewalk.fold_events import FoldEvent
+from jasminewalk.generated_messages import CacheEvents, LoadReport, PoolDemand
+from jasminewalk.generated_requests import EngineState
+from jasminewalk.queueing import EndpointQueue, QueueSettings
+from jasminewalk.sidecar_orders import OrderDesk
+from jasminewalk.sidecar_parts import EndpointPart, EndpointState, PartContext
+from jasminewalk.sidecar_streams import GenerationRunner
+
+__all__ = ["EnginePart"]
+
+TICK_S = 0.05
+DOWN_AFTER_FAILURES = 2
+MAX_EVENTS_PER_MESSAGE = 4096
+
+
+class EnginePart(EndpointPart):
+    """Queues generations, watches the engine and carries out its orders.
+
+    :param context: what the sidecar hands over.
+    """
+
+    def __init__(self, context: PartContext) -> None:
+        super().__init__(context)
+        self.engine = HttpEngine(context.pool, self.settings.endpoint_address)
+        self.queue = EndpointQueue(QueueSettings())
+        self.runner = GenerationRunner(
+            engine=self.engine,
+            queue=self.queue,
+            pool=self.settings.pool,
+            clock=self.clock,
+            progress_timeout_s=self.settings.progress_timeout_s,
+        )
+        self.generations = self.runner
+        self.orders = OrderDesk(context, self.engine, self)
+        self.engine_state: EngineState | None = None
+        self.polled_s = float("-inf")
+        self.poll_failures = 0
+        self.event_sequence = 0
+        self.leaving = False
+
+    @property
+    def idle(self) -> bool:
+        """Whether no generation is queued or running."""
+        return not self.runner.streams
+
+    @property
+    def state(self) -> EndpointState:
+        """What the engine can take, shutdown aside."""
+        if self.poll_failures >= DOWN_AFTER_FAILURES:
+            return "down"
+        if self.engine_state is None:
+            return "starting"
+        if self.engine_state.changing:
+            return "changing"
+        if self.orders.draining:
+            return "draining"
+        return "live"
+
+    def drain(self) -> None:
+        """Refuse new work from now on and finish what was admitted."""
+        self.leaving = True
+        self.queue.drain()
+
+    def hold(self) -> None:
+        """Refuse new work before an order and finish what was admitted."""
+        self.queue.drain()
+
+    def release(self) -> None:
+        """Take new work again after an order, unless the sidecar is stopping."""
+        if not self.leaving:
+            self.queue.resume()
+
+    def fill_report(self, report: LoadReport) -> LoadReport:
+        """Return a load report with the engine's figures.
+
+        :param report: report with the figures that every sidecar has.
+        """
+        state = self.engine_state
+        if state is None:
+            return report
+        return attrs.evolve(
+            report,
+            role=state.role,
+            models=state.models,
+            queued=self.queue.queued + state.queued,
+            queued_prefill_tokens=(
+                self.queue.queued_prefill_tokens + state.queued_prefill_tokens
+            ),
+            running=state.running,
+            decode_tokens_left=state.decode_tokens_left,
+            max_batch=state.max_batch,
+            prefill_tokens_per_s=state.prefill_tokens_per_s,
+            decode_tokens_per_s=state.decode_tokens_per_s,
+            kv_used=state.kv_used,
+            report_age_s=state.age_s + self.clock.monotonic() - self.polled_s,
+            completed=self.runner.completed,
+        )
+
+    def on_fold_event(self, event: FoldEvent) -> None:
+        """Pass on what a new log record changed.
+
+        :param event: what a record changed.
+        """
+        self.orders.on_fold_event(event)
+
+    def on_demand(self, demand: PoolDemand) -> None:
+        """Pass on evidence of the work that arrives for the pool.
+
+        :param demand: what one entry saw.
+        """
+        self.orders.on_demand(demand)
+
+    async def run(self) -> None:
+        """Deal with the engine until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.poll_engine)
+            group.start_soon(self.poll_cache)
+            group.start_soon(self.tick)
+            group.start_soon(self.orders.run)
+
+    async def tick(self) -> None:
+        """Give up, start and watch generations until cancelled."""
+        while True:
+            await self.runner.tick()
+            await anyio.sleep(TICK_S)
+
+    async def poll_engine(self) -> None:
+        """Read the engine's state until cancelled."""
+        while True:
+            await self.read_state()
+            await anyio.sleep(self.settings.report_s)
+
+    async def read_state(self) -> None:
+        """Read the engine's state once; failures mark the engine as down."""
+        was = self.state
+        try:
+            with anyio.fail_after(self.settings.progress_timeout_s):
+                state = await self.engine.state()
+        except (OSError, JasminewalkError, msgspec.MsgspecError) as error:
+            self.poll_failures += 1
+            logging.warning(
+                "[sidecar] Engine state unreadable. endpoint=%s error=%r",
+                self.settings.name,
+                error,
+            )
+        else:
+            self.poll_failures = 0
+            self.engine_state = state
+            self.polled_s = self.clock.monotonic()
+            self.queue.observe_state(self.polled_s, state)
+            self.orders.on_engine_state(state)
+            self.runner.start_ready()
+        if self.state != was:
+            self.note_change(f"state {was} -> {self.state}")
+            self.context.report_now()
+
+    async def poll_cache(self) -> None:
+        """Pass on the engine's cache events until cancelled."""
+        while True:
+            with contextlib.suppress(OSError, JasminewalkError, msgspec.MsgspecError):
+                with anyio.fail_after(self.settings.progress_timeout_s):
+                    await self.read_cache()
+            await anyio.sleep(self.settings.report_s)
+
+    async def read_cache(self) -> None:
+        """Read cache events once and send them to the entries."""
+        page = await self.engine.cache_events(self.event_sequence)
+        if page.next_sequence <= self.event_sequence:
+            return
+        message = CacheEvents(
+            endpoint=self.settings.name,
+            incarnation=self.context.incarnation,
+            first_sequence=page.first_sequence,
+            added=page.added[-MAX_EVENTS_PER_MESSAGE:],
+            removed=page.removed[-MAX_EVENTS_PER_MESSAGE:],
+            count=page.next_sequence - page.first_sequence,
+        )
+        self.event_sequence = page.next_sequence
+        await self.context.send(message)
--- /dev/null
+++ b/src/jasminewalk/sidecar_orders.py
@@ -0,0 +1,318 @@
+"""Carries out the role changes and loads that a sidecar decides on."""
+
+from typing import Protocol, cast
+
+import anyio
+from absl import logging
+
+from jasminewalk.authority import OrderController
+from jasminewalk.configuration import ConfigurationView
+from jasminewalk.exceptions import JasminewalkError, StaleFencingNumberError
+from jasminewalk.fold_events import FoldEvent, SubjectChanged
+from jasminewalk.generated_configuration import Pool
+from jasminewalk.generated_messages import PoolDemand
+from jasminewalk.generated_requests import EngineState
+from jasminewalk.interfaces import Engine, WeightStore
+from jasminewalk.log_appender import LogAppender
+from jasminewalk.log_writer import AppendRecord
+from jasminewalk.order_actions import (
+    ChangeEnded,
+    OrderAction,
+    OrderSettings,
+    ProposalRejected,
+    ReserveWeights,
+    ResumeWork,
+    Role,
+    SendOrder,
+    StartDrain,
+    WantedState,
+)
+from jasminewalk.registration import Registrar
+from jasminewalk.roles import RolePlanner
+from jasminewalk.sidecar_parts import PartContext
+from jasminewalk.weights_client import HttpWeightStore
+
+__all__ = ["EngineWork", "OrderDesk"]
+
+TICK_S = 0.1
+RETRY_S = 1.0
+FLEET_SUBJECT = "fleet/default"
+
+
+class EngineWork(Protocol):
+    """What orders need to know about, and do with, the engine's work."""
+
+    @property
+    def idle(self) -> bool:
+        """Whether no generation is queued or running."""
+
+    def hold(self) -> None:
+        """Refuse new work and finish what was admitted."""
+
+    def release(self) -> None:
+        """Take new work again."""
+
+    def note_change(self, text: str) -> None:
+        """Remember a change for operators."""
+
+
+class OrderDesk:
+    """Drives the order controller and the role planner of one engine.
+
+    :param context: what the sidecar hands over.
+    :param engine: the engine.
+    :param work: the engine's work.
+    """
+
+    def __init__(self, context: PartContext, engine: Engine, work: EngineWork) -> None:
+        settings = context.settings
+        self.context = context
+        self.settings = settings
+        self.clock = context.clock
+        self.engine = engine
+        self.work = work
+        self.weights: WeightStore | None = None
+        if settings.weights_address:
+            self.weights = HttpWeightStore(context.pool, settings.weights_address)
+        self.configuration = ConfigurationView()
+        self.pool_rule: Pool | None = None
+        self.planner: RolePlanner | None = None
+        self.state: EngineState | None = None
+        self.draining = False
+        self.registered_s = float("-inf")
+        self.controller = OrderController(
+            OrderSettings(
+                endpoint=settings.name,
+                pool=settings.pool,
+                incarnation=context.incarnation,
+                checks_fencing=settings.checks_fencing,
+                lifetime_s=settings.grant_lifetime_s,
+                reserves_weights=self.weights is not None,
+            ),
+            context.fold,
+            context.rng,
+        )
+        self.registrar = Registrar(
+            endpoint=settings.name,
+            pool=settings.pool,
+            incarnation=context.incarnation,
+            fold=context.fold,
+            rng=context.rng,
+        )
+        self.appender = LogAppender(
+            log=context.log,
+            follower=context.follower,
+            clock=context.clock,
+            rng=context.rng,
+        )
+        self.pending: list[OrderAction] = []
+        self.wanted = anyio.Event()
+
+    def on_fold_event(self, event: FoldEvent) -> None:
+        """Take what a new log record changed.
+
+        :param event: what a record changed.
+        """
+        self.appender.on_fold_event(event)
+        if isinstance(event, SubjectChanged) and event.subject == FLEET_SUBJECT:
+            self.on_fleet(event)
+        for append in self.registrar.on_event(event):
+            self.appender.submit(append)
+        self.add(self.controller.on_event(self.clock.monotonic(), event))
+
+    def on_fleet(self, event: SubjectChanged) -> None:
+        """Take a change of the fleet's configuration.
+
+        :param event: the new document.
+        """
+        self.configuration.apply(
+            event.subject, event.revision, event.document, event.deleted
+        )
+        rule = self.configuration.pools.get(self.settings.pool)
+        if rule is None or rule == self.pool_rule:
+            return
+        self.pool_rule = rule
+        self.planner = RolePlanner(self.settings.name, rule, self.context.rng)
+
+    def on_engine_state(self, state: EngineState) -> None:
+        """Take what the engine reports of itself.
+
+        :param state: the engine's state.
+        """
+        self.state = state
+        self.add(self.controller.observe_engine(self.clock.monotonic(), state))
+
+    def on_demand(self, demand: PoolDemand) -> None:
+        """Take evidence of the work that arrives for the pool.
+
+        :param demand: what one entry saw.
+        """
+        if self.planner is not None and demand.pool == self.settings.pool:
+            self.planner.observe_demand(self.clock.monotonic(), demand)
+
+    def add(self, actions: list[OrderAction]) -> None:
+        """Queue actions for the task that carries them out.
+
+        :param actions: what the controller decided.
+        """
+        if actions:
+            self.pending += actions
+            self.wanted.set()
+
+    async def run(self) -> None:
+        """Register, then carry out changes until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.appender.run)
+            group.start_soon(self.carry_out)
+            await self.context.follower.ready.wait()
+            while True:
+                self.register()
+                self.plan()
+                now_s = self.clock.monotonic()
+                self.add(self.controller.tick(now_s))
+                if self.draining and self.work.idle:
+                    self.add(self.controller.drained(now_s))
+                await anyio.sleep(TICK_S)
+
+    def register(self) -> None:
+        """Become the only writer for the engine, unless a newer process is."""
+        if self.registrar.registered or self.registrar.superseded:
+            return
+        now_s = self.clock.monotonic()
+        if self.state is None or self.registrar.record is not None:
+            return
+        self.registered_s = now_s
+        for append in self.registrar.register(self.state.role):
+            self.appender.submit(append)
+
+    def plan(self) -> None:
+        """Work out the state that the engine should be in, and ask for it."""
+        if self.state is None or self.pool_rule is None or self.controller.changing:
+            return
+        now_s = self.clock.monotonic()
+        role, reason = self.planned_role(now_s)
+        models = tuple(self.pool_rule.models or self.state.models)
+        wanted = WantedState(
+            role=role, models=models, version=self.pool_rule.version, reason=reason
+        )
+        self.add(self.controller.want(now_s, wanted))
+
+    def planned_role(self, now_s: float) -> tuple[Role, str]:
+        """Return the role that pays, and why.
+
+        :param now_s: current instant in seconds.
+        """
+        entry = self.context.fold.endpoint(self.settings.name)
+        current: Role = entry.role if entry is not None else "mixed"
+        if self.planner is None:
+            return current, "configuration"
+        roles = self.context.fold.roles(self.settings.pool)
+        proposal = self.planner.propose(now_s, roles)
+        if proposal is None:
+            return current, "configuration"
+        return cast(Role, proposal.role), proposal.reason
+
+    async def carry_out(self) -> None:
+        """Carry out queued actions until cancelled."""
+        while True:
+            await self.wanted.wait()
+            self.wanted = anyio.Event()
+            while self.pending:
+                await self.act(self.pending.pop(0))
+
+    async def act(self, action: OrderAction) -> None:
+        """Carry out one action.
+
+        :param action: what the controller decided.
+        """
+        match action:
+            case AppendRecord():
+                self.appender.submit(action)
+            case ReserveWeights():
+                await self.reserve(action)
+            case StartDrain():
+                self.hold(action.reason)
+            case ResumeWork():
+                self.resume()
+            case SendOrder():
+                await self.send_order(action)
+            case ChangeEnded():
+                self.note_end(action)
+            case ProposalRejected():
+                logging.info(
+                    "[orders] Proposal rejected. endpoint=%s check=%s",
+                    self.settings.name,
+                    action.rejection,
+                )
+
+    def hold(self, reason: str) -> None:
+        """Drain the engine before an order.
+
+        :param reason: why.
+        """
+        self.draining = True
+        self.work.hold()
+        self.work.note_change(f"drains for a change: {reason}")
+        self.context.report_now()
+
+    def resume(self) -> None:
+        """Take new work again after a change."""
+        self.draining = False
+        self.work.release()
+        self.context.report_now()
+
+    def note_end(self, action: ChangeEnded) -> None:
+        """Tell operators how a change ended.
+
+        :param action: the change.
+        """
+        self.context.metrics.count("role_changes", role=action.role)
+        self.work.note_change(
+            f"change {action.outcome}: role={action.role} {action.wanted.reason}"
+        )
+        logging.info(
+            "[orders] Change ended. endpoint=%s outcome=%s role=%s reason=%s",
+            self.settings.name,
+            action.outcome,
+            action.role,
+            action.wanted.reason,
+        )
+
+    async def reserve(self, action: ReserveWeights) -> None:
+        """Wait for the weight store's rate to allow a load.
+
+        :param action: what is to be loaded.
+        """
+        wait_s = 0.0
+        for artifact in action.artifacts if self.weights else ():
+            try:
+                wait_s = max(wait_s, await self.weights.reserve(artifact, 0))  # type: ignore[union-attr]
+            except (OSError, JasminewalkError):
+                wait_s = max(wait_s, RETRY_S)
+        await anyio.sleep(wait_s)
+        now_s = self.clock.monotonic()
+        self.add(self.controller.weights_ready(now_s, action.artifacts))
+
+    async def send_order(self, action: SendOrder) -> None:
+        """Send an order, unless its grant has lapsed.
+
+        :param action: the order and its limit.
+        """
+        if self.clock.monotonic() >= action.valid_until_s:
+            self.context.metrics.count("orders", outcome="lapsed")
+            return
+        try:
+            await self.engine.order(action.order)
+        except StaleFencingNumberError:
+            self.context.metrics.count("orders", outcome="stale")
+            self.add(self.controller.order_stale())
+        except (OSError, JasminewalkError) as error:
+            self.context.metrics.count("orders", outcome="failed")
+            logging.warning(
+                "[orders] Order unanswered. endpoint=%s fencing_number=%d error=%r",
+                self.settings.name,
+                action.order.fencing_number,
+                error,
+            )
+        else:
+            self.context.metrics.count("orders", outcome="sent")
--- a/src/jasminewalk/sidecar_parts.py
+++ b/src/jasminewalk/sidecar_parts.py
@@ -1,15 +1,75 @@
 """What differs between a sidecar beside an engine and one beside a service."""
 
+import random
 from abc import ABC, abstractmethod
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import Any, Literal
 
+import attrs
+import httpcore
+
+from jasminewalk.clock import Clock
+from jasminewalk.fold import LogFold
 from jasminewalk.fold_events import FoldEvent
 from jasminewalk.generated_messages import LoadReport, PoolDemand
+from jasminewalk.generated_settings import SidecarSettings
+from jasminewalk.interfaces import Log
+from jasminewalk.log_follower import LogFollower
+from jasminewalk.metrics import Metrics
+from jasminewalk.sidecar_http import Calls, Generations
+
+__all__ = ["EndpointPart", "EndpointState", "PartContext"]
+
+EndpointState = Literal["starting", "live", "draining", "changing", "down"]
+
+MAX_CHANGES = 50
+
+
+@attrs.frozen(kw_only=True)
+class PartContext:
+    """What a part gets from its sidecar.
+
+    :param settings: settings of the sidecar.
+    :param incarnation: identifier of the process.
+    :param clock: source of time.
+    :param rng: source of jitter.
+    :param pool: pool of HTTP connections.
+    :param log: the platform's log.
+    :param fold: state that the log's records add up to.
+    :param follower: keeps the fold up to date.
+    :param metrics: counters and histograms.
+    :param report_now: sends a load report at once.
+    :param send: sends a control message to every connected entry.
+    """
 
-__all__ = ["EndpointPart"]
+    settings: SidecarSettings
+    incarnation: str
+    clock: Clock
+    rng: random.Random
+    pool: httpcore.AsyncConnectionPool
+    log: Log
+    fold: LogFold
+    follower: LogFollower
+    metrics: Metrics
+    report_now: Callable[[], None]
+    send: Callable[[Any], Awaitable[None]]
 
 
 class EndpointPart(ABC):
-    """The part of a sidecar that deals with its endpoint."""
+    """The part of a sidecar that deals with its endpoint.
+
+    :param context: what the sidecar hands over.
+    """
+
+    generations: Generations | None = None
+    calls: Calls | None = None
+
+    def __init__(self, context: PartContext) -> None:
+        self.context = context
+        self.settings = context.settings
+        self.clock = context.clock
+        self.changes: deque[str] = deque(maxlen=MAX_CHANGES)
 
     @property
     @abstractmethod
@@ -18,8 +78,8 @@
 
     @property
     @abstractmethod
-    def drained(self) -> bool:
-        """Whether the endpoint takes no new work because of an order."""
+    def state(self) -> EndpointState:
+        """What the endpoint can take, shutdown aside."""
 
     @abstractmethod
     def drain(self) -> None:
@@ -49,3 +109,11 @@
     @abstractmethod
     async def run(self) -> None:
         """Deal with the endpoint until cancelled."""
+
+    def note_change(self, text: str) -> None:
+        """Remember a change of the endpoint for operators.
+
+        :param text: what changed and why.
+        """
+        when = self.clock.utcnow().isoformat(timespec="seconds")
+        self.changes.append(f"{when} {text}")
--- /dev/null
+++ b/src/jasminewalk/sidecar_service.py
@@ -0,0 +1,386 @@
+"""The part of a sidecar that deals with a plain service."""
+
+import anyio
+import attrs
+import msgspec
+import xxhash
+from absl import logging
+from anyio.abc import TaskGroup
+
+from jasminewalk._http import Receive, Send, send_json
+from jasminewalk.at_most_once import ClaimController
+from jasminewalk.claim_actions import (
+    ClaimAction,
+    ClaimSettings,
+    RefuseRequest,
+    ReplyToRequest,
+    RunRequest,
+)
+from jasminewalk.fold_events import FoldEvent
+from jasminewalk.generated_codes import RESULTS, Code
+from jasminewalk.generated_messages import LoadReport, PoolDemand
+from jasminewalk.generated_requests import RefusalBody, ServiceCall, ServiceReply
+from jasminewalk.interfaces import ServiceAnswer, ServiceRequest
+from jasminewalk.log_appender import LogAppender
+from jasminewalk.log_writer import AppendRecord
+from jasminewalk.registration import Registrar
+from jasminewalk.service_client import HttpService
+from jasminewalk.sidecar_parts import EndpointPart, EndpointState, PartContext
+from jasminewalk.types import Refusal
+
+__all__ = ["ServicePart", "claim_key", "fingerprint_of"]
+
+TICK_S = 0.01
+MAX_CALLS = 256
+RETRY_AFTER_S = 0.5
+CALL_TIMEOUT_FACTOR = 10.0
+MSGPACK_HEADERS = [(b"content-type", b"application/msgpack")]
+
+
+def claim_key(call: ServiceCall) -> str:
+    """Return the key under which a call runs at most once.
+
+    :param call: the call.
+    """
+    return f"{call.organisation}/{call.service}/{call.key}"
+
+
+def fingerprint_of(call: ServiceCall) -> str:
+    """Return a hash that differs for calls that are not the same.
+
+    :param call: the call.
+    """
+    text = f"{call.method} {call.path}\n".encode() + call.body
+    return xxhash.xxh3_128_hexdigest(text)
+
+
+@attrs.define(kw_only=True, eq=False)
+class PendingCall:
+    """A call between its arrival and its answer.
+
+    :param call: the call.
+    :param done: set when there is an answer.
+    :param answer: the answer.
+    """
+
+    call: ServiceCall
+    done: anyio.Event = attrs.field(factory=anyio.Event)
+    answer: ServiceReply | Refusal | None = None
+
+    def finish(self, answer: ServiceReply | Refusal) -> None:
+        """Set the answer.
+
+        :param answer: the answer.
+        """
+        if self.answer is None:
+            self.answer = answer
+            self.done.set()
+
+
+class ServicePart(EndpointPart):
+    """Passes calls on to the service; those with a key at most once.
+
+    :param context: what the sidecar hands over.
+    """
+
+    def __init__(self, context: PartContext) -> None:
+        super().__init__(context)
+        self.service = HttpService(context.pool, self.settings.endpoint_address)
+        self.calls = self
+        self.controller = ClaimController(
+            ClaimSettings(
+                endpoint=self.settings.name,
+                incarnation=context.incarnation,
+                batch_s=self.settings.claim_batch_s,
+            ),
+            context.fold,
+            context.rng,
+        )
+        self.registrar = Registrar(
+            endpoint=self.settings.name,
+            pool=self.settings.pool,
+            incarnation=context.incarnation,
+            fold=context.fold,
+            rng=context.rng,
+        )
+        self.appender = LogAppender(
+            log=context.log,
+            follower=context.follower,
+            clock=context.clock,
+            rng=context.rng,
+        )
+        self.pending: dict[str, PendingCall] = {}
+        self.running = 0
+        self.completed = 0
+        self.draining = False
+        self.group: TaskGroup | None = None
+
+    @property
+    def idle(self) -> bool:
+        """Whether no call runs and every outcome is on the log."""
+        return not self.pending and not self.running and self.controller.idle
+
+    @property
+    def state(self) -> EndpointState:
+        """What the service can take, shutdown aside."""
+        return "draining" if self.draining else "live"
+
+    def drain(self) -> None:
+        """Refuse new calls from now on and finish what was admitted."""
+        self.draining = True
+        self.controller.draining = True
+
+    def fill_report(self, report: LoadReport) -> LoadReport:
+        """Return a load report with the service's figures.
+
+        :param report: report with the figures that every sidecar has.
+        """
+        return attrs.evolve(
+            report,
+            queued=max(0, len(self.pending) - self.running),
+            running=self.running,
+            max_batch=MAX_CALLS,
+            completed=self.completed,
+        )
+
+    def on_demand(self, demand: PoolDemand) -> None:
+        """Ignore demand; a service has no roles.
+
+        :param demand: what one entry saw.
+        """
+
+    def on_fold_event(self, event: FoldEvent) -> None:
+        """Take what a new log record changed.
+
+        :param event: what a record changed.
+        """
+        self.appender.on_fold_event(event)
+        for append in self.registrar.on_event(event):
+            self.appender.submit(append)
+        self.act(self.controller.on_event(self.clock.monotonic(), event))
+
+    async def run(self) -> None:
+        """Register, then decide about claims until cancelled."""
+        async with anyio.create_task_group() as group:
+            self.group = group
+            group.start_soon(self.appender.run)
+            await self.context.follower.ready.wait()
+            for append in self.registrar.register():
+                self.appender.submit(append)
+            while True:
+                self.controller.log_available = self.appender.is_available
+                self.act(self.controller.tick(self.clock.monotonic()))
+                await anyio.sleep(TICK_S)
+
+    async def handle(self, call: ServiceCall, receive: Receive, send: Send) -> None:
+        """Answer one call of an entry.
+
+        :param call: the call.
+        :param receive: ASGI receive function.
+        :param send: ASGI send function.
+        """
+        if self.draining:
+            refusal = Refusal(Code.DRAINING, "The service drains.", RETRY_AFTER_S)
+            await self.send_answer(call, refusal, send)
+        elif len(self.pending) >= MAX_CALLS:
+            refusal = Refusal(Code.OVERLOADED, "The service is full.", RETRY_AFTER_S)
+            await self.send_answer(call, refusal, send)
+        elif call.key:
+            await self.send_answer(call, await self.claimed(call), send)
+        else:
+            await self.send_answer(call, await self.repeatable(call), send)
+
+    async def repeatable(self, call: ServiceCall) -> ServiceReply | Refusal:
+        """Return the answer to a call that may be repeated.
+
+        :param call: the call.
+        """
+        self.running += 1
+        try:
+            with anyio.fail_after(max(0.0, call.deadline_s)):
+                answer = await self.service.call(service_request(call))
+        except OSError as error:
+            logging.warning(
+                "[sidecar] Service failed. request_id=%s error=%r",
+                call.request_id,
+                error,
+            )
+            return Refusal(Code.ENDPOINT_FAILED, repr(error), RETRY_AFTER_S, "unknown")
+        finally:
+            self.running -= 1
+        self.completed += 1
+        return reply_of(answer)
+
+    async def claimed(self, call: ServiceCall) -> ServiceReply | Refusal:
+        """Return the answer to a call that runs at most once.
+
+        :param call: the call.
+        """
+        request_id = f"{call.request_id}/{call.attempt}"
+        if request_id in self.pending:
+            return Refusal(Code.BAD_MESSAGE, "The attempt is already here.", 0.0)
+        pending = PendingCall(call=call)
+        self.pending[request_id] = pending
+        now_s = self.clock.monotonic()
+        try:
+            self.act(
+                self.controller.request(
+                    now_s,
+                    request_id=request_id,
+                    key=claim_key(call),
+                    fingerprint=fingerprint_of(call),
+                    deadline_s=now_s + call.deadline_s,
+                )
+            )
+            await pending.done.wait()
+        finally:
+            self.pending.pop(request_id, None)
+            if pending.answer is None:
+                self.act(self.controller.cancel(self.clock.monotonic(), request_id))
+        assert pending.answer is not None
+        return pending.answer
+
+    def act(self, actions: list[ClaimAction]) -> None:
+        """Carry out what the controller decided.
+
+        :param actions: the decisions.
+        """
+        for action in actions:
+            match action:
+                case AppendRecord():
+                    self.appender.submit(action)
+                case RunRequest():
+                    self.start(action.request_id)
+                case ReplyToRequest():
+                    self.reply(action)
+                case RefuseRequest():
+                    self.finish(action.request_id, action.refusal)
+
+    def start(self, request_id: str) -> None:
+        """Run a call whose claim was accepted, even if its caller leaves.
+
+        :param request_id: identifier of the request, its attempt included.
+        """
+        pending = self.pending.get(request_id)
+        if pending is None or self.group is None:
+            refusal = Refusal(Code.CALLER_GONE, "The caller left.", 0.0)
+            now_s = self.clock.monotonic()
+            self.act(self.controller.not_started(now_s, request_id, refusal))
+            return
+        self.running += 1
+        self.group.start_soon(self.run_claimed, request_id, pending.call)
+
+    async def run_claimed(self, request_id: str, call: ServiceCall) -> None:
+        """Send a claimed call to the service, once.
+
+        :param request_id: identifier of the request, its attempt included.
+        :param call: the call.
+        """
+        limit_s = self.settings.progress_timeout_s * CALL_TIMEOUT_FACTOR
+        try:
+            with anyio.fail_after(limit_s):
+                answer = await self.service.call(service_request(call))
+        except ConnectionError as error:
+            refusal = Refusal(Code.ENDPOINT_FAILED, repr(error), RETRY_AFTER_S)
+            now_s = self.clock.monotonic()
+            self.act(self.controller.not_started(now_s, request_id, refusal))
+        except OSError as error:
+            logging.warning(
+                "[sidecar] Answer of the service lost. request_id=%s error=%r",
+                request_id,
+                error,
+            )
+            self.act(self.controller.lost(self.clock.monotonic(), request_id))
+        else:
+            self.completed += 1
+            self.act(
+                self.controller.finished(
+                    self.clock.monotonic(),
+                    request_id,
+                    status=answer.status,
+                    headers=[[name, value] for name, value in answer.headers],
+                    body=answer.body,
+                )
+            )
+        finally:
+            self.running -= 1
+
+    def reply(self, action: ReplyToRequest) -> None:
+        """Answer a call with what the service said, now or earlier.
+
+        :param action: the answer.
+        """
+        if action.replayed:
+            self.context.metrics.count("replays")
+        reply = ServiceReply(
+            status=action.status,
+            headers=action.headers,
+            body=action.body,
+            replayed=action.replayed,
+        )
+        self.finish(action.request_id, reply)
+
+    def finish(self, request_id: str, answer: ServiceReply | Refusal) -> None:
+        """Hand an answer to the task that waits for it.
+
+        :param request_id: identifier of the request, its attempt included.
+        :param answer: the answer.
+        """
+        pending = self.pending.get(request_id)
+        if pending is not None:
+            pending.finish(answer)
+
+    async def send_answer(
+        self, call: ServiceCall, answer: ServiceReply | Refusal, send: Send
+    ) -> None:
+        """Send an answer to the entry.
+
+        :param call: the call.
+        :param answer: the answer.
+        :param send: ASGI send function.
+        """
+        if isinstance(answer, Refusal):
+            body = RefusalBody(
+                code=answer.code,
+                name=answer.code.name.lower(),
+                message=answer.reason,
+                ran=answer.ran,
+                request_id=call.request_id,
+                retry_after_s=answer.retry_after_s,
+                queued=len(self.pending),
+            )
+            await send_json(send, RESULTS[answer.code].http_status, body)
+            return
+        body_bytes = msgspec.msgpack.encode(answer)
+        headers = [
+            *MSGPACK_HEADERS,
+            (b"content-length", str(len(body_bytes)).encode()),
+        ]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": body_bytes})
+
+
+def service_request(call: ServiceCall) -> ServiceRequest:
+    """Return the request that a service gets.
+
+    :param call: the call.
+    """
+    return ServiceRequest(
+        method=call.method,
+        path=call.path,
+        headers=[(name, value) for name, value in call.headers],
+        body=call.body,
+        key=call.key,
+    )
+
+
+def reply_of(answer: ServiceAnswer) -> ServiceReply:
+    """Return what an entry gets of a service's answer.
+
+    :param answer: the service's answer.
+    """
+    return ServiceReply(
+        status=answer.status,
+        headers=[[name, value] for name, value in answer.headers],
+        body=answer.body,
+    )
