--- a/src/jasminewalk/yaml_files.py
+++ b/src/jasminewalk/yaml_files.py
@@ -127,14 +127,21 @@
         ]
     if not isinstance(node, yaml.MappingNode):
         return loader.construct_object(node, deep=True)
+    problems.extend(_duplicates(node, path))
     loader.flatten_mapping(node)
     found: dict[str, Any] = {}
     for key_node, value_node in node.value:
         key = str(loader.construct_object(key_node, deep=True))
         key_path = (*path, key)
-        value = _value(loader, value_node, key_path, lines, problems)
+        found[key] = _value(loader, value_node, key_path, lines, problems)
         lines[key_path] = key_node.start_mark.line + 1
-        if key in found:
-            problems.append(Problem(key_path, "found twice; allowed is once"))
-        found[key] = value
     return found
+
+
+def _duplicates(node: yaml.MappingNode, path: ValuePath) -> list[Problem]:
+    names = [key.value for key, _ in node.value]
+    return [
+        Problem((*path, name), "found twice; allowed is once")
+        for name in sorted(set(names))
+        if names.count(name) > 1
+    ]
