--- /dev/null
+++ b/src/jasminewalk/_api_errors.py
@@ -0,0 +1,64 @@
+"""Error answers of the callers' interface."""
+
+import math
+from typing import Any
+
+from jasminewalk.exceptions import JasminewalkError
+from jasminewalk.generated_codes import Code
+
+__all__ = ["error_document", "error_headers"]
+
+RATE_LIMIT_STATUS = 429
+SERVER_ERROR_STATUS = 500
+
+
+def error_type(status: int) -> str:
+    """Return the error type that clients of the OpenAI format know.
+
+    >>> error_type(404)
+    'invalid_request_error'
+
+    :param status: HTTP status.
+    """
+    if status >= SERVER_ERROR_STATUS:
+        return "server_error"
+    if status == RATE_LIMIT_STATUS:
+        return "rate_limit_error"
+    return "invalid_request_error"
+
+
+def error_document(error: JasminewalkError, request_id: str) -> dict[str, Any]:
+    """Return the body of an error answer.
+
+    :param error: the error.
+    :param request_id: identifier of the request.
+    """
+    name = error.code.name.lower()
+    return {
+        "error": {
+            "message": error.detail,
+            "type": error_type(error.result.http_status),
+            "param": None,
+            "code": name,
+        },
+        "code": error.code.value,
+        "name": name,
+        "message": error.detail,
+        "ran": error.ran,
+        "request_id": request_id,
+        "retry_after_s": error.retry_after_s,
+    }
+
+
+def error_headers(error: JasminewalkError) -> list[tuple[bytes, bytes]]:
+    """Return the headers that only error answers have.
+
+    :param error: the error.
+    """
+    headers: list[tuple[bytes, bytes]] = []
+    if error.code == Code.WRONG_METHOD:
+        headers.append((b"allow", b"GET, POST"))
+    if error.retry_after_s > 0:
+        seconds = max(1, math.ceil(error.retry_after_s))
+        headers.append((b"retry-after", str(seconds).encode()))
+    return headers
--- /dev/null
+++ b/src/jasminewalk/_api_requests.py
@@ -0,0 +1,337 @@
+"""Turns callers' HTTP requests into jobs, by the configuration in force."""
+
+from typing import TypeVar
+
+import attrs
+
+from jasminewalk._api_openai import OpenAiRequest
+from jasminewalk._http import Scope
+from jasminewalk.clock import Clock
+from jasminewalk.configuration import ConfigurationView
+from jasminewalk.dispatch import CallJob, GenerationJob
+from jasminewalk.exceptions import BadRequestError, JasminewalkError
+from jasminewalk.generated_codes import Code
+from jasminewalk.generated_configuration import (
+    Organisation,
+    RequestClass,
+    ServiceRule,
+)
+from jasminewalk.tokens import Tokenizer
+from jasminewalk.types import RequestProfile
+
+__all__ = ["CallerRequest", "JobBuilder", "is_repeatable"]
+
+MAX_DEADLINE_MS = 86_400_000
+MAX_KEY_BYTES = 255
+MAX_DEADLINE_DIGITS = 9
+OWN_HEADERS = frozenset({b"deadline-ms", b"request-class", b"idempotency-key"})
+HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"host",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+Named = TypeVar("Named")
+
+
+@attrs.frozen(kw_only=True)
+class CallerRequest:
+    """A request of a caller before it is checked.
+
+    :param request_id: identifier of the request.
+    :param arrived_s: instant of arrival.
+    :param method: HTTP method.
+    :param headers: names in lower case, and values.
+    :param organisation: organisation name from the path.
+    """
+
+    request_id: str
+    arrived_s: float
+    method: str
+    headers: list[tuple[bytes, bytes]]
+    organisation: str
+
+    @classmethod
+    def from_scope(
+        cls, scope: Scope, *, request_id: str, arrived_s: float, organisation: str
+    ) -> "CallerRequest":
+        """Return the request that an ASGI scope holds.
+
+        :param scope: ASGI scope.
+        :param request_id: identifier of the request.
+        :param arrived_s: instant of arrival.
+        :param organisation: organisation name from the path.
+        """
+        return cls(
+            request_id=request_id,
+            arrived_s=arrived_s,
+            method=scope["method"],
+            headers=list(scope["headers"]),
+            organisation=organisation,
+        )
+
+    def header(self, name: bytes) -> str:
+        """Return the value of a header; empty if it is absent.
+
+        :param name: name in lower case.
+        """
+        for key, value in self.headers:
+            if key == name:
+                return value.decode("latin-1").strip()
+        return ""
+
+
+def lookup(items: dict[str, Named], name: str, code: Code, what: str) -> Named:
+    """Return an item by its name.
+
+    :param items: items by name.
+    :param name: name to look up.
+    :param code: result code if there is none.
+    :param what: kind of item, for the message.
+    :raises BadRequestError: if there is none.
+    """
+    found = items.get(name)
+    if found is None:
+        raise BadRequestError(
+            f"The organisation has no {what} {name[:100]!r}.", code=code
+        )
+    return found
+
+
+def deadline_s(request: CallerRequest, default_s: float) -> float:
+    """Return the instant by which a caller wants the whole answer.
+
+    :param request: the request.
+    :param default_s: seconds allowed if the caller says nothing.
+    :raises BadRequestError: if the header is not a number that is allowed.
+    """
+    value = request.header(b"deadline-ms")
+    if not value:
+        return request.arrived_s + default_s
+    is_number = value.isascii() and value.isdigit()
+    if not is_number or len(value) > MAX_DEADLINE_DIGITS:
+        raise BadRequestError(
+            f"Deadline-Ms is {value[:40]!r}; a whole number of milliseconds is "
+            "allowed.",
+            code=Code.BAD_HEADER,
+        )
+    milliseconds = int(value)
+    if not 0 < milliseconds <= MAX_DEADLINE_MS:
+        raise BadRequestError(
+            f"Deadline-Ms is {milliseconds}; 1 to {MAX_DEADLINE_MS} are allowed.",
+            code=Code.BAD_HEADER,
+        )
+    return request.arrived_s + milliseconds / 1000
+
+
+def is_repeatable(rule: ServiceRule, method: str, path: str) -> bool:
+    """Return whether a call of a service may run more than once.
+
+    >>> rule = ServiceRule(pool="p", request_class="c", repeatable=["GET /times"])
+    >>> is_repeatable(rule, "GET", "/times/monday")
+    True
+    >>> is_repeatable(rule, "GET", "/timesheets")
+    False
+
+    :param rule: rule of the service.
+    :param method: HTTP method.
+    :param path: path below the service, without query.
+    """
+    for call in rule.repeatable:
+        allowed_method, _, prefix = call.partition(" ")
+        if method != allowed_method:
+            continue
+        if path == prefix or path.startswith(prefix.rstrip("/") + "/"):
+            return True
+    return False
+
+
+def check_service_path(path: str) -> None:
+    """Refuse paths that a service may read as another path.
+
+    :param path: raw path below the service, without query.
+    :raises BadRequestError: if it has dot segments, escaped or not.
+    """
+    plain = path.lower().replace("%2e", ".").replace("%2f", "/").replace("%5c", "/")
+    segments = plain.replace("\\", "/").split("/")
+    if "." in segments or ".." in segments or "//" in plain:
+        raise BadRequestError(
+            "The path has empty or dot segments.", code=Code.UNKNOWN_PATH
+        )
+
+
+class JobBuilder:
+    """Checks requests against the configuration in force and makes jobs.
+
+    :param configuration: the configuration in force.
+    :param tokenizer: counts tokens and hashes prefixes.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self, *, configuration: ConfigurationView, tokenizer: Tokenizer, clock: Clock
+    ) -> None:
+        self.configuration = configuration
+        self.tokenizer = tokenizer
+        self.clock = clock
+
+    def organisation(self, request: CallerRequest) -> Organisation:
+        """Return the organisation of a request.
+
+        :param request: the request.
+        :raises BadRequestError: if there is none.
+        """
+        found = self.configuration.organisation(request.organisation)
+        if found is None:
+            raise BadRequestError(
+                f"There is no organisation {request.organisation[:100]!r}.",
+                code=Code.UNKNOWN_ORGANISATION,
+            )
+        return found
+
+    def request_class(
+        self, organisation: Organisation, request: CallerRequest, default: str
+    ) -> tuple[str, RequestClass]:
+        """Return name and rule of the class of a request.
+
+        :param organisation: its organisation.
+        :param request: the request; its header may name a class.
+        :param default: class of requests that name none.
+        :raises BadRequestError: if there is no such class.
+        """
+        name = request.header(b"request-class") or default
+        found = lookup(organisation.classes, name, Code.BAD_HEADER, "class")
+        return name, found
+
+    def withdrawn(self, pool: str) -> list[str]:
+        """Return the endpoints of a pool that get no work.
+
+        :param pool: pool name.
+        """
+        found = self.configuration.pools.get(pool)
+        return found.withdrawn if found else []
+
+    def generation(self, request: CallerRequest, body: OpenAiRequest) -> GenerationJob:
+        """Return the job for a generation.
+
+        :param request: the request.
+        :param body: its decoded body.
+        :raises JasminewalkError: if the configuration does not allow it.
+        """
+        organisation = self.organisation(request)
+        rule = lookup(organisation.models, body.model, Code.UNKNOWN_MODEL, "model")
+        name, limits = self.request_class(organisation, request, rule.request_class)
+        prompt = body.prompt_text
+        max_tokens = body.output_limit or limits.max_tokens
+        profile = RequestProfile(
+            request_id=request.request_id,
+            organisation=organisation.name,
+            request_class=name,
+            pool=rule.pool,
+            model=body.model,
+            prompt_tokens=self.tokenizer.count(prompt),
+            expected_tokens=min(max_tokens, limits.expected_tokens),
+            max_tokens=max_tokens,
+            prefix_hashes=self.tokenizer.prefix_hashes(prompt),
+            arrived_s=request.arrived_s,
+            deadline_s=deadline_s(request, limits.deadline_s),
+            first_token_deadline_s=request.arrived_s + limits.first_token_s,
+            priority=limits.priority,
+            weight=organisation.weight,
+        )
+        return GenerationJob(
+            profile=profile,
+            failure_domains=organisation.failure_domains,
+            withdrawn=self.withdrawn(rule.pool),
+            prompt=prompt,
+            adapter=rule.adapter,
+        )
+
+    def call(
+        self, request: CallerRequest, service: str, path: str, query: str, body: bytes
+    ) -> CallJob:
+        """Return the job for a call of a plain service.
+
+        :param request: the request.
+        :param service: service name.
+        :param path: raw path below the service.
+        :param query: raw query string.
+        :param body: request body.
+        :raises JasminewalkError: if the configuration does not allow it.
+        """
+        organisation = self.organisation(request)
+        rule = lookup(organisation.services, service, Code.UNKNOWN_SERVICE, "service")
+        name, limits = self.request_class(organisation, request, rule.request_class)
+        check_service_path(path)
+        repeatable = is_repeatable(rule, request.method, path)
+        profile = RequestProfile(
+            request_id=request.request_id,
+            organisation=organisation.name,
+            request_class=name,
+            pool=rule.pool,
+            arrived_s=request.arrived_s,
+            deadline_s=deadline_s(request, limits.deadline_s),
+            priority=limits.priority,
+            weight=organisation.weight,
+            repeatable=repeatable,
+        )
+        return CallJob(
+            profile=profile,
+            failure_domains=organisation.failure_domains,
+            withdrawn=self.withdrawn(rule.pool),
+            service=service,
+            method=request.method,
+            path=f"{path}?{query}" if query else path,
+            headers=passed_headers(request.headers),
+            body=body,
+            key="" if repeatable else idempotency_key(request),
+        )
+
+
+def idempotency_key(request: CallerRequest) -> str:
+    """Return the key of a call that may not be repeated.
+
+    :param request: the request; its identifier serves if it brings no key.
+    :raises BadRequestError: if the key is not allowed.
+    """
+    key = request.header(b"idempotency-key") or request.request_id
+    if len(key) > MAX_KEY_BYTES or not key.isprintable() or not key.isascii():
+        raise BadRequestError(
+            f"Idempotency-Key has {len(key)} characters; up to {MAX_KEY_BYTES} "
+            "printable ASCII characters are allowed.",
+            code=Code.BAD_HEADER,
+        )
+    return key
+
+
+def passed_headers(headers: list[tuple[bytes, bytes]]) -> list[list[str]]:
+    """Return the headers that a service gets.
+
+    :param headers: headers of the caller.
+    """
+    dropped = HOP_HEADERS | OWN_HEADERS
+    return [
+        [name.decode("latin-1"), value.decode("latin-1")]
+        for name, value in headers
+        if name not in dropped
+    ]
+
+
+def raise_if_unready(is_ready: bool) -> None:
+    """Refuse a request that comes before the configuration was read.
+
+    :param is_ready: whether the configuration was read.
+    :raises JasminewalkError: if it was not.
+    """
+    if not is_ready:
+        raise JasminewalkError(code=Code.NOT_READY, retry_after_s=1.0)
--- /dev/null
+++ b/src/jasminewalk/api.py
@@ -0,0 +1,492 @@
+"""ASGI application for callers: generations, services and models."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Awaitable, Callable
+from typing import Any
+from urllib.parse import unquote
+
+import anyio
+import msgspec
+from absl import logging
+
+from jasminewalk._api_errors import error_document, error_headers
+from jasminewalk._api_openai import (
+    ChatFormat,
+    ChatRequest,
+    CompletionFormat,
+    CompletionRequest,
+    OpenAiFormat,
+    OpenAiRequest,
+    decode_request,
+)
+from jasminewalk._api_requests import (
+    HOP_HEADERS,
+    CallerRequest,
+    JobBuilder,
+    raise_if_unready,
+)
+from jasminewalk._http import Receive, Scope, Send, read_body, send_json
+from jasminewalk.attempts import AnswerAssembler
+from jasminewalk.dispatch import Dispatcher, GenerationJob, TokenSink
+from jasminewalk.exceptions import BadRequestError, JasminewalkError
+from jasminewalk.generated_codes import Code
+
+__all__ = ["CallersApi", "ReadinessSource"]
+
+BODY_TIMEOUT_S = 30.0
+LAST_SEND_TIMEOUT_S = 1.0
+PATH_PREFIX = "organisations"
+STREAM_HEADERS = [
+    (b"content-type", b"text/event-stream; charset=utf-8"),
+    (b"cache-control", b"no-cache"),
+]
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class ReadinessSource(ABC):
+    """Tells whether the entry can serve callers."""
+
+    @property
+    @abstractmethod
+    def is_ready(self) -> bool:
+        """Whether the configuration in force has been read."""
+
+
+class CallerGoneError(Exception):
+    """The caller closed the connection, so nobody waits for an answer."""
+
+
+class Exchange:
+    """One HTTP request of a caller and what was answered so far.
+
+    :param scope: ASGI scope.
+    :param receive: ASGI receive function.
+    :param send: ASGI send function.
+    :param request_id: identifier of the request.
+    """
+
+    def __init__(
+        self, scope: Scope, receive: Receive, send: Send, request_id: str
+    ) -> None:
+        self.scope = scope
+        self.receive = receive
+        self.send = send
+        self.request_id = request_id
+        self.attempt = 0
+        self.started = False
+        self.streaming = False
+
+    @property
+    def own_headers(self) -> Headers:
+        """Headers that every answer has."""
+        return [
+            (b"request-id", self.request_id.encode()),
+            (b"attempt", str(self.attempt).encode()),
+        ]
+
+    async def send_document(
+        self, status: int, document: object, headers: Headers | None = None
+    ) -> None:
+        """Send a whole JSON answer.
+
+        :param status: HTTP status.
+        :param document: what to encode.
+        :param headers: further headers.
+        """
+        self.started = True
+        headers = [*self.own_headers, *(headers or [])]
+        await send_json(self.send, status, document, headers)
+
+    async def start_stream(self) -> None:
+        """Send the header of a streamed answer."""
+        self.started = True
+        self.streaming = True
+        await self.send(
+            {
+                "type": "http.response.start",
+                "status": 200,
+                "headers": [*STREAM_HEADERS, *self.own_headers],
+            }
+        )
+
+    async def send_part(self, data: bytes) -> None:
+        """Send a part of a streamed answer.
+
+        :param data: whole events.
+        """
+        await self.send({"type": "http.response.body", "body": data, "more_body": True})
+
+    async def end_stream(self, data: bytes) -> None:
+        """Send the last part of a streamed answer.
+
+        :param data: whole events.
+        """
+        await self.send({"type": "http.response.body", "body": data})
+
+
+class StreamSink(TokenSink):
+    """Passes tokens to the caller as server-sent events.
+
+    :param exchange: the caller's request.
+    :param format: how the answer is written.
+    """
+
+    def __init__(self, exchange: Exchange, format: OpenAiFormat) -> None:
+        self.exchange = exchange
+        self.format = format
+
+    async def write(self, attempt: int, texts: list[str]) -> None:
+        """Pass new tokens on.
+
+        :param attempt: number of the attempt that they came from.
+        :param texts: texts of the tokens.
+        """
+        exchange = self.exchange
+        events = self.format.text_events(texts)
+        if not exchange.started:
+            exchange.attempt = attempt
+            await exchange.start_stream()
+            events = self.format.first_events() + events
+        await exchange.send_part(events)
+
+
+class WholeSink(TokenSink):
+    """Leaves the tokens to the assembler until the answer is whole.
+
+    :param exchange: the caller's request.
+    """
+
+    def __init__(self, exchange: Exchange) -> None:
+        self.exchange = exchange
+
+    async def write(self, attempt: int, texts: list[str]) -> None:
+        """Note which attempt the tokens came from.
+
+        :param attempt: number of the attempt.
+        :param texts: texts of the tokens.
+        """
+        self.exchange.attempt = attempt
+
+
+class CallersApi:
+    """ASGI application that checks callers' requests and answers them.
+
+    :param dispatcher: runs jobs.
+    :param jobs: makes jobs by the configuration in force.
+    :param readiness: tells whether the configuration was read.
+    :param body_bytes: largest request body.
+    :param id_prefix: start of request identifiers, unique to this process.
+    """
+
+    def __init__(
+        self,
+        *,
+        dispatcher: Dispatcher,
+        jobs: JobBuilder,
+        readiness: ReadinessSource,
+        body_bytes: int,
+        id_prefix: str,
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.jobs = jobs
+        self.readiness = readiness
+        self.body_bytes = body_bytes
+        self.id_prefix = id_prefix
+        self.requests = 0
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one HTTP request.
+
+        :param scope: ASGI scope.
+        :param receive: ASGI receive function.
+        :param send: ASGI send function.
+        """
+        if scope["type"] != "http":
+            return
+        self.requests += 1
+        request_id = f"{self.id_prefix}-{self.requests:x}"
+        exchange = Exchange(scope, receive, send, request_id)
+        try:
+            await self.answer(exchange)
+        except CallerGoneError:
+            logging.info("[entry] Caller left. request_id=%s", request_id)
+        except JasminewalkError as error:
+            await self.send_error(exchange, error)
+        except Exception:
+            logging.exception("[entry] Request failed. request_id=%s", request_id)
+            failure = JasminewalkError(code=Code.INTERNAL_ERROR)
+            await self.send_error(exchange, failure)
+
+    async def send_error(self, exchange: Exchange, error: JasminewalkError) -> None:
+        """Tell the caller about an error, also in the middle of a stream.
+
+        :param exchange: the caller's request.
+        :param error: the error.
+        """
+        logging.info(
+            "[entry] Request refused. request_id=%s error=%s ran=%s",
+            exchange.request_id,
+            error,
+            error.ran,
+        )
+        document = error_document(error, exchange.request_id)
+        with anyio.move_on_after(LAST_SEND_TIMEOUT_S):
+            if exchange.streaming:
+                event = b"data: " + msgspec.json.encode(document) + b"\n\n"
+                await exchange.end_stream(event)
+            elif not exchange.started:
+                status = error.result.http_status
+                await exchange.send_document(status, document, error_headers(error))
+
+    async def answer(self, exchange: Exchange) -> None:
+        """Answer a request by its path.
+
+        :param exchange: the caller's request.
+        :raises JasminewalkError: if it is refused.
+        """
+        path = exchange.scope["raw_path"].decode("latin-1").partition("?")[0]
+        parts = path.split("/", 4)
+        if len(parts) < 5 or parts[0] or parts[1] != PATH_PREFIX:
+            raise BadRequestError(
+                f"There is nothing at {path[:100]!r}.", code=Code.UNKNOWN_PATH
+            )
+        organisation, area, rest = unquote(parts[2]), parts[3], parts[4]
+        raise_if_unready(self.readiness.is_ready)
+        request = CallerRequest.from_scope(
+            exchange.scope,
+            request_id=exchange.request_id,
+            arrived_s=self.dispatcher.clock.monotonic(),
+            organisation=organisation,
+        )
+        if area == "services":
+            await self.answer_call(exchange, request, rest)
+        elif area == "v1":
+            await self.answer_openai(exchange, request, rest)
+        else:
+            raise BadRequestError(
+                f"There is nothing at {path[:100]!r}.", code=Code.UNKNOWN_PATH
+            )
+
+    async def answer_openai(
+        self, exchange: Exchange, request: CallerRequest, path: str
+    ) -> None:
+        """Answer a request in the OpenAI format.
+
+        :param exchange: the caller's request.
+        :param request: the request.
+        :param path: path below the version.
+        :raises JasminewalkError: if it is refused.
+        """
+        if path == "models":
+            require_method(request, "GET")
+            await self.send_models(exchange, request)
+        elif path == "chat/completions":
+            require_method(request, "POST")
+            await self.generate(exchange, request, ChatRequest, ChatFormat)
+        elif path == "completions":
+            require_method(request, "POST")
+            await self.generate(exchange, request, CompletionRequest, CompletionFormat)
+        else:
+            raise BadRequestError(
+                f"There is no {path[:100]!r}.", code=Code.UNKNOWN_PATH
+            )
+
+    async def send_models(self, exchange: Exchange, request: CallerRequest) -> None:
+        """Send the list of an organisation's models.
+
+        :param exchange: the caller's request.
+        :param request: the request.
+        """
+        organisation = self.jobs.organisation(request)
+        models = [
+            {"id": name, "object": "model", "created": 0, "owned_by": organisation.name}
+            for name in sorted(organisation.models)
+        ]
+        await exchange.send_document(200, {"object": "list", "data": models})
+
+    async def read_body(self, exchange: Exchange) -> bytes:
+        """Return the body of a request.
+
+        :param exchange: the caller's request.
+        :raises JasminewalkError: if it is too large or takes too long.
+        :raises CallerGoneError: if the caller left.
+        """
+        with anyio.move_on_after(BODY_TIMEOUT_S):
+            try:
+                return await read_body(exchange.receive, self.body_bytes)
+            except JasminewalkError as error:
+                if error.code == Code.CALLER_GONE:
+                    raise CallerGoneError from error
+                raise
+        raise JasminewalkError(
+            "The body did not arrive in time.",
+            code=Code.DEADLINE_PASSED,
+            ran="not_run",
+        )
+
+    async def generate(
+        self,
+        exchange: Exchange,
+        request: CallerRequest,
+        request_type: type[OpenAiRequest],
+        format_type: type[OpenAiFormat],
+    ) -> None:
+        """Answer a generation.
+
+        :param exchange: the caller's request.
+        :param request: the request.
+        :param request_type: class of its body.
+        :param format_type: how the answer is written.
+        :raises JasminewalkError: if it is refused.
+        """
+        body = decode_request(request_type, await self.read_body(exchange))
+        job = self.jobs.generation(request, body)
+        format = format_type(
+            request_id=request.request_id,
+            model=body.model,
+            created_s=int(self.dispatcher.clock.utcnow().timestamp()),
+        )
+        if body.stream:
+            await self.stream(exchange, job, format, body.include_usage)
+        else:
+            await self.send_whole(exchange, job, format)
+
+    async def stream(
+        self,
+        exchange: Exchange,
+        job: GenerationJob,
+        format: OpenAiFormat,
+        include_usage: bool,
+    ) -> None:
+        """Stream the answer of a generation.
+
+        :param exchange: the caller's request.
+        :param job: the generation.
+        :param format: how the answer is written.
+        :param include_usage: whether to end with token counts.
+        """
+
+        async def run() -> None:
+            answer = await self.dispatcher.generate(job, StreamSink(exchange, format))
+            if not exchange.started:
+                await exchange.start_stream()
+            usage = usage_of(job, answer) if include_usage else None
+            await exchange.end_stream(format.last_events(answer.end, usage))
+
+        await while_connected(exchange.receive, run)
+
+    async def send_whole(
+        self, exchange: Exchange, job: GenerationJob, format: OpenAiFormat
+    ) -> None:
+        """Send the answer of a generation in one piece.
+
+        :param exchange: the caller's request.
+        :param job: the generation.
+        :param format: how the answer is written.
+        """
+
+        async def run() -> None:
+            answer = await self.dispatcher.generate(job, WholeSink(exchange))
+            document = format.whole(answer.text, answer.end, usage_of(job, answer))
+            await exchange.send_document(200, document)
+
+        await while_connected(exchange.receive, run)
+
+    async def answer_call(
+        self, exchange: Exchange, request: CallerRequest, rest: str
+    ) -> None:
+        """Answer a call of a plain service.
+
+        :param exchange: the caller's request.
+        :param request: the request.
+        :param rest: service name and path below it.
+        :raises JasminewalkError: if it is refused.
+        """
+        service, _, path = rest.partition("/")
+        body = await self.read_body(exchange)
+        query = exchange.scope["query_string"].decode("latin-1")
+        job = self.jobs.call(request, unquote(service), f"/{path}", query, body)
+
+        async def run() -> None:
+            exchange.attempt, reply = await self.dispatcher.call(job)
+            headers = [
+                (name.encode("latin-1"), value.encode("latin-1"))
+                for name, value in reply.headers
+                if name.lower().encode("latin-1") not in HOP_HEADERS
+            ]
+            headers += exchange.own_headers
+            if job.key:
+                headers.append((b"idempotency-key", job.key.encode()))
+            if reply.replayed:
+                headers.append((b"idempotent-replayed", b"true"))
+            headers.append((b"content-length", str(len(reply.body)).encode()))
+            exchange.started = True
+            await exchange.send(
+                {
+                    "type": "http.response.start",
+                    "status": reply.status,
+                    "headers": headers,
+                }
+            )
+            await exchange.end_stream(reply.body)
+
+        await while_connected(exchange.receive, run)
+
+
+def require_method(request: CallerRequest, method: str) -> None:
+    """Refuse another method than the one allowed.
+
+    :param request: the request.
+    :param method: method that is allowed.
+    :raises BadRequestError: if the request has another one.
+    """
+    if request.method != method:
+        raise BadRequestError(
+            f"The method is {request.method}; {method} is allowed.",
+            code=Code.WRONG_METHOD,
+        )
+
+
+def usage_of(job: GenerationJob, answer: AnswerAssembler) -> dict[str, Any]:
+    """Return the token counts of an answer.
+
+    :param job: the generation.
+    :param answer: the whole answer.
+    """
+    prompt_tokens = job.profile.prompt_tokens
+    return {
+        "prompt_tokens": prompt_tokens,
+        "completion_tokens": answer.next_token,
+        "total_tokens": prompt_tokens + answer.next_token,
+        "prompt_tokens_details": {"cached_tokens": answer.cached_tokens},
+    }
+
+
+async def while_connected(receive: Receive, run: Callable[[], Awaitable[None]]) -> None:
+    """Run something until it ends or the caller closes the connection.
+
+    :param receive: ASGI receive function, after the whole body was read.
+    :param run: what to run.
+    :raises CallerGoneError: if the caller left first.
+    """
+    error: JasminewalkError | None = None
+    done = False
+
+    async def watch() -> None:
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        group.cancel_scope.cancel()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(watch)
+        try:
+            await run()
+            done = True
+        except JasminewalkError as raised:
+            error = raised
+        group.cancel_scope.cancel()
+    if error is not None:
+        raise error
+    if not done:
+        raise CallerGoneError
--- /dev/null
+++ b/src/jasminewalk/attempts.py
@@ -0,0 +1,429 @@
+"""Attempts of one request: what to send next, and which tokens are new."""
+
+import math
+from abc import ABC, abstractmethod
+from collections.abc import Collection
+
+import attrs
+import msgspec
+
+from jasminewalk.generated_codes import RESULTS, Code, Ran
+from jasminewalk.generated_requests import Frame, RefusalBody
+from jasminewalk.types import Refusal, RequestProfile, Route
+
+__all__ = [
+    "AnswerAssembler",
+    "Endpoints",
+    "Finish",
+    "GiveUp",
+    "RequestMachine",
+    "Send",
+    "Wait",
+]
+
+MAX_FRUITLESS_ATTEMPTS = 4
+RESUME_WAIT_S = 0.2
+DEFAULT_RETRY_AFTER_S = 1.0
+RAN_RANK: dict[Ran, int] = {"not_run": 0, "unknown": 1, "ran": 2}
+
+MAX_LINE_BYTES = 1 << 16
+MALFORMED = Frame(code=Code.ENDPOINT_FAILED, ran="unknown")
+
+_decode_frame = msgspec.json.Decoder(Frame).decode
+_decode_frames = msgspec.json.Decoder(Frame).decode_lines
+
+
+class AnswerAssembler:
+    r"""Puts the answer of one request together from the frames of its attempts.
+
+    Only the next expected token of the current attempt is passed on; anything
+    late, crossed or duplicated is dropped.
+
+    >>> assembler = AnswerAssembler()
+    >>> assembler.start_attempt(1)
+    >>> assembler.take_lines(1, b'{"n":0,"t":"a"}\n{"n":0,"t":"a"}\n{"n":1')
+    ['a']
+    >>> assembler.take_lines(1, b',"t":"b","end":"stop"}\n')
+    ['b']
+    >>> assembler.end, assembler.next_token, assembler.text
+    ('stop', 2, 'ab')
+    """
+
+    def __init__(self) -> None:
+        self.attempt = 0
+        self.next_token = 0
+        self.parts: list[str] = []
+        self.partial_line = b""
+        self.end = ""
+        self.broken: Frame | None = None
+        self.cached_tokens = 0
+
+    @property
+    def text(self) -> str:
+        """Text of all tokens passed on so far."""
+        return "".join(self.parts)
+
+    def start_attempt(self, attempt: int) -> None:
+        """Make an attempt the current one.
+
+        :param attempt: number of the attempt.
+        """
+        self.attempt = attempt
+        self.partial_line = b""
+        self.broken = None
+
+    def take_lines(self, attempt: int, data: bytes) -> list[str]:
+        """Return the texts of the new tokens in some bytes of a stream.
+
+        :param attempt: number of the attempt that the bytes belong to.
+        :param data: newline-delimited JSON frames; lines may be cut anywhere.
+        """
+        if attempt != self.attempt or self.end or self.broken:
+            return []
+        if self.partial_line:
+            data = self.partial_line + data
+            self.partial_line = b""
+        if not data.endswith(b"\n"):
+            data, _, self.partial_line = data.rpartition(b"\n")
+            if len(self.partial_line) > MAX_LINE_BYTES:
+                self.broken = MALFORMED
+        try:
+            frames = _decode_frames(data)
+        except (msgspec.MsgspecError, UnicodeDecodeError):
+            frames = self.decode_valid(data)
+        return self.take_frames(frames)
+
+    def decode_valid(self, lines: bytes) -> list[Frame]:
+        """Return the frames before the first malformed line, and an error frame.
+
+        :param lines: newline-delimited JSON frames.
+        """
+        frames: list[Frame] = []
+        for line in lines.split(b"\n"):
+            try:
+                frames.append(_decode_frame(line))
+            except (msgspec.MsgspecError, UnicodeDecodeError):
+                break
+        frames.append(MALFORMED)
+        return frames
+
+    def take_frames(self, frames: list[Frame]) -> list[str]:
+        """Return the texts of the new tokens among some frames.
+
+        A token that is missing breaks the attempt, so that it is asked for again.
+
+        :param frames: frames of the current attempt.
+        """
+        texts: list[str] = []
+        for frame in frames:
+            number = frame.n
+            if frame.code or number > self.next_token:
+                self.broken = frame if frame.code else MALFORMED
+                break
+            if number == self.next_token:
+                self.next_token += 1
+                texts.append(frame.t)
+            if frame.cached:
+                self.cached_tokens = frame.cached
+            if frame.end:
+                self.end = frame.end
+                break
+        self.parts.extend(texts)
+        return texts
+
+
+class Endpoints(ABC):
+    """What a request machine asks of the policy and the membership."""
+
+    @abstractmethod
+    def choose(
+        self,
+        now_s: float,
+        profile: RequestProfile,
+        excluded: Collection[str],
+        *,
+        retry: bool,
+    ) -> Route | Refusal:
+        """Return where to send a request, or why not to.
+
+        :param now_s: current instant.
+        :param profile: the request as it is now.
+        :param excluded: endpoints not to choose.
+        :param retry: whether the request was sent before.
+        """
+
+    @abstractmethod
+    def may_retry(self) -> bool:
+        """Return whether a retry can be afforded, and use it up."""
+
+
+@attrs.frozen(kw_only=True)
+class Send:
+    """Action: hand the request to an endpoint.
+
+    :param attempt: number of the attempt from 1.
+    :param route: where to and why.
+    :param profile: the request as it is for this attempt.
+    :param resume_from: output tokens that the caller already has.
+    """
+
+    attempt: int
+    route: Route
+    profile: RequestProfile
+    resume_from: int
+
+
+@attrs.frozen
+class Wait:
+    """Action: ask again later.
+
+    :param until_s: instant at which to ask again.
+    """
+
+    until_s: float
+
+
+@attrs.frozen
+class Finish:
+    """Action: the answer is whole."""
+
+
+@attrs.frozen
+class GiveUp:
+    """Action: tell the caller that there will be no whole answer.
+
+    :param refusal: why, whether the request ran and when to come back.
+    """
+
+    refusal: Refusal
+
+
+Action = Send | Wait | Finish | GiveUp
+
+
+class RequestMachine:
+    """State of one request over all its attempts.
+
+    A refusal that did not run is retried elsewhere within the retry budget. A
+    broken attempt is resumed from the tokens that the caller has; once the caller
+    has any, only the deadline or a row of attempts without progress ends that.
+
+    :param profile: the request as it arrived.
+    :param endpoints: policy and membership.
+    """
+
+    def __init__(self, *, profile: RequestProfile, endpoints: Endpoints) -> None:
+        self.profile = profile
+        self.endpoints = endpoints
+        self.assembler = AnswerAssembler()
+        self.attempt = 0
+        self.settled_ran: Ran = "not_run"
+        self.in_flight = False
+        self.excluded: set[str] = set()
+        self.fruitless_attempts = 0
+        self.tokens_at_start = 0
+        self.last_refusal: Refusal | None = None
+
+    @property
+    def in_progress(self) -> bool:
+        """Whether the caller already has a part of the answer."""
+        return self.assembler.next_token > 0
+
+    @property
+    def ran(self) -> Ran:
+        """Whether the request ran, as far as can be known now."""
+        if self.in_progress:
+            return "ran"
+        if self.in_flight and self.settled_ran == "not_run":
+            return "unknown"
+        return self.settled_ran
+
+    def start(self, now_s: float) -> Action:
+        """Return what to do next.
+
+        :param now_s: current instant.
+        """
+        if now_s >= self.profile.deadline_s:
+            return self.deadline_passed()
+        profile = self.remaining()
+        retry = self.attempt > 0
+        chosen = self.endpoints.choose(now_s, profile, self.excluded, retry=retry)
+        if isinstance(chosen, Refusal):
+            return self.not_routed(now_s, chosen)
+        self.attempt += 1
+        self.tokens_at_start = self.assembler.next_token
+        self.assembler.start_attempt(self.attempt)
+        return Send(
+            attempt=self.attempt,
+            route=chosen,
+            profile=profile,
+            resume_from=self.assembler.next_token,
+        )
+
+    def remaining(self) -> RequestProfile:
+        """Return the request without the tokens that the caller already has.
+
+        An answer that has begun is finished whatever it costs, so the policy sees
+        no deadline.
+        """
+        done = self.assembler.next_token
+        if not done:
+            return self.profile
+        return attrs.evolve(
+            self.profile,
+            prompt_tokens=self.profile.prompt_tokens + done,
+            expected_tokens=max(1, self.profile.expected_tokens - done),
+            max_tokens=max(1, self.profile.max_tokens - done),
+            deadline_s=math.inf,
+            first_token_deadline_s=math.inf,
+        )
+
+    def not_routed(self, now_s: float, refusal: Refusal) -> Action:
+        """Return what to do when no endpoint was chosen.
+
+        :param now_s: current instant.
+        :param refusal: why none was chosen.
+        """
+        if self.in_progress:
+            self.excluded.clear()
+            return Wait(now_s + RESUME_WAIT_S)
+        return self.give_up(self.last_refusal or refusal)
+
+    def sent(self) -> None:
+        """Note that the endpoint may have the current attempt from now on."""
+        self.in_flight = True
+
+    def refused(self, now_s: float, endpoint: str, body: RefusalBody) -> Action:
+        """Return what to do after a sidecar refused the current attempt.
+
+        :param now_s: current instant.
+        :param endpoint: endpoint that refused.
+        :param body: the refusal.
+        """
+        self.in_flight = False
+        self.last_refusal = Refusal(
+            code_of(body.code), body.message, body.retry_after_s, body.ran
+        )
+        if body.ran != "not_run":
+            self.raise_ran(body.ran)
+            return self.give_up(self.last_refusal)
+        return self.retry(now_s, endpoint)
+
+    def broke(self, now_s: float, endpoint: str, *, may_have_run: bool) -> Action:
+        """Return what to do after the current attempt ended without its end.
+
+        :param now_s: current instant.
+        :param endpoint: endpoint that failed.
+        :param may_have_run: whether the endpoint may have got the request.
+        """
+        self.in_flight = False
+        if may_have_run:
+            self.raise_ran("unknown")
+        self.last_refusal = None
+        return self.retry(now_s, endpoint)
+
+    def ended(self, now_s: float, endpoint: str) -> Action:
+        """Return what to do after a stream of the current attempt closed.
+
+        :param now_s: current instant.
+        :param endpoint: endpoint that the stream came from.
+        """
+        if self.assembler.end:
+            self.in_flight = False
+            self.raise_ran("ran")
+            return Finish()
+        frame = self.assembler.broken
+        if frame is None:
+            return self.broke(now_s, endpoint, may_have_run=True)
+        if frame.ran != "not_run":
+            return self.broke(now_s, endpoint, may_have_run=True)
+        body = RefusalBody(
+            code=frame.code,
+            name="",
+            message="",
+            ran="not_run",
+            retry_after_s=frame.retry_after_s,
+        )
+        return self.refused(now_s, endpoint, body)
+
+    def retry(self, now_s: float, endpoint: str) -> Action:
+        """Return the next attempt, or give up.
+
+        :param now_s: current instant.
+        :param endpoint: endpoint of the last attempt.
+        """
+        self.excluded.add(endpoint)
+        if self.assembler.next_token > self.tokens_at_start:
+            self.fruitless_attempts = 0
+        self.fruitless_attempts += 1
+        if now_s >= self.profile.deadline_s:
+            return self.deadline_passed()
+        if self.in_progress:
+            return self.resume(now_s)
+        if (
+            self.fruitless_attempts >= MAX_FRUITLESS_ATTEMPTS
+            or not self.endpoints.may_retry()
+        ):
+            return self.give_up(self.last_refusal or self.exhausted())
+        return self.start(now_s)
+
+    def resume(self, now_s: float) -> Action:
+        """Return how to go on with an answer that the caller has a part of.
+
+        :param now_s: current instant.
+        """
+        if self.fruitless_attempts < MAX_FRUITLESS_ATTEMPTS:
+            return self.start(now_s)
+        self.fruitless_attempts = 1
+        self.excluded.clear()
+        return Wait(now_s + RESUME_WAIT_S)
+
+    def raise_ran(self, ran: Ran) -> None:
+        """Note that the request may have got further than was known.
+
+        :param ran: how far the last attempt may have got.
+        """
+        if RAN_RANK[ran] > RAN_RANK[self.settled_ran]:
+            self.settled_ran = ran
+
+    def give_up(self, refusal: Refusal) -> GiveUp:
+        """Return the final answer, with what is true of all attempts.
+
+        :param refusal: why there is no whole answer.
+        """
+        self.raise_ran(refusal.ran)
+        code = refusal.code
+        if self.ran != "not_run" and RESULTS[code].ran == "not_run":
+            code = Code.RETRIES_EXHAUSTED
+        return GiveUp(attrs.evolve(refusal, code=code, ran=self.ran))
+
+    def deadline_passed(self) -> GiveUp:
+        """Return the final answer for a request that is out of time."""
+        return self.give_up(
+            Refusal(
+                Code.DEADLINE_PASSED,
+                RESULTS[Code.DEADLINE_PASSED].message,
+                DEFAULT_RETRY_AFTER_S,
+                self.ran,
+            )
+        )
+
+    def exhausted(self) -> Refusal:
+        """Return the refusal for a request whose attempts all failed."""
+        return Refusal(
+            Code.RETRIES_EXHAUSTED,
+            RESULTS[Code.RETRIES_EXHAUSTED].message,
+            DEFAULT_RETRY_AFTER_S,
+            self.ran,
+        )
+
+
+def code_of(number: int) -> Code:
+    """Return the result code with a number that a peer sent.
+
+    :param number: the number; one of a newer version counts as no endpoint.
+    """
+    try:
+        return Code(number)
+    except ValueError:
+        return Code.NO_ENDPOINT
--- /dev/null
+++ b/src/jasminewalk/membership.py
@@ -0,0 +1,286 @@
+"""Which endpoints an entry may send new work to."""
+
+from collections.abc import Iterable
+
+import attrs
+import xxhash
+
+from jasminewalk.generated_messages import Leaving, LoadReport
+from jasminewalk.generated_requests import Instance
+from jasminewalk.generated_settings import EntrySettings
+
+__all__ = ["Member", "Membership"]
+
+FORGET_S = 30.0
+LEAVING_HOLD_S = 30.0
+PROBATION_REPORTS = 2
+FAILURE_BACKOFF_S = 0.5
+MAX_FAILURE_BACKOFF_S = 8.0
+KEPT_INCARNATIONS = 4
+
+
+@attrs.define
+class Member:
+    """What is known of one endpoint.
+
+    :param endpoint: endpoint name.
+    :param pool: pool name.
+    :param failure_domain: failure domain name.
+    :param address: request address of its sidecar.
+    :param control_address: control address of its sidecar.
+    :param listed_s: instant at which the instance list last had it.
+    :param listed_leaving_s: instant at which the list last called it leaving.
+    :param report: newest report, if any came.
+    :param heard_s: instant of the newest report.
+    :param steady_reports: reports since the last silence, up to the probation.
+    :param left_incarnation: incarnation that said it is leaving.
+    :param past_incarnations: incarnations that a newer one has replaced.
+    :param failures: failed requests since the last good one.
+    :param failed_s: instant of the last failure.
+    """
+
+    endpoint: str
+    pool: str
+    failure_domain: str
+    address: str
+    control_address: str = ""
+    listed_s: float = float("-inf")
+    listed_leaving_s: float = float("-inf")
+    report: LoadReport | None = None
+    heard_s: float = float("-inf")
+    steady_reports: int = 0
+    left_incarnation: str = ""
+    past_incarnations: list[str] = attrs.field(factory=list)
+    failures: int = 0
+    failed_s: float = float("-inf")
+
+    @property
+    def incarnation(self) -> str:
+        """Incarnation of the newest report; empty before the first."""
+        return self.report.incarnation if self.report else ""
+
+
+class Membership:
+    """Liveness of endpoints from the instance list, reports and failures.
+
+    The list is a hint that lags: it introduces endpoints, and only their own
+    reports make them usable. Leaving wins over live until a new incarnation
+    reports, or the list has called the instance live for some time.
+
+    :param settings: settings of the entry.
+    """
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self.failure_domain = settings.failure_domain
+        self.subset_size = settings.subset
+        self.seed = xxhash.xxh3_64_intdigest(settings.name.encode())
+        self.suspect_s = settings.peers.suspect_s
+        self.members: dict[str, Member] = {}
+
+    def observe_instances(self, now_s: float, instances: Iterable[Instance]) -> None:
+        """Take a reading of the instance list.
+
+        :param now_s: current instant.
+        :param instances: rows of the list.
+        """
+        for row in instances:
+            if row.kind != "entry":
+                self.observe_row(now_s, row)
+        self.forget_unlisted(now_s)
+
+    def observe_row(self, now_s: float, row: Instance) -> None:
+        """Take one row of the instance list.
+
+        :param now_s: current instant.
+        :param row: row of an endpoint.
+        """
+        member = self.members.get(row.name)
+        if member is None:
+            member = Member(row.name, row.pool, row.failure_domain, row.address)
+            self.members[row.name] = member
+        member.pool = row.pool
+        member.failure_domain = row.failure_domain
+        member.address = row.address
+        member.control_address = row.control_address
+        member.listed_s = now_s
+        if row.state == "leaving":
+            member.listed_leaving_s = now_s
+
+    def forget_unlisted(self, now_s: float) -> None:
+        """Drop endpoints that neither the list nor a report has named for long.
+
+        :param now_s: current instant.
+        """
+        limit_s = now_s - FORGET_S
+        for member in list(self.members.values()):
+            if max(member.listed_s, member.heard_s) < limit_s:
+                del self.members[member.endpoint]
+
+    def observe_report(self, now_s: float, report: LoadReport) -> bool:
+        """Take a report, which is also a heartbeat; return whether it is news.
+
+        :param now_s: current instant.
+        :param report: the report.
+        """
+        member = self.members.get(report.endpoint)
+        if member is None or report.incarnation in member.past_incarnations:
+            return False
+        previous = member.report
+        if previous and previous.incarnation == report.incarnation:
+            if report.sequence <= previous.sequence:
+                return False
+        elif previous:
+            self.replace_incarnation(member)
+        if now_s - member.heard_s > self.suspect_s:
+            member.steady_reports = 0 if previous else PROBATION_REPORTS - 1
+        member.steady_reports = min(member.steady_reports + 1, PROBATION_REPORTS)
+        member.report = report
+        member.heard_s = now_s
+        member.address = report.address or member.address
+        return True
+
+    def replace_incarnation(self, member: Member) -> None:
+        """Note that a member's sidecar was replaced.
+
+        :param member: the member.
+        """
+        member.past_incarnations.append(member.incarnation)
+        del member.past_incarnations[:-KEPT_INCARNATIONS]
+        member.listed_leaving_s = float("-inf")
+        member.failures = 0
+
+    def observe_leaving(self, now_s: float, leaving: Leaving) -> None:
+        """Take the news that an endpoint takes no new work.
+
+        :param now_s: current instant.
+        :param leaving: the message.
+        """
+        member = self.members.get(leaving.endpoint)
+        if member and leaving.incarnation not in member.past_incarnations:
+            member.left_incarnation = leaving.incarnation
+
+    def observe_failure(self, now_s: float, endpoint: str) -> None:
+        """Take the news that a request failed at an endpoint.
+
+        :param now_s: current instant.
+        :param endpoint: endpoint name.
+        """
+        member = self.members.get(endpoint)
+        if member:
+            member.failures += 1
+            member.failed_s = now_s
+
+    def observe_success(self, endpoint: str) -> None:
+        """Take the news that an endpoint answered a request.
+
+        :param endpoint: endpoint name.
+        """
+        member = self.members.get(endpoint)
+        if member:
+            member.failures = 0
+
+    def usable(self, now_s: float, pool: str) -> list[str]:
+        """Return the endpoints of a pool that may get new work.
+
+        Endpoints that failed a request lately are used only if no other is left.
+
+        :param now_s: current instant.
+        :param pool: pool name.
+        """
+        live = [m for m in self.members.values() if m.pool == pool]
+        live = [m for m in live if self.is_live(now_s, m)]
+        trusted = [m.endpoint for m in live if not self.is_backing_off(now_s, m)]
+        return trusted or [m.endpoint for m in live]
+
+    def is_live(self, now_s: float, member: Member) -> bool:
+        """Return whether a member says that it takes new work.
+
+        :param now_s: current instant.
+        :param member: the member.
+        """
+        report = member.report
+        return (
+            report is not None
+            and report.state == "live"
+            and now_s - member.heard_s <= self.suspect_s
+            and member.steady_reports >= PROBATION_REPORTS
+            and not self.is_leaving(now_s, member)
+        )
+
+    def is_leaving(self, now_s: float, member: Member) -> bool:
+        """Return whether a member is leaving by its own word or the list's.
+
+        :param now_s: current instant.
+        :param member: the member.
+        """
+        if member.left_incarnation and member.left_incarnation == (
+            member.incarnation or member.left_incarnation
+        ):
+            return True
+        return now_s - member.listed_leaving_s < LEAVING_HOLD_S
+
+    def is_backing_off(self, now_s: float, member: Member) -> bool:
+        """Return whether a member failed a request a short time ago.
+
+        :param now_s: current instant.
+        :param member: the member.
+        """
+        if not member.failures:
+            return False
+        doublings = min(member.failures - 1, 10)
+        backoff_s = min(FAILURE_BACKOFF_S * 2**doublings, MAX_FAILURE_BACKOFF_S)
+        return now_s - member.failed_s < backoff_s
+
+    def is_silent(self, now_s: float, endpoint: str) -> bool:
+        """Return whether an endpoint has not been heard for too long.
+
+        :param now_s: current instant.
+        :param endpoint: endpoint name.
+        """
+        member = self.members.get(endpoint)
+        return member is None or now_s - member.heard_s > self.suspect_s
+
+    def address(self, endpoint: str) -> str:
+        """Return the request address of an endpoint's sidecar.
+
+        :param endpoint: endpoint name.
+        """
+        return self.members[endpoint].address
+
+    def subset(self, now_s: float) -> list[str]:
+        """Return the endpoints that the entry talks to, of all pools.
+
+        The choice is stable: a change of one endpoint moves no other. Silent
+        endpoints stay in it for their return, and others stand in for them.
+
+        :param now_s: current instant.
+        """
+        chosen: list[str] = []
+        for pool in sorted({member.pool for member in self.members.values()}):
+            chosen.extend(self.pool_subset(now_s, pool))
+        return chosen
+
+    def pool_subset(self, now_s: float, pool: str) -> list[str]:
+        """Return the endpoints of one pool that the entry talks to.
+
+        :param now_s: current instant.
+        :param pool: pool name.
+        """
+        members = [m for m in self.members.values() if m.pool == pool]
+        chosen: list[str] = []
+        wanted = self.subset_size
+        for member in sorted(members, key=self.rank):
+            if wanted <= 0 or len(chosen) >= 2 * self.subset_size:
+                break
+            chosen.append(member.endpoint)
+            stands_in = member.report is None or self.is_live(now_s, member)
+            wanted -= stands_in
+        return chosen
+
+    def rank(self, member: Member) -> tuple[bool, int]:
+        """Return the sort key of a member: own failure domain, then its hash.
+
+        :param member: the member.
+        """
+        weight = xxhash.xxh3_64_intdigest(member.endpoint.encode(), self.seed)
+        return member.failure_domain != self.failure_domain, weight
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,231 @@
+import random
+
+import msgspec
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from jasminewalk.attempts import (
+    AnswerAssembler,
+    Endpoints,
+    Finish,
+    GiveUp,
+    RequestMachine,
+    Send,
+    Wait,
+)
+from jasminewalk.generated_codes import RESULTS, Code
+from jasminewalk.generated_requests import Frame, RefusalBody
+from jasminewalk.types import Refusal, RequestProfile, Route
+
+TOKENS = ["a", "bc", "d", "e", "fg", "h"]
+
+
+class FakeEndpoints(Endpoints):
+    def __init__(self, names=("e1", "e2"), retries=100):
+        self.names = list(names)
+        self.retries = retries
+        self.profiles = []
+
+    def choose(self, now_s, profile, excluded, *, retry):
+        self.profiles.append(profile)
+        left = [name for name in self.names if name not in excluded]
+        if not left:
+            return Refusal(Code.NO_ENDPOINT, "none", 1.0)
+        return Route(left[0], "first")
+
+    def may_retry(self):
+        self.retries -= 1
+        return self.retries >= 0
+
+
+@pytest.fixture
+def profile():
+    return RequestProfile(
+        request_id="r",
+        organisation="o",
+        request_class="c",
+        pool="p",
+        prompt_tokens=10,
+        expected_tokens=6,
+        max_tokens=6,
+        deadline_s=10.0,
+        first_token_deadline_s=1.0,
+    )
+
+
+@pytest.fixture
+def endpoints():
+    return FakeEndpoints()
+
+
+@pytest.fixture
+def machine(profile, endpoints):
+    return RequestMachine(profile=profile, endpoints=endpoints)
+
+
+def lines(start, stop, end=""):
+    frames = [Frame(n=n, t=TOKENS[n]) for n in range(start, stop)]
+    if end:
+        frames.append(Frame(end=end))
+    return b"".join(msgspec.json.encode(frame) + b"\n" for frame in frames)
+
+
+def refusal(ran="not_run", code=Code.OVERLOADED):
+    return RefusalBody(code=code, name="", message="no", ran=ran, retry_after_s=2.0)
+
+
+@given(st.randoms(use_true_random=False), st.integers(1, 5))
+@settings(derandomize=True, deadline=None)
+def test_answer_is_whole_however_frames_are_cut_crossed_and_repeated(rng, attempts):
+    assembler = AnswerAssembler()
+    got = []
+    for attempt in range(1, attempts + 1):
+        assembler.start_attempt(attempt)
+        last = attempt == attempts
+        stop = len(TOKENS) if last else rng.randint(assembler.next_token, len(TOKENS))
+        data = lines(assembler.next_token, stop, "stop" if last else "")
+        while data:
+            cut = rng.randint(1, len(data))
+            late = lines(0, rng.randint(0, len(TOKENS)), "stop")
+            assert assembler.take_lines(attempt - 1, late) == []
+            got += assembler.take_lines(attempt, data[:cut])
+            data = data[cut:]
+    assert got == TOKENS
+    assert assembler.text == "".join(TOKENS)
+    assert assembler.end == "stop"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        lines(2, 3),
+        b"garbage\n" + lines(0, 6, "stop"),
+        b'{"n":"x"}\n',
+        b"x" * (1 << 17),
+        b"\xff\xfe\n",
+    ],
+)
+def test_gap_or_garbage_breaks_the_attempt_and_ends_nothing(data):
+    assembler = AnswerAssembler()
+    assembler.start_attempt(1)
+    assert assembler.take_lines(1, data) == []
+    assert assembler.broken is not None
+    assert not assembler.end
+    assembler.start_attempt(2)
+    assert assembler.take_lines(2, lines(0, 6, "stop")) == TOKENS
+
+
+@given(st.binary(max_size=300))
+@settings(derandomize=True, deadline=None)
+def test_any_bytes_are_survived(data):
+    assembler = AnswerAssembler()
+    assembler.start_attempt(1)
+    assembler.take_lines(1, data)
+
+
+def test_duplicated_tokens_are_passed_on_once():
+    assembler = AnswerAssembler()
+    assembler.start_attempt(1)
+    data = lines(0, 3)
+    assert assembler.take_lines(1, data + data) == TOKENS[:3]
+
+
+@pytest.mark.parametrize("broken_after", range(len(TOKENS)))
+def test_resumes_elsewhere_from_the_tokens_the_caller_has(
+    machine, endpoints, broken_after
+):
+    first = machine.start(0.0)
+    machine.sent()
+    machine.assembler.take_lines(1, lines(0, broken_after))
+    second = machine.broke(0.1, first.route.endpoint, may_have_run=True)
+    assert (second.resume_from, second.route.endpoint) == (broken_after, "e2")
+    assert endpoints.profiles[-1].prompt_tokens == 10 + broken_after
+    machine.sent()
+    texts = machine.assembler.take_lines(2, lines(broken_after, 6, "length"))
+    assert texts == TOKENS[broken_after:]
+    assert machine.ended(0.2, "e2") == Finish()
+    assert machine.ran == "ran"
+
+
+def test_refusals_are_retried_and_stay_not_run(machine):
+    first = machine.start(0.0)
+    machine.sent()
+    second = machine.refused(0.1, first.route.endpoint, refusal())
+    assert isinstance(second, Send)
+    machine.sent()
+    assert machine.ran == "unknown"
+    last = machine.refused(0.2, second.route.endpoint, refusal())
+    assert last == GiveUp(Refusal(Code.OVERLOADED, "no", 2.0, "not_run"))
+
+
+def test_not_run_is_not_said_after_an_attempt_that_may_have_run(machine):
+    first = machine.start(0.0)
+    machine.sent()
+    second = machine.broke(0.1, first.route.endpoint, may_have_run=True)
+    machine.sent()
+    last = machine.refused(0.2, second.route.endpoint, refusal())
+    assert last.refusal.ran == "unknown"
+    assert RESULTS[last.refusal.code].ran == "unknown"
+    assert last.refusal.retry_after_s == 2.0
+
+
+def test_unknown_outcome_is_final(machine):
+    first = machine.start(0.0)
+    body = refusal("unknown", Code.OUTCOME_UNKNOWN)
+    last = machine.refused(0.1, first.route.endpoint, body)
+    assert last.refusal.code == Code.OUTCOME_UNKNOWN
+    assert last.refusal.ran == "unknown"
+
+
+def test_an_unsent_attempt_did_not_run(machine):
+    first = machine.start(0.0)
+    second = machine.broke(0.1, first.route.endpoint, may_have_run=False)
+    last = machine.broke(0.2, second.route.endpoint, may_have_run=False)
+    assert last.refusal.ran == "not_run"
+
+
+def test_retries_end_with_the_budget(profile):
+    machine = RequestMachine(profile=profile, endpoints=FakeEndpoints(retries=0))
+    first = machine.start(0.0)
+    assert isinstance(machine.refused(0.1, first.route.endpoint, refusal()), GiveUp)
+
+
+def test_a_begun_answer_waits_for_an_endpoint_until_its_deadline(machine):
+    first = machine.start(0.0)
+    machine.assembler.take_lines(1, lines(0, 2))
+    machine.endpoints.names = [first.route.endpoint]
+    action = machine.broke(0.1, first.route.endpoint, may_have_run=True)
+    assert isinstance(action, Wait)
+    again = machine.start(action.until_s)
+    assert again.resume_from == 2
+    machine.endpoints.names = []
+    assert isinstance(machine.broke(1.0, "e1", may_have_run=True), Wait)
+    last = machine.start(10.0)
+    assert (last.refusal.code, last.refusal.ran) == (Code.DEADLINE_PASSED, "ran")
+
+
+def test_a_begun_answer_outlives_any_number_of_crashes(profile):
+    rng = random.Random(1)
+    names = [f"e{n}" for n in range(3)]
+    machine = RequestMachine(profile=profile, endpoints=FakeEndpoints(names))
+    action = machine.start(0.0)
+    machine.assembler.take_lines(1, lines(0, 1))
+    for step in range(50):
+        if isinstance(action, Wait):
+            action = machine.start(action.until_s)
+        if isinstance(action, Send):
+            endpoint = action.route.endpoint
+            action = machine.broke(step / 100, endpoint, may_have_run=True)
+        assert not isinstance(action, GiveUp), rng
+    if isinstance(action, Wait):
+        action = machine.start(action.until_s)
+    assert action.resume_from == 1
+
+
+def test_frame_with_a_refusal_before_the_first_token_is_retried(machine):
+    machine.start(0.0)
+    machine.sent()
+    frame = Frame(code=Code.OVERLOADED, ran="not_run", retry_after_s=3.0)
+    machine.assembler.take_lines(1, msgspec.json.encode(frame) + b"\n")
+    assert isinstance(machine.ended(0.1, "e1"), Send)
+    assert machine.settled_ran == "not_run"
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,179 @@
+import pytest
+
+from jasminewalk.generated_messages import Leaving, LoadReport
+from jasminewalk.generated_requests import Instance
+from jasminewalk.generated_settings import EntrySettings, LogSettings, PeerSettings
+from jasminewalk.membership import FORGET_S, LEAVING_HOLD_S, Membership
+
+HEARTBEAT_S = 0.5
+
+
+def make_membership(subset=64):
+    return Membership(
+        EntrySettings(
+            name="entry-1",
+            failure_domain="a",
+            listen="127.0.0.1:0",
+            log=LogSettings(address="127.0.0.1:1"),
+            instances_address="127.0.0.1:1",
+            peers=PeerSettings(shared_key="0123456789abcdef"),
+            subset=subset,
+        )
+    )
+
+
+@pytest.fixture
+def membership():
+    made = make_membership()
+    made.observe_instances(0.0, [row("e1"), row("e2")])
+    return made
+
+
+def row(name, state="live", domain="a", pool="p"):
+    return Instance(
+        name=name,
+        kind="engine",
+        address=f"{name}:1",
+        control_address=f"{name}:2",
+        pool=pool,
+        failure_domain=domain,
+        state=state,
+    )
+
+
+def report(name, sequence, incarnation="i1", state="live"):
+    return LoadReport(
+        endpoint=name,
+        incarnation=incarnation,
+        sequence=sequence,
+        kind="engine",
+        pool="p",
+        failure_domain="a",
+        address=f"{name}:1",
+        state=state,
+    )
+
+
+def beat(membership, name, until_s, *, since_s=0.0, **fields):
+    """Send heartbeats and return the instant of the last."""
+    now_s, sequence = since_s, round(since_s / HEARTBEAT_S) + 1
+    while now_s <= until_s:
+        membership.observe_report(now_s, report(name, sequence, **fields))
+        now_s, sequence = now_s + HEARTBEAT_S, sequence + 1
+    return now_s - HEARTBEAT_S
+
+
+def leave(membership, name, incarnation="i1", now_s=0.0):
+    leaving = Leaving(endpoint=name, incarnation=incarnation, reason="shutdown")
+    membership.observe_leaving(now_s, leaving)
+
+
+def test_listed_endpoint_is_usable_only_after_it_reports(membership):
+    assert membership.usable(0.0, "p") == []
+    beat(membership, "e1", 0.0)
+    assert membership.usable(0.0, "p") == ["e1"]
+    assert membership.usable(0.0, "other") == []
+
+
+@pytest.mark.parametrize("state", ["starting", "draining", "changing", "down"])
+def test_endpoint_that_is_not_live_gets_no_work(membership, state):
+    beat(membership, "e1", 0.0, state=state)
+    assert membership.usable(0.0, "p") == []
+
+
+def test_crashed_endpoint_is_left_within_two_seconds(membership):
+    last_s = beat(membership, "e1", 5.0)
+    assert membership.usable(last_s + 1.0, "p") == ["e1"]
+    assert membership.usable(last_s + 2.0, "p") == []
+
+
+def test_endpoint_returns_after_probation(membership):
+    last_s = beat(membership, "e1", 5.0)
+    back_s = last_s + 10.0
+    beat(membership, "e1", back_s, since_s=back_s)
+    assert membership.usable(back_s, "p") == []
+    steady_s = beat(membership, "e1", back_s + 1.0, since_s=back_s + HEARTBEAT_S)
+    assert membership.usable(steady_s, "p") == ["e1"]
+
+
+def test_leaving_wins_over_live_reports_and_list(membership):
+    beat(membership, "e1", 1.0)
+    leave(membership, "e1", now_s=1.0)
+    membership.observe_instances(1.1, [row("e1")])
+    beat(membership, "e1", 60.0, since_s=1.5)
+    assert membership.usable(60.0, "p") == []
+    membership.observe_report(60.1, report("e1", 1, incarnation="i2"))
+    membership.observe_report(60.2, report("e1", 2, incarnation="i2"))
+    assert membership.usable(60.2, "p") == ["e1"]
+
+
+def test_leaving_before_the_first_report_counts(membership):
+    leave(membership, "e1")
+    beat(membership, "e1", 1.0)
+    assert membership.usable(1.0, "p") == []
+
+
+def test_flapping_list_gives_a_leaving_endpoint_no_work(membership):
+    now_s = 0.0
+    for number in range(100):
+        state = "leaving" if number % 7 == 0 else "live"
+        membership.observe_instances(now_s, [row("e1", state)])
+        beat(membership, "e1", now_s, since_s=now_s)
+        assert membership.usable(now_s, "p") == []
+        now_s += 1.0
+    beat(membership, "e1", now_s + LEAVING_HOLD_S, since_s=now_s)
+    assert membership.usable(now_s + LEAVING_HOLD_S, "p") == ["e1"]
+
+
+def test_endpoint_missing_from_the_list_keeps_its_work(membership):
+    last_s = beat(membership, "e1", FORGET_S * 2)
+    membership.observe_instances(last_s, [])
+    assert membership.usable(last_s, "p") == ["e1"]
+    membership.observe_instances(last_s + FORGET_S + 1.0, [])
+    assert membership.members == {}
+
+
+def test_reports_of_an_older_incarnation_or_order_are_ignored(membership):
+    assert membership.observe_report(0.0, report("e1", 5))
+    assert not membership.observe_report(0.1, report("e1", 4))
+    assert membership.observe_report(0.2, report("e1", 1, incarnation="i2"))
+    assert not membership.observe_report(0.3, report("e1", 6))
+
+
+def test_failing_endpoint_is_avoided_while_another_is_left(membership):
+    beat(membership, "e1", 0.0)
+    beat(membership, "e2", 0.0)
+    membership.observe_failure(0.0, "e1")
+    assert membership.usable(0.1, "p") == ["e2"]
+    membership.observe_failure(0.0, "e2")
+    assert membership.usable(0.1, "p") == ["e1", "e2"]
+    membership.observe_success("e1")
+    assert membership.usable(0.1, "p") == ["e1"]
+
+
+def test_subset_prefers_the_own_failure_domain_and_is_stable():
+    membership = make_membership(subset=4)
+    rows = [row(f"e{n}", domain="a" if n % 2 else "b") for n in range(20)]
+    membership.observe_instances(0.0, rows)
+    before = membership.subset(0.0)
+    assert len(before) == 4
+    assert all(membership.members[name].failure_domain == "a" for name in before)
+    gone = before[1]
+    membership.observe_instances(1.0, [r for r in rows if r.name != gone])
+    del membership.members[gone]
+    after = membership.subset(1.0)
+    assert [name for name in after if name in before] == [
+        name for name in before if name != gone
+    ]
+    assert len(after) == 4
+
+
+def test_silent_endpoints_are_replaced_in_the_subset():
+    membership = make_membership(subset=2)
+    membership.observe_instances(0.0, [row(f"e{n}") for n in range(6)])
+    first, second = membership.subset(0.0)
+    beat(membership, first, 0.0)
+    beat(membership, second, 10.0)
+    later = membership.subset(10.0)
+    assert later[:2] == [first, second]
+    assert len(later) == 3
