--- /dev/null
+++ b/src/jasminewalk/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line with ``python -m jasminewalk``."""
+
+from jasminewalk.cli import main
+
+if __name__ == "__main__":
+    main()
--- a/src/jasminewalk/_http.py
+++ b/src/jasminewalk/_http.py
@@ -100,6 +100,7 @@
             access_log=False,
             server_header=False,
             date_header=False,
+            proxy_headers=False,
             timeout_keep_alive=75,
         )
         self.server = _Server(config)
