--- /dev/null
+++ b/src/jasminewalk/_measure_driver.py
@@ -0,0 +1,468 @@
+"""Drives the real decision objects against modelled engines on a virtual clock."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import attrs
+
+from jasminewalk._measure_workload import MeasuredRequest, engine_settings
+from jasminewalk.baselines import Policy
+from jasminewalk.engine_model import EngineModel, FrameOut
+from jasminewalk.generated_codes import Code
+from jasminewalk.generated_configuration import Pool
+from jasminewalk.generated_measure import MeasureFault, Workload
+from jasminewalk.generated_messages import CacheEvents, LoadReport
+from jasminewalk.generated_requests import EngineOrder, GenerateRequest, RefusalBody
+from jasminewalk.types import Refusal, RequestProfile
+
+__all__ = ["Driver", "RoleChange"]
+
+POOL = "engines"
+TICK_S = 0.05
+DEMAND_S = 2.0
+PLAN_S = 1.0
+DETECT_S = 1.5
+MAX_ATTEMPTS = 4
+NEVER_S = float("inf")
+
+
+@attrs.frozen
+class RoleChange:
+    """A role change that took effect.
+
+    :param at_s: instant of its acceptance in seconds.
+    :param endpoint: endpoint name.
+    :param role: new role.
+    """
+
+    at_s: float
+    endpoint: str
+    role: str
+
+
+class _Endpoint:
+    """One engine with the decisions of its sidecar."""
+
+    def __init__(self, workload: Workload, number: int, policy: Policy, seed: int):
+        rng = random.Random(f"{seed} {number}")
+        self.name = f"engine-{number}"
+        self.model = EngineModel(
+            engine_settings(workload, number), rng, emit_tokens=False
+        )
+        self.lag_s = rng.uniform(*workload.report_age_s)
+        self.queue = policy.queue()
+        pool = Pool(
+            kind="engine",
+            role_change_cost=workload.role_change_cost,
+            horizon_s=workload.horizon_s,
+            min_prefill=workload.min_prefill,
+            min_decode=workload.min_decode,
+        )
+        self.planner = policy.planner(self.name, pool, rng)
+        self.incarnation = 1
+        self.sequence = 0
+        self.cache_sequence = 0
+        self.completed = 0
+        self.up = True
+        self.visible = True
+        self.withdrawn = False
+        self.wanted_role = ""
+        self.wake_s = NEVER_S
+
+    @property
+    def usable(self) -> bool:
+        """Whether entries send new work."""
+        return self.visible and not self.withdrawn and not self.wanted_role
+
+
+class Driver:
+    """One run of one policy.
+
+    :param workload: the workload.
+    :param policy: the policy.
+    :param requests: requests in order of arrival; their outcomes are filled in.
+    :param seed: seed of the random sources.
+    """
+
+    def __init__(
+        self,
+        workload: Workload,
+        policy: Policy,
+        requests: Sequence[MeasuredRequest],
+        seed: int,
+    ) -> None:
+        self.workload = workload
+        self.requests = requests
+        self.rng = random.Random(seed)
+        self.routers = [
+            policy.router(f"entry-{number}", random.Random(f"{seed} entry {number}"))
+            for number in range(workload.entries)
+        ]
+        self.endpoints = {
+            endpoint.name: endpoint
+            for number in range(len(workload.speeds))
+            for endpoint in [_Endpoint(workload, number, policy, seed)]
+        }
+        self.events: list[tuple[float, int, Callable[..., None], Any]] = []
+        self.numbers = itertools.count()
+        self.roles = dict.fromkeys(self.endpoints, "mixed")
+        self.grants = itertools.count(1)
+        self.log_down = False
+        self.changes: list[RoleChange] = []
+        self.retries = 0
+        self.wasted_s = 0.0
+
+    def run(self) -> None:
+        """Run until every request has its outcome."""
+        self.at(0.0, self.beat, None)
+        self.at(TICK_S, self.tick, None)
+        self.at(DEMAND_S, self.share_demand, None)
+        self.at(PLAN_S, self.plan, None)
+        for fault in self.workload.faults:
+            self.at(fault.at_s, self.begin_fault, fault)
+            self.at(fault.at_s + fault.for_s, self.end_fault, fault)
+        for request in self.requests:
+            self.at(request.arrived_s, self.arrive, request)
+            self.at(self.deadline_s(request), self.expire, request)
+        end_s = max(map(self.deadline_s, self.requests)) + 1.0
+        while self.events and self.events[0][0] <= end_s:
+            now_s, _, action, argument = heapq.heappop(self.events)
+            action(now_s, argument)
+
+    def at(self, at_s: float, action: Callable[..., None], argument: Any) -> None:
+        """Schedule an action."""
+        heapq.heappush(self.events, (at_s, next(self.numbers), action, argument))
+
+    def deadline_s(self, request: MeasuredRequest) -> float:
+        """Return the instant of a request's deadline."""
+        item = self.workload.classes[request.request_class]
+        return request.arrived_s + item.deadline_s
+
+    # Requests
+
+    def arrive(self, now_s: float, request: MeasuredRequest) -> None:
+        """Let a new request reach an entry."""
+        request.entry = self.rng.randrange(len(self.routers))
+        self.attempt(now_s, request, frozenset())
+
+    def profile(self, request: MeasuredRequest) -> RequestProfile:
+        """Return what decisions know of a request."""
+        item = self.workload.classes[request.request_class]
+        first_s = request.arrived_s + item.first_token_s
+        done = request.done_tokens
+        return RequestProfile(
+            request_id=str(request.number),
+            organisation=request.organisation,
+            request_class=request.request_class,
+            pool=POOL,
+            prompt_tokens=request.prompt_tokens + done,
+            expected_tokens=max(1, item.output_tokens - done),
+            max_tokens=max(1, request.max_tokens - done),
+            prefix_hashes=request.prefix_hashes,
+            arrived_s=request.arrived_s,
+            deadline_s=self.deadline_s(request),
+            first_token_deadline_s=first_s if not done else NEVER_S,
+            priority=item.priority,
+            weight=self.workload.organisations[request.organisation].weight,
+        )
+
+    def attempt(
+        self, now_s: float, request: MeasuredRequest, excluded: frozenset[str]
+    ) -> None:
+        """Route a request until an endpoint takes it or it is refused."""
+        router = self.routers[request.entry]
+        profile = self.profile(request)
+        while True:
+            usable = [item.name for item in self.endpoints.values() if item.usable]
+            decision = router.choose(now_s, profile, usable, excluded)
+            if isinstance(decision, Refusal):
+                self.end(now_s, request, "refused")
+                return
+            request.attempts += 1
+            endpoint = self.endpoints[decision.endpoint]
+            router.sent(now_s, profile, endpoint.name)
+            refusal = self.offer(now_s, endpoint, request, profile)
+            if refusal is None:
+                return
+            excluded |= {endpoint.name}
+            body = RefusalBody(
+                code=refusal.code,
+                name=refusal.code.name,
+                message=refusal.reason,
+                ran="not_run",
+                retry_after_s=refusal.retry_after_s,
+            )
+            router.refused(now_s, profile.request_id, endpoint.name, body)
+            if request.attempts >= MAX_ATTEMPTS or not router.may_retry():
+                self.end(now_s, request, "refused")
+                return
+            self.retries += 1
+
+    def offer(
+        self,
+        now_s: float,
+        endpoint: _Endpoint,
+        request: MeasuredRequest,
+        profile: RequestProfile,
+    ) -> Refusal | None:
+        """Hand a request to an endpoint; return why it does not take it."""
+        if not endpoint.up:
+            return Refusal(Code.NO_ENDPOINT, "No connection.", DETECT_S)
+        refusal = endpoint.queue.offer(now_s, profile)
+        if refusal is None:
+            request.endpoint = endpoint.name
+            self.pump(now_s, endpoint)
+        return refusal
+
+    def pump(self, now_s: float, endpoint: _Endpoint) -> None:
+        """Hand the engine what the queue lets go, and wake at its next frame."""
+        for profile in endpoint.queue.start(now_s):
+            request = self.requests[int(profile.request_id)]
+            endpoint.model.submit(
+                now_s, self.generate_request(request, profile), request.output_tokens
+            )
+        wake_s = endpoint.model.next_event_s
+        if wake_s < endpoint.wake_s:
+            endpoint.wake_s = wake_s
+            self.at(wake_s, self.wake, endpoint)
+
+    def generate_request(
+        self, request: MeasuredRequest, profile: RequestProfile
+    ) -> GenerateRequest:
+        """Return an attempt as the engine gets it."""
+        return GenerateRequest(
+            request_id=profile.request_id,
+            attempt=request.attempts,
+            organisation=request.organisation,
+            request_class=request.request_class,
+            model="",
+            prompt="",
+            prompt_tokens=request.prompt_tokens,
+            prefix_hashes=list(request.prefix_hashes),
+            max_tokens=request.max_tokens,
+            expected_tokens=profile.expected_tokens + request.done_tokens,
+            deadline_s=profile.deadline_s,
+            priority=profile.priority,
+            resume_from=request.done_tokens,
+        )
+
+    def wake(self, now_s: float, endpoint: _Endpoint) -> None:
+        """Pass on the frames of an engine."""
+        if now_s < endpoint.wake_s:
+            return
+        endpoint.wake_s = NEVER_S
+        for out in endpoint.model.advance(now_s):
+            self.on_frame(out, endpoint)
+        self.pump(now_s, endpoint)
+
+    def on_frame(self, out: FrameOut, endpoint: _Endpoint) -> None:
+        """Take one frame of an engine."""
+        request = self.requests[int(out.request_id)]
+        if request.outcome or out.attempt != request.attempts:
+            return
+        router = self.routers[request.entry]
+        if out.frame.code:
+            endpoint.queue.cancel(out.request_id)
+            router.failed(out.at_s, out.request_id, endpoint.name)
+            self.retries += 1
+            self.attempt(out.at_s, request, frozenset({endpoint.name}))
+            return
+        if request.first_s is None:
+            request.first_s = out.at_s
+        endpoint.queue.first_token(out.at_s, out.request_id)
+        router.first_token(out.at_s, out.request_id, out.frame.cached)
+        if out.frame.end:
+            endpoint.completed += 1
+            endpoint.queue.finished(out.at_s, out.request_id)
+            router.finished(out.at_s, out.request_id, request.output_tokens)
+            request.gap_s = out.p95_gap_s
+            self.end(out.at_s, request, "good")
+
+    def end(self, now_s: float, request: MeasuredRequest, outcome: str) -> None:
+        """Give a request its outcome."""
+        request.outcome = outcome
+        request.ended_s = now_s
+
+    def expire(self, now_s: float, request: MeasuredRequest) -> None:
+        """Give up a request whose deadline passes, and free what it holds."""
+        if request.outcome:
+            return
+        self.end(now_s, request, "late")
+        self.wasted_s += request.work_s
+        endpoint = self.endpoints[request.endpoint]
+        endpoint.model.cancel(now_s, str(request.number), request.attempts)
+        endpoint.queue.cancel(str(request.number))
+        router = self.routers[request.entry]
+        router.failed(now_s, str(request.number), endpoint.name)
+        self.pump(now_s, endpoint)
+
+    def tick(self, now_s: float, _: None) -> None:
+        """Give up what waits without hope, start what can, change roles."""
+        self.at(now_s + TICK_S, self.tick, None)
+        for endpoint in self.endpoints.values():
+            for expired in endpoint.queue.expired(now_s):
+                request = self.requests[int(expired.profile.request_id)]
+                request.told_late_s = TICK_S
+                self.end(now_s, request, "refused")
+                router = self.routers[request.entry]
+                router.drop(expired.profile.request_id)
+            if endpoint.queue.queued:
+                self.pump(now_s, endpoint)
+            if endpoint.wanted_role:
+                self.go_on_with_change(now_s, endpoint)
+
+    # Reports
+
+    def beat(self, now_s: float, _: None) -> None:
+        """Let every sidecar report its load and cache events."""
+        self.at(now_s + self.workload.heartbeat_s, self.beat, None)
+        for endpoint in self.endpoints.values():
+            if endpoint.up:
+                self.report(now_s, endpoint)
+
+    def report(self, now_s: float, endpoint: _Endpoint) -> None:
+        """Send a load report, which arrives late, and cache events."""
+        state = endpoint.model.state(now_s)
+        endpoint.queue.observe_state(now_s, state)
+        endpoint.sequence += 1
+        queue = endpoint.queue
+        report = LoadReport(
+            endpoint=endpoint.name,
+            incarnation=str(endpoint.incarnation),
+            sequence=endpoint.sequence,
+            kind="engine",
+            pool=POOL,
+            failure_domain="",
+            address="",
+            state="live",
+            role=state.role,
+            queued=queue.queued + state.queued,
+            queued_prefill_tokens=queue.queued_prefill_tokens
+            + state.queued_prefill_tokens,
+            running=state.running,
+            decode_tokens_left=state.decode_tokens_left,
+            max_batch=state.max_batch,
+            prefill_tokens_per_s=state.prefill_tokens_per_s,
+            decode_tokens_per_s=state.decode_tokens_per_s,
+            kv_used=state.kv_used,
+            report_age_s=endpoint.lag_s,
+            completed=endpoint.completed,
+        )
+        self.at(now_s + endpoint.lag_s, self.deliver, report)
+        page = endpoint.model.cache_events(now_s, endpoint.cache_sequence)
+        count = page.next_sequence - page.first_sequence
+        if count > 0:
+            endpoint.cache_sequence = page.next_sequence
+            events = CacheEvents(
+                endpoint=endpoint.name,
+                incarnation=str(endpoint.incarnation),
+                first_sequence=page.first_sequence,
+                added=page.added,
+                removed=page.removed,
+                count=count,
+            )
+            endpoint.queue.observe_cache(events)
+            for router in self.routers:
+                router.observe_cache(now_s, events)
+
+    def deliver(self, now_s: float, report: LoadReport) -> None:
+        """Let a load report arrive at the entries."""
+        for router in self.routers:
+            router.observe_report(now_s, report)
+
+    def share_demand(self, now_s: float, _: None) -> None:
+        """Tell the planners what the entries saw arrive."""
+        self.at(now_s + DEMAND_S, self.share_demand, None)
+        for router in self.routers:
+            for demand in router.demand(now_s):
+                for endpoint in self.endpoints.values():
+                    if endpoint.planner is not None:
+                        endpoint.planner.observe_demand(now_s, demand)
+
+    # Role changes
+
+    def plan(self, now_s: float, _: None) -> None:
+        """Let the planners propose; the first against the current roles wins."""
+        self.at(now_s + PLAN_S, self.plan, None)
+        changing = any(endpoint.wanted_role for endpoint in self.endpoints.values())
+        if self.log_down or changing:
+            return
+        for endpoint in self.endpoints.values():
+            if endpoint.planner is None or not endpoint.usable or not endpoint.up:
+                continue
+            proposal = endpoint.planner.propose(now_s, self.roles)
+            if proposal is None:
+                continue
+            self.roles[endpoint.name] = proposal.role
+            self.changes.append(RoleChange(now_s, endpoint.name, proposal.role))
+            endpoint.wanted_role = proposal.role
+            endpoint.queue.drain()
+            return
+
+    def go_on_with_change(self, now_s: float, endpoint: _Endpoint) -> None:
+        """Order the change once the engine is drained; take work when it is done."""
+        if not endpoint.up:
+            return
+        role: Any = endpoint.wanted_role
+        if endpoint.model.speeds.role == role:
+            endpoint.wanted_role = ""
+            endpoint.queue.resume()
+        elif endpoint.queue.idle and endpoint.model.change is None:
+            number = next(self.grants)
+            order = EngineOrder(fencing_number=number, role=role, models=[])
+            endpoint.model.order(now_s, order)
+            self.pump(now_s, endpoint)
+
+    # Faults
+
+    def begin_fault(self, now_s: float, fault: MeasureFault) -> None:
+        """Let a fault begin."""
+        if fault.kind == "log_outage":
+            self.log_down = True
+            return
+        endpoint = self.endpoints[f"engine-{fault.endpoint}"]
+        if fault.kind != "crash":
+            endpoint.withdrawn = True
+            endpoint.queue.drain()
+            return
+        endpoint.up = False
+        self.at(now_s + DETECT_S, self.detect, endpoint)
+        endpoint.model.catch_up(now_s)
+        batch = endpoint.model.batch
+        for stream in batch.decoding.values():
+            request = self.requests[int(stream.request.request_id)]
+            done = batch.log.steps - stream.joined_step + 1
+            request.done_tokens = stream.request.resume_from + done
+        for out in endpoint.model.crash(now_s):
+            self.on_frame(out, endpoint)
+        for item in list(endpoint.queue.waiting.values()):
+            endpoint.queue.cancel(item.profile.request_id)
+            request = self.requests[int(item.profile.request_id)]
+            self.routers[request.entry].failed(
+                now_s, item.profile.request_id, endpoint.name
+            )
+            self.attempt(now_s, request, frozenset({endpoint.name}))
+
+    def detect(self, now_s: float, endpoint: _Endpoint) -> None:
+        """Let the entries find that an endpoint is silent."""
+        del now_s
+        endpoint.visible = endpoint.up
+
+    def end_fault(self, now_s: float, fault: MeasureFault) -> None:
+        """Let a fault end."""
+        if fault.kind == "log_outage":
+            self.log_down = False
+            return
+        endpoint = self.endpoints[f"engine-{fault.endpoint}"]
+        endpoint.withdrawn = False
+        endpoint.queue.resume()
+        if fault.kind == "crash":
+            endpoint.model.restart(now_s)
+            self.roles[endpoint.name] = endpoint.model.speeds.role
+            endpoint.wanted_role = ""
+            endpoint.up = endpoint.visible = True
+            endpoint.incarnation += 1
+            endpoint.cache_sequence = 0
--- a/src/jasminewalk/queueing.py
+++ b/src/jasminewalk/queueing.py
@@ -3,11 +3,15 @@
 import attrs
 
 from jasminewalk.generated_codes import Code
+from jasminewalk.generated_messages import CacheEvents
 from jasminewalk.generated_requests import EngineState
+from jasminewalk.prefixes import PrefixIndex
 from jasminewalk.types import Refusal, RequestProfile
 
 __all__ = ["EndpointQueue", "Expired", "QueueSettings"]
 
+HERE = "here"
+
 
 @attrs.frozen(kw_only=True)
 class QueueSettings:
@@ -24,6 +28,7 @@
     :param default_decode_tokens_per_s: decode speed before the first report.
     :param share_window_s: seconds of work by which an organisation's place in
         the queue may move.
+    :param cache_blocks: most prefix blocks remembered.
     :param fairness: whether organisations take turns within a priority.
     """
 
@@ -37,6 +42,7 @@
     default_prefill_tokens_per_s: float = 4000.0
     default_decode_tokens_per_s: float = 40.0
     share_window_s: float = 2.0
+    cache_blocks: int = 50_000
     fairness: bool = True
 
 
@@ -59,11 +65,13 @@
     :param profile: the request.
     :param rank: place in the queue; lower goes first.
     :param latest_start_s: instant after which the deadline cannot be met.
+    :param tokens: prompt tokens that need prefill.
     """
 
     profile: RequestProfile
     rank: tuple[float, float, float]
     latest_start_s: float
+    tokens: int
 
 
 @attrs.define
@@ -72,11 +80,13 @@
 
     :param profile: the request.
     :param started_s: instant at which it was handed over.
+    :param tokens: prompt tokens that need prefill.
     :param prefilling: whether its first token has not come yet, as estimated.
     """
 
     profile: RequestProfile
     started_s: float
+    tokens: int
     prefilling: bool = True
 
 
@@ -95,6 +105,7 @@
         self.state: EngineState | None = None
         self.draining = False
         self.prefill_free_s = 0.0
+        self.prefixes = PrefixIndex(settings.cache_blocks, max_holders=1)
 
     # State
 
@@ -111,7 +122,7 @@
     @property
     def queued_prefill_tokens(self) -> int:
         """Prompt tokens of the requests that wait."""
-        return sum(item.profile.prompt_tokens for item in self.waiting.values())
+        return sum(item.tokens for item in self.waiting.values())
 
     @property
     def limit(self) -> int:
@@ -142,6 +153,22 @@
         del now_s
         self.state = state
 
+    def observe_cache(self, events: CacheEvents) -> None:
+        """Take changes of the engine's prefix cache.
+
+        :param events: the changes.
+        """
+        self.prefixes.remove(HERE, events.removed)
+        self.prefixes.add(HERE, events.added)
+
+    def prefill_tokens(self, profile: RequestProfile) -> int:
+        """Return the prompt tokens of a request that are probably not cached.
+
+        :param profile: the request.
+        """
+        cached = self.prefixes.cached_tokens(HERE, profile.prefix_hashes)
+        return max(1, profile.prompt_tokens - cached)
+
     def drain(self) -> None:
         """Refuse new requests; those that wait still run."""
         self.draining = True
@@ -162,11 +189,14 @@
             reason = "The endpoint is draining."
             return Refusal(Code.DRAINING, reason, self.settings.min_retry_after_s)
         if len(self.waiting) >= self.settings.max_queued:
-            return self.overloaded("The queue is full.", self.wait_s(profile))
+            return self.overloaded("The queue is full.", self.wait_s())
         item = _Waiting(
-            profile, self.rank(now_s, profile), self.latest_start_s(profile)
+            profile,
+            self.rank(now_s, profile),
+            self.latest_start_s(profile),
+            self.prefill_tokens(profile),
         )
-        wait_s = self.wait_s(profile, item.rank)
+        wait_s = self.wait_s(item)
         late_s = now_s + wait_s - item.latest_start_s
         if late_s > self.settings.slack_s:
             reason = f"The wait of {wait_s:.2f} s is {late_s:.2f} s too long."
@@ -201,27 +231,20 @@
             profile.first_token_deadline_s,
         )
 
-    def wait_s(
-        self, profile: RequestProfile, rank: tuple[float, float, float] | None = None
-    ) -> float:
+    def wait_s(self, item: _Waiting | None = None) -> float:
         """Return the seconds until a request's first token.
 
-        :param profile: the request.
-        :param rank: its place in the queue; behind all if absent.
+        :param item: the request; one behind all others if absent.
         """
         ahead = [
-            item.profile
-            for item in self.waiting.values()
-            if rank is None or item.rank <= rank
+            other
+            for other in self.waiting.values()
+            if item is None or other.rank <= item.rank
         ]
-        tokens = sum(other.prompt_tokens for other in ahead)
+        tokens = sum(other.tokens for other in ahead) + (item.tokens if item else 0)
         tokens += sum(
-            item.profile.prompt_tokens
-            for item in self.running.values()
-            if item.prefilling
+            other.tokens for other in self.running.values() if other.prefilling
         )
-        if not self.running and not tokens:
-            return 0.0
         slots_s = self.slot_wait_s(len(ahead))
         return max(slots_s, tokens / self.prefill_tokens_per_s)
 
@@ -274,18 +297,20 @@
             if self.prefill_free_s > now_s + self.settings.ahead_s:
                 break
             del self.waiting[item.profile.request_id]
-            self.begin(now_s, item.profile)
+            self.begin(now_s, item)
             started.append(item.profile)
         return started
 
-    def begin(self, now_s: float, profile: RequestProfile) -> None:
+    def begin(self, now_s: float, item: _Waiting) -> None:
         """Count a request as handed to the endpoint.
 
         :param now_s: current instant in seconds.
-        :param profile: the request.
+        :param item: the request.
         """
-        self.running[profile.request_id] = _Running(profile, now_s)
-        prefill_s = profile.prompt_tokens / self.prefill_tokens_per_s
+        profile = item.profile
+        self.running[profile.request_id] = _Running(profile, now_s, item.tokens)
+        self.prefixes.add(HERE, profile.prefix_hashes)
+        prefill_s = item.tokens / self.prefill_tokens_per_s
         self.prefill_free_s = max(now_s, self.prefill_free_s) + prefill_s
         work_s = (prefill_s + self.service_s(profile) / self.limit) / profile.weight
         organisation = profile.organisation
@@ -312,11 +337,7 @@
         if item is None or not item.prefilling:
             return
         item.prefilling = False
-        left = sum(
-            other.profile.prompt_tokens
-            for other in self.running.values()
-            if other.prefilling
-        )
+        left = sum(other.tokens for other in self.running.values() if other.prefilling)
         self.prefill_free_s = now_s + left / self.prefill_tokens_per_s
 
     def finished(self, now_s: float, request_id: str) -> None:
@@ -347,7 +368,7 @@
             if late_s <= self.settings.slack_s:
                 continue
             del self.waiting[item.profile.request_id]
-            after_s = self.wait_s(item.profile)
+            after_s = self.wait_s()
             reason = "The wait has used up the time that the answer needs."
             given_up.append(Expired(item.profile, self.overloaded(reason, after_s)))
         return given_up
--- a/src/jasminewalk/roles.py
+++ b/src/jasminewalk/roles.py
@@ -197,13 +197,8 @@
         if not work:
             return None
         role = self.roles.get(self.endpoint, "mixed")
-        counts = {name: 0 for name in ROLES}
-        counts.update(
-            {
-                name: sum(other == name for other in self.roles.values())
-                for name in ROLES
-            }
-        )
+        held = list(self.roles.values())
+        counts = {name: held.count(name) for name in ROLES}
         left_s = max(0.0, self.dwell_s - (now_s - self.mix_since_s))
         use_s = min(self.pool.horizon_s, left_s) - self.settings.change_s
         cost_s = self.settings.change_s + self.pool.role_change_cost
