--- /dev/null
+++ b/src/jasminewalk/entry_status.py
@@ -0,0 +1,80 @@
+"""State of an entry, as operators see it."""
+
+import attrs
+
+from jasminewalk.generated_messages import LoadReport
+from jasminewalk.membership import Membership
+
+__all__ = ["EndpointStatus", "EntryStatus", "endpoint_statuses"]
+
+
+@attrs.frozen(kw_only=True)
+class EndpointStatus:
+    """One endpoint as an entry sees it.
+
+    :param endpoint: endpoint name.
+    :param pool: pool name.
+    :param failure_domain: failure domain name.
+    :param usable: whether it gets new work.
+    :param leaving: whether it is leaving.
+    :param silent_s: seconds since its last report; nothing if none came.
+    :param failures: failed requests since the last good one.
+    :param report: its last load report, if any came.
+    """
+
+    endpoint: str
+    pool: str
+    failure_domain: str
+    usable: bool
+    leaving: bool
+    silent_s: float | None
+    failures: int
+    report: LoadReport | None
+
+
+@attrs.frozen(kw_only=True)
+class EntryStatus:
+    """State of an entry.
+
+    :param name: entry name.
+    :param incarnation: identifier of the process.
+    :param failure_domain: failure domain name.
+    :param ready: whether the entry has read the configuration.
+    :param stopping: whether the entry is shutting down.
+    :param revision: offset that the entry has folded the log to.
+    :param log_reachable: whether the last read of the log succeeded.
+    :param endpoints: endpoints as the entry sees them.
+    """
+
+    name: str
+    incarnation: str
+    failure_domain: str
+    ready: bool
+    stopping: bool
+    revision: int
+    log_reachable: bool
+    endpoints: list[EndpointStatus]
+
+
+def endpoint_statuses(now_s: float, membership: Membership) -> list[EndpointStatus]:
+    """Return the state of all endpoints that an entry knows.
+
+    :param now_s: current instant.
+    :param membership: what the entry knows of them.
+    """
+    usable: set[str] = set()
+    for pool in {member.pool for member in membership.members.values()}:
+        usable.update(membership.usable(now_s, pool))
+    return [
+        EndpointStatus(
+            endpoint=name,
+            pool=member.pool,
+            failure_domain=member.failure_domain,
+            usable=name in usable,
+            leaving=membership.is_leaving(now_s, member),
+            silent_s=now_s - member.heard_s if member.report else None,
+            failures=member.failures,
+            report=member.report,
+        )
+        for name, member in sorted(membership.members.items())
+    ]
