--- a/src/jasminewalk/operators_http.py
+++ b/src/jasminewalk/operators_http.py
@@ -6,6 +6,7 @@
 from jasminewalk._http import Receive, Scope, Send, send_json
 from jasminewalk.exceptions import JasminewalkError
 from jasminewalk.generated_codes import Code
+from jasminewalk.generated_records import SnapshotEntry
 
 __all__ = ["OperatorsApp", "StatusSource"]
 
@@ -36,6 +37,14 @@
         return None
 
 
+    def subject(self, subject: str) -> SnapshotEntry | None:
+        """Return the revision of a subject of the configuration in force.
+
+        :param subject: what is asked for, as kind/name.
+        """
+        return None
+
+
 class OperatorsApp:
     """ASGI application with health, metrics, status and request traces.
 
@@ -65,7 +74,11 @@
         elif path == "/status":
             await send_json(send, 200, self.source.status())
         elif path.startswith("/explain/"):
-            await self.send_trace(path.removeprefix("/explain/"), send)
+            request_id = path.removeprefix("/explain/")
+            await self.send_found(path, self.source.explain(request_id), send)
+        elif path.startswith("/subjects/"):
+            subject = path.removeprefix("/subjects/")
+            await self.send_found(path, self.source.subject(subject), send)
         else:
             await self.send_unknown(path, send)
 
@@ -82,17 +95,17 @@
         await send({"type": "http.response.start", "status": 200, "headers": headers})
         await send({"type": "http.response.body", "body": body})
 
-    async def send_trace(self, request_id: str, send: Send) -> None:
-        """Send what is known about a request.
+    async def send_found(self, path: str, value: Any, send: Send) -> None:
+        """Send what was asked for, or an error if it does not exist.
 
-        :param request_id: identifier of the request.
+        :param path: path of the request.
+        :param value: what was found, or nothing.
         :param send: ASGI send function.
         """
-        trace = self.source.explain(request_id)
-        if trace is None:
-            await self.send_unknown(f"request {request_id}", send)
+        if value is None:
+            await self.send_unknown(path, send)
         else:
-            await send_json(send, 200, trace)
+            await send_json(send, 200, value)
 
     async def send_unknown(self, what: str, send: Send) -> None:
         """Send an error for what does not exist.
--- a/src/jasminewalk/sidecar.py
+++ b/src/jasminewalk/sidecar.py
@@ -22,6 +22,7 @@
     PoolDemand,
     RecordFeed,
 )
+from jasminewalk.generated_records import SnapshotEntry
 from jasminewalk.generated_settings import SidecarSettings
 from jasminewalk.interfaces import LogEntry
 from jasminewalk.log_client import HttpLog
@@ -312,6 +313,13 @@
             changes=list(self.part.changes),
         )
 
+    def subject(self, subject: str) -> SnapshotEntry | None:
+        """Return the revision of a subject of the configuration in force.
+
+        :param subject: what is asked for, as kind/name.
+        """
+        return self.fold.subject(subject)
+
     def render_metrics(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return self.metrics.render()
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -293,6 +293,63 @@
         names = [name for name in self.addresses if name.startswith("enrolment-")]
         return sum(self.counts(name).get(key, 0) for name in names)
 
+    def engines(self):
+        return sorted(name for name in self.addresses if name.startswith("tutor-"))
+
+    def services(self):
+        return sorted(name for name in self.addresses if name.startswith("enrolment-"))
+
+    def running_service(self):
+        for name in self.services():
+            if self.status(name)["report"]["running"]:
+                return name
+        return None
+
+    def set_listed(self, name, state):
+        rows = http_json("GET", f"http://{self.addresses['instances']}/instances")
+        [row] = [row for row in rows if row["name"] == name]
+        self.list_instance(**{**row, "state": state})
+
+    def usable_at(self, entry, name):
+        rows = self.status(entry)["endpoints"]
+        return any(row["endpoint"] == name and row["usable"] for row in rows)
+
+    def revision_of(self, subject, entry="entry-1"):
+        url = f"http://{self.controls[entry]}/subjects/{subject}"
+        return http_json("GET", url, timeout_s=2.0).get("revision", 0)
+
+    def publish_version(self, version):
+        pools = {**FLEET["pools"], "tutor": {**FLEET["pools"]["tutor"]}}
+        pools["tutor"]["version"] = version
+        base = self.revision_of("fleet/default")
+        return self.append("fleet/default", {"pools": pools}, base)
+
+    def faults(self, name):
+        return http_json("GET", f"http://{self.addresses[name]}/faults", timeout_s=2.0)
+
+    def engine_state(self, name):
+        return http_json("GET", f"http://{self.addresses[name]}/state", timeout_s=2.0)
+
+    def heal(self):
+        """End all failures and wait until the fleet has repaired itself."""
+        for name in self.addresses:
+            self.fault(name)
+        for name, process in list(self.processes.items()):
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+            elif name in self.revisions:
+                self.restart(name)
+        for name in (*self.engines(), *self.services()):
+            self.set_listed(name, "live")
+        for name in self.controls:
+            wait_for(lambda name=name: self.is_ready(name), f"{name} ready again")
+        for entry in self.entry_addresses:
+            for name in (*self.engines(), *self.services()):
+                wait_for(
+                    lambda entry=entry, name=name: self.usable_at(entry, name),
+                    f"{name} usable again at {entry}",
+                )
+
 
 def start_fleet(folder, engines=2, services=2, entries=2, **model):
     fleet = Fleet(folder)
