--- /dev/null
+++ b/src/jasminewalk/_engine_load.py
@@ -0,0 +1,87 @@
+"""Load of a modelled engine, as its reports lag behind it."""
+
+from collections import deque
+
+import attrs
+
+from jasminewalk._engine_batch import Batch
+from jasminewalk._engine_steps import Stream
+from jasminewalk.generated_requests import EngineState
+from jasminewalk.generated_standins import EngineModelSettings
+
+__all__ = ["LoadLog", "LoadSample"]
+
+MAX_SAMPLES = 64
+SAMPLES_PER_LAG = 4
+
+
+@attrs.frozen
+class LoadSample:
+    """Load at some instant.
+
+    :param at_s: the instant in seconds.
+    :param state: the load.
+    """
+
+    at_s: float
+    state: EngineState
+
+
+class LoadLog:
+    """Keeps samples of the load until they are as old as the lag.
+
+    :param settings: limits and lag of the engine.
+    :param batch: streams of the engine.
+    """
+
+    def __init__(self, settings: EngineModelSettings, batch: Batch) -> None:
+        self.settings = settings
+        self.batch = batch
+        self.samples: deque[LoadSample] = deque(maxlen=MAX_SAMPLES)
+
+    def sample(self, now_s: float) -> LoadSample:
+        """Return the newest sample that is old enough, or the oldest one.
+
+        :param now_s: current instant in seconds.
+        """
+        lag_s = self.settings.report_lag_s
+        last_s = self.samples[-1].at_s if self.samples else float("-inf")
+        if now_s - last_s >= lag_s / SAMPLES_PER_LAG:
+            self.samples.append(LoadSample(now_s, self.load()))
+        while len(self.samples) > 1 and self.samples[1].at_s <= now_s - lag_s:
+            self.samples.popleft()
+        return self.samples[0]
+
+    def load(self) -> EngineState:
+        """Return the load now; the role is that of the step durations."""
+        batch = self.batch
+        speeds = batch.speeds
+        waiting = [item[1] for item in batch.waiting if not item[1].ended]
+        prefilling = [item[1] for item in batch.prefilling]
+        left = sum(stream.prefill_left for stream in prefilling)
+        left += sum(stream.request.prompt_tokens for stream in waiting)
+        step_s = speeds.decode_s(max(1, len(batch.decoding)))
+        return EngineState(
+            role=speeds.role,
+            models=[],
+            queued=len(waiting),
+            queued_prefill_tokens=left,
+            running=len(prefilling) + len(batch.decoding),
+            decode_tokens_left=sum(map(self.expected_left, batch.streams.values())),
+            max_batch=self.settings.max_batch,
+            prefill_tokens_per_s=speeds.prefill_tokens_per_s,
+            decode_tokens_per_s=1.0 / step_s,
+            kv_used=batch.cache.reserved / self.settings.cache_blocks,
+        )
+
+    def expected_left(self, stream: Stream) -> int:
+        """Return the output tokens that a stream is expected to produce yet.
+
+        :param stream: the stream.
+        """
+        request = stream.request
+        expected = request.expected_tokens or request.max_tokens
+        done = request.resume_from
+        if stream.decoding:
+            done += self.batch.log.steps - stream.joined_step + 1
+        return max(1, expected - done)
--- /dev/null
+++ b/src/jasminewalk/_http_call.py
@@ -0,0 +1,188 @@
+"""Whole HTTP requests to the platform and the back ends, with timeouts."""
+
+from collections import deque
+from typing import Any
+
+import anyio
+import attrs
+import httpcore
+import msgspec
+
+from jasminewalk._http import split_address, url_of
+from jasminewalk.exceptions import JasminewalkError
+from jasminewalk.generated_codes import RESULTS, Code
+from jasminewalk.generated_requests import RefusalBody
+
+__all__ = [
+    "HttpAnswer",
+    "NotSentError",
+    "call",
+    "error_of",
+    "os_error",
+    "raise_for_status",
+    "timeouts",
+]
+
+HTTP_OK = 200
+CLOSE_TIMEOUT_S = 1.0
+
+NOT_SENT_ERRORS = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+    httpcore.ConnectionNotAvailable,
+)
+HTTP_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+    httpcore.ConnectionNotAvailable,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
+
+_decode_refusal = msgspec.json.Decoder(RefusalBody).decode
+
+
+class NotSentError(ConnectionError):
+    """A request failed before any of it was sent."""
+
+
+@attrs.frozen
+class HttpAnswer:
+    """A whole answer.
+
+    :param status: HTTP status.
+    :param headers: names in lower case and values.
+    :param body: body of the answer.
+    """
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+def timeouts(connect_s: float, read_s: float | None) -> dict[str, Any]:
+    """Return the timeouts of a request as httpcore takes them.
+
+    :param connect_s: seconds to connect.
+    :param read_s: longest silence in seconds; nothing for no limit.
+    """
+    return {
+        "timeout": {
+            "connect": connect_s,
+            "pool": connect_s,
+            "read": read_s,
+            "write": read_s,
+        }
+    }
+
+
+def os_error(error: Exception) -> OSError:
+    """Return a library's transport error as one of the standard library.
+
+    :param error: error of httpcore or anyio.
+    """
+    if isinstance(error, NOT_SENT_ERRORS):
+        return NotSentError(repr(error))
+    if isinstance(error, httpcore.TimeoutException):
+        return TimeoutError(repr(error))
+    return OSError(repr(error))
+
+
+async def call(
+    pool: httpcore.AsyncConnectionPool,
+    method: str,
+    address: str,
+    path: str,
+    *,
+    body: bytes = b"",
+    headers: list[tuple[str, str]] | None = None,
+    timeout_s: float,
+) -> HttpAnswer:
+    """Send a request and return its whole answer.
+
+    :param pool: pool of HTTP connections.
+    :param method: HTTP method.
+    :param address: ``host:port``.
+    :param path: path with query.
+    :param body: body of the request.
+    :param headers: further headers.
+    :param timeout_s: seconds for the whole call.
+    :raises NotSentError: if nothing was sent.
+    :raises OSError: if no whole answer came.
+    """
+    try:
+        with anyio.fail_after(timeout_s):
+            response = await pool.request(
+                method,
+                url_of(address, path),
+                headers=headers,
+                content=body,
+                extensions=timeouts(timeout_s, timeout_s),
+            )
+    except TimeoutError:
+        await drop_idle(pool, address)
+        raise
+    except HTTP_ERRORS as error:
+        if isinstance(error, httpcore.ReadTimeout):
+            await drop_idle(pool, address)
+        raise os_error(error) from error
+    return HttpAnswer(response.status, decoded(response.headers), response.content)
+
+
+def decoded(headers: list[tuple[bytes, bytes]]) -> list[tuple[str, str]]:
+    """Return headers as text.
+
+    :param headers: names and values as the library gives them.
+    """
+    return [
+        (name.decode("latin-1").lower(), value.decode("latin-1"))
+        for name, value in headers
+    ]
+
+
+async def drop_idle(pool: httpcore.AsyncConnectionPool, address: str) -> None:
+    """Close the idle connections to an address, since one of them went silent.
+
+    :param pool: pool of HTTP connections.
+    :param address: ``host:port``.
+    """
+    host, port = split_address(address)
+    origin = httpcore.Origin(b"http", host.encode(), port)
+    idle = deque(
+        connection
+        for connection in pool.connections
+        if connection.can_handle_request(origin) and connection.is_idle()
+    )
+    with anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
+        while idle:
+            await idle.popleft().aclose()
+
+
+def error_of(answer: HttpAnswer) -> JasminewalkError:
+    """Return the numbered error that an answer holds.
+
+    :param answer: answer with another status than 200.
+    """
+    try:
+        refusal = _decode_refusal(answer.body)
+    except msgspec.MsgspecError:
+        return JasminewalkError(f"The answer has status {answer.status}.")
+    code = Code(refusal.code) if refusal.code in RESULTS else Code.INTERNAL_ERROR
+    return JasminewalkError(
+        refusal.message,
+        code=code,
+        ran=refusal.ran,
+        retry_after_s=refusal.retry_after_s,
+    )
+
+
+def raise_for_status(answer: HttpAnswer) -> None:
+    """Raise if an answer is not a success.
+
+    :param answer: the answer.
+    :raises OSError: if its status is not 200.
+    """
+    if answer.status != HTTP_OK:
+        raise OSError(str(error_of(answer)))
--- /dev/null
+++ b/src/jasminewalk/engine_client.py
@@ -0,0 +1,170 @@
+"""Client of a model engine, as its sidecar uses it."""
+
+from collections.abc import AsyncIterator
+from typing import Any, TypeVar
+
+import httpcore
+import msgspec
+
+from jasminewalk._http import url_of
+from jasminewalk._http_call import (
+    HTTP_ERRORS,
+    HTTP_OK,
+    HttpAnswer,
+    call,
+    error_of,
+    os_error,
+    raise_for_status,
+    timeouts,
+)
+from jasminewalk.exceptions import OrderRefusedError, StaleFencingNumberError
+from jasminewalk.generated_codes import Code
+from jasminewalk.generated_requests import EngineOrder, EngineState, GenerateRequest
+from jasminewalk.interfaces import CachePage, Engine
+
+__all__ = ["HttpEngine"]
+
+TIMEOUT_S = 2.0
+HTTP_CONFLICT = 409
+
+Decoded = TypeVar("Decoded")
+
+_encode = msgspec.json.Encoder().encode
+_decode_state = msgspec.json.Decoder(EngineState)
+_decode_page = msgspec.json.Decoder(CachePage)
+
+
+class HttpEngine(Engine):
+    """Model engine over HTTP.
+
+    :param pool: pool of HTTP connections.
+    :param address: ``host:port`` of the engine.
+    :param timeout_s: seconds to wait for an answer that is not a stream.
+    """
+
+    def __init__(
+        self,
+        pool: httpcore.AsyncConnectionPool,
+        address: str,
+        timeout_s: float = TIMEOUT_S,
+    ) -> None:
+        self.pool = pool
+        self.address = address
+        self.timeout_s = timeout_s
+
+    async def generate(self, request: GenerateRequest) -> AsyncIterator[bytes]:
+        """Yield the stream of a generation as newline-delimited JSON frames.
+
+        :param request: what to generate; ``resume_from`` tokens are skipped.
+        :raises OSError: if the connection fails.
+        """
+        try:
+            async with self.pool.stream(
+                "POST",
+                url_of(self.address, "/generate"),
+                content=_encode(request),
+                extensions=timeouts(self.timeout_s, None),
+            ) as response:
+                if response.status != HTTP_OK:
+                    body = await response.aread()
+                    raise_for_status(HttpAnswer(response.status, [], body))
+                async for data in response.aiter_stream():
+                    yield data
+        except HTTP_ERRORS as error:
+            raise os_error(error) from error
+
+    async def cancel(self, request_id: str, attempt: int) -> None:
+        """Stop a generation and free its memory.
+
+        :param request_id: identifier of the request.
+        :param attempt: number of the attempt.
+        :raises OSError: if the engine did not answer.
+        """
+        await self.call("DELETE", f"/generate/{request_id}/{attempt}")
+
+    async def state(self) -> EngineState:
+        """Return the state and load that the engine reports.
+
+        :raises OSError: if the engine did not answer.
+        """
+        return decode(_decode_state, await self.call("GET", "/state"))
+
+    async def order(self, order: EngineOrder) -> None:
+        """Send an order that states the wanted state in full.
+
+        :param order: the order.
+        :raises StaleFencingNumberError: if the engine saw a newer number.
+        :raises OrderRefusedError: if the engine refuses for another reason.
+        :raises OSError: if the engine did not answer.
+        """
+        answer = await self.send("POST", "/orders", _encode(order))
+        if answer.status == HTTP_CONFLICT:
+            error = error_of(answer)
+            if error.code == Code.STALE_FENCING_NUMBER:
+                raise StaleFencingNumberError(error.detail)
+            raise OrderRefusedError(error.detail)
+        raise_for_status(answer)
+
+    async def cache_events(self, sequence: int) -> CachePage:
+        """Return cache events from a sequence number on.
+
+        :param sequence: first number wanted.
+        :raises OSError: if the engine did not answer.
+        """
+        answer = await self.call("GET", f"/events?sequence={sequence}")
+        return decode(_decode_page, answer)
+
+    async def export_kv(self, request_id: str, attempt: int) -> bytes:
+        """Return the KV cache of a running generation as one handle.
+
+        :param request_id: identifier of the request.
+        :param attempt: number of the attempt.
+        :raises OSError: if the engine did not answer, or runs no such generation.
+        """
+        answer = await self.call("POST", f"/kv/export/{request_id}/{attempt}")
+        return answer.body
+
+    async def import_kv(self, handle: bytes) -> None:
+        """Take over a KV cache that another engine exported.
+
+        :param handle: what ``export_kv`` returned.
+        :raises OSError: if the engine did not answer, or refuses the handle.
+        """
+        await self.call("POST", "/kv/import", handle)
+
+    async def call(self, method: str, path: str, body: bytes = b"") -> HttpAnswer:
+        """Send a request and return its answer if it is a success.
+
+        :param method: HTTP method.
+        :param path: path with query.
+        :param body: body of the request.
+        :raises OSError: if the engine did not answer with a success.
+        """
+        answer = await self.send(method, path, body)
+        raise_for_status(answer)
+        return answer
+
+    async def send(self, method: str, path: str, body: bytes) -> HttpAnswer:
+        """Send a request and return its answer.
+
+        :param method: HTTP method.
+        :param path: path with query.
+        :param body: body of the request.
+        :raises OSError: if the engine did not answer.
+        """
+        return await call(
+            self.pool, method, self.address, path, body=body, timeout_s=self.timeout_s
+        )
+
+
+def decode(decoder: msgspec.json.Decoder[Decoded], answer: HttpAnswer) -> Any:
+    """Return the object that an answer holds.
+
+    :param decoder: decoder of its class.
+    :param answer: the answer.
+    :raises OSError: if the answer holds something else.
+    """
+    try:
+        return decoder.decode(answer.body)
+    except msgspec.MsgspecError as error:
+        raise OSError(str(error)) from error
--- a/src/jasminewalk/engine_model.py
+++ b/src/jasminewalk/engine_model.py
@@ -6,13 +6,13 @@
 """
 
 import random
-from collections import deque
 
 import attrs
 import msgspec
 
 from jasminewalk._engine_batch import Batch, FrameOut
 from jasminewalk._engine_cache import PrefixCache
+from jasminewalk._engine_load import LoadLog
 from jasminewalk._engine_speeds import EngineSpeeds
 from jasminewalk._engine_steps import Stream
 from jasminewalk._engine_text import output_length, prompt_digest, token_text
@@ -40,8 +40,6 @@
 ]
 
 MAX_IMPORTS = 1024
-MAX_SAMPLES = 64
-SAMPLES_PER_LAG = 4
 
 
 @attrs.frozen(kw_only=True)
@@ -72,18 +70,6 @@
     away: bool
 
 
-@attrs.frozen
-class _Sample:
-    """Load at some instant.
-
-    :param at_s: the instant in seconds.
-    :param state: the load.
-    """
-
-    at_s: float
-    state: EngineState
-
-
 class EngineModel:
     """One modelled engine.
 
@@ -106,7 +92,7 @@
         self.batch = Batch(settings, self.speeds, self.cache, emit_tokens=emit_tokens)
         self.models = list(settings.models)
         self.version = settings.version
-        self.samples: deque[_Sample] = deque(maxlen=MAX_SAMPLES)
+        self.load_log = LoadLog(settings, self.batch)
         self.change: _Change | None = None
         self.paused_s: float | None = None
         self.down = False
@@ -272,7 +258,7 @@
         self.break_streams(now_s)
         self.down = True
         self.change = None
-        self.samples.clear()
+        self.load_log.samples.clear()
         out, self.batch.out = self.batch.out, []
         return out
 
@@ -368,12 +354,7 @@
         :param now_s: current instant in seconds.
         """
         self.catch_up(now_s)
-        lag_s = self.settings.report_lag_s
-        if not self.samples or now_s - self.samples[-1].at_s >= lag_s / SAMPLES_PER_LAG:
-            self.samples.append(_Sample(now_s, self.load()))
-        while len(self.samples) > 1 and self.samples[1].at_s <= now_s - lag_s:
-            self.samples.popleft()
-        sample = self.samples[0]
+        sample = self.load_log.sample(now_s)
         return attrs.evolve(
             sample.state,
             fencing_number=self.fencing_number,
@@ -385,37 +366,8 @@
         )
 
     def load(self) -> EngineState:
-        """Return the load now."""
-        batch = self.batch
-        waiting = [item[1] for item in batch.waiting if not item[1].ended]
-        prefilling = [item[1] for item in batch.prefilling]
-        left = sum(stream.prefill_left for stream in prefilling)
-        left += sum(stream.request.prompt_tokens for stream in waiting)
-        step_s = self.speeds.decode_s(max(1, len(batch.decoding)))
-        return EngineState(
-            role=self.speeds.role,
-            models=[],
-            queued=len(waiting),
-            queued_prefill_tokens=left,
-            running=len(prefilling) + len(batch.decoding),
-            decode_tokens_left=sum(map(self.expected_left, batch.streams.values())),
-            max_batch=self.settings.max_batch,
-            prefill_tokens_per_s=self.speeds.prefill_tokens_per_s,
-            decode_tokens_per_s=1.0 / step_s,
-            kv_used=self.cache.reserved / self.settings.cache_blocks,
-        )
-
-    def expected_left(self, stream: Stream) -> int:
-        """Return the output tokens that a stream is expected to produce yet.
-
-        :param stream: the stream.
-        """
-        request = stream.request
-        expected = request.expected_tokens or request.max_tokens
-        done = request.resume_from
-        if stream.decoding:
-            done += self.batch.log.steps - stream.joined_step + 1
-        return max(1, expected - done)
+        """Return the load now, without a lag."""
+        return self.load_log.load()
 
     def cache_events(self, now_s: float, sequence: int) -> CachePage:
         """Return cache events from a sequence number on.
--- a/src/jasminewalk/generated_standins.py
+++ b/src/jasminewalk/generated_standins.py
@@ -9,16 +9,20 @@
 import msgspec
 
 __all__ = [
+    "AppendResult",
     "EngineFaults",
     "EngineModelSettings",
     "InstancesFaults",
     "LogFaults",
+    "ServiceEcho",
     "ServiceFaults",
     "StandinEngineSettings",
     "StandinInstancesSettings",
     "StandinLogSettings",
     "StandinServiceSettings",
     "StandinWeightsSettings",
+    "WeightReservation",
+    "WeightTurn",
     "WeightsFaults",
 ]
 
@@ -97,15 +101,12 @@
     :param listen: host:port for requests, orders and faults.
     :param model: the modelled engine.
     :param body_bytes: largest request body in bytes.
-    :param weights_address: host:port of the weight store; empty loads without
-        one.
     :param seed: seed of the random source.
     """
 
     listen: str = "127.0.0.1:0"
     model: EngineModelSettings
     body_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 16777216
-    weights_address: str = ""
     seed: int = 1
 
 
@@ -133,11 +134,13 @@
 
     :param listen: host:port for calls and faults.
     :param body_bytes: largest request body in bytes.
+    :param name: name shown in answers.
     :param delay_s: seconds that a call takes.
     """
 
     listen: str = "127.0.0.1:0"
     body_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 8388608
+    name: str = "service"
     delay_s: Annotated[float, msgspec.Meta(ge=0)] = 0.005
 
 
@@ -254,3 +257,53 @@
     """
 
     outage: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class WeightReservation:
+    """A reader's wish to load weights.
+
+    :param artifact: name of the model or adapter.
+    :param size_bytes: size of its weights.
+    """
+
+    artifact: str
+    size_bytes: Annotated[int, msgspec.Meta(ge=0)]
+
+
+@attrs.frozen(kw_only=True)
+class WeightTurn:
+    """When a reader may load weights.
+
+    :param wait_s: seconds to wait before the artifact may be loaded.
+    """
+
+    wait_s: float
+
+
+@attrs.frozen(kw_only=True)
+class AppendResult:
+    """Where an appended record is.
+
+    :param offset: position in the log from 1.
+    """
+
+    offset: int
+
+
+@attrs.frozen(kw_only=True)
+class ServiceEcho:
+    """Answer of the service stand-in.
+
+    :param service: name of the service.
+    :param method: method of the call.
+    :param path: path of the call.
+    :param runs: how often calls with this idempotency key ran.
+    :param body: text of the call's body.
+    """
+
+    service: str
+    method: str
+    path: str
+    runs: int
+    body: str = ""
--- /dev/null
+++ b/src/jasminewalk/log_client.py
@@ -0,0 +1,79 @@
+"""Client of the platform's append-only log."""
+
+import httpcore
+import msgspec
+
+from jasminewalk._http_call import HttpAnswer, call, raise_for_status
+from jasminewalk.exceptions import LogUnavailableError
+from jasminewalk.generated_standins import AppendResult
+from jasminewalk.interfaces import Log, LogEntry, LogPage
+
+__all__ = ["HttpLog"]
+
+_decode_append = msgspec.json.Decoder(AppendResult).decode
+_decode_page = msgspec.msgpack.Decoder(tuple[int, int, list[tuple[int, bytes]]]).decode
+
+
+class HttpLog(Log):
+    """Log service over HTTP.
+
+    :param pool: pool of HTTP connections.
+    :param address: ``host:port`` of the log service.
+    :param timeout_s: seconds to wait for an answer.
+    """
+
+    def __init__(
+        self, pool: httpcore.AsyncConnectionPool, address: str, timeout_s: float
+    ) -> None:
+        self.pool = pool
+        self.address = address
+        self.timeout_s = timeout_s
+
+    async def append(self, data: bytes) -> int:
+        """Append a record and return its offset.
+
+        :param data: encoded record.
+        :raises LogUnavailableError: if no answer came; the record may be there.
+        """
+        answer = await self.call("POST", "/records", data, self.timeout_s)
+        try:
+            return _decode_append(answer.body).offset
+        except msgspec.MsgspecError as error:
+            raise LogUnavailableError(str(error)) from error
+
+    async def read(self, offset: int, limit: int, wait_s: float = 0.0) -> LogPage:
+        """Read records from an offset on.
+
+        :param offset: first offset wanted; older than ``first`` starts there.
+        :param limit: most records to return.
+        :param wait_s: longest wait for a new record in seconds.
+        :raises LogUnavailableError: if no answer came.
+        """
+        path = f"/records?offset={offset}&limit={limit}&wait_s={wait_s:g}"
+        answer = await self.call("GET", path, b"", self.timeout_s + wait_s)
+        try:
+            first, tail, rows = _decode_page(answer.body)
+        except msgspec.MsgspecError as error:
+            raise LogUnavailableError(str(error)) from error
+        entries = [LogEntry(row_offset, data) for row_offset, data in rows]
+        return LogPage(entries, first, tail)
+
+    async def call(
+        self, method: str, path: str, body: bytes, timeout_s: float
+    ) -> HttpAnswer:
+        """Send a request to the log service.
+
+        :param method: HTTP method.
+        :param path: path with query.
+        :param body: body of the request.
+        :param timeout_s: seconds for the whole call.
+        :raises LogUnavailableError: if no answer came, or an error.
+        """
+        try:
+            answer = await call(
+                self.pool, method, self.address, path, body=body, timeout_s=timeout_s
+            )
+            raise_for_status(answer)
+        except OSError as error:
+            raise LogUnavailableError(str(error)) from error
+        return answer
--- /dev/null
+++ b/src/jasminewalk/standin_instances.py
@@ -0,0 +1,120 @@
+"""Stand-in for the platform's lagging list of instances."""
+
+from collections import deque
+from typing import Any
+
+import attrs
+
+from jasminewalk._http import send_json
+from jasminewalk._standin import Standin, StandinRequest
+from jasminewalk.clock import Clock, SystemClock
+from jasminewalk.exceptions import BadRequestError, JasminewalkError
+from jasminewalk.generated_codes import Code
+from jasminewalk.generated_requests import Instance
+from jasminewalk.generated_standins import InstancesFaults, StandinInstancesSettings
+
+__all__ = ["StandinInstances"]
+
+
+@attrs.frozen
+class _Change:
+    """A change that does not show yet.
+
+    :param due_s: instant from which it shows, in seconds.
+    :param name: instance name.
+    :param instance: the row; nothing if it is removed.
+    """
+
+    due_s: float
+    name: str
+    instance: Instance | None
+
+
+class StandinInstances(Standin[InstancesFaults]):
+    """Instance list that shows each change only after a lag.
+
+    :param settings: lag of the list.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self, settings: StandinInstancesSettings, *, clock: Clock | None = None
+    ) -> None:
+        super().__init__(settings.listen, settings.body_bytes, InstancesFaults())
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.rows: dict[str, Instance] = {}
+        self.pending: deque[_Change] = deque()
+        self.reads = 0
+        self.writes = 0
+
+    def put(self, name: str, instance: Instance | None) -> None:
+        """Change a row; the change shows after the lag.
+
+        :param name: instance name.
+        :param instance: the row; nothing removes it.
+        """
+        self.writes += 1
+        due_s = self.clock.monotonic() + self.settings.lag_s
+        self.pending.append(_Change(due_s, name, instance))
+
+    def visible(self) -> list[Instance]:
+        """Return the rows that show now."""
+        self.reads += 1
+        now_s = self.clock.monotonic()
+        while self.pending and self.pending[0].due_s <= now_s:
+            if self.faults.frozen:
+                break
+            change = self.pending.popleft()
+            self.rows.pop(change.name, None)
+            if change.instance is not None:
+                self.rows[change.name] = change.instance
+        missing = set(self.faults.flapping) if self.reads % 2 == 0 else set()
+        return [row for row in self.rows.values() if row.name not in missing]
+
+    def counts(self) -> Any:
+        """Return reads and writes."""
+        return {"reads": self.reads, "writes": self.writes}
+
+    async def answer(self, request: StandinRequest) -> None:
+        """Answer a read of the list or a change of a row.
+
+        :param request: the request.
+        """
+        parts = request.parts
+        if parts[0] != "instances" or len(parts) > 2:
+            raise self.no_such_path(request)
+        if len(parts) == 1:
+            await self.answer_list(request)
+        else:
+            await self.answer_change(request, parts[1])
+
+    async def answer_list(self, request: StandinRequest) -> None:
+        """Send the list.
+
+        :param request: the request.
+        """
+        if request.method != "GET":
+            raise self.no_such_path(request)
+        if self.faults.outage:
+            raise JasminewalkError(code=Code.NO_ENDPOINT, retry_after_s=1.0)
+        await send_json(request.send, 200, self.visible())
+
+    async def answer_change(self, request: StandinRequest, name: str) -> None:
+        """Change a row.
+
+        :param request: the request.
+        :param name: instance name in the path.
+        """
+        if request.method == "PUT":
+            instance = request.decode(Instance)
+            if instance.name != name:
+                raise BadRequestError(
+                    f"The path names {name!r}, the body {instance.name!r}."
+                )
+            self.put(name, instance)
+        elif request.method == "DELETE":
+            self.put(name, None)
+        else:
+            raise self.no_such_path(request)
+        await send_json(request.send, 200, {})
--- /dev/null
+++ b/src/jasminewalk/standin_log.py
@@ -0,0 +1,244 @@
+"""Stand-in for the platform's append-only log."""
+
+import random
+from collections import deque
+from typing import Any
+
+import anyio
+import attrs
+import msgspec
+
+from jasminewalk._http import send_json
+from jasminewalk._standin import Standin, StandinRequest
+from jasminewalk.clock import Clock, SystemClock
+from jasminewalk.exceptions import BadRequestError, JasminewalkError
+from jasminewalk.generated_codes import Code
+from jasminewalk.generated_standins import AppendResult, LogFaults, StandinLogSettings
+
+__all__ = ["StandinLog", "StoredRecord"]
+
+MAX_PAGE_RECORDS = 100_000
+MAX_WAIT_S = 60.0
+
+
+@attrs.frozen
+class StoredRecord:
+    """One record that the log keeps.
+
+    :param offset: position in the log from 1.
+    :param at_s: instant of its append in seconds.
+    :param data: the record.
+    """
+
+    offset: int
+    at_s: float
+    data: bytes
+
+
+class StandinLog(Standin[LogFaults]):
+    """Log in memory with retention, an append budget and faults.
+
+    :param settings: limits of the log.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self, settings: StandinLogSettings, *, clock: Clock | None = None
+    ) -> None:
+        super().__init__(settings.listen, settings.record_bytes, LogFaults())
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.rng = random.Random(settings.seed)
+        self.records: deque[StoredRecord] = deque()
+        self.tail = 1
+        self.budget = float(settings.append_burst)
+        self.budget_s = self.clock.monotonic()
+        self.changed = anyio.Event()
+        self.appends = 0
+        self.reads = 0
+        self.refused = 0
+        self.late: deque[tuple[float, bytes]] = deque()
+        self.late_added = anyio.Event()
+
+    @property
+    def first(self) -> int:
+        """Offset of the oldest record kept; the tail if there is none."""
+        return self.records[0].offset if self.records else self.tail
+
+    def append(self, data: bytes) -> int:
+        """Keep a record and return its offset.
+
+        :param data: the record.
+        """
+        offset = self.tail
+        self.tail += 1
+        self.appends += 1
+        self.records.append(StoredRecord(offset, self.clock.monotonic(), data))
+        self.wake_readers()
+        return offset
+
+    def wake_readers(self) -> None:
+        """Let waiting reads look again."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def forget_old(self) -> None:
+        """Drop records that are older than the retention."""
+        oldest_s = self.clock.monotonic() - self.settings.retention_s
+        while self.records and self.records[0].at_s < oldest_s:
+            self.records.popleft()
+
+    def read(self, offset: int, limit: int) -> list[StoredRecord]:
+        """Return kept records from an offset on.
+
+        :param offset: first offset wanted.
+        :param limit: most records to return.
+        """
+        self.forget_old()
+        start = max(0, offset - self.first)
+        stop = min(len(self.records), start + limit)
+        if start >= stop:
+            return []
+        return [self.records[index] for index in range(start, stop)]
+
+    def take_budget(self) -> None:
+        """Spend one append.
+
+        :raises JasminewalkError: if the budget of appends is spent.
+        """
+        now_s = self.clock.monotonic()
+        earned = (now_s - self.budget_s) * self.settings.appends_per_s
+        self.budget = min(float(self.settings.append_burst), self.budget + earned)
+        self.budget_s = now_s
+        if self.budget < 1.0:
+            self.refused += 1
+            raise JasminewalkError(
+                "The log's append budget is spent.",
+                code=Code.OVERLOADED,
+                retry_after_s=1.0 / self.settings.appends_per_s,
+            )
+        self.budget -= 1.0
+
+    def check_outage(self) -> None:
+        """Refuse while the log is down.
+
+        :raises JasminewalkError: if the log is down.
+        """
+        if self.faults.outage:
+            self.refused += 1
+            raise JasminewalkError(code=Code.LOG_UNAVAILABLE)
+
+    def on_faults(self, before: LogFaults) -> None:
+        """Let waiting reads see an outage.
+
+        :param before: the faults until now.
+        """
+        self.wake_readers()
+
+    def counts(self) -> Any:
+        """Return appends, reads, refusals and offsets."""
+        return {
+            "appends": self.appends,
+            "reads": self.reads,
+            "refused": self.refused,
+            "first": self.first,
+            "tail": self.tail,
+        }
+
+    async def answer(self, request: StandinRequest) -> None:
+        """Append or read.
+
+        :param request: the request.
+        """
+        if request.path != "/records" or request.method not in ("GET", "POST"):
+            raise self.no_such_path(request)
+        await anyio.sleep(self.faults.delay_s)
+        self.check_outage()
+        if request.method == "POST":
+            await self.answer_append(request)
+        else:
+            await self.answer_read(request)
+
+    async def answer_append(self, request: StandinRequest) -> None:
+        """Append a record, subject to the faults.
+
+        :param request: request with the record as its body.
+        """
+        if not request.body:
+            raise BadRequestError("The record is empty.")
+        self.take_budget()
+        if self.faults.late_appends:
+            self.faults = attrs.evolve(
+                self.faults, late_appends=self.faults.late_appends - 1
+            )
+            due_s = self.clock.monotonic() + self.faults.late_s
+            self.late.append((due_s, request.body))
+            self.late_added.set()
+            raise JasminewalkError(code=Code.LOG_UNAVAILABLE)
+        offset = self.append(request.body)
+        if self.loses_answer():
+            await self.lose_answer(request)
+            return
+        self.check_silence(request)
+        await send_json(request.send, 200, AppendResult(offset=offset))
+
+    def loses_answer(self) -> bool:
+        """Return whether the next answer is lost."""
+        if self.faults.lose_answers:
+            self.faults = attrs.evolve(
+                self.faults, lose_answers=self.faults.lose_answers - 1
+            )
+            return True
+        return self.faults.loss > 0 and self.rng.random() < self.faults.loss
+
+    async def answer_read(self, request: StandinRequest) -> None:
+        """Send a page of records, waiting for one if asked to.
+
+        :param request: request with offset, limit and wait.
+        """
+        self.reads += 1
+        offset = int(request.number("offset", 1, 1 << 62))
+        limit = int(request.number("limit", 1000, MAX_PAGE_RECORDS))
+        wait_s = request.number("wait_s", 0.0, MAX_WAIT_S)
+        records = self.read(offset, limit)
+        if not records:
+            await self.wait_for_record(offset, wait_s)
+            self.check_outage()
+            records = self.read(offset, limit)
+        self.check_silence(request)
+        rows = [(record.offset, record.data) for record in records]
+        body = msgspec.msgpack.encode((self.first, self.tail, rows))
+        headers = [
+            (b"content-type", b"application/msgpack"),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        start = {"type": "http.response.start", "status": 200, "headers": headers}
+        await request.send(start)
+        await request.send({"type": "http.response.body", "body": body})
+
+    async def wait_for_record(self, offset: int, wait_s: float) -> None:
+        """Wait until a record is there, the log goes down or the wait is over.
+
+        :param offset: offset wanted.
+        :param wait_s: longest wait in seconds.
+        """
+        with anyio.move_on_after(wait_s):
+            while self.tail <= offset and not self.faults.outage:
+                if self.stopping.is_set():
+                    return
+                await self.changed.wait()
+
+    def stop(self) -> None:
+        """End waiting reads, finish open requests, then return from ``run``."""
+        super().stop()
+        self.wake_readers()
+
+    async def work(self) -> None:
+        """Let late appends land when they are due, until cancelled."""
+        while True:
+            if not self.late:
+                self.late_added = anyio.Event()
+                await self.late_added.wait()
+            due_s, data = self.late.popleft()
+            await anyio.sleep(max(0.0, due_s - self.clock.monotonic()))
+            self.append(data)
--- /dev/null
+++ b/src/jasminewalk/standin_service.py
@@ -0,0 +1,75 @@
+"""Stand-in for a plain service that counts how often each key ran."""
+
+from typing import Any
+
+import anyio
+import attrs
+
+from jasminewalk._http import send_json
+from jasminewalk._standin import HeldError, Standin, StandinRequest
+from jasminewalk.generated_standins import (
+    ServiceEcho,
+    ServiceFaults,
+    StandinServiceSettings,
+)
+
+__all__ = ["StandinService"]
+
+KEY_HEADER = "idempotency-key"
+ECHOED_PREFIX = "x-"
+
+
+class StandinService(Standin[ServiceFaults]):
+    """Service that runs any call and tells what it got.
+
+    :param settings: name and speed of the service.
+    """
+
+    def __init__(self, settings: StandinServiceSettings) -> None:
+        super().__init__(settings.listen, settings.body_bytes, ServiceFaults())
+        self.settings = settings
+        self.runs: dict[str, int] = {}
+
+    def counts(self) -> Any:
+        """Return how often each idempotency key ran; calls without one as ``""``."""
+        return self.runs
+
+    async def answer(self, request: StandinRequest) -> None:
+        """Run a call, subject to the faults.
+
+        :param request: the call.
+        """
+        if self.faults.crashed:
+            await self.lose_answer(request)
+            return
+        key = dict(request.headers).get(KEY_HEADER, "")
+        self.runs[key] = self.runs.get(key, 0) + 1
+        await anyio.sleep(self.settings.delay_s + self.faults.delay_s)
+        if self.faults.lose_answers:
+            left = self.faults.lose_answers - 1
+            self.faults = attrs.evolve(self.faults, lose_answers=left)
+            await self.lose_answer(request)
+            return
+        if self.faults.silent:
+            raise HeldError
+        echo = ServiceEcho(
+            service=self.settings.name,
+            method=request.method,
+            path=request.path,
+            runs=self.runs[key],
+            body=request.body.decode("utf-8", "replace"),
+        )
+        await send_json(
+            request.send, self.faults.status or 200, echo, self.echoed(request)
+        )
+
+    def echoed(self, request: StandinRequest) -> list[tuple[bytes, bytes]]:
+        """Return the headers that come back as they were sent.
+
+        :param request: the call.
+        """
+        return [
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in request.headers
+            if name.startswith(ECHOED_PREFIX)
+        ]
--- /dev/null
+++ b/src/jasminewalk/standin_weights.py
@@ -0,0 +1,62 @@
+"""Stand-in for the platform's rate-limited weight store."""
+
+from typing import Any
+
+from jasminewalk._http import send_json
+from jasminewalk._standin import Standin, StandinRequest
+from jasminewalk.clock import Clock, SystemClock
+from jasminewalk.exceptions import JasminewalkError
+from jasminewalk.generated_codes import Code
+from jasminewalk.generated_standins import (
+    StandinWeightsSettings,
+    WeightReservation,
+    WeightsFaults,
+    WeightTurn,
+)
+
+__all__ = ["StandinWeights"]
+
+
+class StandinWeights(Standin[WeightsFaults]):
+    """Weight store that gives readers their turns at a fixed rate.
+
+    :param settings: rate of the store.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self, settings: StandinWeightsSettings, *, clock: Clock | None = None
+    ) -> None:
+        super().__init__(settings.listen, settings.body_bytes, WeightsFaults())
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.free_s = self.clock.monotonic()
+        self.reservations: dict[str, int] = {}
+
+    def reserve(self, reservation: WeightReservation) -> WeightTurn:
+        """Return when a reader may load.
+
+        :param reservation: what it wants to load.
+        """
+        now_s = self.clock.monotonic()
+        seconds = reservation.size_bytes / self.settings.bytes_per_s
+        self.free_s = max(self.free_s, now_s) + seconds
+        count = self.reservations.get(reservation.artifact, 0)
+        self.reservations[reservation.artifact] = count + 1
+        return WeightTurn(wait_s=self.free_s - now_s)
+
+    def counts(self) -> Any:
+        """Return the reservations by artifact."""
+        return self.reservations
+
+    async def answer(self, request: StandinRequest) -> None:
+        """Answer a reservation.
+
+        :param request: the request.
+        """
+        if (request.method, request.path) != ("POST", "/reservations"):
+            raise self.no_such_path(request)
+        if self.faults.outage:
+            raise JasminewalkError(code=Code.NO_ENDPOINT, retry_after_s=1.0)
+        turn = self.reserve(request.decode(WeightReservation))
+        await send_json(request.send, 200, turn)
--- /dev/null
+++ b/tests/test_standins.py
@@ -0,0 +1,327 @@
+"""Each client against its stand-in, with the faults that the client must tell apart."""
+
+import contextlib
+
+import anyio
+import httpcore
+import msgspec
+import pytest
+
+from jasminewalk._http import http_client
+from jasminewalk._http_call import NotSentError, call
+from jasminewalk.engine_client import HttpEngine
+from jasminewalk.engine_model import EngineModelSettings, output_length, token_text
+from jasminewalk.exceptions import (
+    LogUnavailableError,
+    OrderRefusedError,
+    StaleFencingNumberError,
+)
+from jasminewalk.generated_requests import (
+    EngineOrder,
+    Frame,
+    GenerateRequest,
+    Instance,
+)
+from jasminewalk.generated_standins import (
+    StandinEngineSettings,
+    StandinInstancesSettings,
+    StandinLogSettings,
+    StandinServiceSettings,
+    StandinWeightsSettings,
+)
+from jasminewalk.instances_client import HttpInstanceList
+from jasminewalk.interfaces import ServiceRequest
+from jasminewalk.log_client import HttpLog
+from jasminewalk.service_client import HttpService
+from jasminewalk.standin_engine import StandinEngine
+from jasminewalk.standin_instances import StandinInstances
+from jasminewalk.standin_log import StandinLog
+from jasminewalk.standin_service import StandinService
+from jasminewalk.standin_weights import StandinWeights
+from jasminewalk.weights_client import HttpWeightStore
+
+pytestmark = pytest.mark.anyio
+
+LONG_S = 10.0
+SHORT_S = 0.2
+FAST = EngineModelSettings(
+    decode_step_s=0.001,
+    role_change_s=0.2,
+    model_load_s=0.0,
+    report_lag_s=0.0,
+    event_lag_s=0.0,
+)
+
+
+@contextlib.asynccontextmanager
+async def serving(standin):
+    async with anyio.create_task_group() as group, http_client() as pool:
+        group.start_soon(standin.run)
+        await standin.wait_started()
+        yield pool
+        standin.stop()
+
+
+async def set_faults(pool, standin, **faults):
+    body = msgspec.json.encode(faults)
+    answer = await call(
+        pool, "PUT", standin.address, "/faults", body=body, timeout_s=LONG_S
+    )
+    assert answer.status == 200
+
+
+async def counts(pool, standin):
+    answer = await call(pool, "GET", standin.address, "/counts", timeout_s=LONG_S)
+    return msgspec.json.decode(answer.body)
+
+
+def make_request(**changes):
+    values = {
+        "request_id": "r",
+        "attempt": 1,
+        "organisation": "o",
+        "request_class": "c",
+        "model": "m",
+        "prompt": "How long?",
+        "prompt_tokens": 10,
+        "max_tokens": 30,
+        "deadline_s": 10.0,
+        **changes,
+    }
+    return GenerateRequest(**values)
+
+
+async def frames_of(engine, request):
+    data = b"".join([part async for part in engine.generate(request)])
+    return [msgspec.json.decode(line, type=Frame) for line in data.splitlines()]
+
+
+async def test_log_pages_and_long_poll():
+    log_service = StandinLog(StandinLogSettings())
+    async with serving(log_service) as pool:
+        log = HttpLog(pool, log_service.address, LONG_S)
+        assert [await log.append(data) for data in (b"a", b"b", b"c")] == [1, 2, 3]
+        page = await log.read(2, 1)
+        assert [(e.offset, e.data) for e in page.entries] == [(2, b"b")]
+        assert (page.first, page.tail) == (1, 4)
+        async with anyio.create_task_group() as group:
+            group.start_soon(log.append, b"d")
+            page = await log.read(4, 10, wait_s=LONG_S)
+        assert page.entries[0].data == b"d"
+
+
+async def test_log_forgets_and_limits(clock):
+    settings = StandinLogSettings(retention_s=10, appends_per_s=1, append_burst=2)
+    log_service = StandinLog(settings, clock=clock)
+    async with serving(log_service) as pool:
+        log = HttpLog(pool, log_service.address, LONG_S)
+        await log.append(b"a")
+        await log.append(b"b")
+        with pytest.raises(LogUnavailableError, match="budget"):
+            await log.append(b"c")
+        clock.advance(11)
+        page = await log.read(1, 10)
+        assert (page.entries, page.first, page.tail) == ([], 3, 3)
+
+
+@pytest.mark.parametrize(
+    ("faults", "landed"),
+    [({"outage": True}, 0), ({"lose_answers": 1}, 1), ({"late_appends": 1}, 0)],
+)
+async def test_log_append_without_an_answer(faults, landed):
+    log_service = StandinLog(StandinLogSettings())
+    async with serving(log_service) as pool:
+        log = HttpLog(pool, log_service.address, LONG_S)
+        await set_faults(pool, log_service, late_s=SHORT_S, **faults)
+        with pytest.raises(LogUnavailableError):
+            await log.append(b"a")
+        assert (await counts(pool, log_service))["appends"] == landed
+        await set_faults(pool, log_service, outage=False)
+        page = await log.read(1, 1, wait_s=0 if "outage" in faults else LONG_S)
+        assert len(page.entries) == ("outage" not in faults)
+
+
+async def test_silent_connections_are_replaced():
+    log_service = StandinLog(StandinLogSettings())
+    async with serving(log_service) as pool:
+        log = HttpLog(pool, log_service.address, SHORT_S)
+        await log.append(b"a")
+        async with http_client() as other:
+            await set_faults(other, log_service, silent=True)
+        with pytest.raises(LogUnavailableError):
+            await log.append(b"b")
+        assert await log.append(b"b") == 2
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body", "code"),
+    [
+        ("PUT", "/faults", b"{", 1101),
+        ("PUT", "/faults", b"[]", 1102),
+        ("PUT", "/faults", b'{"fire": true}', 1102),
+        ("PUT", "/faults", b'{"delay_s": "long"}', 1102),
+        ("POST", "/records", b"", 1102),
+        ("POST", "/records", b"x" * 2000, 1104),
+        ("GET", "/records?offset=x", b"", 1102),
+        ("GET", "/records?wait_s=nan", b"", 1102),
+        ("GET", "/nothing", b"", 1106),
+    ],
+)
+async def test_bad_input_gets_a_numbered_error(method, path, body, code):
+    log_service = StandinLog(StandinLogSettings(record_bytes=1000))
+    async with serving(log_service) as pool:
+        answer = await call(
+            pool, method, log_service.address, path, body=body, timeout_s=LONG_S
+        )
+        assert msgspec.json.decode(answer.body)["code"] == code
+
+
+async def test_engine_streams_the_whole_answer():
+    engine_service = StandinEngine(StandinEngineSettings(model=FAST))
+    async with serving(engine_service) as pool:
+        engine = HttpEngine(pool, engine_service.address)
+        frames = await frames_of(engine, make_request(prefix_hashes=[-1, 2]))
+        length = output_length("How long?", 30)
+        assert [frame.n for frame in frames] == list(range(length))
+        assert frames[3].t == token_text("How long?", 3)
+        assert (await engine.cache_events(0)).added == [-1, 2]
+
+
+async def test_engine_stops_what_nobody_reads():
+    engine_service = StandinEngine(StandinEngineSettings(model=EngineModelSettings()))
+    async with serving(engine_service) as pool:
+        engine = HttpEngine(pool, engine_service.address)
+        stream = engine.generate(make_request(max_tokens=10_000))
+        await anext(stream)
+        await stream.aclose()
+        with anyio.fail_after(LONG_S):
+            while (await counts(pool, engine_service))["cancelled"] == 0:
+                await anyio.sleep(0.01)
+
+
+async def test_engine_crash_breaks_streams_and_refuses_connections():
+    engine_service = StandinEngine(StandinEngineSettings(model=EngineModelSettings()))
+    async with serving(engine_service) as pool:
+        engine = HttpEngine(pool, engine_service.address)
+        stream = engine.generate(make_request(max_tokens=10_000))
+        await anext(stream)
+        await set_faults(pool, engine_service, crashed=True)
+        with pytest.raises(OSError):
+            async for _ in stream:
+                pass
+        with pytest.raises(OSError):
+            await engine.state()
+        await set_faults(pool, engine_service, crashed=False)
+        assert (await engine.state()).running == 0
+
+
+async def test_engine_orders():
+    engine_service = StandinEngine(StandinEngineSettings(model=FAST))
+    async with serving(engine_service) as pool:
+        engine = HttpEngine(pool, engine_service.address)
+        order = EngineOrder(fencing_number=5, role="decode", models=["m"])
+        await engine.order(order)
+        with pytest.raises(OrderRefusedError):
+            await engine.order(EngineOrder(fencing_number=6, role="mixed", models=[]))
+        with pytest.raises(StaleFencingNumberError):
+            await engine.order(EngineOrder(fencing_number=4, role="mixed", models=[]))
+        with anyio.fail_after(LONG_S):
+            while (await engine.state()).changing:
+                await anyio.sleep(0.01)
+        assert (await engine.state()).role == "decode"
+
+
+async def test_engine_crashes_in_the_middle_of_an_order():
+    engine_service = StandinEngine(StandinEngineSettings(model=FAST))
+    async with serving(engine_service) as pool:
+        engine = HttpEngine(pool, engine_service.address)
+        await set_faults(pool, engine_service, crash_on_order=True)
+        await engine.order(EngineOrder(fencing_number=5, role="decode", models=[]))
+        with anyio.fail_after(LONG_S):
+            while not engine_service.faults.crashed:
+                await anyio.sleep(0.01)
+        await set_faults(pool, engine_service, crashed=False, crash_on_order=False)
+        state = await engine.state()
+        assert (state.role, state.fencing_number) == ("mixed", 5)
+
+
+@pytest.mark.parametrize(
+    ("faults", "error", "runs"),
+    [
+        ({"crashed": True}, OSError, 0),
+        ({"lose_answers": 1}, OSError, 1),
+        ({"silent": True}, TimeoutError, 1),
+    ],
+)
+async def test_service_call_without_an_answer_may_have_run(faults, error, runs):
+    service = StandinService(StandinServiceSettings(delay_s=0))
+    async with serving(service) as pool:
+        client = HttpService(pool, service.address, timeout_s=SHORT_S * 2)
+        await set_faults(pool, service, **faults)
+        request = ServiceRequest(
+            method="POST", path="/bookings", headers=[], body=b"{}", key="k"
+        )
+        with pytest.raises(error) as caught:
+            await client.call(request)
+        assert not isinstance(caught.value, ConnectionError)
+        assert (await counts(pool, service)).get("k", 0) == runs
+
+
+async def test_service_call_that_was_not_sent():
+    async with http_client() as pool:
+        client = HttpService(pool, "127.0.0.1:1")
+        request = ServiceRequest(method="GET", path="/", headers=[], body=b"")
+        with pytest.raises(ConnectionError):
+            await client.call(request)
+
+
+async def test_service_headers_pass_through():
+    service = StandinService(StandinServiceSettings(delay_s=0))
+    async with serving(service) as pool:
+        client = HttpService(pool, service.address)
+        request = ServiceRequest(
+            method="PUT",
+            path="/seats?day=1",
+            headers=[("x-trace", "7"), ("connection", "close"), ("host", "x")],
+            body=b"seat",
+        )
+        answer = await client.call(request)
+        assert answer.status == 200
+        assert ("x-trace", "7") in answer.headers
+        assert msgspec.json.decode(answer.body)["body"] == "seat"
+
+
+async def test_instance_list_lags_and_flaps(clock):
+    service = StandinInstances(StandinInstancesSettings(lag_s=2), clock=clock)
+    row = Instance(name="e1", kind="entry", address="127.0.0.1:1", state="live")
+    async with serving(service) as pool:
+        instances = HttpInstanceList(pool, service.address)
+        body = msgspec.json.encode(row)
+        answer = await call(
+            pool, "PUT", service.address, "/instances/e1", body=body, timeout_s=LONG_S
+        )
+        assert answer.status == 200
+        assert await instances.instances() == []
+        clock.advance(3)
+        assert await instances.instances() == [row]
+        await set_faults(pool, service, flapping=["e1"])
+        seen = [len(await instances.instances()) for _ in range(4)]
+        assert sorted(seen) == [0, 0, 1, 1]
+        await set_faults(pool, service, outage=True)
+        with pytest.raises(OSError):
+            await instances.instances()
+
+
+async def test_weight_store_gives_turns(clock):
+    settings = StandinWeightsSettings(bytes_per_s=100)
+    service = StandinWeights(settings, clock=clock)
+    async with serving(service) as pool:
+        store = HttpWeightStore(pool, service.address)
+        turns = [await store.reserve("m", 1000) for _ in range(2)]
+        assert turns == [10.0, 20.0]
+
+
+async def test_unsent_error_is_a_connection_error():
+    async with httpcore.AsyncConnectionPool() as pool:
+        with pytest.raises(NotSentError):
+            await call(pool, "GET", "127.0.0.1:1", "/", timeout_s=LONG_S)
