--- /dev/null
+++ b/tests/test_api.py
@@ -0,0 +1,333 @@
+import json
+
+import anyio
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from jasminewalk._api_requests import JobBuilder, is_repeatable
+from jasminewalk.api import CallersApi, ReadinessSource
+from jasminewalk.attempts import AnswerAssembler
+from jasminewalk.clock import ManualClock
+from jasminewalk.configuration import ConfigurationView
+from jasminewalk.exceptions import JasminewalkError, RefusedError
+from jasminewalk.generated_codes import Code
+from jasminewalk.generated_configuration import ServiceRule
+from jasminewalk.generated_requests import ServiceReply
+from jasminewalk.tokens import CharacterTokenizer
+
+pytestmark = pytest.mark.anyio
+
+CHAT = "/organisations/school/v1/chat/completions"
+TEXT = "/organisations/school/v1/completions"
+DESK = "/organisations/school/services/desk"
+ORGANISATION = {
+    "classes": {"quick": {"deadline_s": 10}},
+    "models": {"tutor": {"pool": "tutor", "request_class": "quick"}},
+    "services": {
+        "desk": {"pool": "desk", "request_class": "quick", "repeatable": ["GET /"]}
+    },
+}
+TEMPLATE = {
+    "versions": {"1": {"parameters": {}, "organisation": ORGANISATION}},
+}
+SCHOOL = {"template": "t", "version": 1, "parameters": {}}
+
+
+class FakeDispatcher:
+    """Answers with fixed tokens, then fails if it was told to."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.texts = ["a", "b"]
+        self.error = None
+        self.jobs = []
+
+    async def generate(self, job, sink):
+        self.jobs.append(job)
+        answer = AnswerAssembler()
+        answer.start_attempt(1)
+        for text in self.texts:
+            answer.parts.append(text)
+            answer.next_token += 1
+            await sink.write(2, [text])
+        if self.error:
+            raise self.error
+        answer.end = "stop"
+        return answer
+
+    async def call(self, job):
+        self.jobs.append(job)
+        if self.error:
+            raise self.error
+        headers = [["x-echo", "1"], ["transfer-encoding", "chunked"]]
+        return 1, ServiceReply(status=201, headers=headers, body=b"ok", replayed=True)
+
+
+class FakeReadiness(ReadinessSource):
+    is_ready = True
+
+
+class Answer:
+    def __init__(self, sent):
+        self.status = sent[0]["status"]
+        self.headers = {
+            name.decode(): value.decode() for name, value in sent[0]["headers"]
+        }
+        self.body = b"".join(message.get("body", b"") for message in sent[1:])
+        self.ended = not sent[-1].get("more_body", False)
+
+    @property
+    def document(self):
+        return json.loads(self.body)
+
+    @property
+    def events(self):
+        return [line[6:] for line in self.body.decode().split("\n\n") if line]
+
+
+class Caller:
+    def __init__(self, app):
+        self.app = app
+
+    async def ask(self, method, path, body=b"", headers=()):
+        sent = []
+        messages = [{"type": "http.request", "body": body, "more_body": False}]
+
+        async def receive():
+            if messages:
+                return messages.pop()
+            await anyio.sleep_forever()
+
+        async def send(message):
+            sent.append(message)
+
+        path, _, query = path.partition("?")
+        scope = {
+            "type": "http",
+            "method": method,
+            "raw_path": path.encode(),
+            "path": path,
+            "query_string": query.encode(),
+            "headers": [(k.encode(), v.encode()) for k, v in headers],
+        }
+        await self.app(scope, receive, send)
+        return Answer(sent)
+
+    async def post(self, path, document, headers=()):
+        return await self.ask("POST", path, json.dumps(document).encode(), headers)
+
+
+def make_configuration():
+    view = ConfigurationView()
+    view.apply("template/t", 1, json.dumps(TEMPLATE))
+    view.apply("organisation/school", 2, json.dumps(SCHOOL))
+    return view
+
+
+@pytest.fixture
+def dispatcher():
+    return FakeDispatcher(ManualClock(100.0))
+
+
+@pytest.fixture
+def caller(dispatcher):
+    return Caller(make_app(dispatcher))
+
+
+def make_app(dispatcher):
+    return CallersApi(
+        dispatcher=dispatcher,
+        jobs=JobBuilder(
+            configuration=make_configuration(),
+            tokenizer=CharacterTokenizer(),
+            clock=dispatcher.clock,
+        ),
+        readiness=FakeReadiness(),
+        body_bytes=2000,
+        id_prefix="p",
+    )
+
+
+def chat(**fields):
+    messages = [{"role": "user", "content": "Is 94 degrees too hot?"}]
+    return {"model": "tutor", "messages": messages, **fields}
+
+
+async def test_whole_chat_answer(caller, dispatcher):
+    answer = await caller.post(CHAT, chat(max_tokens=7), [("deadline-ms", "2500")])
+    assert answer.status == 200
+    assert answer.headers["request-id"] == "p-1"
+    assert answer.headers["attempt"] == "2"
+    choice = answer.document["choices"][0]
+    assert choice["message"] == {"role": "assistant", "content": "ab"}
+    assert choice["finish_reason"] == "stop"
+    assert answer.document["usage"]["completion_tokens"] == 2
+    profile = dispatcher.jobs[0].profile
+    assert (profile.max_tokens, profile.deadline_s) == (7, 102.5)
+
+
+async def test_streamed_chat_answer_with_usage(caller):
+    body = chat(stream=True, stream_options={"include_usage": True})
+    answer = await caller.post(CHAT, body)
+    assert answer.headers["content-type"].startswith("text/event-stream")
+    assert answer.events[-1] == "[DONE]"
+    chunks = [json.loads(event) for event in answer.events[:-1]]
+    deltas = [chunk["choices"][0]["delta"] for chunk in chunks[:-1]]
+    assert deltas[0]["role"] == "assistant"
+    assert "".join(delta.get("content", "") for delta in deltas) == "ab"
+    assert chunks[-2]["choices"][0]["finish_reason"] == "stop"
+    assert chunks[-1]["usage"]["total_tokens"] > 2
+
+
+async def test_text_completion(caller):
+    answer = await caller.post(TEXT, {"model": "tutor", "prompt": ["Hello"]})
+    assert answer.document["choices"][0]["text"] == "ab"
+
+
+async def test_models(caller):
+    answer = await caller.ask("GET", "/organisations/school/v1/models")
+    assert [model["id"] for model in answer.document["data"]] == ["tutor"]
+
+
+async def test_broken_stream_ends_with_an_error_event_and_not_as_done(
+    caller, dispatcher
+):
+    dispatcher.error = RefusedError("gone", code=Code.RETRIES_EXHAUSTED, ran="ran")
+    answer = await caller.post(CHAT, chat(stream=True))
+    last = json.loads(answer.events[-1])
+    assert last["error"]["code"] == "retries_exhausted"
+    assert (last["code"], last["ran"]) == (1402, "ran")
+    assert answer.ended
+
+
+async def test_refusal_before_the_first_token_has_a_status(caller, dispatcher):
+    dispatcher.texts = []
+    dispatcher.error = RefusedError("full", code=Code.OVERLOADED, retry_after_s=1.2)
+    answer = await caller.post(CHAT, chat(stream=True))
+    assert (answer.status, answer.headers["retry-after"]) == (429, "2")
+    assert answer.document["ran"] == "not_run"
+    assert answer.document["request_id"] == answer.headers["request-id"]
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body", "headers", "code"),
+    [
+        ("POST", CHAT, b"{", [], Code.BAD_JSON),
+        ("POST", CHAT, b"\xff", [], Code.BAD_JSON),
+        ("POST", CHAT, b"[" * 1500, [], Code.BAD_JSON),
+        ("POST", CHAT, b"[]", [], Code.BAD_FIELD),
+        ("POST", CHAT, b'{"model": "tutor"}', [], Code.BAD_FIELD),
+        ("POST", CHAT, b'{"model": 1, "messages": []}', [], Code.BAD_FIELD),
+        ("POST", CHAT, json.dumps(chat(n=2)).encode(), [], Code.BAD_FIELD),
+        ("POST", CHAT, json.dumps(chat(stop="x")).encode(), [], Code.BAD_FIELD),
+        ("POST", CHAT, json.dumps(chat(max_tokens=0)).encode(), [], Code.BAD_FIELD),
+        ("POST", CHAT, b"x" * 2001, [], Code.BODY_TOO_LARGE),
+        ("GET", CHAT, b"", [], Code.WRONG_METHOD),
+        ("POST", "/organisations/school/v1/models", b"", [], Code.WRONG_METHOD),
+        ("GET", "/", b"", [], Code.UNKNOWN_PATH),
+        ("GET", "/organisations/school/v2/models", b"", [], Code.UNKNOWN_PATH),
+        ("GET", "/organisations/school/v1/files", b"", [], Code.UNKNOWN_PATH),
+        ("GET", "/organisations/none/v1/models", b"", [], Code.UNKNOWN_ORGANISATION),
+        ("GET", "/organisations/%ff/v1/models", b"", [], Code.UNKNOWN_ORGANISATION),
+        ("GET", "/organisations/school/services/none/x", b"", [], Code.UNKNOWN_SERVICE),
+        ("GET", f"{DESK}/a/../b", b"", [], Code.UNKNOWN_PATH),
+        ("GET", f"{DESK}/a/%2E%2e/b", b"", [], Code.UNKNOWN_PATH),
+        ("GET", f"{DESK}/a", b"", [("deadline-ms", "soon")], Code.BAD_HEADER),
+        ("GET", f"{DESK}/a", b"", [("deadline-ms", "0")], Code.BAD_HEADER),
+        ("GET", f"{DESK}/a", b"", [("deadline-ms", "9" * 400)], Code.BAD_HEADER),
+        ("GET", f"{DESK}/a", b"", [("request-class", "vip")], Code.BAD_HEADER),
+        ("POST", f"{DESK}/a", b"", [("idempotency-key", "k" * 256)], Code.BAD_HEADER),
+    ],
+)
+async def test_bad_requests_get_numbered_errors(
+    caller, dispatcher, method, path, body, headers, code
+):
+    answer = await caller.ask(method, path, body, headers)
+    document = answer.document
+    assert (document["code"], document["ran"]) == (code, "not_run")
+    assert document["name"] == document["error"]["code"] == code.name.lower()
+    assert answer.headers["request-id"]
+    assert dispatcher.jobs == []
+
+
+async def test_unknown_model(caller):
+    answer = await caller.post(CHAT, chat(model="other"))
+    assert answer.document["code"] == Code.UNKNOWN_MODEL
+    assert answer.document["error"]["type"] == "invalid_request_error"
+
+
+async def test_bug_is_a_numbered_error(caller, dispatcher):
+    dispatcher.error = ValueError("bug")
+    answer = await caller.ask("GET", f"{DESK}/a")
+    assert (answer.status, answer.document["code"]) == (500, Code.INTERNAL_ERROR)
+
+
+async def test_call_passes_method_path_headers_and_body(caller, dispatcher):
+    headers = [("x-a", "1"), ("host", "h"), ("deadline-ms", "50"), ("connection", "x")]
+    answer = await caller.ask("PUT", f"{DESK}/a%20b?q=1", b"data", headers)
+    job = dispatcher.jobs[0]
+    assert (job.method, job.path, job.body) == ("PUT", "/a%20b?q=1", b"data")
+    assert job.headers == [["x-a", "1"]]
+    assert job.key == "p-1"
+    assert (answer.status, answer.body) == (201, b"ok")
+    assert answer.headers["idempotency-key"] == "p-1"
+    assert answer.headers["idempotent-replayed"] == "true"
+    assert answer.headers["x-echo"] == "1"
+    assert "transfer-encoding" not in answer.headers
+
+
+async def test_key_of_the_caller_is_kept_and_repeatable_calls_have_none(
+    caller, dispatcher
+):
+    await caller.ask("POST", f"{DESK}/a", headers=[("idempotency-key", "k")])
+    await caller.ask("GET", f"{DESK}/a", headers=[("idempotency-key", "k")])
+    assert [job.key for job in dispatcher.jobs] == ["k", ""]
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "expected"),
+    [
+        ("GET", "/times", True),
+        ("GET", "/times/monday", True),
+        ("GET", "/timesheet", False),
+        ("POST", "/times", False),
+        ("PUT", "/seat", True),
+    ],
+)
+def test_repeatable_calls(method, path, expected):
+    rule = ServiceRule(pool="p", request_class="c", repeatable=["GET /times", "PUT /"])
+    assert is_repeatable(rule, method, path) is expected
+
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(["model", "messages", "role", "content", "n", "stream"]),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=8,
+)
+
+
+@given(
+    st.sampled_from(["GET", "POST", "PATCH"]),
+    st.sampled_from([CHAT, TEXT, DESK, f"{DESK}/", "/organisations//v1/models", "*"]),
+    st.binary(max_size=60) | json_values.map(lambda value: json.dumps(value).encode()),
+    st.dictionaries(
+        st.sampled_from(["deadline-ms", "idempotency-key", "request-class"]),
+        st.text(st.characters(max_codepoint=255), max_size=8),
+    ),
+)
+@settings(derandomize=True, deadline=None, max_examples=300)
+def test_any_request_gets_an_answer(method, path, body, headers):
+    app = make_app(FakeDispatcher(ManualClock()))
+    pairs = [(name, value) for name, value in headers.items()]
+    answer = anyio.run(Caller(app).ask, method, path, body, pairs)
+    assert answer.ended
+    if answer.status >= 400:
+        assert JasminewalkError(code=Code(answer.document["code"]))
+        assert answer.document["code"] != Code.INTERNAL_ERROR
