Add the command line with publish, status, explain and check

A publication appends one record per subject, fleet and templates first, sends a record again with the same bytes while its answer is lost, and counts it only when it was read back from the log. Conflicts name the winner. Two result codes are new: unreachable and unknown_request.

--- a/src/jasminewalk/exceptions.py
+++ b/src/jasminewalk/exceptions.py
@@ -16,6 +16,8 @@
     "RefusedError",
     "StaleFencingNumberError",
     "UnauthenticatedPeerError",
+    "UnknownRequestError",
+    "UnreachableError",
 ]
 
 
@@ -107,6 +109,18 @@
     code = Code.NOT_IN_FORCE
 
 
+class UnreachableError(JasminewalkError):
+    """A service or instance that a command needs cannot be reached."""
+
+    code = Code.UNREACHABLE
+
+
+class UnknownRequestError(JasminewalkError):
+    """No live entry remembers a request."""
+
+    code = Code.UNKNOWN_REQUEST
+
+
 class LogUnavailableError(JasminewalkError):
     """The log service did not answer; an append may still have taken effect."""
 
--- /dev/null
+++ b/src/jasminewalk/file_checks.py
@@ -0,0 +1,66 @@
+"""Checks of any file that operators write."""
+
+from pathlib import Path
+
+from jasminewalk.configuration import ConfigurationView
+from jasminewalk.configuration_checks import check_documents
+from jasminewalk.configuration_files import is_configuration, read_configuration
+from jasminewalk.exceptions import BadConfigurationError, BadSettingsError
+from jasminewalk.settings import guess_kind, settings_problems
+from jasminewalk.yaml_files import read_documents
+
+__all__ = ["check_file"]
+
+
+def check_file(file: str) -> str:
+    """Check a file and return the line that says what is in it.
+
+    :param file: YAML file, or directory of configuration files.
+    :raises BadSettingsError: if settings are not valid.
+    :raises BadConfigurationError: if configuration is not valid.
+    """
+    if Path(file).is_dir():
+        return check_configuration(file)
+    documents = read_documents(file, BadSettingsError)
+    if is_configuration(documents):
+        return check_configuration(file)
+    return check_settings(file)
+
+
+def check_settings(file: str) -> str:
+    """Check a settings file.
+
+    :param file: YAML file.
+    :raises BadSettingsError: if it is not valid.
+    """
+    documents = read_documents(file, BadSettingsError)
+    if len(documents) != 1:
+        raise BadSettingsError(
+            f"{file}: found {len(documents)} documents; allowed is one"
+        )
+    kind = guess_kind(documents[0])
+    problems = settings_problems(documents[0], kind)
+    if problems:
+        messages = "\n".join(map(documents[0].message, problems))
+        raise BadSettingsError(f"{messages}\n(read as settings of {kind.name})")
+    return f"{file}: valid settings of {kind.name}"
+
+
+def check_configuration(file: str) -> str:
+    """Check a configuration that is whole in itself.
+
+    :param file: YAML file, or directory of configuration files.
+    :raises BadConfigurationError: if it is not valid.
+    """
+    documents = read_configuration(file)
+    kinds = [document.kind for document in documents]
+    if "fleet" not in kinds:
+        raise BadConfigurationError(
+            f"{file}: found no fleet; allowed is a whole configuration here, and "
+            "publish --dry_run checks a part of one against what is in force"
+        )
+    check_documents(documents, ConfigurationView())
+    return (
+        f"{file}: valid configuration with {kinds.count('template')} templates and "
+        f"{kinds.count('organisation')} organisations"
+    )
--- a/src/jasminewalk/generated_codes.py
+++ b/src/jasminewalk/generated_codes.py
@@ -45,6 +45,8 @@
     BAD_CONFIGURATION = 1602
     CONFIGURATION_CONFLICT = 1603
     NOT_IN_FORCE = 1604
+    UNREACHABLE = 1605
+    UNKNOWN_REQUEST = 1606
     STALE_FENCING_NUMBER = 1701
     ORDER_REFUSED = 1702
     GRANT_LAPSED = 1703
@@ -273,6 +275,20 @@
         ran="unknown",
         message="The configuration is not in force on every live instance yet.",
     ),
+    Code.UNREACHABLE: Result(
+        code=Code.UNREACHABLE,
+        http_status=503,
+        exit_code=11,
+        ran="not_run",
+        message="A service or instance that the command needs cannot be reached.",
+    ),
+    Code.UNKNOWN_REQUEST: Result(
+        code=Code.UNKNOWN_REQUEST,
+        http_status=404,
+        exit_code=3,
+        ran="not_run",
+        message="No live entry remembers the request.",
+    ),
     Code.STALE_FENCING_NUMBER: Result(
         code=Code.STALE_FENCING_NUMBER,
         http_status=409,
--- a/src/jasminewalk/generated_settings.py
+++ b/src/jasminewalk/generated_settings.py
@@ -11,6 +11,7 @@
 __all__ = [
     "EntrySettings",
     "LogSettings",
+    "OperatorSettings",
     "PeerSettings",
     "SidecarSettings",
 ]
@@ -140,3 +141,25 @@
     progress_timeout_s: Annotated[float, msgspec.Meta(gt=0)] = 3.0
     shutdown_s: Annotated[float, msgspec.Meta(gt=0)] = 60.0
     seed: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class OperatorSettings:
+    """How the commands for operators reach the platform.
+
+    :param log: the log service.
+    :param instances_address: host:port of the instance list.
+    :param author: name that publications carry; empty takes that of the user.
+    :param publish_timeout_s: longest wait in seconds until the log has a
+        publication.
+    :param in_force_timeout_s: longest wait in seconds until a publication is
+        in force everywhere.
+    :param status_timeout_s: seconds to wait for the status of an instance.
+    """
+
+    log: LogSettings
+    instances_address: Annotated[str, msgspec.Meta(pattern="^[^:\\s]+:[0-9]{1,5}$")]
+    author: str = ""
+    publish_timeout_s: Annotated[float, msgspec.Meta(gt=0)] = 30.0
+    in_force_timeout_s: Annotated[float, msgspec.Meta(gt=0)] = 30.0
+    status_timeout_s: Annotated[float, msgspec.Meta(gt=0)] = 2.0
--- /dev/null
+++ b/src/jasminewalk/inspection.py
@@ -0,0 +1,100 @@
+"""What the commands ``status`` and ``explain`` gather from the fleet."""
+
+import anyio
+import msgspec
+
+from jasminewalk._http import http_client
+from jasminewalk.exceptions import (
+    LogUnavailableError,
+    UnknownRequestError,
+    UnreachableError,
+)
+from jasminewalk.generated_requests import Instance
+from jasminewalk.generated_settings import OperatorSettings
+from jasminewalk.instances_client import HttpInstanceList
+from jasminewalk.log_client import HttpLog
+from jasminewalk.log_reader import LogReader
+from jasminewalk.recent_changes import RecentChange, recent_changes
+from jasminewalk.status import FleetStatus, StatusReader, fleet_status
+from jasminewalk.traces import RequestTrace
+
+__all__ = ["explain_request", "read_status"]
+
+KEPT_RECORDS = 5000
+
+
+async def read_status(settings: OperatorSettings, max_changes: int) -> FleetStatus:
+    """Return the state of the fleet.
+
+    :param settings: how to reach the platform.
+    :param max_changes: most recent changes to show.
+    :raises UnreachableError: if the instance list does not answer.
+    """
+    async with http_client() as pool:
+        log = LogReader(HttpLog(pool, settings.log.address, settings.status_timeout_s))
+        instances = HttpInstanceList(
+            pool, settings.instances_address, settings.status_timeout_s
+        )
+        reader = StatusReader(pool, instances, settings.status_timeout_s)
+        changes: list[RecentChange] = []
+        log_revision = None
+        try:
+            records = await log.read_to_tail(settings.publish_timeout_s, KEPT_RECORDS)
+            changes = recent_changes(records, max_changes)
+            log_revision = log.fold.next_offset - 1
+        except LogUnavailableError:
+            pass
+        try:
+            rows, statuses = await reader.read()
+        except OSError as error:
+            raise unreachable(settings, error) from error
+    return fleet_status(rows, statuses, changes=changes, log_revision=log_revision)
+
+
+async def explain_request(
+    settings: OperatorSettings, request_id: str
+) -> tuple[str, RequestTrace]:
+    """Return the entry that served a request, and what it remembers.
+
+    :param settings: how to reach the platform.
+    :param request_id: identifier of the request.
+    :raises UnreachableError: if the instance list does not answer.
+    :raises UnknownRequestError: if no entry remembers the request.
+    """
+    async with http_client() as pool:
+        instances = HttpInstanceList(
+            pool, settings.instances_address, settings.status_timeout_s
+        )
+        reader = StatusReader(pool, instances, settings.status_timeout_s)
+        try:
+            rows = await instances.instances()
+        except OSError as error:
+            raise unreachable(settings, error) from error
+        found: dict[str, RequestTrace] = {}
+
+        async def ask(row: Instance) -> None:
+            body = await reader.get(row.control_address, f"/explain/{request_id}")
+            if body is not None:
+                found[row.name] = msgspec.json.decode(body, type=RequestTrace)
+
+        async with anyio.create_task_group() as group:
+            for row in rows:
+                if row.kind == "entry":
+                    group.start_soon(ask, row)
+    for entry, trace in found.items():
+        return entry, trace
+    raise UnknownRequestError(
+        f"None of the entries remembers request {request_id!r}; each remembers its "
+        "latest requests only."
+    )
+
+
+def unreachable(settings: OperatorSettings, error: OSError) -> UnreachableError:
+    """Return the error for an instance list that does not answer.
+
+    :param settings: how to reach the platform.
+    :param error: what its client reported.
+    """
+    return UnreachableError(
+        f"The instance list at {settings.instances_address} does not answer: {error}"
+    )
--- /dev/null
+++ b/src/jasminewalk/publication.py
@@ -0,0 +1,304 @@
+"""What a publication changes, and what became of each change."""
+
+import difflib
+import random
+from collections.abc import Iterator
+
+import attrs
+import msgspec
+import yaml
+
+from jasminewalk.configuration import ConfigurationView, split_subject
+from jasminewalk.configuration_files import ConfigurationDocument
+from jasminewalk.exceptions import ConfigurationConflictError
+from jasminewalk.fold import LogFold
+from jasminewalk.fold_events import (
+    FoldEvent,
+    StateReplaced,
+    SubjectChanged,
+    SubjectRejected,
+)
+from jasminewalk.generated_records import ConfigurationRecord
+from jasminewalk.log_writer import new_record_id
+
+__all__ = ["Change", "Conflict", "Publication", "plan_changes", "view_of"]
+
+
+@attrs.frozen(kw_only=True)
+class Change:
+    """One subject that a publication changes.
+
+    :param subject: subject on the log.
+    :param base_revision: revision that the change is based on; 0 for none.
+    :param before: JSON text in force; empty for none.
+    :param after: JSON text wanted; empty to delete the subject.
+    """
+
+    subject: str
+    base_revision: int
+    before: str
+    after: str
+
+    @property
+    def deleted(self) -> bool:
+        """Whether the subject is removed."""
+        return not self.after
+
+    @property
+    def summary(self) -> str:
+        """What happens to the subject, in a few words."""
+        if self.deleted:
+            return f"delete {self.subject} (revision {self.base_revision})"
+        if not self.before:
+            return f"create {self.subject}"
+        return f"change {self.subject} (revision {self.base_revision})"
+
+    def diff(self) -> str:
+        """Return the change as a unified diff of YAML."""
+        lines = difflib.unified_diff(
+            yaml_lines(self.before),
+            yaml_lines(self.after),
+            f"{self.subject} in force",
+            f"{self.subject} wanted",
+            lineterm="",
+        )
+        return "\n".join(lines)
+
+
+@attrs.frozen(kw_only=True)
+class Conflict:
+    """A change that lost against another one.
+
+    :param subject: subject on the log.
+    :param base_revision: revision that the change was based on.
+    :param winner_revision: revision in force; 0 if the subject was deleted.
+    :param winner_author: who published it.
+    :param winner_reason: why it was published.
+    """
+
+    subject: str
+    base_revision: int
+    winner_revision: int
+    winner_author: str
+    winner_reason: str
+
+    def __str__(self) -> str:
+        author = self.winner_author or "somebody"
+        reason = f" ({self.winner_reason})" if self.winner_reason else ""
+        return (
+            f"{self.subject}: found revision {self.winner_revision} by {author}"
+            f"{reason}; this change was based on revision {self.base_revision}"
+        )
+
+
+def yaml_lines(document: str) -> list[str]:
+    """Return a document as lines of YAML.
+
+    :param document: JSON text; empty for none.
+    """
+    if not document:
+        return []
+    text: str = yaml.safe_dump(msgspec.json.decode(document), allow_unicode=True)
+    return text.splitlines()
+
+
+def view_of(fold: LogFold) -> ConfigurationView:
+    """Return the configuration in force at the end of a fold.
+
+    :param fold: the fold, ready.
+    """
+    view = ConfigurationView()
+    for entry in fold.state().entries:
+        if not entry.deleted:
+            view.apply(entry.subject, entry.revision, entry.document)
+    return view
+
+
+def plan_changes(
+    documents: list[ConfigurationDocument], fold: LogFold, base: int | None = None
+) -> list[Change]:
+    """Return what has to change for documents to be in force.
+
+    :param documents: documents wanted, fleet and templates first.
+    :param fold: state of the log.
+    :param base: last revision that the operator has seen; nothing for the tail.
+    :raises ConfigurationConflictError: if a subject was changed after the base.
+    """
+    changes = []
+    conflicts = []
+    for document in documents:
+        current = fold.subject(document.subject)
+        before = current.document if current and not current.deleted else ""
+        if before == document.text:
+            continue
+        revision = current.revision if current else 0
+        if current and base is not None and revision > base:
+            conflicts.append(conflict_of(document.subject, base, fold))
+        change = Change(
+            subject=document.subject,
+            base_revision=revision,
+            before=before,
+            after=document.text,
+        )
+        changes.append(change)
+    raise_conflicts(conflicts)
+    kept = [change for change in changes if not change.deleted]
+    deletions = [change for change in changes if change.deleted]
+    return kept + deletions[::-1]
+
+
+def conflict_of(subject: str, base_revision: int, fold: LogFold) -> Conflict:
+    """Return the conflict with the revision of a subject in force.
+
+    :param subject: subject on the log.
+    :param base_revision: revision that the losing change was based on.
+    :param fold: state of the log.
+    """
+    winner = fold.subject(subject)
+    return Conflict(
+        subject=subject,
+        base_revision=base_revision,
+        winner_revision=winner.revision if winner else 0,
+        winner_author=winner.author if winner else "",
+        winner_reason=winner.reason if winner else "",
+    )
+
+
+def raise_conflicts(conflicts: list[Conflict]) -> None:
+    """Raise an error that names the winners, if there are any conflicts.
+
+    :param conflicts: changes that lost.
+    :raises ConfigurationConflictError: if there are any.
+    """
+    if conflicts:
+        raise ConfigurationConflictError("\n".join(map(str, conflicts)))
+
+
+class Publication:
+    """Changes on their way to the log, one kind of subject after the other.
+
+    :param changes: what to change, in order.
+    :param fold: state of the log, kept up to date by the caller.
+    :param author: who publishes.
+    :param reason: why.
+    :param rng: random source for record identifiers.
+    """
+
+    def __init__(
+        self,
+        changes: list[Change],
+        *,
+        fold: LogFold,
+        author: str,
+        reason: str,
+        rng: random.Random,
+    ) -> None:
+        self.fold = fold
+        self.author = author
+        self.reason = reason
+        self.rng = rng
+        self.phases = list(phases(changes))
+        self.pending: dict[str, Change] = {}
+        self.accepted: dict[str, int] = {}
+        self.conflicts: list[Conflict] = []
+
+    @property
+    def finished(self) -> bool:
+        """Whether nothing is left to append or to wait for."""
+        return not self.pending and (not self.phases or bool(self.conflicts))
+
+    @property
+    def revision(self) -> int:
+        """Highest offset of an accepted change; 0 for none."""
+        return max(self.accepted.values(), default=0)
+
+    def next_records(self) -> list[ConfigurationRecord]:
+        """Return the records to append now.
+
+        Records of one kind are only returned once all of the kind before are in
+        force, so that no reader meets an organisation before its template.
+        """
+        if self.pending or self.conflicts or not self.phases:
+            return []
+        records = [self.record(change) for change in self.phases[0]]
+        self.pending = {
+            record.record_id: change
+            for record, change in zip(records, self.phases[0], strict=True)
+        }
+        del self.phases[0]
+        return records
+
+    def record(self, change: Change) -> ConfigurationRecord:
+        """Return the record that proposes a change.
+
+        :param change: the change.
+        """
+        return ConfigurationRecord(
+            record_id=new_record_id(self.rng),
+            subject=change.subject,
+            base_revision=change.base_revision,
+            document=change.after,
+            deleted=change.deleted,
+            author=self.author,
+            reason=self.reason,
+        )
+
+    def on_event(self, event: FoldEvent) -> None:
+        """Note what became of a change.
+
+        :param event: what a log record changed.
+        """
+        if isinstance(event, SubjectChanged):
+            change = self.pending.pop(event.record_id, None)
+            if change is not None:
+                self.accepted[change.subject] = event.revision
+        elif isinstance(event, SubjectRejected):
+            change = self.pending.pop(event.record_id, None)
+            if change is not None:
+                self.lost(change)
+        elif isinstance(event, StateReplaced):
+            self.look_up()
+
+    def lost(self, change: Change) -> None:
+        """Note a change that lost; a winner with the same document is no loss.
+
+        :param change: the change.
+        """
+        winner = self.fold.subject(change.subject)
+        if winner and not winner.deleted and winner.document == change.after:
+            self.accepted[change.subject] = winner.revision
+            return
+        self.conflicts.append(
+            conflict_of(change.subject, change.base_revision, self.fold)
+        )
+
+    def look_up(self) -> None:
+        """Find the pending changes in a state that a snapshot replaced."""
+        for record_id, change in list(self.pending.items()):
+            entry = self.fold.subject(change.subject)
+            if entry is not None and entry.record_id == record_id:
+                self.accepted[change.subject] = entry.revision
+                del self.pending[record_id]
+
+
+def phases(changes: list[Change]) -> Iterator[list[Change]]:
+    """Yield runs of changes that can be appended in any order.
+
+    :param changes: all changes, in order.
+    """
+    run: list[Change] = []
+    for change in changes:
+        if run and phase_key(change) != phase_key(run[0]):
+            yield run
+            run = []
+        run.append(change)
+    if run:
+        yield run
+
+
+def phase_key(change: Change) -> tuple[bool, str]:
+    """Return what changes of one run have in common.
+
+    :param change: the change.
+    """
+    return change.deleted, split_subject(change.subject)[0]
--- /dev/null
+++ b/src/jasminewalk/publish.py
@@ -0,0 +1,301 @@
+"""Publishing of a configuration: append, read back, wait until in force."""
+
+import getpass
+import random
+from collections.abc import Callable
+
+import anyio
+import attrs
+from anyio.abc import TaskGroup
+
+from jasminewalk._http import http_client
+from jasminewalk.clock import Clock, SystemClock
+from jasminewalk.configuration_checks import check_documents
+from jasminewalk.configuration_files import read_configuration
+from jasminewalk.exceptions import LogUnavailableError, NotInForceError
+from jasminewalk.generated_settings import OperatorSettings
+from jasminewalk.instances_client import HttpInstanceList
+from jasminewalk.interfaces import Log
+from jasminewalk.log_client import HttpLog
+from jasminewalk.log_reader import LogReader
+from jasminewalk.log_writer import LogWriter, LogWriterSettings, SendAppend
+from jasminewalk.publication import (
+    Change,
+    Publication,
+    plan_changes,
+    raise_conflicts,
+    view_of,
+)
+from jasminewalk.status import FleetStatus, StatusReader, fleet_status
+
+__all__ = ["PublishOptions", "Publisher", "publish_file"]
+
+READ_WAIT_S = 0.2
+IN_FORCE_POLL_S = 0.2
+APPENDS_PER_S = 100.0
+APPEND_BURST = 50
+MAX_DIFFS = 40
+
+Printer = Callable[[str], None]
+
+
+@attrs.frozen(kw_only=True)
+class PublishOptions:
+    """What an operator asks for.
+
+    :param file: YAML file or directory of them.
+    :param dry_run: whether only to show what would change.
+    :param base: last revision that the operator has seen; nothing for the newest.
+    :param reason: why, for the log.
+    :param wait: whether to wait until it is in force everywhere.
+    """
+
+    file: str
+    dry_run: bool = False
+    base: int | None = None
+    reason: str = ""
+    wait: bool = True
+
+
+class Publisher:
+    """Appends the records of a publication until each was read back.
+
+    :param log: the platform's log.
+    :param reader: reader of the same log, at its tail.
+    :param publication: what to append.
+    :param clock: source of time.
+    :param rng: random source for jitter.
+    :param answer_timeout_s: seconds after which an answer counts as lost.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: Log,
+        reader: LogReader,
+        publication: Publication,
+        clock: Clock,
+        rng: random.Random,
+        answer_timeout_s: float,
+    ) -> None:
+        self.log = log
+        self.reader = reader
+        self.publication = publication
+        self.clock = clock
+        settings = LogWriterSettings(
+            answer_timeout_s=answer_timeout_s,
+            appends_per_s=APPENDS_PER_S,
+            burst=APPEND_BURST,
+        )
+        self.writer = LogWriter(settings, rng)
+        self.given_up = False
+
+    async def run(self, timeout_s: float) -> None:
+        """Append all records.
+
+        :param timeout_s: longest wait in seconds.
+        :raises ConfigurationConflictError: if a change lost against another one.
+        :raises LogUnavailableError: if a record was not read back in time.
+        """
+        give_up_s = self.clock.monotonic() + timeout_s
+        async with anyio.create_task_group() as group:
+            while not self.publication.finished and not self.given_up:
+                await self.step(group, give_up_s)
+            group.cancel_scope.cancel()
+        raise_conflicts(self.publication.conflicts)
+        if self.given_up:
+            raise self.unconfirmed()
+
+    async def step(self, group: TaskGroup, give_up_s: float) -> None:
+        """Send what is due and read what the log has.
+
+        :param group: task group for the appends.
+        :param give_up_s: instant at which to give up.
+        """
+        now_s = self.clock.monotonic()
+        actions = []
+        for record in self.publication.next_records():
+            actions += self.writer.submit(now_s, record, give_up_s)
+        actions += self.writer.tick(now_s)
+        for action in actions:
+            if isinstance(action, SendAppend):
+                group.start_soon(self.append, action)
+        self.given_up = now_s >= give_up_s
+        await self.read()
+
+    async def append(self, action: SendAppend) -> None:
+        """Append one record.
+
+        :param action: the record.
+        """
+        try:
+            offset = await self.log.append(action.data)
+        except LogUnavailableError:
+            self.writer.failed(self.clock.monotonic(), action.record_id)
+        else:
+            self.writer.answered(action.record_id, offset)
+
+    async def read(self) -> None:
+        """Read new records and note what became of the publication's own."""
+        try:
+            folded = await self.reader.read(READ_WAIT_S)
+        except LogUnavailableError:
+            await anyio.sleep(READ_WAIT_S)
+            return
+        for record in folded:
+            self.writer.seen(getattr(record.record, "record_id", ""))
+            for event in record.events:
+                self.publication.on_event(event)
+
+    def unconfirmed(self) -> LogUnavailableError:
+        """Return the error for records that were not read back in time."""
+        subjects = [change.subject for change in self.publication.pending.values()]
+        shown = ", ".join(subjects[:5]) + (", ..." if len(subjects) > 5 else "")
+        return LogUnavailableError(
+            f"{shown}: the log did not confirm the change in time, and it may still "
+            "take effect. Run the same command again; what is in force is left alone.",
+            ran="unknown",
+        )
+
+
+async def publish_file(
+    settings: OperatorSettings, options: PublishOptions, printer: Printer
+) -> None:
+    """Publish a configuration file and say when it is in force.
+
+    :param settings: how to reach the platform.
+    :param options: what the operator asks for.
+    :param printer: receiver of lines for the operator.
+    :raises BadConfigurationError: if the file or its effect is not valid.
+    :raises ConfigurationConflictError: if another change was accepted first.
+    :raises LogUnavailableError: if the log does not answer.
+    :raises NotInForceError: if it is not in force everywhere in time.
+    """
+    documents = read_configuration(options.file)
+    async with http_client() as pool:
+        log = HttpLog(pool, settings.log.address, settings.log.timeout_s)
+        reader = LogReader(log)
+        await reader.read_to_tail(settings.publish_timeout_s)
+        check_documents(documents, view_of(reader.fold))
+        changes = plan_changes(documents, reader.fold, options.base)
+        for change in changes[:MAX_DIFFS]:
+            printer(change.summary)
+            if options.dry_run:
+                printer(change.diff())
+        if len(changes) > MAX_DIFFS:
+            printer(f"... and {len(changes) - MAX_DIFFS} further changes")
+        if options.dry_run:
+            base = reader.fold.next_offset - 1
+            printer(f"Dry run: {len(changes)} changes, nothing was published.")
+            printer(f"To publish just this: --base={base}")
+            return
+        revision = await append_changes(settings, options, reader, changes)
+        if not changes:
+            subjects = [document.subject for document in documents]
+            entries = [reader.fold.subject(subject) for subject in subjects]
+            revision = max((entry.revision for entry in entries if entry), default=0)
+            printer("Nothing to publish: the log has all of it already.")
+        else:
+            printer(f"Published {len(changes)} changes. revision={revision}")
+        if options.wait:
+            instances = HttpInstanceList(pool, settings.instances_address)
+            status = StatusReader(pool, instances, settings.status_timeout_s)
+            await wait_in_force(status, revision, settings.in_force_timeout_s, printer)
+
+
+async def append_changes(
+    settings: OperatorSettings,
+    options: PublishOptions,
+    reader: LogReader,
+    changes: list[Change],
+) -> int:
+    """Append changes and return the revision of the last one.
+
+    :param settings: how to reach the platform.
+    :param options: what the operator asks for.
+    :param reader: reader of the log, at its tail.
+    :param changes: what to change.
+    """
+    rng = random.SystemRandom()
+    publication = Publication(
+        changes,
+        fold=reader.fold,
+        author=settings.author or getpass.getuser(),
+        reason=options.reason,
+        rng=rng,
+    )
+    publisher = Publisher(
+        log=reader.log,
+        reader=reader,
+        publication=publication,
+        clock=SystemClock(),
+        rng=rng,
+        answer_timeout_s=settings.log.timeout_s,
+    )
+    await publisher.run(settings.publish_timeout_s)
+    return publication.revision
+
+
+async def wait_in_force(
+    reader: StatusReader, revision: int, timeout_s: float, printer: Printer
+) -> None:
+    """Wait until every live instance has a revision in force.
+
+    :param reader: reader of the fleet's status.
+    :param revision: the revision.
+    :param timeout_s: longest wait in seconds.
+    :param printer: receiver of lines for the operator.
+    :raises NotInForceError: if some instances do not have it in time.
+    """
+    status: FleetStatus | None = None
+    with anyio.move_on_after(timeout_s):
+        while True:
+            try:
+                rows, statuses = await reader.read()
+            except OSError:
+                await anyio.sleep(IN_FORCE_POLL_S)
+                continue
+            status = fleet_status(rows, statuses, changes=[], log_revision=revision)
+            if status.entries and not behind(status, revision):
+                printer(in_force_line(status, revision))
+                return
+            await anyio.sleep(IN_FORCE_POLL_S)
+    if status is None or not status.entries:
+        raise NotInForceError(
+            f"Revision {revision} is accepted, but the instance list names no entry "
+            "that could be asked."
+        )
+    names = behind(status, revision)
+    raise NotInForceError(
+        f"Revision {revision} is accepted, but not in force on {', '.join(names)} "
+        f"after {timeout_s:g} s. It will be once they read the log."
+    )
+
+
+def behind(status: FleetStatus, revision: int) -> list[str]:
+    """Return the live instances that do not have a revision in force.
+
+    :param status: state of the fleet.
+    :param revision: the revision.
+    """
+    rows = [(row.name, row.state, row.revision) for row in status.entries]
+    rows += [(row.name, row.state, row.revision) for row in status.endpoints]
+    return [
+        f"{name} ({state}, revision {found})"
+        for name, state, found in rows
+        if state != "leaving" and found < revision
+    ]
+
+
+def in_force_line(status: FleetStatus, revision: int) -> str:
+    """Return the line that says where a revision is in force.
+
+    :param status: state of the fleet.
+    :param revision: the revision.
+    """
+    entries = sum(row.state != "leaving" for row in status.entries)
+    endpoints = sum(row.state != "leaving" for row in status.endpoints)
+    return (
+        f"In force on all live instances: {entries} entries and {endpoints} "
+        f"endpoints. revision={revision}"
+    )
--- /dev/null
+++ b/src/jasminewalk/recent_changes.py
@@ -0,0 +1,89 @@
+"""Changes that the log accepted, for people to read."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from jasminewalk.fold_events import (
+    GrantAccepted,
+    GrantEnded,
+    RegistrationAccepted,
+    SubjectChanged,
+)
+from jasminewalk.generated_records import GrantRecord
+from jasminewalk.log_reader import FoldedRecord
+
+__all__ = ["RecentChange", "recent_changes"]
+
+
+@attrs.frozen(kw_only=True)
+class RecentChange:
+    """A change that the log accepted.
+
+    :param revision: offset of the record.
+    :param subject: what changed.
+    :param change: what happened to it.
+    :param author: who asked for it.
+    :param reason: why.
+    """
+
+    revision: int
+    subject: str
+    change: str
+    author: str = ""
+    reason: str = ""
+
+
+def recent_changes(records: Iterable[FoldedRecord], limit: int) -> list[RecentChange]:
+    """Return the last changes of configuration and endpoints, newest first.
+
+    :param records: records of the log in order, with what they changed.
+    :param limit: most changes to return.
+    """
+    changes = [
+        change
+        for folded in records
+        for event in folded.events
+        if (change := change_of(folded, event)) is not None
+    ]
+    return changes[::-1][:limit]
+
+
+def change_of(folded: FoldedRecord, event: object) -> RecentChange | None:
+    """Return the change that an event stands for, if operators care for it.
+
+    :param folded: the record.
+    :param event: what it changed.
+    """
+    record = folded.record
+    match event:
+        case SubjectChanged():
+            return RecentChange(
+                revision=event.revision,
+                subject=event.subject,
+                change="deleted" if event.deleted else "published",
+                author=getattr(record, "author", ""),
+                reason=event.reason,
+            )
+        case GrantAccepted() if isinstance(record, GrantRecord):
+            return RecentChange(
+                revision=event.grant,
+                subject=record.endpoint,
+                change=f"ordered role={record.role}",
+                author=record.incarnation,
+                reason=record.reason,
+            )
+        case GrantEnded():
+            return RecentChange(
+                revision=folded.offset,
+                subject=event.endpoint,
+                change=f"order {event.outcome} role={event.role}",
+            )
+        case RegistrationAccepted():
+            return RecentChange(
+                revision=event.offset,
+                subject=event.endpoint,
+                change="left" if event.left else "registered",
+                author=event.incarnation,
+            )
+    return None
--- a/src/jasminewalk/settings.py
+++ b/src/jasminewalk/settings.py
@@ -6,7 +6,11 @@
 import msgspec
 
 from jasminewalk.exceptions import BadSettingsError
-from jasminewalk.generated_settings import EntrySettings, SidecarSettings
+from jasminewalk.generated_settings import (
+    EntrySettings,
+    OperatorSettings,
+    SidecarSettings,
+)
 from jasminewalk.generated_standins import (
     StandinEngineSettings,
     StandinInstancesSettings,
@@ -47,6 +51,7 @@
 KINDS = (
     SettingsKind("entry", "settings", EntrySettings),
     SettingsKind("sidecar", "settings", SidecarSettings),
+    SettingsKind("operator", "settings", OperatorSettings),
     SettingsKind("standin engine", "standins", StandinEngineSettings),
     SettingsKind("standin service", "standins", StandinServiceSettings),
     SettingsKind("standin log", "standins", StandinLogSettings),
--- /dev/null
+++ b/src/jasminewalk/status_text.py
@@ -0,0 +1,162 @@
+"""The fleet's status and request traces as plain text."""
+
+from jasminewalk.status import EndpointRow, EntryRow, FleetStatus
+from jasminewalk.text_tables import count_text, seconds_text, table
+from jasminewalk.traces import AttemptTrace, RequestTrace
+
+__all__ = ["status_lines", "trace_lines"]
+
+
+def status_lines(status: FleetStatus) -> list[str]:
+    """Return the lines that show the state of the fleet.
+
+    :param status: the state.
+    """
+    log = "no answer" if status.log_revision is None else str(status.log_revision)
+    lines = [
+        f"Revision in force everywhere: {status.revision} (log: {log})",
+        "",
+        *table(ENTRY_HEADINGS, [entry_cells(row) for row in status.entries]),
+        "",
+        *table(ENDPOINT_HEADINGS, [endpoint_cells(row) for row in status.endpoints]),
+    ]
+    if status.changes:
+        lines += ["", "Recent changes, newest first:"]
+    for change in status.changes:
+        author = f" by {change.author}" if change.author else ""
+        reason = f": {change.reason}" if change.reason else ""
+        lines.append(
+            f"  {change.revision}  {change.subject} {change.change}{author}{reason}"
+        )
+    lines += ["", "Needs a look:" if status.problems else "Nothing needs a look."]
+    lines += [f"  {problem}" for problem in status.problems]
+    return lines
+
+
+ENTRY_HEADINGS = ("ENTRY", "FAILURE DOMAIN", "ADDRESS", "STATE", "REVISION", "LOG")
+ENDPOINT_HEADINGS = (
+    "ENDPOINT",
+    "POOL",
+    "FAILURE DOMAIN",
+    "STATE",
+    "ROLE",
+    "USED BY",
+    "QUEUED",
+    "RUNNING",
+    "WAITING TOKENS",
+    "KV CACHE",
+    "PREFILL/S",
+    "DECODE/S",
+    "DONE",
+    "REVISION",
+    "LAST REPORT",
+)
+
+
+def entry_cells(row: EntryRow) -> list[str]:
+    """Return the cells of one entry.
+
+    :param row: the entry.
+    """
+    state = row.state if row.ready or row.state == "silent" else "starting"
+    return [
+        row.name,
+        row.failure_domain,
+        row.address,
+        state,
+        str(row.revision),
+        "reachable" if row.log_reachable else "-",
+    ]
+
+
+def endpoint_cells(row: EndpointRow) -> list[str]:
+    """Return the cells of one endpoint.
+
+    :param row: the endpoint.
+    """
+    is_engine = row.kind == "engine"
+    return [
+        row.name,
+        row.pool,
+        row.failure_domain,
+        row.state,
+        row.role or "-",
+        str(row.usable_by),
+        str(row.queued),
+        str(row.running),
+        count_text(row.queued_prefill_tokens) if is_engine else "-",
+        f"{row.kv_used:.0%}" if is_engine else "-",
+        count_text(row.prefill_tokens_per_s) if is_engine else "-",
+        count_text(row.decode_tokens_per_s) if is_engine else "-",
+        str(row.completed),
+        str(row.revision),
+        "never" if row.silent_s is None else f"{seconds_text(row.silent_s)} ago",
+    ]
+
+
+def trace_lines(entry: str, trace: RequestTrace) -> list[str]:
+    """Return the lines that explain a request.
+
+    :param entry: name of the entry that served it.
+    :param trace: what the entry remembers.
+    """
+    lines = [
+        f"Request {trace.request_id} on entry {entry}",
+        f"  arrived       {trace.arrived_at}",
+        f"  organisation  {trace.organisation}",
+        f"  class         {trace.request_class} in pool {trace.pool}"
+        + (f", model {trace.model}" if trace.model else ""),
+        f"  deadline      {seconds_text(trace.deadline_s)} after arrival",
+    ]
+    if trace.model:
+        lines.append(
+            f"  tokens        {trace.prompt_tokens} in the prompt "
+            f"({trace.cached_tokens} cached), {trace.output_tokens} passed on"
+        )
+    lines.append(f"  outcome       {outcome_text(trace)}")
+    for attempt in trace.attempts:
+        lines += ["", *attempt_lines(attempt)]
+    return lines
+
+
+def outcome_text(trace: RequestTrace) -> str:
+    """Return what became of a request.
+
+    :param trace: what the entry remembers.
+    """
+    if not trace.outcome:
+        return "still running"
+    message = f": {trace.message}" if trace.message else ""
+    return f"{trace.outcome}, {trace.ran} after {seconds_text(trace.total_s)}{message}"
+
+
+def attempt_lines(attempt: AttemptTrace) -> list[str]:
+    """Return the lines that explain one attempt.
+
+    :param attempt: the attempt.
+    """
+    lines = [
+        f"  Attempt {attempt.attempt} to {attempt.endpoint}",
+        f"    why          {attempt.reason}",
+        f"    sent         {seconds_text(attempt.sent_s)} after arrival",
+        f"    first token  {seconds_text(attempt.first_token_s)}",
+        f"    ended        {seconds_text(attempt.ended_s)}",
+        f"    outcome      {attempt.outcome or 'still running'}",
+    ]
+    if attempt.resume_from:
+        lines.append(f"    resumed      after {attempt.resume_from} tokens")
+    if not attempt.candidates:
+        return lines
+    rows = [
+        [
+            candidate.endpoint,
+            seconds_text(candidate.first_token_s),
+            seconds_text(candidate.finish_s),
+            str(candidate.cached_tokens),
+            seconds_text(candidate.report_age_s),
+            candidate.note or "-",
+        ]
+        for candidate in attempt.candidates
+    ]
+    headings = ("WEIGHED", "FIRST TOKEN", "WHOLE", "CACHED", "REPORT AGE", "NOTE")
+    return lines + [f"    {line}" for line in table(headings, rows)]
--- /dev/null
+++ b/src/jasminewalk/text_tables.py
@@ -0,0 +1,52 @@
+"""Plain text tables and figures for operators."""
+
+from collections.abc import Sequence
+
+__all__ = ["count_text", "seconds_text", "table"]
+
+THOUSAND = 1000.0
+
+
+def table(headings: Sequence[str], rows: Sequence[Sequence[str]]) -> list[str]:
+    """Return the lines of a table with aligned columns.
+
+    >>> table(["name", "n"], [["a", "1"], ["bcdef", "2"]])
+    ['name   n', 'a      1', 'bcdef  2']
+
+    :param headings: headings of the columns.
+    :param rows: texts of the cells.
+    """
+    lines = [headings, *rows]
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    return [
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in lines
+    ]
+
+
+def seconds_text(seconds: float | None) -> str:
+    """Return a period as people read it.
+
+    >>> seconds_text(0.0123), seconds_text(4.25), seconds_text(None)
+    ('12 ms', '4.25 s', '-')
+
+    :param seconds: the period; nothing for an unknown one.
+    """
+    if seconds is None:
+        return "-"
+    if seconds < 1.0:
+        return f"{seconds * THOUSAND:.0f} ms"
+    return f"{seconds:.2f} s" if seconds < 100.0 else f"{seconds:.0f} s"
+
+
+def count_text(count: float) -> str:
+    """Return a count as people read it.
+
+    >>> count_text(950), count_text(12_345)
+    ('950', '12.3k')
+
+    :param count: the count.
+    """
+    return f"{count:.0f}" if count < THOUSAND else f"{count / THOUSAND:.1f}k"
