Learn rates under the present mix; report queues by priority

Cause: urgent requests were priced with the backlog of others, and completions over the age of a report were counted twice.

--- a/src/jasminewalk/_measure_driver.py
+++ b/src/jasminewalk/_measure_driver.py
@@ -276,7 +276,7 @@
         router.first_token(out.at_s, out.request_id, out.frame.cached)
         if out.frame.end:
             endpoint.completed += 1
-            endpoint.queue.finished(out.at_s, out.request_id)
+            endpoint.queue.finished(out.at_s, out.request_id, request.output_tokens)
             router.finished(out.at_s, out.request_id, request.output_tokens)
             request.gap_s = out.p95_gap_s
             self.end(out.at_s, request, "good")
@@ -345,11 +345,13 @@
             running=state.running,
             decode_tokens_left=state.decode_tokens_left,
             max_batch=state.max_batch,
-            prefill_tokens_per_s=state.prefill_tokens_per_s,
-            decode_tokens_per_s=state.decode_tokens_per_s,
+            prefill_tokens_per_s=queue.prefill_tokens_per_s,
+            decode_tokens_per_s=queue.decode_tokens_per_s,
             kv_used=state.kv_used,
             report_age_s=endpoint.lag_s,
             completed=endpoint.completed,
+            residence_s=queue.residence_s,
+            levels=queue.levels(),
         )
         self.at(now_s + endpoint.lag_s, self.deliver, report)
         page = endpoint.model.cache_events(now_s, endpoint.cache_sequence)
--- /dev/null
+++ b/src/jasminewalk/_queue_speeds.py
@@ -0,0 +1,85 @@
+"""Speeds of an engine under its present mix, learned by its sidecar."""
+
+import math
+
+import attrs
+
+__all__ = ["LearnedRate", "QueueSpeeds"]
+
+RATE_WINDOW_S = 10.0
+PRIOR_S = 0.5
+
+
+@attrs.define
+class LearnedRate:
+    """Amount of work per busy second, with older observations decaying.
+
+    :param amount: decayed amount of work.
+    :param busy_s: decayed busy seconds.
+    :param updated_s: instant of the newest observation in seconds.
+    """
+
+    amount: float = 0.0
+    busy_s: float = 0.0
+    updated_s: float = -math.inf
+
+    def observe(self, now_s: float, amount: float, busy_s: float) -> None:
+        """Take an observation.
+
+        :param now_s: current instant in seconds.
+        :param amount: work done.
+        :param busy_s: seconds that it took.
+        """
+        factor = math.exp(-(now_s - self.updated_s) / RATE_WINDOW_S)
+        self.amount = self.amount * factor + amount
+        self.busy_s = self.busy_s * factor + busy_s
+        self.updated_s = now_s
+
+    def rate(self, prior: float) -> float:
+        """Return the rate, pulled towards a prior while little was observed.
+
+        :param prior: rate to assume without observations.
+        """
+        return (self.amount + prior * PRIOR_S) / (self.busy_s + PRIOR_S)
+
+
+class QueueSpeeds:
+    """Prefill rate, decode rate and residence time on one engine."""
+
+    def __init__(self) -> None:
+        self.prefill = LearnedRate()
+        self.decode = LearnedRate()
+        self.residence = LearnedRate()
+        self.prefill_since_s = -math.inf
+
+    def prefill_began(self, now_s: float, *, alone: bool) -> None:
+        """Take note that a prompt was handed over.
+
+        :param now_s: current instant in seconds.
+        :param alone: whether no other prompt was being prefilled.
+        """
+        if alone:
+            self.prefill_since_s = now_s
+
+    def prefill_ended(self, now_s: float, tokens: int) -> None:
+        """Take note that a prompt's prefill is done.
+
+        :param now_s: current instant in seconds.
+        :param tokens: prompt tokens that needed prefill.
+        """
+        self.prefill.observe(now_s, tokens, max(0.0, now_s - self.prefill_since_s))
+        self.prefill_since_s = now_s
+
+    def ended(
+        self, now_s: float, tokens: int, decode_s: float, residence_s: float
+    ) -> None:
+        """Take note that a request left the engine.
+
+        :param now_s: current instant in seconds.
+        :param tokens: output tokens.
+        :param decode_s: seconds since its first token.
+        :param residence_s: seconds since it was handed over.
+        """
+        if tokens > 1 and decode_s > 0.0:
+            self.decode.observe(now_s, tokens, decode_s)
+        self.residence.observe(now_s, residence_s, 1.0)
--- a/src/jasminewalk/baselines.py
+++ b/src/jasminewalk/baselines.py
@@ -80,7 +80,8 @@
             )
         if not excluded:
             self.budget.earn()
-            option = self.option(now_s, profile, self.view(names[0]))
+            query = self.query(profile)
+            option = self.option(now_s, query, self.view(names[0]))
             self.count_arrival(now_s, profile, option)
         return Route(self.pick(profile, names), type(self).__name__)
 
--- a/src/jasminewalk/generated_messages.py
+++ b/src/jasminewalk/generated_messages.py
@@ -13,11 +13,26 @@
     "Leaving",
     "LoadReport",
     "PoolDemand",
+    "QueueLevel",
     "RecordFeed",
     "TYPE_BY_NUMBER",
 ]
 
 
+@attrs.frozen(kw_only=True)
+class QueueLevel:
+    """Requests of one priority that wait.
+
+    :param priority: priority of the requests.
+    :param requests: how many wait.
+    :param prefill_tokens: their prompt tokens that need prefill.
+    """
+
+    priority: int
+    requests: int
+    prefill_tokens: int
+
+
 @attrs.frozen(kw_only=True)
 class LoadReport:
     """Load and state of one endpoint; each report is also a heartbeat.
@@ -43,6 +58,8 @@
     :param report_age_s: age of the engine's own figures in seconds.
     :param revision: offset the sidecar has folded the log to.
     :param completed: requests finished since the start.
+    :param residence_s: learned seconds that a request spends in the batch.
+    :param levels: what waits in the queue of the sidecar, by priority.
     """
 
     endpoint: str
@@ -66,6 +83,8 @@
     report_age_s: float = 0.0
     revision: int = 0
     completed: int = 0
+    residence_s: float = 0.0
+    levels: list[QueueLevel] = attrs.field(factory=list)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/jasminewalk/queueing.py
+++ b/src/jasminewalk/queueing.py
@@ -2,8 +2,9 @@
 
 import attrs
 
+from jasminewalk._queue_speeds import QueueSpeeds
 from jasminewalk.generated_codes import Code
-from jasminewalk.generated_messages import CacheEvents
+from jasminewalk.generated_messages import CacheEvents, QueueLevel
 from jasminewalk.generated_requests import EngineState
 from jasminewalk.prefixes import PrefixIndex
 from jasminewalk.types import Refusal, RequestProfile
@@ -26,6 +27,7 @@
     :param min_retry_after_s: least seconds to come back after.
     :param default_prefill_tokens_per_s: prefill speed before the first report.
     :param default_decode_tokens_per_s: decode speed before the first report.
+    :param default_residence_s: seconds of a request on the endpoint before any ended.
     :param share_window_s: seconds of work by which an organisation's place in
         the queue may move.
     :param cache_blocks: most prefix blocks remembered.
@@ -41,6 +43,7 @@
     min_retry_after_s: float = 0.2
     default_prefill_tokens_per_s: float = 4000.0
     default_decode_tokens_per_s: float = 40.0
+    default_residence_s: float = 1.0
     share_window_s: float = 2.0
     cache_blocks: int = 50_000
     fairness: bool = True
@@ -81,13 +84,18 @@
     :param profile: the request.
     :param started_s: instant at which it was handed over.
     :param tokens: prompt tokens that need prefill.
-    :param prefilling: whether its first token has not come yet, as estimated.
+    :param first_token_s: instant of its first token, if it came.
     """
 
     profile: RequestProfile
     started_s: float
     tokens: int
-    prefilling: bool = True
+    first_token_s: float | None = None
+
+    @property
+    def prefilling(self) -> bool:
+        """Whether the first token has not come yet."""
+        return self.first_token_s is None
 
 
 class EndpointQueue:
@@ -104,7 +112,7 @@
         self.served_floor = 0.0
         self.state: EngineState | None = None
         self.draining = False
-        self.prefill_free_s = 0.0
+        self.speeds = QueueSpeeds()
         self.prefixes = PrefixIndex(settings.cache_blocks, max_holders=1)
 
     # State
@@ -124,6 +132,18 @@
         """Prompt tokens of the requests that wait."""
         return sum(item.tokens for item in self.waiting.values())
 
+    def levels(self) -> list[QueueLevel]:
+        """Return what waits by priority, highest first."""
+        counts: dict[int, list[int]] = {}
+        for item in self.waiting.values():
+            counts.setdefault(item.profile.priority, []).append(item.tokens)
+        return [
+            QueueLevel(
+                priority=priority, requests=len(tokens), prefill_tokens=sum(tokens)
+            )
+            for priority, tokens in sorted(counts.items(), reverse=True)
+        ]
+
     @property
     def limit(self) -> int:
         """Most requests on the endpoint at once."""
@@ -133,16 +153,33 @@
 
     @property
     def prefill_tokens_per_s(self) -> float:
-        """Prompt tokens per second beside a running batch."""
+        """Prompt tokens per second under the present mix."""
         speed = self.state.prefill_tokens_per_s if self.state else 0.0
         speed = speed or self.settings.default_prefill_tokens_per_s
-        return speed * (1.0 - self.settings.prefill_share)
+        return self.speeds.prefill.rate(speed * self.settings.prefill_share)
 
     @property
     def decode_tokens_per_s(self) -> float:
-        """Output tokens per second of one stream."""
+        """Output tokens per second of one stream under the present mix."""
         speed = self.state.decode_tokens_per_s if self.state else 0.0
-        return speed or self.settings.default_decode_tokens_per_s
+        speed = speed or self.settings.default_decode_tokens_per_s
+        return self.speeds.decode.rate(speed * (1.0 - self.settings.prefill_share))
+
+    @property
+    def residence_s(self) -> float:
+        """Seconds that a request spends on the endpoint."""
+        return self.speeds.residence.rate(self.settings.default_residence_s)
+
+    def prefilling_tokens(self, priority: float = float("-inf")) -> int:
+        """Return the prompt tokens that the engine still has to prefill.
+
+        :param priority: least priority of the requests that count.
+        """
+        return sum(
+            item.tokens
+            for item in self.running.values()
+            if item.prefilling and item.profile.priority >= priority
+        )
 
     def observe_state(self, now_s: float, state: EngineState) -> None:
         """Take the engine's report.
@@ -166,7 +203,8 @@
 
         :param profile: the request.
         """
-        cached = self.prefixes.cached_tokens(HERE, profile.prefix_hashes)
+        sampled = self.prefixes.sampled(profile.prefix_hashes)
+        cached = self.prefixes.cached_tokens(HERE, sampled)
         return max(1, profile.prompt_tokens - cached)
 
     def drain(self) -> None:
@@ -242,9 +280,8 @@
             if item is None or other.rank <= item.rank
         ]
         tokens = sum(other.tokens for other in ahead) + (item.tokens if item else 0)
-        tokens += sum(
-            other.tokens for other in self.running.values() if other.prefilling
-        )
+        priority = item.profile.priority if item else float("-inf")
+        tokens += self.prefilling_tokens(priority)
         slots_s = self.slot_wait_s(len(ahead))
         return max(slots_s, tokens / self.prefill_tokens_per_s)
 
@@ -256,9 +293,7 @@
         excess = ahead + 1 + len(self.running) - self.limit
         if excess <= 0 or not self.running:
             return 0.0
-        left = self.state.decode_tokens_left if self.state else 0
-        per_request_s = left / len(self.running) / self.decode_tokens_per_s
-        return excess * per_request_s / self.limit
+        return excess * self.residence_s / self.limit
 
     def rank(self, now_s: float, profile: RequestProfile) -> tuple[float, float, float]:
         """Return the place of a request: priority, then share and deadline.
@@ -294,13 +329,18 @@
         for item in sorted(self.waiting.values(), key=lambda item: item.rank):
             if len(self.running) >= self.limit:
                 break
-            if self.prefill_free_s > now_s + self.settings.ahead_s:
+            if self.prefilling_tokens(item.profile.priority) > self.ahead_tokens:
                 break
             del self.waiting[item.profile.request_id]
             self.begin(now_s, item)
             started.append(item.profile)
         return started
 
+    @property
+    def ahead_tokens(self) -> float:
+        """Prompt tokens that the engine may hold before it gets more."""
+        return self.settings.ahead_s * self.prefill_tokens_per_s
+
     def begin(self, now_s: float, item: _Waiting) -> None:
         """Count a request as handed to the endpoint.
 
@@ -308,10 +348,11 @@
         :param item: the request.
         """
         profile = item.profile
+        alone = not any(other.prefilling for other in self.running.values())
+        self.speeds.prefill_began(now_s, alone=alone)
         self.running[profile.request_id] = _Running(profile, now_s, item.tokens)
         self.prefixes.add(HERE, profile.prefix_hashes)
         prefill_s = item.tokens / self.prefill_tokens_per_s
-        self.prefill_free_s = max(now_s, self.prefill_free_s) + prefill_s
         work_s = (prefill_s + self.service_s(profile) / self.limit) / profile.weight
         organisation = profile.organisation
         old_s = max(self.served_floor, self.served.get(organisation, 0.0))
@@ -336,18 +377,25 @@
         item = self.running.get(request_id)
         if item is None or not item.prefilling:
             return
-        item.prefilling = False
-        left = sum(other.tokens for other in self.running.values() if other.prefilling)
-        self.prefill_free_s = now_s + left / self.prefill_tokens_per_s
+        item.first_token_s = now_s
+        self.speeds.prefill_ended(now_s, item.tokens)
 
-    def finished(self, now_s: float, request_id: str) -> None:
+    def finished(
+        self, now_s: float, request_id: str, output_tokens: int | None = None
+    ) -> None:
         """Take note that a request has left the endpoint.
 
         :param now_s: current instant in seconds.
         :param request_id: identifier of the request.
+        :param output_tokens: length of the answer; the expected one if absent.
         """
-        self.first_token(now_s, request_id)
-        self.running.pop(request_id, None)
+        item = self.running.pop(request_id, None)
+        if item is None or item.first_token_s is None:
+            return
+        tokens = output_tokens or item.profile.expected_tokens
+        self.speeds.ended(
+            now_s, tokens, now_s - item.first_token_s, now_s - item.started_s
+        )
 
     def cancel(self, request_id: str) -> None:
         """Forget a request wherever it is.
--- a/src/jasminewalk/routing.py
+++ b/src/jasminewalk/routing.py
@@ -81,6 +81,20 @@
     refused: int = 0
 
 
+@attrs.frozen
+class _Query:
+    """What is worked out once for a request.
+
+    :param profile: the request.
+    :param sampled: prefix blocks that the index keeps.
+    :param output_tokens: output tokens expected.
+    """
+
+    profile: RequestProfile
+    sampled: list[tuple[int, int]]
+    output_tokens: int
+
+
 @attrs.frozen
 class _Option:
     """An endpoint that is weighed for a request.
@@ -199,7 +213,8 @@
         first_try = not excluded
         if first_try:
             self.budget.earn()
-        options = self.options(now_s, profile, usable, excluded)
+        query = self.query(profile)
+        options = self.options(now_s, query, usable, excluded)
         if not options:
             self.count_refused(now_s, profile)
             wait_s = self.settings.min_retry_after_s * 5
@@ -213,24 +228,34 @@
             return refusal
         return Route(best.view.endpoint, self.reason(best), self.shown(now_s, options))
 
+    def query(self, profile: RequestProfile) -> _Query:
+        """Return what is worked out once for a request.
+
+        :param profile: the request.
+        """
+        sampled: list[tuple[int, int]] = []
+        if self.settings.affinity:
+            sampled = self.prefixes.sampled(profile.prefix_hashes)
+        return _Query(profile, sampled, self.expected_tokens(profile))
+
     def options(
         self,
         now_s: float,
-        profile: RequestProfile,
+        query: _Query,
         usable: Collection[str],
         excluded: frozenset[str],
     ) -> list[_Option]:
         """Return the endpoints worth weighing.
 
         :param now_s: current instant in seconds.
-        :param profile: the request.
+        :param query: the request.
         :param usable: endpoints that may get it.
         :param excluded: endpoints that were tried already.
         """
-        names = self.sampled(profile, usable, excluded)
+        names = self.sampled(query, usable, excluded)
         views = [self.view(name) for name in names]
         healthy = [view for view in views if self.is_healthy(now_s, view)]
-        return [self.option(now_s, profile, view) for view in healthy or views]
+        return [self.option(now_s, query, view) for view in healthy or views]
 
     def is_healthy(self, now_s: float, view: EndpointView) -> bool:
         """Return whether an endpoint may get more than a trial request.
@@ -244,13 +269,13 @@
 
     def sampled(
         self,
-        profile: RequestProfile,
+        query: _Query,
         usable: Collection[str],
         excluded: frozenset[str],
     ) -> list[str]:
         """Return all endpoints of a small pool, or some of a large one.
 
-        :param profile: the request.
+        :param query: the request.
         :param usable: endpoints that may get it.
         :param excluded: endpoints that were tried already.
         """
@@ -259,28 +284,28 @@
             return [name for name in usable if name not in excluded]
         names: dict[str, None] = {}
         if self.settings.affinity:
-            found = self.prefixes.endpoints(profile.prefix_hashes, self.settings.affine)
+            found = self.prefixes.endpoints(query.sampled, self.settings.affine)
             names.update(dict.fromkeys(name for name in found if name in usable))
         size = len(usable)
         for _ in range(self.settings.candidates):
             names[usable[int(self.rng.random() * size)]] = None
         return [name for name in names if name not in excluded]
 
-    def option(
-        self, now_s: float, profile: RequestProfile, view: EndpointView
-    ) -> _Option:
+    def option(self, now_s: float, query: _Query, view: EndpointView) -> _Option:
         """Return the price of an endpoint for a request.
 
         :param now_s: current instant in seconds.
-        :param profile: the request.
+        :param query: the request.
         :param view: the endpoint.
         """
+        profile = query.profile
         cached = 0
-        if self.settings.affinity and profile.prefix_hashes:
-            cached = self.prefixes.cached_tokens(view.endpoint, profile.prefix_hashes)
+        if query.sampled:
+            cached = self.prefixes.cached_tokens(view.endpoint, query.sampled)
         prefill = max(1, profile.prompt_tokens - cached)
-        output = self.expected_tokens(profile)
-        prediction = view.predict(now_s, prefill, output, self.others)
+        prediction = view.predict(
+            now_s, prefill, query.output_tokens, profile.priority, self.others
+        )
         score = prediction.finish_s + self.settings.work_weight * prediction.work_s
         return _Option(view, cached, prediction, score)
 
@@ -404,7 +429,8 @@
         :param endpoint: endpoint name.
         """
         view = self.view(endpoint)
-        option = self.option(now_s, profile, view)
+        query = self.query(profile)
+        option = self.option(now_s, query, view)
         prediction = option.prediction
         flight = Flight(
             request_id=profile.request_id,
@@ -414,7 +440,8 @@
             pool=profile.pool,
             sent_s=now_s,
             prefill_tokens=max(1, profile.prompt_tokens - option.cached_tokens),
-            output_tokens=self.expected_tokens(profile),
+            output_tokens=query.output_tokens,
+            priority=profile.priority,
             prefix_hashes=profile.prefix_hashes,
             cached_tokens=option.cached_tokens,
             predicted_first_s=prediction.first_token_s,
--- a/src/jasminewalk/speeds.py
+++ b/src/jasminewalk/speeds.py
@@ -8,16 +8,17 @@
 
 IDLE_LATENCY_S = 0.005
 MAX_RATIO = 8.0
+MAX_ELAPSED_S = 60.0
 
 
 @attrs.frozen(kw_only=True)
 class SpeedSettings:
     """How speeds are learned and backlogs estimated.
 
-    :param prefill_share: part of a mixed step that goes to prefill.
     :param learning_rate: weight of a new observation of a latency.
     :param default_prefill_tokens_per_s: prefill speed before the first report.
     :param default_decode_tokens_per_s: decode speed before the first report.
+    :param default_residence_s: seconds of a request on an engine before any report.
     :param service_s: duration of a call of a plain service before any is seen.
     :param slow_ratio: how many times slower than predicted counts as slow.
     :param slow_samples: observations before an endpoint can count as slow.
@@ -26,10 +27,10 @@
     :param count_own: whether requests sent since the report are counted.
     """
 
-    prefill_share: float = 0.5
     learning_rate: float = 0.1
     default_prefill_tokens_per_s: float = 4000.0
     default_decode_tokens_per_s: float = 40.0
+    default_residence_s: float = 1.0
     service_s: float = 0.02
     slow_ratio: float = 3.0
     slow_samples: int = 8
@@ -50,6 +51,7 @@
     :param sent_s: instant of sending in seconds.
     :param prefill_tokens: prompt tokens expected to need prefill.
     :param output_tokens: output tokens expected.
+    :param priority: priority of the request.
     :param prefix_hashes: hashes of the prompt's leading blocks.
     :param cached_tokens: prompt tokens expected in the prefix cache.
     :param predicted_first_s: predicted seconds to the first token.
@@ -65,6 +67,7 @@
     sent_s: float
     prefill_tokens: int
     output_tokens: int
+    priority: int = 0
     prefix_hashes: tuple[int, ...] = ()
     cached_tokens: int = 0
     predicted_first_s: float = 0.0
@@ -86,6 +89,20 @@
     work_s: float
 
 
+@attrs.frozen
+class _Load:
+    """What goes before a request on an endpoint.
+
+    :param requests: requests on the endpoint and ahead in its queue.
+    :param prefill_tokens: prompt tokens that need prefill before.
+    :param residence_s: seconds that a request spends on the endpoint.
+    """
+
+    requests: float
+    prefill_tokens: float
+    residence_s: float
+
+
 class EndpointView:
     """Load, speeds and health of one endpoint, as one entry knows them.
 
@@ -134,58 +151,79 @@
 
     @property
     def prefill_tokens_per_s(self) -> float:
-        """Prompt tokens per second while nothing decodes."""
+        """Prompt tokens per second under the present mix."""
         reported = self.report.prefill_tokens_per_s if self.report else 0.0
         return reported or self.settings.default_prefill_tokens_per_s
 
     @property
     def decode_tokens_per_s(self) -> float:
-        """Output tokens per second of one stream while nothing prefills."""
+        """Output tokens per second of one stream under the present mix."""
         reported = self.report.decode_tokens_per_s if self.report else 0.0
         return reported or self.settings.default_decode_tokens_per_s
 
     def predict(
-        self, now_s: float, prefill_tokens: int, output_tokens: int, others: float = 1.0
+        self,
+        now_s: float,
+        prefill_tokens: int,
+        output_tokens: int,
+        priority: int = 0,
+        others: float = 1.0,
     ) -> Prediction:
         """Return when a request sent now would be answered.
 
         :param now_s: current instant in seconds.
         :param prefill_tokens: prompt tokens that need prefill.
         :param output_tokens: output tokens expected.
+        :param priority: priority of the request.
         :param others: requests of all entries for each one of this entry.
         """
         if self.is_service:
             return self.predict_service(now_s, others)
-        report = self.report
-        running = float(report.running + report.queued) if report else 0.0
-        backlog = float(report.queued_prefill_tokens) if report else 0.0
-        decode_left = float(report.decode_tokens_left) if report else 0.0
-        figures_s = self.figures_s if self.settings.count_own else now_s
-        for flight in self.flights.values():
-            if flight.sent_s > figures_s and flight.first_token_s is None:
-                running += others
-                backlog += flight.prefill_tokens * others
-                decode_left += flight.output_tokens * others
-        share = self.settings.prefill_share if running else 0.0
-        prefill_rate = self.prefill_tokens_per_s * (1.0 - share)
-        elapsed_s = min(self.age_s(now_s), 60.0)
-        backlog = max(0.0, backlog - elapsed_s * prefill_rate)
+        load = self.load(now_s, priority, others)
+        slots = self.report.max_batch if self.report else 1
         decode_rate = self.decode_tokens_per_s
-        if backlog:
-            decode_rate *= 1.0 - self.settings.prefill_share
-        max_batch = report.max_batch if report else 1
+        excess = load.requests + 1.0 - slots
         wait_s = 0.0
-        if running >= max_batch:
-            per_request = max(1.0, decode_left / running)
-            left = running - elapsed_s * max_batch * decode_rate / per_request
-            excess = max(0.0, left + 1.0 - max_batch)
-            wait_s = excess * per_request / (max_batch * decode_rate)
-        first_s = IDLE_LATENCY_S + wait_s + (backlog + prefill_tokens) / prefill_rate
-        first_s *= self.first_ratio
+        if excess > 0.0:
+            wait_s = excess * load.residence_s / slots
+        prefill_s = (load.prefill_tokens + prefill_tokens) / self.prefill_tokens_per_s
+        first_s = IDLE_LATENCY_S + max(wait_s, prefill_s) * self.first_ratio
         decode_s = output_tokens / decode_rate * self.decode_ratio
         work_s = prefill_tokens / self.prefill_tokens_per_s
         return Prediction(first_s, first_s + decode_s, work_s)
 
+    def load(self, now_s: float, priority: int, others: float) -> _Load:
+        """Return what goes before a request sent now.
+
+        :param now_s: current instant in seconds.
+        :param priority: priority of the request.
+        :param others: requests of all entries for each one of this entry.
+        """
+        report = self.report
+        if report is None:
+            return _Load(0.0, 0.0, self.settings.default_residence_s)
+        requests = float(report.running)
+        tokens = float(report.queued_prefill_tokens)
+        for level in report.levels:
+            if level.priority >= priority:
+                requests += level.requests
+            else:
+                tokens -= level.prefill_tokens
+        if not report.levels:
+            requests += report.queued
+        if self.settings.count_own:
+            for flight in self.flights.values():
+                if flight.sent_s <= self.figures_s or flight.priority < priority:
+                    continue
+                if flight.first_token_s is None:
+                    tokens += flight.prefill_tokens * others
+                requests += others
+        elapsed_s = min(self.age_s(now_s), MAX_ELAPSED_S)
+        tokens = max(0.0, tokens - elapsed_s * self.prefill_tokens_per_s)
+        residence_s = report.residence_s or self.settings.default_residence_s
+        ended = elapsed_s * min(report.max_batch, requests) / residence_s
+        return _Load(max(0.0, requests - ended), tokens, residence_s)
+
     def predict_service(self, now_s: float, others: float) -> Prediction:
         """Return when a plain service would answer a call sent now.
 
