--- a/src/jasminewalk/logs.py
+++ b/src/jasminewalk/logs.py
@@ -1,5 +1,6 @@
 """Set-up of the logs."""
 
+import logging as standard_logging
 import sys
 
 from absl import flags, logging
@@ -17,6 +18,6 @@
         flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(verbosity)
-    logging.set_stderrthreshold("debug")
+    standard_logging.getLogger("uvicorn").setLevel(standard_logging.WARNING)
     handler = logging.get_absl_handler()
     handler.python_handler.stream = sys.stderr
