--- a/src/jasminewalk/deployment.py
+++ b/src/jasminewalk/deployment.py
@@ -168,6 +168,11 @@
         """How the daemons reach the log."""
         return LogSettings(address=self.log.address)
 
+    @property
+    def back_ends(self) -> list[StandinEngine | StandinService]:
+        """Stand-ins of all engines and services."""
+        return [*self.engines.values(), *self.services.values()]
+
     async def start(self, group: TaskGroup) -> None:
         """Start all parts and wait until the entries know the configuration.
 
@@ -324,7 +329,7 @@
         """Stop entries, sidecars, back ends and platform, in this order."""
         await self.stop_parts(self.entries.values())
         await self.stop_parts(self.sidecars.values())
-        await self.stop_parts([*self.engines.values(), *self.services.values()])
+        await self.stop_parts(self.back_ends)
         await self.stop_parts([self.log, self.instances, self.weights])
 
     async def stop_parts(self, parts: Iterable[Part]) -> None:
--- a/src/jasminewalk/dispatch.py
+++ b/src/jasminewalk/dispatch.py
@@ -1,7 +1,7 @@
 """Runs requests of callers against sidecars, attempt by attempt."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 import anyio
 import attrs
@@ -26,7 +26,7 @@
     SidecarConnections,
 )
 from jasminewalk.exceptions import RefusedError
-from jasminewalk.generated_codes import Code
+from jasminewalk.generated_codes import RESULTS, Code
 from jasminewalk.generated_requests import (
     GenerateRequest,
     RefusalBody,
@@ -43,6 +43,7 @@
 
 MAX_REPLY_BYTES = 32 << 20
 MAX_REFUSAL_BYTES = 1 << 16
+LOG_RETRY_AFTER_S = 1.0
 RETRY_MARK = frozenset({""})
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -432,6 +433,12 @@
     return b"".join(parts)
 
 
+def log_unavailable() -> Refusal:
+    """Return the refusal of a call that needs the log during an outage."""
+    code = Code.LOG_UNAVAILABLE
+    return Refusal(code, RESULTS[code].message, LOG_RETRY_AFTER_S)
+
+
 class GenerationRun(Run):
     """A generation on its way through its attempts.
 
@@ -640,6 +647,8 @@
     :param traces: store of what became of requests.
     :param metrics: metrics of the entry.
     :param progress_timeout_s: longest silence of a stream.
+    :param log_reachable: returns whether the log, which calls that may not be
+        repeated need, answered lately.
     """
 
     def __init__(
@@ -652,6 +661,7 @@
         traces: TraceStore,
         metrics: Metrics,
         progress_timeout_s: float,
+        log_reachable: Callable[[], bool] = lambda: True,
     ) -> None:
         self.clock = clock
         self.router = router
@@ -660,6 +670,7 @@
         self.traces = traces
         self.metrics = metrics
         self.progress_timeout_s = progress_timeout_s
+        self.log_reachable = log_reachable
 
     async def generate(self, job: GenerationJob, sink: TokenSink) -> AnswerAssembler:
         """Run a generation and return its whole answer.
@@ -679,6 +690,8 @@
         :raises RefusedError: if there will be no reply.
         """
         run = CallRun(self, job)
+        if job.key and not self.log_reachable():
+            run.refuse(log_unavailable())
         await run.run()
         if run.reply is None:
             raise RefusedError(code=Code.INTERNAL_ERROR)
--- a/src/jasminewalk/entry.py
+++ b/src/jasminewalk/entry.py
@@ -96,6 +96,7 @@
             traces=self.traces,
             metrics=self.metrics,
             progress_timeout_s=settings.progress_timeout_s,
+            log_reachable=lambda: bool(self.follower and self.follower.reachable),
         )
 
     async def run(self) -> None:
--- a/src/jasminewalk/log_follower.py
+++ b/src/jasminewalk/log_follower.py
@@ -126,13 +126,20 @@
         if self.fold.tail_reached(page.tail):
             self.ready.set()
 
+    @property
+    def read_wait_s(self) -> float:
+        """Seconds that the next read waits; the first one asks only for the tail."""
+        if self.read_s == float("-inf"):
+            return 0.0
+        return self.settings.poll_wait_s
+
     async def run(self) -> None:
         """Follow the log until cancelled."""
         while True:
             await self.wait_for_turn()
             try:
                 page = await self.log.read(
-                    self.fold.next_offset, PAGE_RECORDS, self.settings.poll_wait_s
+                    self.fold.next_offset, PAGE_RECORDS, self.read_wait_s
                 )
             except LogUnavailableError as error:
                 self.note_failure(error)
