--- /dev/null
+++ b/src/jasminewalk/load_schedule.py
@@ -0,0 +1,199 @@
+"""When the load tool sends which request."""
+
+import random
+from collections.abc import Iterator
+
+import attrs
+import msgspec
+
+from jasminewalk.exceptions import BadSettingsError
+from jasminewalk.generated_load import LoadKind, LoadPhase, LoadPlan, TokenRange
+
+__all__ = ["DueRequest", "LoadSchedule", "check_plan"]
+
+TOKEN_BYTES = 2
+
+
+@attrs.frozen(kw_only=True)
+class DueRequest:
+    """One request of a load.
+
+    :param due_s: seconds from the start of the load.
+    :param kind: name of its kind.
+    :param phase: name of its phase.
+    :param address: ``host:port`` of the entry.
+    :param method: HTTP method.
+    :param path: path with organisation.
+    :param headers: names and values.
+    :param body: body; empty for none.
+    :param streamed: whether the answer is a stream of tokens.
+    """
+
+    due_s: float
+    kind: str
+    phase: str
+    address: str
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    streamed: bool
+
+
+def check_plan(plan: LoadPlan) -> None:
+    """Check what the schema of a plan cannot say.
+
+    :param plan: the plan.
+    :raises BadSettingsError: if names do not fit together.
+    """
+    known = ", ".join(plan.kinds) or "none"
+    for index, phase in enumerate(plan.phases):
+        for name in phase.shares:
+            if name not in plan.kinds:
+                raise BadSettingsError(
+                    f"phases[{index}].shares: found {name!r}; allowed is one of {known}"
+                )
+        if not sum(phase.shares.values()):
+            raise BadSettingsError(
+                f"phases[{index}].shares: found no share above 0; allowed is one"
+            )
+    for name, kind in plan.kinds.items():
+        if bool(kind.model) == bool(kind.service):
+            raise BadSettingsError(
+                f"kinds.{name}: found both or none of model and service; allowed is one"
+            )
+
+
+class LoadSchedule:
+    """Requests of a plan in order; the same seed gives the same requests.
+
+    :param plan: the plan.
+    """
+
+    def __init__(self, plan: LoadPlan) -> None:
+        self.plan = plan
+        self.rng = random.Random(plan.seed)
+        self.run_id = f"{self.rng.getrandbits(48):012x}"
+        self.sent: dict[str, int] = dict.fromkeys(plan.kinds, 0)
+        self.prefixes: dict[tuple[str, int], str] = {}
+
+    @property
+    def duration_s(self) -> float:
+        """Length of the plan in seconds."""
+        return sum(phase.duration_s for phase in self.plan.phases)
+
+    def requests(self) -> Iterator[DueRequest]:
+        """Yield the requests in order of their instants."""
+        start_s = 0.0
+        for phase in self.plan.phases:
+            due_s = start_s + self.gap_s(phase)
+            while due_s < start_s + phase.duration_s:
+                yield self.request(phase, due_s)
+                due_s += self.gap_s(phase)
+            start_s += phase.duration_s
+
+    def gap_s(self, phase: LoadPhase) -> float:
+        """Return the time to the next request of a Poisson process.
+
+        :param phase: the phase.
+        """
+        return self.rng.expovariate(phase.requests_per_s)
+
+    def request(self, phase: LoadPhase, due_s: float) -> DueRequest:
+        """Return the next request.
+
+        :param phase: its phase.
+        :param due_s: seconds from the start of the load.
+        """
+        names = list(phase.shares)
+        name = self.rng.choices(names, list(phase.shares.values()))[0]
+        kind = self.plan.kinds[name]
+        number = self.sent[name]
+        self.sent[name] += 1
+        organisation = kind.organisations[number % len(kind.organisations)]
+        root = f"/organisations/{organisation}"
+        if kind.model:
+            path, body = f"{root}/v1/chat/completions", self.chat_body(name, kind)
+        else:
+            path = f"{root}/services/{kind.service}/{kind.path.lstrip('/')}"
+            body = kind.body.encode()
+        return DueRequest(
+            due_s=due_s,
+            kind=name,
+            phase=phase.name,
+            address=self.plan.entries[sum(self.sent.values()) % len(self.plan.entries)],
+            method="POST" if kind.model else kind.method,
+            path=path,
+            headers=self.headers(name, kind, number),
+            body=body,
+            streamed=bool(kind.model),
+        )
+
+    def headers(self, name: str, kind: LoadKind, number: int) -> list[tuple[str, str]]:
+        """Return the headers of a request.
+
+        :param name: name of its kind.
+        :param kind: its kind.
+        :param number: number of the request within its kind.
+        """
+        headers = [
+            ("content-type", "application/json"),
+            ("deadline-ms", str(round(kind.deadline_s * 1000))),
+        ]
+        if kind.request_class:
+            headers.append(("request-class", kind.request_class))
+        if kind.keyed:
+            headers.append(("idempotency-key", f"{self.run_id}-{name}-{number}"))
+        return headers
+
+    def chat_body(self, name: str, kind: LoadKind) -> bytes:
+        """Return the body of a generation.
+
+        :param name: name of the kind.
+        :param kind: the kind.
+        """
+        messages = []
+        if kind.prefix_tokens is not None:
+            text = self.prefix(name, kind, kind.prefix_tokens)
+            messages.append({"role": "system", "content": text})
+        question = kind.question_tokens or TokenRange(least=16, most=16)
+        text = words(self.rng, self.length(self.rng, question))
+        messages.append({"role": "user", "content": text})
+        return msgspec.json.encode(
+            {
+                "model": kind.model,
+                "stream": True,
+                "max_tokens": kind.max_tokens,
+                "messages": messages,
+            }
+        )
+
+    def prefix(self, name: str, kind: LoadKind, limits: TokenRange) -> str:
+        """Return the repeating part of a prompt.
+
+        :param name: name of the kind.
+        :param kind: the kind.
+        :param limits: limits of its length.
+        """
+        number = self.rng.randrange(kind.prefixes)
+        if (name, number) not in self.prefixes:
+            rng = random.Random(f"{self.plan.seed}/{name}/{number}")
+            self.prefixes[name, number] = words(rng, self.length(rng, limits))
+        return self.prefixes[name, number]
+
+    def length(self, rng: random.Random, limits: TokenRange) -> int:
+        """Return a length in tokens.
+
+        :param rng: random source.
+        :param limits: limits of the length.
+        """
+        return rng.randint(limits.least, max(limits.least, limits.most))
+
+
+def words(rng: random.Random, tokens: int) -> str:
+    """Return text of a length in tokens of four characters.
+
+    :param rng: random source.
+    :param tokens: length of the text.
+    """
+    return rng.randbytes(tokens * TOKEN_BYTES).hex()
--- /dev/null
+++ b/src/jasminewalk/load_tally.py
@@ -0,0 +1,188 @@
+"""Adding up of what became of the requests of a load."""
+
+from collections import Counter
+from typing import Literal
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+from jasminewalk.generated_load import (
+    KindResult,
+    LoadKind,
+    LoadPlan,
+    LoadResult,
+    SecondResult,
+)
+from jasminewalk.load_schedule import DueRequest
+
+__all__ = ["Answer", "LoadTally"]
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+SIGNIFICANT_FIGURES = 3
+US_PER_S = 1e6
+US_PER_MS = 1e3
+PERCENTILES = (50.0, 90.0, 95.0, 99.0, 99.9, 100.0)
+
+Outcome = Literal["answered", "refused", "failed", "not_sent"]
+Verdict = Literal["in_time", "late", "refused", "failed"]
+
+
+@attrs.define(kw_only=True)
+class Answer:
+    """What became of one request; times count from when it was due.
+
+    :param outcome: how it ended.
+    :param reason: result code of a refusal, or what went wrong.
+    :param first_token_s: seconds to the first token.
+    :param whole_s: seconds to the end.
+    :param gaps_s: seconds between tokens.
+    :param tokens: output tokens received.
+    """
+
+    outcome: Outcome = "failed"
+    reason: str = ""
+    first_token_s: float | None = None
+    whole_s: float = 0.0
+    gaps_s: list[float] = attrs.field(factory=list)
+    tokens: int = 0
+
+
+class KindTally:
+    """Counts and histograms of one kind of request.
+
+    :param kind: the kind.
+    """
+
+    def __init__(self, kind: LoadKind) -> None:
+        self.kind = kind
+        self.counts: Counter[str] = Counter()
+        self.refused: Counter[str] = Counter()
+        self.failed: Counter[str] = Counter()
+        self.tokens = 0
+        self.first_token = _histogram()
+        self.between_tokens = _histogram()
+        self.whole = _histogram()
+
+    def add(self, answer: Answer) -> Verdict:
+        """Count one request and return how it is judged.
+
+        :param answer: what became of it.
+        """
+        self.counts[answer.outcome] += 1
+        self.tokens += answer.tokens
+        if answer.first_token_s is not None:
+            _record(self.first_token, answer.first_token_s)
+        for gap_s in answer.gaps_s:
+            _record(self.between_tokens, gap_s)
+        if answer.outcome == "refused":
+            self.refused[answer.reason] += 1
+            return "refused"
+        if answer.outcome != "answered":
+            self.failed[answer.reason or answer.outcome] += 1
+            return "failed"
+        _record(self.whole, answer.whole_s)
+        if not self.is_in_time(answer):
+            return "late"
+        self.counts["in_time"] += 1
+        return "in_time"
+
+    def is_in_time(self, answer: Answer) -> bool:
+        """Return whether a whole answer was useful when it came.
+
+        :param answer: the answer.
+        """
+        first_s = answer.first_token_s or 0.0
+        return (
+            answer.whole_s <= self.kind.deadline_s
+            and first_s <= self.kind.first_token_s
+        )
+
+    def result(self) -> KindResult:
+        """Return the counts and percentiles so far."""
+        return KindResult(
+            due=sum(self.counts[name] for name in ("answered", "refused", "failed"))
+            + self.counts["not_sent"],
+            not_sent=self.counts["not_sent"],
+            answered=self.counts["answered"],
+            in_time=self.counts["in_time"],
+            refused=dict(self.refused),
+            failed=dict(self.failed),
+            output_tokens=self.tokens,
+            first_token_ms=_percentiles(self.first_token),
+            between_tokens_ms=_percentiles(self.between_tokens),
+            whole_ms=_percentiles(self.whole),
+        )
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_FIGURES)
+
+
+def _record(histogram: HdrHistogram, seconds: float) -> None:
+    histogram.record_value(max(LOWEST_US, round(seconds * US_PER_S)))
+
+
+def _percentiles(histogram: HdrHistogram) -> dict[str, float]:
+    if not histogram.get_total_count():
+        return {}
+    return {
+        f"{percentile:g}": histogram.get_value_at_percentile(percentile) / US_PER_MS
+        for percentile in PERCENTILES
+    }
+
+
+class LoadTally:
+    """Everything a load has seen so far.
+
+    :param plan: the plan.
+    :param duration_s: length of the plan in seconds.
+    """
+
+    def __init__(self, plan: LoadPlan, duration_s: float) -> None:
+        self.duration_s = duration_s
+        self.kinds = {name: KindTally(kind) for name, kind in plan.kinds.items()}
+        self.seconds: list[Counter[str]] = [
+            Counter() for _ in range(int(duration_s) + 1)
+        ]
+        self.phases: dict[str, Counter[str]] = {
+            phase.name: Counter() for phase in plan.phases
+        }
+        self.totals: Counter[str] = Counter()
+
+    def add(self, request: DueRequest, answer: Answer) -> None:
+        """Count one request.
+
+        :param request: the request.
+        :param answer: what became of it.
+        """
+        verdict = self.kinds[request.kind].add(answer)
+        self.seconds[int(request.due_s)][verdict] += 1
+        self.phases[request.phase][verdict] += 1
+        self.totals[verdict] += 1
+
+    @property
+    def due(self) -> int:
+        """Requests counted so far."""
+        return self.totals.total()
+
+    def result(self, plan_name: str) -> LoadResult:
+        """Return the result of the load.
+
+        :param plan_name: name of the plan's file.
+        """
+        return LoadResult(
+            plan=plan_name,
+            duration_s=self.duration_s,
+            goodput_per_s=self.totals["in_time"] / self.duration_s,
+            in_time_share=_share(self.totals),
+            kinds={name: tally.result() for name, tally in self.kinds.items()},
+            seconds=[
+                SecondResult(due=counts.total(), **counts) for counts in self.seconds
+            ],
+            phases={name: _share(counts) for name, counts in self.phases.items()},
+        )
+
+
+def _share(counts: Counter[str]) -> float:
+    return counts["in_time"] / counts.total() if counts else 0.0
--- a/src/jasminewalk/settings.py
+++ b/src/jasminewalk/settings.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from jasminewalk.exceptions import BadSettingsError
+from jasminewalk.generated_load import LoadPlan
 from jasminewalk.generated_settings import (
     EntrySettings,
     OperatorSettings,
@@ -52,6 +53,7 @@
     SettingsKind("entry", "settings", EntrySettings),
     SettingsKind("sidecar", "settings", SidecarSettings),
     SettingsKind("operator", "settings", OperatorSettings),
+    SettingsKind("load", "load", LoadPlan),
     SettingsKind("standin engine", "standins", StandinEngineSettings),
     SettingsKind("standin service", "standins", StandinServiceSettings),
     SettingsKind("standin log", "standins", StandinLogSettings),
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -32,7 +32,8 @@
     :param schema: the property's JSON Schema.
     """
     if "$ref" in schema:
-        return str(schema["$ref"]).rsplit("/", 1)[-1]
+        name = str(schema["$ref"]).rsplit("/", 1)[-1]
+        return f"{name} | None" if schema.get("default", "") is None else name
     if "enum" in schema:
         return "Literal[" + ", ".join(f'"{value}"' for value in schema["enum"]) + "]"
     if "type" not in schema:
