Test configuration, templates, settings and metrics

A process with histograms but no counter rendered no metrics at all: the SDK passes nothing on while it has no instrument with data.

--- a/src/jasminewalk/metrics.py
+++ b/src/jasminewalk/metrics.py
@@ -57,7 +57,7 @@
     """One row of the table of metrics.
 
     :param name: name without the prefix ``jasminewalk``.
-    :param kind: ``counter`` or ``histogram``.
+    :param kind: ``counter``, ``gauge`` or ``histogram``.
     :param description: what it counts or measures.
     """
 
@@ -69,6 +69,7 @@
 CATALOGUE = tuple(
     MetricSpec(*row)
     for row in (
+        ("up", "gauge", "1 while the process runs."),
         ("requests", "counter", "Requests that callers sent."),
         ("refusals", "counter", "Requests refused or given up, by result code."),
         ("retries", "counter", "Attempts after the first that began anew."),
@@ -239,6 +240,11 @@
             shutdown_on_exit=False,
         )
         self.meter = self.provider.get_meter("jasminewalk")
+        self.meter.create_observable_gauge(
+            "up",
+            callbacks=[lambda options: [Observation(1, {"part": part})]],
+            description=self.description("up"),
+        )
         for spec in CATALOGUE:
             if spec.kind == "counter":
                 self.add_counter(spec.name)
--- a/src/jasminewalk/reports.py
+++ b/src/jasminewalk/reports.py
@@ -174,11 +174,14 @@
             values = [value / 1000 for value in kind.whole_ms.values()]
             axes.plot(list(kind.whole_ms), values, marker="o", label=name)
     axes.set_yscale("log")
+    axes.yaxis.set_major_formatter("{x:g}")
     axes.set_xlabel("percentile")
     axes.set_ylabel("seconds to the whole answer")
     axes.grid(axis="y", alpha=0.3)
     if axes.has_data():
-        axes.legend(loc="upper left", frameon=False, fontsize=8)
+        axes.legend(
+            loc="center left", bbox_to_anchor=(1.0, 0.5), frameon=False, fontsize=8
+        )
 
 
 def page(result: LoadResult, image: bytes) -> str:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,8 +3,10 @@
 import socket
 from pathlib import Path
 
+import attrs
 import pytest
 
+from jasminewalk.cli import main
 from jasminewalk.clock import ManualClock
 
 KNOWN_RED = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
@@ -44,3 +46,22 @@
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
         return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+@attrs.frozen
+class Finished:
+    code: int
+    out: str
+    err: str
+
+
+@pytest.fixture
+def run_command(capsys):
+    def run(*arguments):
+        with pytest.raises(SystemExit) as caught:
+            main([str(argument) for argument in arguments])
+            raise SystemExit(0)
+        captured = capsys.readouterr()
+        return Finished(caught.value.code or 0, captured.out, captured.err)
+
+    return run
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,206 @@
+import json
+from pathlib import Path
+
+import pytest
+
+from jasminewalk.configuration import ConfigurationView
+from jasminewalk.configuration_checks import check_documents
+from jasminewalk.configuration_files import read_configuration
+from jasminewalk.exceptions import BadConfigurationError
+
+EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
+ORGANISATION = {"template": "band-fittings", "version": 1, "parameters": {}}
+
+
+def load(name):
+    view = ConfigurationView()
+    documents = read_configuration(str(EXAMPLES / name / "configuration.yaml"))
+    check_documents(documents, view)
+    return view
+
+
+@pytest.fixture
+def thrissur():
+    return load("thrissur")
+
+
+def text(**changes):
+    return json.dumps({**ORGANISATION, **changes})
+
+
+@pytest.mark.parametrize(
+    ("name", "organisation", "engine_pool"),
+    [
+        ("escuela", "cantabria", "tutor"),
+        ("thrissur", "temple-bands", "fitting-assistant"),
+    ],
+)
+def test_examples_are_valid_and_whole(name, organisation, engine_pool):
+    view = load(name)
+    found = view.organisation(organisation)
+    assert {rule.pool for rule in found.models.values()} == {engine_pool}
+    assert view.pools[engine_pool].kind == "engine"
+    for service in found.services.values():
+        assert not any(call.startswith("POST") for call in service.repeatable)
+    assert all(view.organisation(name) for name in view.organisation_names())
+
+
+def test_a_bad_document_never_replaces_a_good_one(thrissur):
+    good = thrissur.organisation("ward-office")
+    pools = thrissur.pools
+    bad = [
+        ("organisation/ward-office", text(version=7)),
+        ("organisation/ward-office", text(parameters={"weight": -1})),
+        ("organisation/ward-office", "{"),
+        ("template/band-fittings", "[]"),
+        ("fleet/default", '{"pools": {"p": {"kind": "car"}}}'),
+        ("gadget/x", "{}"),
+    ]
+    for revision, (subject, document) in enumerate(bad, start=20):
+        assert not thrissur.apply(subject, revision, document)
+    assert not thrissur.apply("fleet/default", 30, "", deleted=True)
+    assert thrissur.organisation("ward-office") == good
+    assert thrissur.pools == pools
+    assert thrissur.ignored == len(bad) + 1
+    assert thrissur.revision == 30
+
+
+def test_template_may_come_after_its_organisations(thrissur):
+    late = ConfigurationView()
+    late.apply("organisation/a", 5, text())
+    assert late.organisation("a") is None
+    template = json.dumps({"versions": {}})
+    late.apply("template/band-fittings", 2, template)
+    assert late.organisation("a") is None
+    late.templates.update(thrissur.templates)
+    assert late.organisation("a").weight == 1.0
+
+
+def test_change_and_removal_show_at_once(thrissur):
+    assert thrissur.organisation("ward-office").weight == 0.5
+    thrissur.apply("organisation/ward-office", 9, text(parameters={"weight": 3}))
+    assert thrissur.organisation("ward-office").weight == 3.0
+    thrissur.apply("organisation/ward-office", 10, "", deleted=True)
+    assert thrissur.organisation("ward-office") is None
+
+
+def test_rendered_organisations_are_bounded(thrissur):
+    thrissur.rendered_limit = 3
+    for number in range(10):
+        thrissur.apply(f"organisation/o{number}", 20 + number, text())
+        assert thrissur.organisation(f"o{number}").name == f"o{number}"
+    assert list(thrissur.rendered) == ["o7", "o8", "o9"]
+
+
+CONFIGURATION = """\
+kind: fleet
+name: default
+failure_domains: [a, b]
+pools:
+  big: {kind: engine, models: [m]}
+  desk: {kind: service}
+---
+kind: template
+name: t
+versions:
+  1:
+    parameters:
+      pool: {type: string, default: big}
+      places: {type: list, default: [a]}
+    organisation:
+      classes: {c: {deadline_s: 3}}
+      failure_domains: ${places}
+      models: {m: {pool: '${pool}', request_class: c}}
+      services: {}
+---
+kind: organisation
+name: o
+template: t
+version: 1
+parameters: {}
+"""
+
+
+ORGANISATION_HEAD = "kind: organisation"
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "where", "message"),
+    [
+        ("kind: fleet", "kind: fleets", "", "kind: found 'fleets'; allowed is one of"),
+        ("name: default", "name: other", "", "name: found 'other'; allowed is default"),
+        ("kind: engine", "kind: engin", "", "pools.big.kind: found 'engin'"),
+        ("models: [m]}", "modles: [m]}", "", "pools.big.modles: found an unknown name"),
+        ("pool: {type: string", "pool: {type: text", "", "allowed is one of string"),
+        ("${places}", "${place}", "organisation:", "organisation: found ${place}"),
+        (
+            "template: t",
+            "template: u",
+            "",
+            "template: found 'u'; allowed is a template",
+        ),
+        ("version: 1", "version: 2", "", "version: found 2 of template 't'"),
+        ("version: 1", "version: 1\nversion: 1", "version: 1\nparam", "found twice"),
+        ("name: o\n", "name: O\n", "", "name: found 'O'; allowed is a name of"),
+        ("parameters: {}", "parameters: {pool: 3}", "", "parameters.pool: found 3"),
+        (
+            "parameters: {}",
+            "parameters: {pool: desk}",
+            ORGANISATION_HEAD,
+            "models.m: found pool 'desk' of kind service; allowed is kind engine",
+        ),
+        (
+            "parameters: {}",
+            "parameters: {pool: big2}",
+            ORGANISATION_HEAD,
+            "models.m: found pool 'big2'; allowed is one of big, desk",
+        ),
+        (
+            "parameters: {}",
+            "parameters: {places: [c]}",
+            ORGANISATION_HEAD,
+            "failure_domains: found 'c'; allowed is one of a, b",
+        ),
+        (
+            "models: [m]}",
+            "models: [n]}",
+            ORGANISATION_HEAD,
+            "models.m: found 'm', which is not among the models of pool big",
+        ),
+    ],
+)
+def test_errors_name_line_path_found_and_allowed(tmp_path, old, new, where, message):
+    path = tmp_path / "c.yaml"
+    changed = new.join(CONFIGURATION.rsplit(old, 1))
+    path.write_text(changed)
+    with pytest.raises(BadConfigurationError) as caught:
+        check_documents(read_configuration(str(path)), ConfigurationView())
+    line = 1 + changed[: changed.index(where or new)].count("\n")
+    first = caught.value.detail.splitlines()[0]
+    assert first.startswith(f"{path}:{line}: ")
+    assert message in first
+
+
+def test_published_version_never_changes(tmp_path):
+    path = tmp_path / "c.yaml"
+    path.write_text(CONFIGURATION)
+    view = ConfigurationView()
+    check_documents(read_configuration(str(path)), view)
+    path.write_text(CONFIGURATION.replace("deadline_s: 3", "deadline_s: 4"))
+    with pytest.raises(BadConfigurationError, match="never changes"):
+        check_documents(read_configuration(str(path)), view)
+    path.write_text(CONFIGURATION.replace("  1:\n", "  2:\n"))
+    with pytest.raises(BadConfigurationError, match="published version must stay"):
+        check_documents(read_configuration(str(path)), view)
+
+
+def test_fleet_must_serve_organisations_in_force(tmp_path):
+    path = tmp_path / "c.yaml"
+    path.write_text(CONFIGURATION)
+    view = ConfigurationView()
+    check_documents(read_configuration(str(path)), view)
+    path.write_text("kind: fleet\nname: default\npools: {}\n")
+    with pytest.raises(
+        BadConfigurationError, match=r"organisation/o: models\.m: found"
+    ):
+        check_documents(read_configuration(str(path)), view)
--- /dev/null
+++ b/tests/test_templates.py
@@ -0,0 +1,126 @@
+import pytest
+
+from jasminewalk.exceptions import BadConfigurationError
+from jasminewalk.generated_configuration import (
+    OrganisationDocument,
+    Template,
+    TemplateParameter,
+    TemplateVersion,
+)
+from jasminewalk.templates import (
+    parameter_problem,
+    render_organisation,
+    template_problems,
+)
+
+BODY = {
+    "weight": "${weight}",
+    "failure_domains": "${places}",
+    "classes": {"helper": {"deadline_s": "${deadline_s}"}},
+    "models": {"${model}": {"pool": "pool-${model}", "request_class": "helper"}},
+    "services": {},
+}
+PARAMETERS = {
+    "places": TemplateParameter(
+        type="list", allowed=["north", "south"], minimum=1, required=True
+    ),
+    "weight": TemplateParameter(type="number", default=1.0, minimum=0.5, maximum=4),
+    "deadline_s": TemplateParameter(type="integer", default=6),
+    "model": TemplateParameter(type="string", default="m", pattern="[a-z]+"),
+}
+
+
+@pytest.fixture
+def version():
+    return TemplateVersion(parameters=PARAMETERS, organisation=BODY)
+
+
+@pytest.fixture
+def template(version):
+    return Template(versions={"1": version})
+
+
+def render(template, parameters, version=1):
+    document = OrganisationDocument(
+        template="t", version=version, parameters=parameters
+    )
+    return render_organisation("cafe", document, template)
+
+
+def test_values_keep_their_types(template):
+    found = render(template, {"places": ["south"], "weight": 2, "model": "tutor"})
+    assert found.name == "cafe"
+    assert found.weight == 2.0
+    assert found.failure_domains == ["south"]
+    assert found.models["tutor"].pool == "pool-tutor"
+    assert found.classes["helper"].deadline_s == 6.0
+
+
+@pytest.mark.parametrize(
+    ("parameters", "message"),
+    [
+        ({}, "parameters: found no places; it is needed"),
+        ({"places": []}, "parameters.places: found []; at least length 1 is allowed"),
+        ({"places": ["east"]}, "found 'east'; allowed is one of north, south"),
+        ({"places": "north"}, "found 'north'; allowed is a value of type list"),
+        ({"places": ["north"], "weight": 9}, "found 9; at most 4 is allowed"),
+        ({"places": ["north"], "weight": True}, "found True; allowed is a value of"),
+        ({"places": ["north"], "deadline_s": 1.5}, "of type integer"),
+        ({"places": ["north"], "deadline_s": 0}, "classes"),
+        ({"places": ["north"], "model": "B2"}, "text that matches [a-z]+"),
+        ({"places": ["north"], "wieght": 1}, "parameters.wieght: found an unknown"),
+    ],
+)
+def test_bad_values_name_path_found_and_allowed(template, parameters, message):
+    with pytest.raises(BadConfigurationError) as caught:
+        render(template, parameters)
+    assert message in caught.value.detail
+
+
+def test_unknown_version_names_the_known_ones(template):
+    with pytest.raises(BadConfigurationError, match=r"found 2 .* allowed is one of 1"):
+        render(template, {"places": ["north"]}, version=2)
+
+
+def test_class_that_does_not_exist_is_refused():
+    body = {
+        "classes": {},
+        "models": {"m": {"pool": "p", "request_class": "helper"}},
+        "services": {},
+    }
+    template = Template(
+        versions={"1": TemplateVersion(parameters={}, organisation=body)}
+    )
+    with pytest.raises(BadConfigurationError, match=r"models\.m\.request_class"):
+        render(template, {})
+
+
+@pytest.mark.parametrize(
+    ("changes", "message"),
+    [
+        ({"x": TemplateParameter(type="string")}, "neither required nor a default"),
+        ({"x": TemplateParameter(type="integer", default="a")}, "default: found 'a'"),
+        ({"x": TemplateParameter(type="string", default="", pattern="(")}, "pattern"),
+        ({"x": TemplateParameter(type="integer", default=1, pattern="1")}, "a pattern"),
+    ],
+)
+def test_bad_declarations_are_found(changes, message):
+    version = TemplateVersion(parameters={**PARAMETERS, **changes}, organisation=BODY)
+    problems = template_problems(Template(versions={"1": version}))
+    assert [message in problem.text for problem in problems] == [True]
+    assert problems[0].path == ("versions", "1", "parameters", "x")
+
+
+def test_placeholder_without_parameter_is_found():
+    version = TemplateVersion(parameters={}, organisation={"weight": "${weight}"})
+    problems = template_problems(Template(versions={"0": version}))
+    assert {problem.path for problem in problems} == {
+        ("versions", "0"),
+        ("versions", "0", "organisation"),
+    }
+
+
+def test_boolean_parameter():
+    flag = TemplateParameter(type="boolean", default=False)
+    assert parameter_problem(flag, True) == ""
+    assert parameter_problem(flag, 1) != ""
