Price waiting and work apart; propose roles only when requests are refused

Cause: a price by the predicted finish kept long answers off slow engines, which stood idle a quarter of the time, and rates learned under the mix made every pool look overloaded to the planner, which then changed roles for no gain.

--- a/src/jasminewalk/roles.py
+++ b/src/jasminewalk/roles.py
@@ -26,6 +26,8 @@
     :param settle_s: least seconds between changes in a pool.
     :param stagger_s: longest random wait before a proposal.
     :param peak_utilisation: part of the capacity that can be used in time.
+    :param least_refused_part: part of the requests refused below which no change
+        can gain.
     :param default_dwell_s: seconds that a mix is expected to last at first.
     """
 
@@ -36,6 +38,7 @@
     settle_s: float = 60.0
     stagger_s: float = 1.0
     peak_utilisation: float = 0.9
+    least_refused_part: float = 0.05
     default_dwell_s: float = 180.0
 
 
@@ -64,11 +67,15 @@
     :param updated_s: instant of the newest evidence.
     :param prefill: uncached prompt tokens per second.
     :param decode: output tokens per second.
+    :param requests: requests per second.
+    :param refused: refused requests per second.
     """
 
     updated_s: float
     prefill: float = 0.0
     decode: float = 0.0
+    requests: float = 0.0
+    refused: float = 0.0
 
 
 @attrs.frozen
@@ -128,6 +135,8 @@
         uncached = max(0, demand.prompt_tokens - demand.cached_tokens)
         rates.prefill += weight * (uncached / demand.period_s - rates.prefill)
         rates.decode += weight * (demand.output_tokens / demand.period_s - rates.decode)
+        rates.requests += weight * (demand.requests / demand.period_s - rates.requests)
+        rates.refused += weight * (demand.refused / demand.period_s - rates.refused)
         rates.updated_s = now_s
         if demand.prefill_tokens_per_s:
             self.fleet_prefill = demand.prefill_tokens_per_s
@@ -191,17 +200,19 @@
     def best(self, now_s: float) -> RoleProposal | None:
         """Return the change that gains the most, if it gains more than it costs.
 
+        The cost counts the way back, as the mix is expected to swing back.
+
         :param now_s: current instant in seconds.
         """
         work = self.work()
-        if not work:
+        if not work or self.refused_part < self.settings.least_refused_part:
             return None
         role = self.roles.get(self.endpoint, "mixed")
         held = list(self.roles.values())
         counts = {name: held.count(name) for name in ROLES}
         left_s = max(0.0, self.dwell_s - (now_s - self.mix_since_s))
         use_s = min(self.pool.horizon_s, left_s) - self.settings.change_s
-        cost_s = self.settings.change_s + self.pool.role_change_cost
+        cost_s = 2.0 * self.settings.change_s + self.pool.role_change_cost
         before = self.served(work, counts)
         found: RoleProposal | None = None
         for wanted in ROLES:
@@ -250,21 +261,37 @@
             can_decode >= self.pool.min_decode
         )
 
+    @property
+    def refused_part(self) -> float:
+        """Part of the requests that were refused lately."""
+        requests = sum(rates.requests for rates in self.rates.values())
+        refused = sum(rates.refused for rates in self.rates.values())
+        return min(0.9, refused / requests) if requests else 0.0
+
     def work(self) -> list[_Work]:
-        """Return the demand of each class in engines of average speed."""
-        engines = len(self.roles)
-        if not engines or not self.fleet_prefill or not self.fleet_decode:
+        """Return the demand of each class in engines of average speed.
+
+        What is refused shows how far the demand is above the capacity; the learned
+        speeds, which depend on the mix, give only its parts.
+        """
+        if not self.roles or not self.fleet_prefill or not self.fleet_decode:
             return []
         by_class: dict[str, list[_Rates]] = {}
         for (_, request_class), rates in self.rates.items():
             by_class.setdefault(request_class, []).append(rates)
-        return [
+        parts = [
             _Work(
-                sum(rates.prefill for rates in parts) * engines / self.fleet_prefill,
-                sum(rates.decode for rates in parts) * engines / self.fleet_decode,
+                sum(rates.prefill for rates in items) / self.fleet_prefill,
+                sum(rates.decode for rates in items) / self.fleet_decode,
             )
-            for parts in by_class.values()
+            for items in by_class.values()
         ]
+        total = sum(part.prefill + part.decode for part in parts)
+        if total <= 0.0:
+            return []
+        capacity = len(self.roles) * self.settings.peak_utilisation
+        scale = capacity / (1.0 - self.refused_part) / total
+        return [_Work(part.prefill * scale, part.decode * scale) for part in parts]
 
     def served(self, work: list[_Work], counts: Mapping[str, int]) -> float:
         """Return the mixed-role work that the pool can serve with some roles.
--- a/src/jasminewalk/routing.py
+++ b/src/jasminewalk/routing.py
@@ -17,6 +17,8 @@
 
 SHOWN_CANDIDATES = 4
 MAX_LEARNED_CLASSES = 10_000
+LATE_PRICE_S = 100.0
+REFERENCE_LEARNING = 0.02
 
 
 @attrs.frozen(kw_only=True)
@@ -28,8 +30,8 @@
     :param shares: how shares of organisations are measured.
     :param candidates: endpoints weighed at random in a large pool.
     :param affine: endpoints weighed besides for their prefix cache.
-    :param work_weight: price of a second of an endpoint's prefill in seconds of
-        latency.
+    :param work_weight: price of a second of prefill in seconds to the first token.
+    :param finish_weight: price of a second to the last token in the same.
     :param deadline_margin: part of the time left that a prediction may use.
     :param share_floor: part of the time left that an organisation far above its
         share may use.
@@ -48,7 +50,8 @@
     shares: ShareSettings = attrs.field(factory=ShareSettings)
     candidates: int = 8
     affine: int = 4
-    work_weight: float = 2.0
+    work_weight: float = 20.0
+    finish_weight: float = 0.1
     deadline_margin: float = 0.95
     share_floor: float = 0.4
     min_retry_after_s: float = 0.2
@@ -130,6 +133,7 @@
         self.budget = RetryBudget(settings.retry_ratio)
         self.lengths: dict[tuple[str, str], float] = {}
         self.refused_until_s: dict[str, float] = {}
+        self.reference_rate = settings.speeds.default_prefill_tokens_per_s
         self.others = 1.0
         self.finished_here = 0
         self.finished_everywhere = 0
@@ -148,6 +152,9 @@
             self.finished_everywhere += max(0, report.completed - known.completed)
             self.learn_others()
         view.observe(now_s, report)
+        if report.prefill_tokens_per_s:
+            change = report.prefill_tokens_per_s - self.reference_rate
+            self.reference_rate += REFERENCE_LEARNING * change
 
     def learn_others(self) -> None:
         """Learn how many requests all entries send for each one of this entry."""
@@ -306,9 +313,37 @@
         prediction = view.predict(
             now_s, prefill, query.output_tokens, profile.priority, self.others
         )
-        score = prediction.finish_s + self.settings.work_weight * prediction.work_s
+        score = self.price(now_s, profile, prefill, prediction)
         return _Option(view, cached, prediction, score)
 
+    def price(
+        self,
+        now_s: float,
+        profile: RequestProfile,
+        prefill_tokens: int,
+        prediction: Prediction,
+    ) -> float:
+        """Return the price of an endpoint for a request in seconds.
+
+        :param now_s: current instant in seconds.
+        :param profile: the request.
+        :param prefill_tokens: prompt tokens that need prefill there.
+        :param prediction: when it would answer.
+        """
+        settings = self.settings
+        price_s = prediction.first_token_s
+        price_s += settings.finish_weight * prediction.finish_s
+        price_s += settings.work_weight * prefill_tokens / self.reference_rate
+        late_s = prediction.finish_s - settings.deadline_margin * (
+            profile.deadline_s - now_s
+        )
+        late_s = max(
+            late_s, prediction.first_token_s - profile.first_token_deadline_s + now_s
+        )
+        if late_s > 0.0:
+            price_s += LATE_PRICE_S + late_s
+        return price_s
+
     def expected_tokens(self, profile: RequestProfile) -> int:
         """Return the output tokens to expect, learned by class if possible.
 
