Measure queueing and count tokens and cache hits

The operators' metrics lacked the queueing histogram and the counters of cached tokens and cache hits that their table promises. The sidecar observes the time from arrival to start once per request, the entry counts tokens once per answer.

--- a/src/jasminewalk/dispatch.py
+++ b/src/jasminewalk/dispatch.py
@@ -296,6 +296,19 @@
             trace.total_s,
         )
         self.dispatcher.metrics.observe("request_seconds", trace.total_s, **self.labels)
+        self.count_tokens()
+
+    def count_tokens(self) -> None:
+        """Count the tokens of a generation that has ended."""
+        trace = self.trace
+        if not trace.model:
+            return
+        metrics = self.dispatcher.metrics
+        metrics.count("prompt_tokens", trace.prompt_tokens, **self.labels)
+        metrics.count("output_tokens", trace.output_tokens, **self.labels)
+        metrics.count("cached_tokens", trace.cached_tokens, **self.labels)
+        if trace.cached_tokens:
+            metrics.count("cache_hits", **self.labels)
 
     async def send(self, action: Send) -> Action:
         """Make one attempt and return what to do after it.
--- a/src/jasminewalk/sidecar_engine.py
+++ b/src/jasminewalk/sidecar_engine.py
@@ -40,6 +40,7 @@
             pool=self.settings.pool,
             clock=self.clock,
             progress_timeout_s=self.settings.progress_timeout_s,
+            metrics=context.metrics,
         )
         self.generations = self.runner
         self.orders = OrderDesk(context, self.engine, self)
--- a/src/jasminewalk/sidecar_streams.py
+++ b/src/jasminewalk/sidecar_streams.py
@@ -14,6 +14,7 @@
 from jasminewalk.generated_codes import RESULTS, Code
 from jasminewalk.generated_requests import Frame, GenerateRequest, RefusalBody
 from jasminewalk.interfaces import Engine
+from jasminewalk.metrics import Metrics
 from jasminewalk.queueing import EndpointQueue
 from jasminewalk.types import Refusal, RequestProfile
 
@@ -115,6 +116,7 @@
     :param pool: pool of the endpoint.
     :param clock: source of time.
     :param progress_timeout_s: seconds without output after which a stream ends.
+    :param metrics: counters and histograms of the sidecar.
     """
 
     def __init__(
@@ -125,7 +127,9 @@
         pool: str,
         clock: Clock,
         progress_timeout_s: float,
+        metrics: Metrics,
     ) -> None:
+        self.metrics = metrics
         self.engine = engine
         self.queue = queue
         self.pool = pool
@@ -290,12 +294,19 @@
 
     def start_ready(self) -> None:
         """Let the generations go whose turn has come."""
-        for profile in self.queue.start(self.clock.monotonic()):
+        now_s = self.clock.monotonic()
+        for profile in self.queue.start(now_s):
             stream = self.streams.get(profile.request_id)
             if stream is None:
-                self.queue.finished(self.clock.monotonic(), profile.request_id)
-            else:
-                stream.started.set()
+                self.queue.finished(now_s, profile.request_id)
+                continue
+            stream.started.set()
+            self.metrics.observe(
+                "queue_seconds",
+                now_s - stream.arrived_s,
+                organisation=profile.organisation,
+                request_class=profile.request_class,
+            )
 
     def end(self, stream: Stream) -> None:
         """Forget a stream and free its place.
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -69,5 +69,4 @@
         for path in PACKAGE.glob("*.py")
         for name in USE.findall(path.read_text(encoding="utf-8"))
     }
-    assert used
-    assert used <= known
+    assert used == known - {"up", "resumes"}
