Tell the sidecar's queue when a prefill is done

The queue hands over prompts until the engine has a tenth of a second of prefill, and counts a prompt as waiting for prefill until it hears of its first token. The runner never said so, and the place was freed only by the end of the stream. Not the cause: the engine's batch and its memory, which had room.

--- a/src/jasminewalk/sidecar_streams.py
+++ b/src/jasminewalk/sidecar_streams.py
@@ -224,9 +224,20 @@
         async for lines in frames:
             now_s = self.clock.monotonic()
             stream.progress_s = now_s
-            stream.got_bytes = True
+            if not stream.got_bytes:
+                self.note_first_token(stream, now_s)
             await self.send_lines(stream, lines, now_s)
 
+    def note_first_token(self, stream: Stream, now_s: float) -> None:
+        """Tell the queue that a prefill is done, and start who waited for it.
+
+        :param stream: the stream.
+        :param now_s: current instant in seconds.
+        """
+        stream.got_bytes = True
+        self.queue.first_token(now_s, stream.profile.request_id)
+        self.start_ready()
+
     async def send_lines(self, stream: Stream, lines: bytes, now_s: float) -> None:
         """Send frames, preceded by the header if it has not been sent.
 
--- /dev/null
+++ b/tests/test_sidecar_streams.py
@@ -0,0 +1,71 @@
+import anyio
+import msgspec
+import pytest
+
+from jasminewalk.clock import SystemClock
+from jasminewalk.generated_requests import Frame, GenerateRequest
+from jasminewalk.interfaces import Engine
+from jasminewalk.metrics import Metrics
+from jasminewalk.queueing import EndpointQueue, QueueSettings
+from jasminewalk.sidecar_streams import GenerationRunner
+
+pytestmark = pytest.mark.anyio
+
+BOUND_S = 10.0
+
+
+class HeldEngine(Engine):
+    """Sends the first token of each stream and holds the rest back."""
+
+    def __init__(self):
+        self.started = 0
+        self.released = anyio.Event()
+
+    async def generate(self, request):
+        self.started += 1
+        yield msgspec.json.encode(Frame(n=0, t="a")) + b"\n"
+        await self.released.wait()
+        yield msgspec.json.encode(Frame(n=1, t="b", end="stop")) + b"\n"
+
+    async def cancel(self, request_id, attempt):
+        raise NotImplementedError
+
+    state = order = cache_events = export_kv = import_kv = cancel
+
+
+def request(number):
+    return GenerateRequest(
+        request_id=f"r{number}",
+        attempt=1,
+        organisation="o",
+        request_class="c",
+        model="m",
+        prompt="p",
+        prompt_tokens=100,
+        max_tokens=2,
+        deadline_s=60.0,
+    )
+
+
+async def test_first_token_makes_room_for_the_next_prefill():
+    engine = HeldEngine()
+    runner = GenerationRunner(
+        engine=engine,
+        queue=EndpointQueue(QueueSettings(ahead_s=0.0, max_running=8)),
+        pool="tutor",
+        clock=SystemClock(),
+        progress_timeout_s=BOUND_S,
+        metrics=Metrics("sidecar"),
+    )
+
+    async def send(message):
+        pass
+
+    async with anyio.create_task_group() as group:
+        for number in range(4):
+            group.start_soon(runner.handle, request(number), anyio.sleep_forever, send)
+        with anyio.fail_after(BOUND_S):
+            while engine.started < 4:
+                await anyio.sleep(0.01)
+        engine.released.set()
+    assert runner.completed == 4
