Let cheap work go first in a full pool; add the measure command's tables

Cause: in a full pool the engine that has a prompt cached is often predicted too late, and the overflow went to engines that computed it again, which made the pool fuller. Such an endpoint may now use less of the time left.

--- /dev/null
+++ b/src/jasminewalk/_measure_results.py
@@ -0,0 +1,248 @@
+"""Figures of one run and the tables that compare runs."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Sequence
+
+import attrs
+
+from jasminewalk._measure_bound import Bound
+from jasminewalk._measure_driver import Driver
+from jasminewalk._measure_workload import MeasuredRequest
+from jasminewalk.generated_measure import Workload
+
+__all__ = ["ClassFigures", "RunFigures", "figures_of", "table_of"]
+
+
+@attrs.frozen(kw_only=True)
+class ClassFigures:
+    """Figures of one class.
+
+    :param goodput_per_s: whole answers within the deadline a second.
+    :param first_token_s: 50th, 95th and 99th percentile to the first token.
+    :param between_tokens_s: the same of each answer's 95th percentile gap.
+    """
+
+    goodput_per_s: float
+    first_token_s: tuple[float, float, float]
+    between_tokens_s: tuple[float, float, float]
+
+
+@attrs.frozen(kw_only=True)
+class RunFigures:
+    """Figures of one run.
+
+    :param workload: name of the workload.
+    :param variant: name of the variant.
+    :param policy: name of the policy.
+    :param seed: seed of the run.
+    :param requests: requests that count.
+    :param answers: whole answers within the deadline.
+    :param goodput_per_s: the same a second.
+    :param of_bound: answers against the bound.
+    :param of_role_bound: answers against the bound with free roles and hand-over.
+    :param classes: figures by class.
+    :param organisations: answers a second by organisation.
+    :param least_share: least work served against the fair share of an organisation.
+    :param refused: requests refused.
+    :param late: requests that ran past their deadline.
+    :param told_late_s: longest time between becoming hopeless and the refusal.
+    :param wasted_s: engine seconds of answers that were late.
+    :param retries: attempts besides the first ones.
+    :param role_changes: role changes.
+    :param swings: times that the mix swung.
+    """
+
+    workload: str
+    variant: str
+    policy: str
+    seed: int
+    requests: int
+    answers: int
+    goodput_per_s: float
+    of_bound: float
+    of_role_bound: float
+    classes: dict[str, ClassFigures]
+    organisations: dict[str, float]
+    least_share: float
+    refused: int
+    late: int
+    told_late_s: float
+    wasted_s: float
+    retries: int
+    role_changes: int
+    swings: int
+
+
+def percentiles(values: Iterable[float]) -> tuple[float, float, float]:
+    """Return the 50th, 95th and 99th percentile; zeros of nothing.
+
+    >>> percentiles(range(100))
+    (50, 95, 99)
+
+    :param values: the values.
+    """
+    ranked = sorted(values)
+    if not ranked:
+        return (0.0, 0.0, 0.0)
+    size = len(ranked)
+    return (
+        ranked[size // 2],
+        ranked[min(size - 1, size * 95 // 100)],
+        ranked[min(size - 1, size * 99 // 100)],
+    )
+
+
+def class_figures(
+    name: str, requests: Sequence[MeasuredRequest], seconds: float
+) -> ClassFigures:
+    """Return the figures of one class.
+
+    :param name: class name.
+    :param requests: requests that count.
+    :param seconds: seconds of arrivals that count.
+    """
+    mine = [item for item in requests if item.request_class == name]
+    good = [item for item in mine if item.outcome == "good"]
+    return ClassFigures(
+        goodput_per_s=len(good) / seconds,
+        first_token_s=percentiles(
+            item.first_s - item.arrived_s for item in mine if item.first_s is not None
+        ),
+        between_tokens_s=percentiles(item.gap_s for item in good),
+    )
+
+
+def least_share(workload: Workload, requests: Sequence[MeasuredRequest]) -> float:
+    """Return the least work served against the fair share of an organisation.
+
+    Shares are weighted and max-min: an organisation that asks for less than its
+    share leaves the rest to the others.
+
+    :param workload: the workload.
+    :param requests: requests that count.
+    """
+    asked: Counter[str] = Counter()
+    served: Counter[str] = Counter()
+    for item in requests:
+        asked[item.organisation] += item.work_s  # type: ignore[assignment]
+        if item.outcome == "good":
+            served[item.organisation] += item.work_s  # type: ignore[assignment]
+    weights = {name: item.weight for name, item in workload.organisations.items()}
+    left_s = float(sum(served.values()))
+    left_weight = sum(weights[name] for name in asked)
+    least = 1.0
+    for name in sorted(asked, key=lambda key: asked[key] / weights[key]):
+        share_s = min(float(asked[name]), left_s * weights[name] / left_weight)
+        left_s -= share_s
+        left_weight -= weights[name]
+        if share_s > 0.0:
+            least = min(least, served[name] / share_s)
+    return least
+
+
+def figures_of(
+    driver: Driver, bound: Bound, *, variant: str, policy: str, seed: int, swings: int
+) -> RunFigures:
+    """Return the figures of a run.
+
+    :param driver: the run.
+    :param bound: bounds of its workload.
+    :param variant: name of the variant.
+    :param policy: name of the policy.
+    :param seed: seed of the run.
+    :param swings: times that the mix swung.
+    """
+    workload = driver.workload
+    seconds = workload.duration_s - workload.warmup_s
+    counted = [item for item in driver.requests if item.arrived_s >= workload.warmup_s]
+    good = [item for item in counted if item.outcome == "good"]
+    outcomes = Counter(item.outcome for item in counted)
+    per_organisation = Counter(item.organisation for item in good)
+    return RunFigures(
+        workload=workload.name,
+        variant=variant,
+        policy=policy,
+        seed=seed,
+        requests=len(counted),
+        answers=len(good),
+        goodput_per_s=len(good) / seconds,
+        of_bound=len(good) / bound.answers,
+        of_role_bound=len(good) / bound.role_answers,
+        classes={
+            name: class_figures(name, counted, seconds) for name in workload.classes
+        },
+        organisations={
+            name: per_organisation[name] / seconds for name in workload.organisations
+        },
+        least_share=least_share(workload, counted),
+        refused=outcomes["refused"],
+        late=outcomes["late"],
+        told_late_s=max((item.told_late_s for item in counted), default=0.0),
+        wasted_s=driver.wasted_s,
+        retries=driver.retries,
+        role_changes=len(driver.changes),
+        swings=swings,
+    )
+
+
+def mean(runs: Sequence[RunFigures], key: Callable[[RunFigures], float]) -> float:
+    """Return the mean of a figure.
+
+    :param runs: runs of the same variant and policy.
+    :param key: returns the figure of a run.
+    """
+    return sum(map(key, runs)) / len(runs)
+
+
+def interactive_figures(
+    workload: Workload, run: RunFigures, index: int
+) -> tuple[float, float]:
+    """Return the worst first token and gap of the interactive classes.
+
+    :param workload: the workload.
+    :param run: the run.
+    :param index: which percentile: 0 the 50th, 1 the 95th, 2 the 99th.
+    """
+    names = [name for name, item in workload.classes.items() if item.interactive]
+    classes = [run.classes[name] for name in names] or list(run.classes.values())
+    return (
+        max(item.first_token_s[index] for item in classes),
+        max(item.between_tokens_s[index] for item in classes),
+    )
+
+
+def table_of(workload: Workload, runs: Sequence[RunFigures]) -> str:
+    """Return a Markdown table with a line for each variant and policy.
+
+    :param workload: the workload.
+    :param runs: all runs.
+    """
+    lines = [
+        "| variant | policy | goodput/s | of bound (least) | of role bound |"
+        " first token p50/p95/p99 s | between tokens p95 ms | refused % | late % |"
+        " wasted s | retries | role changes | least share |",
+        "|---" * 13 + "|",
+    ]
+    groups: dict[tuple[str, str], list[RunFigures]] = {}
+    for run in runs:
+        groups.setdefault((run.variant, run.policy), []).append(run)
+    for (variant, policy), group in groups.items():
+        first = [
+            mean(group, lambda run, i=i: interactive_figures(workload, run, i)[0])  # type: ignore[misc]
+            for i in range(3)
+        ]
+        gap_s = mean(group, lambda run: interactive_figures(workload, run, 1)[1])
+        lines.append(
+            f"| {variant} | {policy} | {mean(group, lambda r: r.goodput_per_s):.2f}"
+            f" | {mean(group, lambda r: r.of_bound):.3f}"
+            f" ({min(run.of_bound for run in group):.3f})"
+            f" | {mean(group, lambda r: r.of_role_bound):.3f}"
+            f" | {first[0]:.2f}/{first[1]:.2f}/{first[2]:.2f} | {gap_s * 1000:.1f}"
+            f" | {100 * mean(group, lambda r: r.refused / r.requests):.1f}"
+            f" | {100 * mean(group, lambda r: r.late / r.requests):.2f}"
+            f" | {mean(group, lambda r: r.wasted_s):.1f}"
+            f" | {mean(group, lambda r: r.retries):.0f}"
+            f" | {mean(group, lambda r: r.role_changes):.1f}"
+            f" | {mean(group, lambda r: r.least_share):.2f} |"
+        )
+    return "\n".join(lines)
--- a/src/jasminewalk/routing.py
+++ b/src/jasminewalk/routing.py
@@ -32,6 +32,8 @@
     :param affine: endpoints weighed besides for their prefix cache.
     :param work_weight: price of a second of prefill in seconds to the first token.
     :param finish_weight: price of a second to the last token in the same.
+    :param extra_work_weight: part of the time left that work which another endpoint
+        has cached takes away, against its part of the work.
     :param deadline_margin: part of the time left that a prediction may use.
     :param share_floor: part of the time left that an organisation far above its
         share may use.
@@ -52,6 +54,7 @@
     affine: int = 4
     work_weight: float = 20.0
     finish_weight: float = 0.1
+    extra_work_weight: float = 2.0
     deadline_margin: float = 0.95
     share_floor: float = 0.4
     min_retry_after_s: float = 0.2
@@ -106,12 +109,14 @@
     :param cached_tokens: prompt tokens expected in its cache.
     :param prediction: when it would answer.
     :param score: price in seconds; lower is better.
+    :param late_s: seconds by which it would miss the time it may use.
     """
 
     view: EndpointView
     cached_tokens: int
     prediction: Prediction
     score: float
+    late_s: float = 0.0
 
 
 class Router:
@@ -259,10 +264,15 @@
         :param usable: endpoints that may get it.
         :param excluded: endpoints that were tried already.
         """
+        profile = query.profile
         names = self.sampled(query, usable, excluded)
         views = [self.view(name) for name in names]
         healthy = [view for view in views if self.is_healthy(now_s, view)]
-        return [self.option(now_s, query, view) for view in healthy or views]
+        options = [self.option(now_s, query, view) for view in healthy or views]
+        if not options:
+            return []
+        most = max(option.cached_tokens for option in options)
+        return [self.priced(now_s, profile, option, most) for option in options]
 
     def is_healthy(self, now_s: float, view: EndpointView) -> bool:
         """Return whether an endpoint may get more than a trial request.
@@ -313,36 +323,38 @@
         prediction = view.predict(
             now_s, prefill, query.output_tokens, profile.priority, self.others
         )
-        score = self.price(now_s, profile, prefill, prediction)
-        return _Option(view, cached, prediction, score)
+        return _Option(view, cached, prediction, prediction.finish_s)
 
-    def price(
-        self,
-        now_s: float,
-        profile: RequestProfile,
-        prefill_tokens: int,
-        prediction: Prediction,
-    ) -> float:
-        """Return the price of an endpoint for a request in seconds.
+    def priced(
+        self, now_s: float, profile: RequestProfile, option: _Option, most_cached: int
+    ) -> _Option:
+        """Return an endpoint with its price for a request in seconds.
+
+        An endpoint that would compute again what another one has cached may use
+        less of the time left, so that in a full pool cheap work goes first.
 
         :param now_s: current instant in seconds.
         :param profile: the request.
-        :param prefill_tokens: prompt tokens that need prefill there.
-        :param prediction: when it would answer.
+        :param option: the endpoint.
+        :param most_cached: most prompt tokens that any endpoint has cached.
         """
         settings = self.settings
+        prediction = option.prediction
+        prefill_s = (profile.prompt_tokens - option.cached_tokens) / self.reference_rate
+        extra_s = (most_cached - option.cached_tokens) / self.reference_rate
         price_s = prediction.first_token_s
         price_s += settings.finish_weight * prediction.finish_s
-        price_s += settings.work_weight * prefill_tokens / self.reference_rate
-        late_s = prediction.finish_s - settings.deadline_margin * (
-            profile.deadline_s - now_s
-        )
-        late_s = max(
-            late_s, prediction.first_token_s - profile.first_token_deadline_s + now_s
-        )
+        price_s += settings.work_weight * prefill_s
+        left_s = settings.deadline_margin * (profile.deadline_s - now_s)
+        if extra_s > 0.0:
+            work_s = prefill_s + option.view.slot_s
+            left_s *= max(0.0, 1.0 - settings.extra_work_weight * extra_s / work_s)
+        late_s = prediction.finish_s - left_s
+        first_left_s = profile.first_token_deadline_s - now_s
+        late_s = max(late_s, prediction.first_token_s - first_left_s)
         if late_s > 0.0:
             price_s += LATE_PRICE_S + late_s
-        return price_s
+        return attrs.evolve(option, score=price_s, late_s=late_s)
 
     def expected_tokens(self, profile: RequestProfile) -> int:
         """Return the output tokens to expect, learned by class if possible.
@@ -373,9 +385,7 @@
         quickest = min(option.prediction.finish_s for option in options)
         left_s = profile.deadline_s - now_s
         limit_s = left_s * self.settings.deadline_margin
-        first_left_s = profile.first_token_deadline_s - now_s
-        first_s = min(option.prediction.first_token_s for option in options)
-        late_s = max(quickest - limit_s, first_s - first_left_s)
+        late_s = min(option.late_s for option in options)
         if late_s > 0.0:
             reason = f"The earliest finish is in {quickest:.2f} s of {left_s:.2f} s."
             return self.refuse(now_s, Code.OVERLOADED, reason, late_s, options)
--- a/src/jasminewalk/speeds.py
+++ b/src/jasminewalk/speeds.py
@@ -161,6 +161,15 @@
         reported = self.report.decode_tokens_per_s if self.report else 0.0
         return reported or self.settings.default_decode_tokens_per_s
 
+    @property
+    def slot_s(self) -> float:
+        """Seconds of the endpoint that a request's place in the batch takes."""
+        report = self.report
+        if report is None:
+            return self.settings.default_residence_s
+        residence_s = report.residence_s or self.settings.default_residence_s
+        return residence_s / max(1, report.max_batch)
+
     def predict(
         self,
         now_s: float,
