Test publishing, status and the command line

Commands now return what to do, and it is done once the whole command line was understood; test_a_mistyped_flag_stops_a_command_before_it_does_anything shows it. An address in use is an error of the settings that names the file.

--- a/src/jasminewalk/cli.py
+++ b/src/jasminewalk/cli.py
@@ -1,5 +1,6 @@
 """The command line: ``jasminewalk COMMAND``."""
 
+import errno
 import os
 import signal
 import sys
@@ -8,10 +9,12 @@
 from typing import Any, Protocol
 
 import anyio
+import attrs
 import fire
+import msgspec
 from absl import logging
 
-from jasminewalk.exceptions import JasminewalkError
+from jasminewalk.exceptions import BadSettingsError, JasminewalkError
 from jasminewalk.generated_codes import Code
 from jasminewalk.logs import configure_logging
 
@@ -20,9 +23,20 @@
 SETTINGS_VARIABLE = "JASMINEWALK_SETTINGS"
 SETTINGS_FILE = "operator.yaml"
 EXIT_INTERRUPTED = 130
+BIND_ERRORS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EACCES)
 ADDRESS_POLL_S = 0.01
 
 
+@attrs.frozen
+class Action:
+    """What a command line asks for, to be done once all of it was understood.
+
+    :param do: does it.
+    """
+
+    do: Callable[[], None]
+
+
 class Daemon(Protocol):
     """What the command line needs of a daemon."""
 
@@ -38,7 +52,7 @@
 class Standins:
     """Small stand-ins for the platform and the back ends, for tests and trials."""
 
-    def engine(self, settings: str, verbosity: int = 0) -> None:
+    def engine(self, settings: str, verbosity: int = 0) -> Action:
         """Run an engine stand-in until SIGTERM.
 
         :param settings: YAML file with the settings (StandinEngineSettings).
@@ -47,9 +61,11 @@
         from jasminewalk.generated_standins import StandinEngineSettings
         from jasminewalk.standin_engine import StandinEngine
 
-        _serve(StandinEngine, StandinEngineSettings, settings, verbosity)
+        return Action(
+            lambda: _serve(StandinEngine, StandinEngineSettings, settings, verbosity)
+        )
 
-    def service(self, settings: str, verbosity: int = 0) -> None:
+    def service(self, settings: str, verbosity: int = 0) -> Action:
         """Run a service stand-in until SIGTERM.
 
         :param settings: YAML file with the settings (StandinServiceSettings).
@@ -58,9 +74,11 @@
         from jasminewalk.generated_standins import StandinServiceSettings
         from jasminewalk.standin_service import StandinService
 
-        _serve(StandinService, StandinServiceSettings, settings, verbosity)
+        return Action(
+            lambda: _serve(StandinService, StandinServiceSettings, settings, verbosity)
+        )
 
-    def log(self, settings: str, verbosity: int = 0) -> None:
+    def log(self, settings: str, verbosity: int = 0) -> Action:
         """Run a stand-in of the platform's log until SIGTERM.
 
         :param settings: YAML file with the settings (StandinLogSettings).
@@ -69,9 +87,11 @@
         from jasminewalk.generated_standins import StandinLogSettings
         from jasminewalk.standin_log import StandinLog
 
-        _serve(StandinLog, StandinLogSettings, settings, verbosity)
+        return Action(
+            lambda: _serve(StandinLog, StandinLogSettings, settings, verbosity)
+        )
 
-    def instances(self, settings: str, verbosity: int = 0) -> None:
+    def instances(self, settings: str, verbosity: int = 0) -> Action:
         """Run a stand-in of the platform's instance list until SIGTERM.
 
         :param settings: YAML file with the settings (StandinInstancesSettings).
@@ -80,9 +100,13 @@
         from jasminewalk.generated_standins import StandinInstancesSettings
         from jasminewalk.standin_instances import StandinInstances
 
-        _serve(StandinInstances, StandinInstancesSettings, settings, verbosity)
+        return Action(
+            lambda: _serve(
+                StandinInstances, StandinInstancesSettings, settings, verbosity
+            )
+        )
 
-    def weights(self, settings: str, verbosity: int = 0) -> None:
+    def weights(self, settings: str, verbosity: int = 0) -> Action:
         """Run a weight store stand-in until SIGTERM.
 
         :param settings: YAML file with the settings (StandinWeightsSettings).
@@ -91,7 +115,9 @@
         from jasminewalk.generated_standins import StandinWeightsSettings
         from jasminewalk.standin_weights import StandinWeights
 
-        _serve(StandinWeights, StandinWeightsSettings, settings, verbosity)
+        return Action(
+            lambda: _serve(StandinWeights, StandinWeightsSettings, settings, verbosity)
+        )
 
 
 class Commands:
@@ -105,7 +131,7 @@
     def __init__(self) -> None:
         self.standin = Standins()
 
-    def entry(self, settings: str, verbosity: int = 0) -> None:
+    def entry(self, settings: str, verbosity: int = 0) -> Action:
         """Run an entry: accept callers and relay their answers, until SIGTERM.
 
         :param settings: YAML file with the settings (EntrySettings).
@@ -114,9 +140,9 @@
         from jasminewalk.entry import EntryDaemon
         from jasminewalk.generated_settings import EntrySettings
 
-        _serve(EntryDaemon, EntrySettings, settings, verbosity)
+        return Action(lambda: _serve(EntryDaemon, EntrySettings, settings, verbosity))
 
-    def sidecar(self, settings: str, verbosity: int = 0) -> None:
+    def sidecar(self, settings: str, verbosity: int = 0) -> Action:
         """Run the sidecar of one endpoint until SIGTERM.
 
         :param settings: YAML file with the settings (SidecarSettings).
@@ -125,9 +151,11 @@
         from jasminewalk.generated_settings import SidecarSettings
         from jasminewalk.sidecar import SidecarDaemon
 
-        _serve(SidecarDaemon, SidecarSettings, settings, verbosity)
+        return Action(
+            lambda: _serve(SidecarDaemon, SidecarSettings, settings, verbosity)
+        )
 
-    def demo(self, stay: bool = False, verbosity: int = -1) -> None:
+    def demo(self, stay: bool = False, verbosity: int = -1) -> Action:
         """Run a whole fleet in this process, send it requests, show the answers.
 
         Exits 0 only if every answer came and the booking ran once.
@@ -135,19 +163,23 @@
         :param stay: keep serving until interrupted and print the base URL.
         :param verbosity: 1 logs more, 0 logs information, -1 warnings only.
         """
-        from jasminewalk.embedded import run_demo
 
-        configure_logging(verbosity)
-        sys.exit(run_demo(stay))
+        def do() -> None:
+            from jasminewalk.embedded import run_demo
 
-    def check(self, file: str) -> None:
+            configure_logging(verbosity)
+            sys.exit(run_demo(stay))
+
+        return Action(do)
+
+    def check(self, file: str) -> Action:
         """Check a settings, load or configuration file without publishing it.
 
         :param file: YAML file, or directory of configuration files.
         """
         from jasminewalk.file_checks import check_file
 
-        print(check_file(str(file)))
+        return Action(lambda: print(check_file(str(file))))
 
     def publish(
         self,
@@ -157,7 +189,7 @@
         reason: str = "",
         wait: bool = True,
         settings: str = "",
-    ) -> None:
+    ) -> Action:
         """Put a configuration in force and say when it is so everywhere.
 
         Running it again is harmless: what is in force already is left alone. Of two
@@ -176,47 +208,50 @@
         options = PublishOptions(
             file=str(file), dry_run=dry_run, base=base, reason=str(reason), wait=wait
         )
-        _run(lambda: publish_file(_operator_settings(settings), options, print))
+        return Action(
+            lambda: _run(
+                lambda: publish_file(_operator_settings(settings), options, print)
+            )
+        )
 
-    def status(self, json: bool = False, changes: int = 10, settings: str = "") -> None:
+    def status(
+        self, json: bool = False, changes: int = 10, settings: str = ""
+    ) -> Action:
         """Show entries, endpoints, the revision in force and recent changes.
 
         :param json: print JSON instead of text.
         :param changes: how many recent changes to show.
         :param settings: YAML file with the settings (OperatorSettings).
         """
-        import msgspec
-
         from jasminewalk.inspection import read_status
         from jasminewalk.status_text import status_lines
 
-        status = _run(lambda: read_status(_operator_settings(settings), changes))
-        if json:
-            print(msgspec.json.format(msgspec.json.encode(status)).decode())
-        else:
-            print("\n".join(status_lines(status)))
+        def do() -> None:
+            status = _run(lambda: read_status(_operator_settings(settings), changes))
+            _show(status, status_lines(status), json)
+
+        return Action(do)
 
-    def explain(self, request_id: str, json: bool = False, settings: str = "") -> None:
+    def explain(
+        self, request_id: str, json: bool = False, settings: str = ""
+    ) -> Action:
         """Show what became of a request: attempts, endpoints weighed, times.
 
         :param request_id: identifier from the answer's Request-Id header.
         :param json: print JSON instead of text.
         :param settings: YAML file with the settings (OperatorSettings).
         """
-        import msgspec
-
         from jasminewalk.inspection import explain_request
         from jasminewalk.status_text import trace_lines
 
-        entry, trace = _run(
-            lambda: explain_request(_operator_settings(settings), str(request_id))
-        )
-        if json:
-            print(msgspec.json.format(msgspec.json.encode(trace)).decode())
-        else:
-            print("\n".join(trace_lines(entry, trace)))
+        def do() -> None:
+            operator = _operator_settings(settings)
+            entry, trace = _run(lambda: explain_request(operator, str(request_id)))
+            _show(trace, trace_lines(entry, trace), json)
 
-    def load(self, file: str, out: str = "load-report") -> None:
+        return Action(do)
+
+    def load(self, file: str, out: str = "load-report") -> Action:
         """Send an open-loop load to a fleet and report percentiles and goodput.
 
         :param file: YAML file with the plan (LoadPlan).
@@ -224,16 +259,23 @@
         """
         from jasminewalk.load import run_load
 
-        _run(lambda: run_load(str(file), str(out), print))
+        return Action(lambda: _run(lambda: run_load(str(file), str(out), print)))
 
-    def measure(self, file: str) -> None:
+    def measure(self, file: str) -> Action:
         """Measure routing and admission policies on a model of the fleet.
 
         :param file: YAML file with the workload.
         """
         from jasminewalk.measure import run_measure
 
-        run_measure(str(file))
+        return Action(lambda: sys.exit(run_measure(str(file))))
+
+
+def _show(value: Any, lines: list[str], as_json: bool) -> None:
+    if as_json:
+        print(msgspec.json.format(msgspec.json.encode(value)).decode())
+    else:
+        print("\n".join(lines))
 
 
 def _operator_settings(file: str) -> Any:
@@ -270,7 +312,22 @@
             await daemon.run()
             group.cancel_scope.cancel()
 
-    _run(serve)
+    try:
+        _run(serve)
+    except (OSError, BaseExceptionGroup) as error:
+        found = _single(error)
+        if getattr(found, "errno", None) not in BIND_ERRORS:
+            raise
+        raise BadSettingsError(
+            f"{file}: cannot listen on one of {_listen_addresses(settings)}: {found}"
+        ) from error
+
+
+def _listen_addresses(settings: Any) -> str:
+    names = [
+        field.name for field in attrs.fields(type(settings)) if "listen" in field.name
+    ]
+    return ", ".join(getattr(settings, name) for name in names)
 
 
 async def _stop_on_signal(daemon: Daemon) -> None:
@@ -307,6 +364,10 @@
     return found.exit_code
 
 
+def _nothing(action: Any) -> Any:
+    return None if isinstance(action, Action) else action
+
+
 def main(arguments: list[str] | None = None) -> None:
     """Run a command and exit with its code.
 
@@ -314,7 +375,11 @@
     """
     os.environ.setdefault("PAGER", "cat")
     try:
-        fire.Fire(Commands(), command=arguments, name="jasminewalk")
+        action = fire.Fire(
+            Commands(), command=arguments, name="jasminewalk", serialize=_nothing
+        )
+        if isinstance(action, Action):
+            action.do()
     except SystemExit:
         raise
     except BaseException as error:
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,112 @@
+import socket
+from pathlib import Path
+
+import pytest
+
+from jasminewalk.generated_codes import RESULTS
+
+EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
+COMMANDS = (
+    "check",
+    "demo",
+    "entry",
+    "explain",
+    "load",
+    "measure",
+    "publish",
+    "sidecar",
+    "standin engine",
+    "standin instances",
+    "standin log",
+    "standin service",
+    "standin weights",
+    "status",
+)
+OPERATOR = """\
+instances_address: {0}
+status_timeout_s: 0.5
+publish_timeout_s: 0.5
+log:
+  address: {0}
+  timeout_s: 0.5
+"""
+
+
+@pytest.fixture
+def operator_file(tmp_path, free_address):
+    path = tmp_path / "operator.yaml"
+    path.write_text(OPERATOR.format(free_address))
+    return path
+
+
+@pytest.mark.parametrize("command", COMMANDS)
+def test_help_has_a_sentence_for_each_command(run_command, command):
+    finished = run_command(*command.split(), "--help")
+    text = finished.out + finished.err
+    assert finished.code == 0
+    assert f"jasminewalk {command} - " in text
+    assert "param" not in text
+
+
+@pytest.mark.parametrize(
+    "file", [path for path in EXAMPLES.rglob("*.yaml") if "measure" not in path.name]
+)
+def test_every_example_file_is_valid(run_command, file):
+    finished = run_command("check", file)
+    assert (finished.code, finished.err) == (0, "")
+    assert f"{file}: valid " in finished.out
+
+
+@pytest.mark.parametrize(
+    ("arguments", "code", "message"),
+    [
+        (("check", "absent.yaml"), 7, "error 1601 bad_settings: absent.yaml: cannot"),
+        (("entry", "--settings", "absent.yaml"), 7, "error 1601 bad_settings: absent"),
+        (("status", "--settings", "absent.yaml"), 7, "error 1601 bad_settings"),
+        (("publish",), 2, "required argument: file"),
+        (("publish", "x", "--bsae", "3"), 2, "bsae"),
+        (("fly",), 2, "fly"),
+    ],
+)
+def test_errors_are_one_line_with_an_exit_code(run_command, arguments, code, message):
+    finished = run_command(*arguments)
+    assert finished.code == code
+    assert message in finished.err
+    assert "Traceback" not in finished.err
+
+
+@pytest.mark.parametrize(
+    ("arguments", "name"),
+    [
+        (("status",), "unreachable"),
+        (("explain", "r-1"), "unreachable"),
+        (("publish", EXAMPLES / "thrissur/configuration.yaml"), "log_unavailable"),
+    ],
+)
+def test_a_platform_that_is_down_is_a_numbered_error(
+    run_command, operator_file, arguments, name
+):
+    finished = run_command(*arguments, "--settings", operator_file)
+    result = next(row for code, row in RESULTS.items() if code.name.lower() == name)
+    assert finished.code == result.exit_code
+    assert f"error {int(result.code)} {name}: " in finished.err
+    assert len(finished.err.strip().splitlines()) == 1
+
+
+def test_an_address_in_use_is_a_numbered_error(run_command, tmp_path, free_address):
+    host, port = free_address.split(":")
+    path = tmp_path / "log.yaml"
+    path.write_text(f"listen: {free_address}\nappends_per_s: 5\n")
+    with socket.create_server((host, int(port))):
+        finished = run_command("standin", "log", "--settings", path)
+    assert finished.code == 7
+    assert f"cannot listen on one of {free_address}" in finished.err
+
+
+def test_a_mistyped_flag_stops_a_command_before_it_does_anything(run_command, tmp_path):
+    path = tmp_path / "report"
+    finished = run_command(
+        "load", EXAMPLES / "local/load-escuela.yaml", "--out", path, "--dryrun"
+    )
+    assert finished.code == 2
+    assert not path.exists()
--- /dev/null
+++ b/tests/test_publish.py
@@ -0,0 +1,196 @@
+import random
+
+import anyio
+import pytest
+
+from jasminewalk.codec import decode_record, encode_record
+from jasminewalk.configuration_files import ConfigurationDocument
+from jasminewalk.exceptions import ConfigurationConflictError, LogUnavailableError
+from jasminewalk.generated_records import ConfigurationRecord
+from jasminewalk.interfaces import Log, LogEntry, LogPage
+from jasminewalk.log_reader import LogReader
+from jasminewalk.publication import Publication, plan_changes, view_of
+from jasminewalk.publish import Publisher
+from jasminewalk.yaml_files import YamlDocument
+
+SOURCE = YamlDocument(file="c.yaml", data={}, lines={})
+READ_S = 0.2
+TIMEOUT_S = 10.0
+
+
+class MemoryLog(Log):
+    """Log in memory whose reads take time on a fake clock."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.records = []
+        self.lost_answers = 0
+        self.outage = False
+        self.before_append = None
+
+    async def append(self, data):
+        if self.outage:
+            raise LogUnavailableError()
+        if self.before_append is not None:
+            before, self.before_append = self.before_append, None
+            self.records.append(encode_record(before))
+        self.records.append(data)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise LogUnavailableError()
+        return len(self.records)
+
+    async def read(self, offset, limit, wait_s=0.0):
+        self.clock.advance(READ_S)
+        await anyio.lowlevel.checkpoint()
+        if self.outage:
+            raise LogUnavailableError()
+        rows = self.records[offset - 1 : offset - 1 + limit]
+        entries = [LogEntry(offset + index, data) for index, data in enumerate(rows)]
+        return LogPage(entries, 1, len(self.records) + 1)
+
+
+def document(kind, name, deleted=False, **body):
+    return ConfigurationDocument(
+        kind=kind, name=name, body=body, deleted=deleted, source=SOURCE
+    )
+
+
+def proposal(subject, text, base=0, author="ana"):
+    return ConfigurationRecord(
+        record_id=f"{author}-{subject}-{base}",
+        subject=subject,
+        base_revision=base,
+        document=text,
+        author=author,
+        reason="the other change",
+    )
+
+
+@pytest.fixture
+def log(clock):
+    return MemoryLog(clock)
+
+
+@pytest.fixture
+def publish(log, clock):
+    async def run(documents, base=None):
+        reader = LogReader(log)
+        await reader.read_to_tail(TIMEOUT_S)
+        publication = Publication(
+            plan_changes(documents, reader.fold, base),
+            fold=reader.fold,
+            author="luz",
+            reason="a test",
+            rng=random.Random(1),
+        )
+        publisher = Publisher(
+            log=log,
+            reader=reader,
+            publication=publication,
+            clock=clock,
+            rng=random.Random(2),
+            answer_timeout_s=2.0,
+        )
+        await publisher.run(TIMEOUT_S)
+        return publication
+
+    return run
+
+
+DOCUMENTS = [
+    document("fleet", "default", pools={}),
+    document("template", "t", versions={}),
+    document("organisation", "o", template="t", version=1, parameters={}),
+]
+
+
+async def test_kinds_are_published_in_order(publish, log):
+    publication = await publish(DOCUMENTS)
+    subjects = [decode_record(data).subject for data in log.records]
+    assert subjects == ["fleet/default", "template/t", "organisation/o"]
+    assert publication.revision == 3
+    record = decode_record(log.records[0])
+    assert (record.author, record.reason) == ("luz", "a test")
+
+
+async def test_what_is_in_force_is_left_alone(publish, log):
+    await publish(DOCUMENTS)
+    again = await publish(DOCUMENTS)
+    assert (again.revision, len(log.records)) == (0, 3)
+
+
+@pytest.mark.parametrize("lost", [1, 2, 5])
+async def test_lost_answers_change_nothing_twice(publish, log, lost):
+    log.lost_answers = lost
+    publication = await publish(DOCUMENTS)
+    reader = LogReader(log)
+    await reader.read_to_tail(TIMEOUT_S)
+    for wanted in DOCUMENTS:
+        entry = reader.fold.subject(wanted.subject)
+        assert entry.document == wanted.text
+        assert entry.revision == publication.accepted[wanted.subject]
+
+
+async def test_the_first_of_two_racing_changes_wins(publish, log):
+    log.before_append = proposal("organisation/o", '{"other":1}')
+    with pytest.raises(ConfigurationConflictError) as caught:
+        await publish([DOCUMENTS[2]])
+    detail = caught.value.detail
+    assert "organisation/o: found revision 1 by ana (the other change)" in detail
+    assert caught.value.exit_code == 8
+
+
+async def test_after_a_conflict_later_kinds_are_not_published(publish, log):
+    log.before_append = proposal("template/t", '{"other":1}')
+    with pytest.raises(ConfigurationConflictError):
+        await publish(DOCUMENTS[1:])
+    subjects = [decode_record(data).subject for data in log.records]
+    assert "organisation/o" not in subjects
+
+
+async def test_racing_equal_documents_are_no_conflict(publish, log):
+    log.before_append = proposal("organisation/o", DOCUMENTS[2].text)
+    publication = await publish([DOCUMENTS[2]])
+    assert publication.accepted == {"organisation/o": 1}
+
+
+async def test_an_outage_ends_with_an_unknown_outcome(publish, log):
+    await publish(DOCUMENTS[:1])
+    reads = log.read
+
+    async def read_once(*arguments):
+        page = await reads(*arguments)
+        log.outage = True
+        return page
+
+    log.read = read_once
+    with pytest.raises(LogUnavailableError, match="Run the same command again") as got:
+        await publish(DOCUMENTS[1:])
+    assert got.value.ran == "unknown"
+
+
+async def test_a_change_after_the_base_is_a_conflict(publish):
+    await publish(DOCUMENTS)
+    changed = document("organisation", "o", template="t", version=2, parameters={})
+    with pytest.raises(ConfigurationConflictError, match="based on revision 2"):
+        await publish([changed], base=2)
+    publication = await publish([changed], base=3)
+    assert publication.accepted == {"organisation/o": 4}
+
+
+async def test_deletions_come_last_and_in_reverse(publish, log):
+    await publish(DOCUMENTS)
+    await publish(
+        [
+            document("template", "u", versions={}),
+            document("template", "t", deleted=True),
+            document("organisation", "o", deleted=True),
+        ]
+    )
+    subjects = [decode_record(data).subject for data in log.records[3:]]
+    assert subjects == ["template/u", "organisation/o", "template/t"]
+    reader = LogReader(log)
+    await reader.read_to_tail(TIMEOUT_S)
+    view = view_of(reader.fold)
+    assert (list(view.templates), list(view.organisation_names())) == (["u"], [])
--- /dev/null
+++ b/tests/test_status.py
@@ -0,0 +1,129 @@
+import attrs
+import pytest
+
+from jasminewalk.entry_status import EndpointStatus, EntryStatus
+from jasminewalk.generated_messages import LoadReport
+from jasminewalk.generated_requests import Instance
+from jasminewalk.publish import behind
+from jasminewalk.status import fleet_status
+from jasminewalk.status_text import status_lines, trace_lines
+from jasminewalk.traces import AttemptTrace, RequestTrace
+from jasminewalk.types import Candidate
+
+REPORT = LoadReport(
+    endpoint="tutor-1",
+    incarnation="i",
+    sequence=1,
+    kind="engine",
+    pool="tutor",
+    failure_domain="a",
+    address="127.0.0.1:1",
+    state="live",
+    revision=7,
+    queued=3,
+    prefill_tokens_per_s=9000.0,
+)
+ENDPOINT = EndpointStatus(
+    endpoint="tutor-1",
+    pool="tutor",
+    failure_domain="a",
+    usable=True,
+    leaving=False,
+    silent_s=0.2,
+    failures=0,
+    report=REPORT,
+)
+ENTRY = EntryStatus(
+    name="entry-1",
+    incarnation="i",
+    failure_domain="a",
+    ready=True,
+    stopping=False,
+    revision=9,
+    log_reachable=True,
+    endpoints=[ENDPOINT],
+)
+ROWS = [
+    Instance(name="entry-1", kind="entry", address="h:1", state="live"),
+    Instance(name="tutor-1", kind="engine", address="h:2", state="live", pool="tutor"),
+]
+
+
+def status_of(entry=ENTRY, rows=ROWS, log_revision=9):
+    statuses = {entry.name: entry} if entry else {}
+    return fleet_status(rows, statuses, changes=[], log_revision=log_revision)
+
+
+def endpoint(**changes):
+    return attrs.evolve(ENTRY, endpoints=[attrs.evolve(ENDPOINT, **changes)])
+
+
+def test_revision_in_force_is_the_lowest_of_all_live_parts():
+    status = status_of()
+    assert status.revision == 7
+    assert behind(status, 7) == []
+    assert behind(status, 9) == ["tutor-1 (live, revision 7)"]
+    assert status.problems == []
+
+
+@pytest.mark.parametrize(
+    ("entry", "rows", "log_revision", "problem"),
+    [
+        (None, ROWS, 9, "Entry entry-1 does not answer."),
+        (ENTRY, ROWS, None, "The log does not answer"),
+        (None, [], 9, "The instance list has no entry."),
+        (attrs.evolve(ENTRY, ready=False), ROWS, 9, "has not read the configuration"),
+        (attrs.evolve(ENTRY, log_reachable=False), ROWS, 9, "cannot reach the log"),
+        (endpoint(silent_s=60.0), ROWS, 9, "Endpoint tutor-1 is silent."),
+        (endpoint(report=None, silent_s=None), ROWS, 9, "Endpoint tutor-1 is silent."),
+        (endpoint(usable=False), ROWS, 9, "tutor-1 is live but no entry uses it."),
+        (attrs.evolve(ENTRY, endpoints=[]), ROWS, 9, "Endpoint tutor-1 is silent."),
+    ],
+)
+def test_problems_are_named(entry, rows, log_revision, problem):
+    status = status_of(entry, rows, log_revision)
+    assert any(problem in found for found in status.problems)
+    assert any(problem in line for line in status_lines(status))
+
+
+def test_leaving_endpoints_are_not_waited_for():
+    status = status_of(endpoint(leaving=True))
+    assert status.endpoints[0].state == "leaving"
+    assert behind(status, 9) == []
+
+
+def test_freshest_report_wins():
+    older = attrs.evolve(ENDPOINT, silent_s=4.0, report=attrs.evolve(REPORT, queued=99))
+    other = attrs.evolve(ENTRY, name="entry-2", endpoints=[older])
+    rows = [*ROWS, Instance(name="entry-2", kind="entry", address="h:3", state="live")]
+    statuses = {"entry-1": ENTRY, "entry-2": other}
+    status = fleet_status(rows, statuses, changes=[], log_revision=9)
+    assert status.endpoints[0].queued == 3
+    assert status.endpoints[0].usable_by == 2
+
+
+def test_trace_shows_attempts_and_what_was_weighed():
+    trace = RequestTrace(
+        request_id="r-1",
+        arrived_at="now",
+        arrived_s=0.0,
+        organisation="o",
+        request_class="verdict",
+        pool="tutor",
+        model="tutor",
+    )
+    candidate = Candidate("tutor-2", 0.5, 2.0, note="leaving")
+    for number in (1, 2):
+        trace.add_attempt(
+            AttemptTrace(
+                attempt=number,
+                endpoint=f"tutor-{number}",
+                reason="lowest price",
+                candidates=[candidate],
+                resume_from=number - 1,
+            )
+        )
+    text = "\n".join(trace_lines("entry-1", trace))
+    for part in ("r-1 on entry entry-1", "still running", "lowest price", "leaving"):
+        assert part in text
+    assert text.count("resumed      after 1 tokens") == 1
