--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/python tools/generate.py --check
+	$(BIN)/python tools/generate_docs.py --check
 	$(BIN)/mypy
 
 spec: env
@@ -29,6 +30,7 @@
 
 generate: env
 	$(BIN)/python tools/generate.py
+	$(BIN)/python tools/generate_docs.py
 
 format: env
 	$(BIN)/ruff format .
--- a/src/jasminewalk/cli.py
+++ b/src/jasminewalk/cli.py
@@ -251,7 +251,7 @@
 
         return Action(do)
 
-    def load(self, file: str, out: str = "load-report") -> Action:
+    def load(self, file: str, out: str = "reports/load") -> Action:
         """Send an open-loop load to a fleet and report percentiles and goodput.
 
         :param file: YAML file with the plan (LoadPlan).
