Trust a report less as it ages, against what the entry has under way

Cause: a report 10 s old says nothing of a queue that turns over in 2 s. The entry's own unfinished requests, scaled to all entries, are fresh.

--- a/src/jasminewalk/_measure_driver.py
+++ b/src/jasminewalk/_measure_driver.py
@@ -8,19 +8,18 @@
 
 import attrs
 
-from jasminewalk._measure_workload import MeasuredRequest, engine_settings
+from jasminewalk._measure_endpoint import POOL, MeasuredEndpoint
+from jasminewalk._measure_workload import MeasuredRequest
 from jasminewalk.baselines import Policy
-from jasminewalk.engine_model import EngineModel, FrameOut
+from jasminewalk.engine_model import FrameOut
 from jasminewalk.generated_codes import Code
-from jasminewalk.generated_configuration import Pool
 from jasminewalk.generated_measure import MeasureFault, Workload
-from jasminewalk.generated_messages import CacheEvents, LoadReport
-from jasminewalk.generated_requests import EngineOrder, GenerateRequest, RefusalBody
+from jasminewalk.generated_messages import LoadReport
+from jasminewalk.generated_requests import GenerateRequest, RefusalBody
 from jasminewalk.types import Refusal, RequestProfile
 
 __all__ = ["Driver", "RoleChange"]
 
-POOL = "engines"
 TICK_S = 0.05
 DEMAND_S = 2.0
 PLAN_S = 1.0
@@ -43,41 +42,6 @@
     role: str
 
 
-class _Endpoint:
-    """One engine with the decisions of its sidecar."""
-
-    def __init__(self, workload: Workload, number: int, policy: Policy, seed: int):
-        rng = random.Random(f"{seed} {number}")
-        self.name = f"engine-{number}"
-        self.model = EngineModel(
-            engine_settings(workload, number), rng, emit_tokens=False
-        )
-        self.lag_s = rng.uniform(*workload.report_age_s)
-        self.queue = policy.queue()
-        pool = Pool(
-            kind="engine",
-            role_change_cost=workload.role_change_cost,
-            horizon_s=workload.horizon_s,
-            min_prefill=workload.min_prefill,
-            min_decode=workload.min_decode,
-        )
-        self.planner = policy.planner(self.name, pool, rng)
-        self.incarnation = 1
-        self.sequence = 0
-        self.cache_sequence = 0
-        self.completed = 0
-        self.up = True
-        self.visible = True
-        self.withdrawn = False
-        self.wanted_role = ""
-        self.wake_s = NEVER_S
-
-    @property
-    def usable(self) -> bool:
-        """Whether entries send new work."""
-        return self.visible and not self.withdrawn and not self.wanted_role
-
-
 class Driver:
     """One run of one policy.
 
@@ -104,7 +68,7 @@
         self.endpoints = {
             endpoint.name: endpoint
             for number in range(len(workload.speeds))
-            for endpoint in [_Endpoint(workload, number, policy, seed)]
+            for endpoint in [MeasuredEndpoint(workload, number, policy, seed)]
         }
         self.events: list[tuple[float, int, Callable[..., None], Any]] = []
         self.numbers = itertools.count()
@@ -151,8 +115,8 @@
     def profile(self, request: MeasuredRequest) -> RequestProfile:
         """Return what decisions know of a request."""
         item = self.workload.classes[request.request_class]
-        first_s = request.arrived_s + item.first_token_s
         done = request.done_tokens
+        first_s = NEVER_S if done else request.arrived_s + item.first_token_s
         return RequestProfile(
             request_id=str(request.number),
             organisation=request.organisation,
@@ -164,7 +128,7 @@
             prefix_hashes=request.prefix_hashes,
             arrived_s=request.arrived_s,
             deadline_s=self.deadline_s(request),
-            first_token_deadline_s=first_s if not done else NEVER_S,
+            first_token_deadline_s=first_s,
             priority=item.priority,
             weight=self.workload.organisations[request.organisation].weight,
         )
@@ -204,7 +168,7 @@
     def offer(
         self,
         now_s: float,
-        endpoint: _Endpoint,
+        endpoint: MeasuredEndpoint,
         request: MeasuredRequest,
         profile: RequestProfile,
     ) -> Refusal | None:
@@ -217,7 +181,7 @@
             self.pump(now_s, endpoint)
         return refusal
 
-    def pump(self, now_s: float, endpoint: _Endpoint) -> None:
+    def pump(self, now_s: float, endpoint: MeasuredEndpoint) -> None:
         """Hand the engine what the queue lets go, and wake at its next frame."""
         for profile in endpoint.queue.start(now_s):
             request = self.requests[int(profile.request_id)]
@@ -249,7 +213,7 @@
             resume_from=request.done_tokens,
         )
 
-    def wake(self, now_s: float, endpoint: _Endpoint) -> None:
+    def wake(self, now_s: float, endpoint: MeasuredEndpoint) -> None:
         """Pass on the frames of an engine."""
         if now_s < endpoint.wake_s:
             return
@@ -258,7 +222,7 @@
             self.on_frame(out, endpoint)
         self.pump(now_s, endpoint)
 
-    def on_frame(self, out: FrameOut, endpoint: _Endpoint) -> None:
+    def on_frame(self, out: FrameOut, endpoint: MeasuredEndpoint) -> None:
         """Take one frame of an engine."""
         request = self.requests[int(out.request_id)]
         if request.outcome or out.attempt != request.attempts:
@@ -311,8 +275,9 @@
                 router.drop(expired.profile.request_id)
             if endpoint.queue.queued:
                 self.pump(now_s, endpoint)
-            if endpoint.wanted_role:
-                self.go_on_with_change(now_s, endpoint)
+            if endpoint.wanted_role and endpoint.up:
+                endpoint.go_on_with_change(now_s, next(self.grants))
+                self.pump(now_s, endpoint)
 
     # Reports
 
@@ -320,55 +285,14 @@
         """Let every sidecar report its load and cache events."""
         self.at(now_s + self.workload.heartbeat_s, self.beat, None)
         for endpoint in self.endpoints.values():
-            if endpoint.up:
-                self.report(now_s, endpoint)
-
-    def report(self, now_s: float, endpoint: _Endpoint) -> None:
-        """Send a load report, which arrives late, and cache events."""
-        state = endpoint.model.state(now_s)
-        endpoint.queue.observe_state(now_s, state)
-        endpoint.sequence += 1
-        queue = endpoint.queue
-        report = LoadReport(
-            endpoint=endpoint.name,
-            incarnation=str(endpoint.incarnation),
-            sequence=endpoint.sequence,
-            kind="engine",
-            pool=POOL,
-            failure_domain="",
-            address="",
-            state="live",
-            role=state.role,
-            queued=queue.queued + state.queued,
-            queued_prefill_tokens=queue.queued_prefill_tokens
-            + state.queued_prefill_tokens,
-            running=state.running,
-            decode_tokens_left=state.decode_tokens_left,
-            max_batch=state.max_batch,
-            prefill_tokens_per_s=queue.prefill_tokens_per_s,
-            decode_tokens_per_s=queue.decode_tokens_per_s,
-            kv_used=state.kv_used,
-            report_age_s=endpoint.lag_s,
-            completed=endpoint.completed,
-            residence_s=queue.residence_s,
-            levels=queue.levels(),
-        )
-        self.at(now_s + endpoint.lag_s, self.deliver, report)
-        page = endpoint.model.cache_events(now_s, endpoint.cache_sequence)
-        count = page.next_sequence - page.first_sequence
-        if count > 0:
-            endpoint.cache_sequence = page.next_sequence
-            events = CacheEvents(
-                endpoint=endpoint.name,
-                incarnation=str(endpoint.incarnation),
-                first_sequence=page.first_sequence,
-                added=page.added,
-                removed=page.removed,
-                count=count,
-            )
-            endpoint.queue.observe_cache(events)
-            for router in self.routers:
-                router.observe_cache(now_s, events)
+            if not endpoint.up:
+                continue
+            report = endpoint.report(now_s)
+            self.at(now_s + endpoint.lag_s, self.deliver, report)
+            events = endpoint.cache_events(now_s)
+            if events is not None:
+                for router in self.routers:
+                    router.observe_cache(now_s, events)
 
     def deliver(self, now_s: float, report: LoadReport) -> None:
         """Let a load report arrive at the entries."""
@@ -404,20 +328,6 @@
             endpoint.queue.drain()
             return
 
-    def go_on_with_change(self, now_s: float, endpoint: _Endpoint) -> None:
-        """Order the change once the engine is drained; take work when it is done."""
-        if not endpoint.up:
-            return
-        role: Any = endpoint.wanted_role
-        if endpoint.model.speeds.role == role:
-            endpoint.wanted_role = ""
-            endpoint.queue.resume()
-        elif endpoint.queue.idle and endpoint.model.change is None:
-            number = next(self.grants)
-            order = EngineOrder(fencing_number=number, role=role, models=[])
-            endpoint.model.order(now_s, order)
-            self.pump(now_s, endpoint)
-
     # Faults
 
     def begin_fault(self, now_s: float, fault: MeasureFault) -> None:
@@ -430,7 +340,7 @@
             endpoint.withdrawn = True
             endpoint.queue.drain()
             return
-        endpoint.up = False
+        endpoint.crash()
         self.at(now_s + DETECT_S, self.detect, endpoint)
         endpoint.model.catch_up(now_s)
         batch = endpoint.model.batch
@@ -448,7 +358,7 @@
             )
             self.attempt(now_s, request, frozenset({endpoint.name}))
 
-    def detect(self, now_s: float, endpoint: _Endpoint) -> None:
+    def detect(self, now_s: float, endpoint: MeasuredEndpoint) -> None:
         """Let the entries find that an endpoint is silent."""
         del now_s
         endpoint.visible = endpoint.up
@@ -462,9 +372,5 @@
         endpoint.withdrawn = False
         endpoint.queue.resume()
         if fault.kind == "crash":
-            endpoint.model.restart(now_s)
+            endpoint.restart(now_s)
             self.roles[endpoint.name] = endpoint.model.speeds.role
-            endpoint.wanted_role = ""
-            endpoint.up = endpoint.visible = True
-            endpoint.incarnation += 1
-            endpoint.cache_sequence = 0
--- /dev/null
+++ b/src/jasminewalk/_measure_endpoint.py
@@ -0,0 +1,142 @@
+"""One modelled engine with the decisions of its sidecar, for the measurement."""
+
+import random
+
+from jasminewalk._measure_workload import engine_settings
+from jasminewalk.baselines import Policy
+from jasminewalk.engine_model import EngineModel
+from jasminewalk.generated_configuration import Pool
+from jasminewalk.generated_measure import Workload
+from jasminewalk.generated_messages import CacheEvents, LoadReport
+from jasminewalk.generated_requests import EngineOrder
+
+__all__ = ["POOL", "MeasuredEndpoint"]
+
+POOL = "engines"
+NEVER_S = float("inf")
+
+
+class MeasuredEndpoint:
+    """One engine with the decisions of its sidecar.
+
+    :param workload: the workload.
+    :param number: number of the engine.
+    :param policy: the policy.
+    :param seed: seed of the random sources.
+    """
+
+    def __init__(
+        self, workload: Workload, number: int, policy: Policy, seed: int
+    ) -> None:
+        rng = random.Random(f"{seed} {number}")
+        self.name = f"engine-{number}"
+        settings = engine_settings(workload, number)
+        self.model = EngineModel(settings, rng, emit_tokens=False)
+        self.lag_s = rng.uniform(*workload.report_age_s)
+        self.queue = policy.queue()
+        pool = Pool(
+            kind="engine",
+            role_change_cost=workload.role_change_cost,
+            horizon_s=workload.horizon_s,
+            min_prefill=workload.min_prefill,
+            min_decode=workload.min_decode,
+        )
+        self.planner = policy.planner(self.name, pool, rng)
+        self.incarnation = 1
+        self.sequence = 0
+        self.cache_sequence = 0
+        self.completed = 0
+        self.up = True
+        self.visible = True
+        self.withdrawn = False
+        self.wanted_role = ""
+        self.wake_s = NEVER_S
+
+    @property
+    def usable(self) -> bool:
+        """Whether entries send new work."""
+        return self.visible and not self.withdrawn and not self.wanted_role
+
+    def report(self, now_s: float) -> LoadReport:
+        """Return the load report of this instant.
+
+        :param now_s: current instant in seconds.
+        """
+        state = self.model.state(now_s)
+        queue = self.queue
+        queue.observe_state(now_s, state)
+        self.sequence += 1
+        tokens = queue.queued_prefill_tokens + state.queued_prefill_tokens
+        return LoadReport(
+            endpoint=self.name,
+            incarnation=str(self.incarnation),
+            sequence=self.sequence,
+            kind="engine",
+            pool=POOL,
+            failure_domain="",
+            address="",
+            state="live",
+            role=state.role,
+            queued=queue.queued + state.queued,
+            queued_prefill_tokens=tokens,
+            running=state.running,
+            decode_tokens_left=state.decode_tokens_left,
+            max_batch=state.max_batch,
+            prefill_tokens_per_s=queue.prefill_tokens_per_s,
+            decode_tokens_per_s=queue.decode_tokens_per_s,
+            kv_used=state.kv_used,
+            report_age_s=self.lag_s,
+            completed=self.completed,
+            residence_s=queue.residence_s,
+            levels=queue.levels(),
+        )
+
+    def cache_events(self, now_s: float) -> CacheEvents | None:
+        """Return the next cache events, if there are any.
+
+        :param now_s: current instant in seconds.
+        """
+        page = self.model.cache_events(now_s, self.cache_sequence)
+        count = page.next_sequence - page.first_sequence
+        if count <= 0:
+            return None
+        self.cache_sequence = page.next_sequence
+        events = CacheEvents(
+            endpoint=self.name,
+            incarnation=str(self.incarnation),
+            first_sequence=page.first_sequence,
+            added=page.added,
+            removed=page.removed,
+            count=count,
+        )
+        self.queue.observe_cache(events)
+        return events
+
+    def go_on_with_change(self, now_s: float, number: int) -> None:
+        """Order the change once the engine is drained; take work when it is done.
+
+        :param now_s: current instant in seconds.
+        :param number: fencing number.
+        """
+        role = self.wanted_role
+        if self.model.speeds.role == role:
+            self.wanted_role = ""
+            self.queue.resume()
+        elif self.queue.idle and self.model.change is None:
+            order = EngineOrder(fencing_number=number, role=role, models=[])  # type: ignore[arg-type]
+            self.model.order(now_s, order)
+
+    def crash(self) -> None:
+        """Stop taking requests; the driver breaks those that run."""
+        self.up = False
+
+    def restart(self, now_s: float) -> None:
+        """Come up again as a new incarnation.
+
+        :param now_s: current instant in seconds.
+        """
+        self.model.restart(now_s)
+        self.wanted_role = ""
+        self.up = self.visible = True
+        self.incarnation += 1
+        self.cache_sequence = 0
--- a/src/jasminewalk/routing.py
+++ b/src/jasminewalk/routing.py
@@ -55,7 +55,7 @@
     work_weight: float = 20.0
     finish_weight: float = 0.1
     extra_work_weight: float = 2.0
-    deadline_margin: float = 0.95
+    deadline_margin: float = 0.85
     share_floor: float = 0.4
     min_retry_after_s: float = 0.2
     max_retry_after_s: float = 30.0
--- a/src/jasminewalk/speeds.py
+++ b/src/jasminewalk/speeds.py
@@ -1,5 +1,7 @@
 """What an entry believes about one endpoint: its backlog and its real speeds."""
 
+import math
+
 import attrs
 
 from jasminewalk.generated_messages import LoadReport
@@ -25,6 +27,8 @@
     :param probation_s: seconds between trial requests to a slow endpoint.
     :param failures_to_probation: failures in a row that start a probation.
     :param count_own: whether requests sent since the report are counted.
+    :param trust_s: age at which a report counts a third against what this entry
+        has under way itself.
     """
 
     learning_rate: float = 0.1
@@ -37,6 +41,7 @@
     probation_s: float = 2.0
     failures_to_probation: int = 2
     count_own: bool = True
+    trust_s: float = 3.0
 
 
 @attrs.define(kw_only=True)
@@ -220,18 +225,27 @@
                 tokens -= level.prefill_tokens
         if not report.levels:
             requests += report.queued
+        own_requests = own_tokens = 0.0
         if self.settings.count_own:
             for flight in self.flights.values():
-                if flight.sent_s <= self.figures_s or flight.priority < priority:
+                if flight.priority < priority:
                     continue
-                if flight.first_token_s is None:
-                    tokens += flight.prefill_tokens * others
-                requests += others
+                waits = flight.first_token_s is None
+                own_requests += others
+                own_tokens += flight.prefill_tokens * others * waits
+                if flight.sent_s > self.figures_s:
+                    requests += others
+                    tokens += flight.prefill_tokens * others * waits
         elapsed_s = min(self.age_s(now_s), MAX_ELAPSED_S)
         tokens = max(0.0, tokens - elapsed_s * self.prefill_tokens_per_s)
         residence_s = report.residence_s or self.settings.default_residence_s
         ended = elapsed_s * min(report.max_batch, requests) / residence_s
-        return _Load(max(0.0, requests - ended), tokens, residence_s)
+        requests = max(0.0, requests - ended)
+        if self.settings.count_own:
+            trust = math.exp(-elapsed_s / self.settings.trust_s)
+            requests = own_requests + trust * (requests - own_requests)
+            tokens = own_tokens + trust * (tokens - own_tokens)
+        return _Load(requests, tokens, residence_s)
 
     def predict_service(self, now_s: float, others: float) -> Prediction:
         """Return when a plain service would answer a call sent now.
