--- a/src/jasminewalk/inspection.py
+++ b/src/jasminewalk/inspection.py
@@ -9,11 +9,13 @@
     UnknownRequestError,
     UnreachableError,
 )
+from jasminewalk.fold import LogFold
 from jasminewalk.generated_requests import Instance
 from jasminewalk.generated_settings import OperatorSettings
 from jasminewalk.instances_client import HttpInstanceList
 from jasminewalk.log_client import HttpLog
 from jasminewalk.log_reader import LogReader
+from jasminewalk.publication import view_of
 from jasminewalk.recent_changes import RecentChange, recent_changes
 from jasminewalk.status import FleetStatus, StatusReader, fleet_status
 from jasminewalk.traces import RequestTrace
@@ -38,17 +40,34 @@
         reader = StatusReader(pool, instances, settings.status_timeout_s)
         changes: list[RecentChange] = []
         log_revision = None
+        withdrawn: set[str] = set()
         try:
             records = await log.read_to_tail(settings.publish_timeout_s, KEPT_RECORDS)
             changes = recent_changes(records, max_changes)
             log_revision = log.fold.next_offset - 1
+            withdrawn = withdrawn_endpoints(log.fold)
         except LogUnavailableError:
             pass
         try:
             rows, statuses = await reader.read()
         except OSError as error:
             raise unreachable(settings, error) from error
-    return fleet_status(rows, statuses, changes=changes, log_revision=log_revision)
+    return fleet_status(
+        rows,
+        statuses,
+        changes=changes,
+        log_revision=log_revision,
+        withdrawn=withdrawn,
+    )
+
+
+def withdrawn_endpoints(fold: LogFold) -> set[str]:
+    """Return the endpoints that the fleet in force gives no work.
+
+    :param fold: state of the log.
+    """
+    pools = view_of(fold).pools.values()
+    return {endpoint for pool in pools for endpoint in pool.withdrawn}
 
 
 async def explain_request(
--- a/src/jasminewalk/publish.py
+++ b/src/jasminewalk/publish.py
@@ -27,6 +27,7 @@
     view_of,
 )
 from jasminewalk.status import FleetStatus, StatusReader, fleet_status
+from jasminewalk.text_tables import number_of
 
 __all__ = ["PublishOptions", "Publisher", "publish_file"]
 
@@ -175,7 +176,7 @@
     async with http_client() as pool:
         log = HttpLog(pool, settings.log.address, settings.log.timeout_s)
         reader = LogReader(log)
-        await reader.read_to_tail(settings.publish_timeout_s)
+        await read_log(settings, reader)
         check_documents(documents, view_of(reader.fold))
         changes = plan_changes(documents, reader.fold, options.base)
         for change in changes[:MAX_DIFFS]:
@@ -186,7 +187,8 @@
             printer(f"... and {len(changes) - MAX_DIFFS} further changes")
         if options.dry_run:
             base = reader.fold.next_offset - 1
-            printer(f"Dry run: {len(changes)} changes, nothing was published.")
+            found = number_of(len(changes), "change")
+            printer(f"Dry run: {found}, nothing was published.")
             printer(f"To publish just this: --base={base}")
             return
         revision = await append_changes(settings, options, reader, changes)
@@ -196,13 +198,31 @@
             revision = max((entry.revision for entry in entries if entry), default=0)
             printer("Nothing to publish: the log has all of it already.")
         else:
-            printer(f"Published {len(changes)} changes. revision={revision}")
+            found = number_of(len(changes), "change")
+            printer(f"Published {found}. revision={revision}")
         if options.wait:
             instances = HttpInstanceList(pool, settings.instances_address)
             status = StatusReader(pool, instances, settings.status_timeout_s)
             await wait_in_force(status, revision, settings.in_force_timeout_s, printer)
 
 
+async def read_log(settings: OperatorSettings, reader: LogReader) -> None:
+    """Read the log to its end.
+
+    :param settings: how to reach the log.
+    :param reader: reader of the log.
+    :raises LogUnavailableError: if the log does not answer.
+    """
+    try:
+        await reader.read_to_tail(settings.publish_timeout_s)
+    except LogUnavailableError as error:
+        raise LogUnavailableError(
+            f"The log at {settings.log.address} does not answer, and nothing was "
+            f"published: {error.detail}",
+            ran="not_run",
+        ) from error
+
+
 async def append_changes(
     settings: OperatorSettings,
     options: PublishOptions,
@@ -296,6 +316,6 @@
     entries = sum(row.state != "leaving" for row in status.entries)
     endpoints = sum(row.state != "leaving" for row in status.endpoints)
     return (
-        f"In force on all live instances: {entries} entries and {endpoints} "
-        f"endpoints. revision={revision}"
+        f"In force on all live instances: {number_of(entries, 'entry', 'entries')} "
+        f"and {number_of(endpoints, 'endpoint')}. revision={revision}"
     )
--- a/src/jasminewalk/status.py
+++ b/src/jasminewalk/status.py
@@ -1,5 +1,7 @@
 """State of the whole fleet, gathered for operators."""
 
+from collections.abc import Collection
+
 import anyio
 import attrs
 import httpcore
@@ -53,7 +55,8 @@
     :param kind: kind of endpoint.
     :param pool: pool name.
     :param failure_domain: failure domain name.
-    :param state: what it can take; ``leaving`` and ``silent`` go before.
+    :param state: what it can take; ``withdrawn``, ``leaving`` and ``silent`` go
+        before.
     :param role: role in force; nothing for a service.
     :param usable_by: entries that give it work.
     :param queued: requests in its queue.
@@ -169,6 +172,7 @@
     *,
     changes: list[RecentChange],
     log_revision: int | None,
+    withdrawn: Collection[str] = (),
 ) -> FleetStatus:
     """Return the state of the fleet.
 
@@ -176,9 +180,15 @@
     :param statuses: status of the entries that answered, by name.
     :param changes: recent changes, newest first.
     :param log_revision: last offset of the log; nothing if it did not answer.
+    :param withdrawn: endpoints that the configuration gives no work.
     """
     entries = [entry_row(row, statuses) for row in rows if row.kind == "entry"]
-    endpoints = endpoint_rows(rows, statuses)
+    endpoints = [
+        attrs.evolve(row, state="withdrawn", usable_by=0)
+        if row.name in withdrawn
+        else row
+        for row in endpoint_rows(rows, statuses)
+    ]
     live = [row.revision for row in entries if row.state == "live"]
     live += [
         row.revision for row in endpoints if row.state not in ("silent", "leaving")
--- a/src/jasminewalk/text_tables.py
+++ b/src/jasminewalk/text_tables.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-__all__ = ["count_text", "seconds_text", "table"]
+__all__ = ["count_text", "number_of", "seconds_text", "table"]
 
 THOUSAND = 1000.0
 
@@ -50,3 +50,16 @@
     :param count: the count.
     """
     return f"{count:.0f}" if count < THOUSAND else f"{count / THOUSAND:.1f}k"
+
+
+def number_of(count: int, noun: str, plural: str = "") -> str:
+    """Return a count with its noun.
+
+    >>> number_of(1, "change"), number_of(2, "entry", "entries")
+    ('1 change', '2 entries')
+
+    :param count: the count.
+    :param noun: the noun in the singular.
+    :param plural: its plural, if it does not just take an ``s``.
+    """
+    return f"{count} {noun if count == 1 else plural or noun + 's'}"
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -86,6 +86,16 @@
     assert any(problem in line for line in status_lines(status))
 
 
+def test_withdrawn_endpoints_are_shown_and_still_waited_for():
+    status = fleet_status(
+        ROWS, {"entry-1": ENTRY}, changes=[], log_revision=9, withdrawn={"tutor-1"}
+    )
+    row = status.endpoints[0]
+    assert (row.state, row.usable_by) == ("withdrawn", 0)
+    assert status.problems == []
+    assert behind(status, 9) == ["tutor-1 (withdrawn, revision 7)"]
+
+
 def test_leaving_endpoints_are_not_waited_for():
     status = status_of(endpoint(leaving=True))
     assert status.endpoints[0].state == "leaving"
