--- a/src/jasminewalk/status.py
+++ b/src/jasminewalk/status.py
@@ -326,4 +326,14 @@
             problems.append(f"Endpoint {endpoint.name} is {endpoint.state}.")
         elif endpoint.state == "live" and not endpoint.usable_by:
             problems.append(f"Endpoint {endpoint.name} is live but no entry uses it.")
-    return problems
+    return problems + idle_pools(endpoints)
+
+
+def idle_pools(endpoints: list[EndpointRow]) -> list[str]:
+    """Return which pools have no endpoint that takes work.
+
+    :param endpoints: all endpoints.
+    """
+    usable = {row.pool for row in endpoints if row.usable_by}
+    pools = sorted({row.pool for row in endpoints} - usable)
+    return [f"Pool {pool} has no endpoint that takes work." for pool in pools]
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -77,6 +77,7 @@
         (endpoint(silent_s=60.0), ROWS, 9, "Endpoint tutor-1 is silent."),
         (endpoint(report=None, silent_s=None), ROWS, 9, "Endpoint tutor-1 is silent."),
         (endpoint(usable=False), ROWS, 9, "tutor-1 is live but no entry uses it."),
+        (endpoint(leaving=True, usable=False), ROWS, 9, "Pool tutor has no endpoint"),
         (attrs.evolve(ENTRY, endpoints=[]), ROWS, 9, "Endpoint tutor-1 is silent."),
     ],
 )
@@ -92,7 +93,7 @@
     )
     row = status.endpoints[0]
     assert (row.state, row.usable_by) == ("withdrawn", 0)
-    assert status.problems == []
+    assert status.problems == ["Pool tutor has no endpoint that takes work."]
     assert behind(status, 9) == ["tutor-1 (withdrawn, revision 7)"]
 
 
