--- a/src/jasminewalk/cli.py
+++ b/src/jasminewalk/cli.py
@@ -261,14 +261,41 @@
 
         return Action(lambda: _run(lambda: run_load(str(file), str(out), print)))
 
-    def measure(self, file: str) -> Action:
+    def measure(
+        self,
+        file: str,
+        variants: Any = (),
+        policies: Any = (),
+        seeds: Any = (),
+        json: str = "",
+        plot: str = "",
+    ) -> Action:
         """Measure routing and admission policies on a model of the fleet.
 
         :param file: YAML file with the workload.
+        :param variants: names of variants, with commas; the workload itself if none.
+        :param policies: names of policies, with commas; ours and the baselines if none.
+        :param seeds: numbers, with commas.
+        :param json: file for the figures of every run.
+        :param plot: file for a plot.
         """
-        from jasminewalk.measure import run_measure
+        from jasminewalk.measure import DEFAULT_POLICIES, DEFAULT_SEEDS, run_measure
+
+        return Action(
+            lambda: run_measure(
+                str(file),
+                variants=_items(variants),
+                policies=_items(policies) or DEFAULT_POLICIES,
+                seeds=[int(seed) for seed in _items(seeds)] or DEFAULT_SEEDS,
+                json_path=str(json),
+                plot_path=str(plot),
+            )
+        )
+
 
-        return Action(lambda: sys.exit(run_measure(str(file))))
+def _items(value: Any) -> list[str]:
+    parts = value if isinstance(value, (list, tuple)) else str(value).split(",")
+    return [str(part) for part in parts if str(part)]
 
 
 def _show(value: Any, lines: list[str], as_json: bool) -> None:
--- a/src/jasminewalk/measure.py
+++ b/src/jasminewalk/measure.py
@@ -1,6 +1,6 @@
 """Compares policies on a workload, on a virtual clock in one process."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from pathlib import Path
 
 import msgspec
@@ -19,7 +19,7 @@
 from jasminewalk.baselines import POLICIES
 from jasminewalk.exceptions import BadSettingsError
 
-__all__ = ["DEFAULT_POLICIES", "run_measure"]
+__all__ = ["DEFAULT_POLICIES", "DEFAULT_SEEDS", "run_measure"]
 
 DEFAULT_POLICIES = (
     "jasminewalk",
@@ -28,7 +28,7 @@
     "prefix-hash",
     "reactive-roles",
 )
-FIRST_SEED = 101
+DEFAULT_SEEDS = (101,)
 
 
 def run_measure(
@@ -36,11 +36,12 @@
     *,
     variants: Sequence[str] = (),
     policies: Sequence[str] = DEFAULT_POLICIES,
-    seeds: Sequence[int] = (FIRST_SEED,),
+    seeds: Sequence[int] = DEFAULT_SEEDS,
     json_path: str = "",
     plot_path: str = "",
-) -> str:
-    """Run policies on a workload and return a Markdown table.
+    echo: Callable[[str], None] = print,
+) -> None:
+    """Run policies on a workload, print a Markdown table.
 
     :param path: YAML file of the workload.
     :param variants: variants to run; the workload itself if empty.
@@ -48,6 +49,7 @@
     :param seeds: seeds, the same ones for every policy.
     :param json_path: file for the figures of every run; none if empty.
     :param plot_path: file for a plot of the first seed of the last variant.
+    :param echo: prints the table.
     :raises BadSettingsError: if the file, a variant or a policy is not valid.
     """
     unknown = sorted(set(policies) - set(POLICIES))
@@ -90,4 +92,4 @@
                 draw(Path(plot_path), varied, traffic, outcomes, changes)
     if json_path:
         Path(json_path).write_bytes(msgspec.json.encode(runs))
-    return table_of(workload, runs)
+    echo(table_of(workload, runs))
