Send a request in one piece and keep stream connections without a pool

httpcore writes head and body apart and its pool looks at every connection for each request. Entry and engine client now hold HTTP/1.1 connections themselves, one list per address, and a write waits for the read that follows it.

--- a/src/jasminewalk/connections.py
+++ b/src/jasminewalk/connections.py
@@ -1,8 +1,8 @@
-"""HTTP connections from an entry to the sidecars."""
+"""HTTP connections that carry one stream at a time and are kept for the next."""
 
 from collections import deque
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Sequence
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 
 import anyio
 import httpcore
@@ -12,7 +12,7 @@
 from jasminewalk.network import NetworkBackend, ReadWatch
 from jasminewalk.peer_auth import AUTH_HEADER, PeerAuthenticator
 
-__all__ = ["SidecarConnections", "TRANSPORT_ERRORS", "UNSENT_ERRORS"]
+__all__ = ["Connections", "SidecarConnections", "TRANSPORT_ERRORS", "UNSENT_ERRORS"]
 
 KEEP_IDLE_S = 30.0
 MAX_IDLE = 256
@@ -30,50 +30,60 @@
 )
 
 
-class SidecarConnections:
-    """Keeps idle connections per sidecar and opens new ones as needed.
+class Connections:
+    """Keeps idle connections per address and opens new ones as needed.
 
-    :param authenticator: signs requests with the peers' shared key.
-    :param connect_timeout_s: seconds to connect to a sidecar.
+    :param connect_timeout_s: seconds to connect.
     :param clock: source of time.
     """
 
-    def __init__(
-        self,
-        *,
-        authenticator: PeerAuthenticator,
-        connect_timeout_s: float,
-        clock: Clock,
-    ) -> None:
+    def __init__(self, *, connect_timeout_s: float, clock: Clock) -> None:
         self.watch = ReadWatch(clock)
         self.backend = NetworkBackend(self.watch)
-        self.authenticator = authenticator
         self.connect_timeout_s = connect_timeout_s
-        self.idle: dict[str, deque[httpcore.AsyncHTTPConnection]] = {}
+        self.idle: dict[str, deque[httpcore.AsyncHTTP11Connection]] = {}
 
     async def run(self) -> None:
         """Drop silent connections until cancelled."""
         await self.watch.run()
 
     @asynccontextmanager
-    async def post(
-        self, address: str, path: str, body: bytes, read_timeout_s: float
+    async def stream(
+        self,
+        address: str,
+        path: str,
+        body: bytes,
+        read_timeout_s: float | None = None,
+        headers: Sequence[tuple[bytes, bytes]] = (),
     ) -> AsyncIterator[httpcore.Response]:
-        """Send a signed request and yield its answer while it streams.
+        """Post a request and yield its answer while it streams.
 
         The connection is closed unless the answer was read to its end, which
-        cancels the work at the sidecar.
+        cancels the work at the peer.
 
-        :param address: request address of the sidecar.
+        :param address: ``host:port`` of the peer.
         :param path: path of the request.
         :param body: body of the request.
-        :param read_timeout_s: longest silence while the answer is read.
+        :param read_timeout_s: longest silence while the answer is read; ``run``
+            must be running to enforce it.
+        :param headers: further headers.
         """
-        connection = self.take(address)
+        connection = self.take(address) or await self.open(address)
         finished = False
         try:
-            request = self.request(address, path, body, read_timeout_s)
-            response = await connection.handle_async_request(request)
+            response = await connection.handle_async_request(
+                httpcore.Request(
+                    b"POST",
+                    f"http://{address}{path}",
+                    headers=[
+                        (b"host", address.encode()),
+                        (b"content-length", str(len(body)).encode()),
+                        *headers,
+                    ],
+                    content=body,
+                    extensions={"timeout": {"read": read_timeout_s}},
+                )
+            )
             yield response
             await response.aclose()
             finished = connection.is_idle()
@@ -87,62 +97,45 @@
                 with anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
                     await connection.aclose()
 
-    def request(
-        self, address: str, path: str, body: bytes, read_timeout_s: float
-    ) -> httpcore.Request:
-        """Return a signed request.
+    def take(self, address: str) -> httpcore.AsyncHTTP11Connection | None:
+        """Return an idle connection, if there is one.
 
-        :param address: request address of the sidecar.
-        :param path: path of the request.
-        :param body: body of the request.
-        :param read_timeout_s: longest silence while the answer is read.
-        """
-        timeouts = {
-            "connect": self.connect_timeout_s,
-            "read": read_timeout_s,
-            "write": read_timeout_s,
-        }
-        return httpcore.Request(
-            b"POST",
-            f"http://{address}{path}",
-            headers=[
-                (b"host", address.encode()),
-                (b"content-length", str(len(body)).encode()),
-                (AUTH_HEADER, self.authenticator.sign("POST", path, body)),
-            ],
-            content=body,
-            extensions={"timeout": timeouts},
-        )
-
-    def take(self, address: str) -> httpcore.AsyncHTTPConnection:
-        """Return an idle connection, or a new one.
-
-        :param address: request address of the sidecar.
+        :param address: ``host:port`` of the peer.
         """
         idle = self.idle.get(address)
         while idle:
             connection = idle.pop()
             if connection.is_idle() and not connection.has_expired():
                 return connection
+        return None
+
+    async def open(self, address: str) -> httpcore.AsyncHTTP11Connection:
+        """Return a new connection.
+
+        :param address: ``host:port`` of the peer.
+        :raises httpcore.ConnectError: if the connection failed.
+        :raises httpcore.ConnectTimeout: if the peer did not answer in time.
+        """
         host, port = split_address(address)
-        return httpcore.AsyncHTTPConnection(
+        stream = await self.backend.connect_tcp(host, port, self.connect_timeout_s)
+        return httpcore.AsyncHTTP11Connection(
             httpcore.Origin(b"http", host.encode(), port),
+            stream,
             keepalive_expiry=KEEP_IDLE_S,
-            network_backend=self.backend,
         )
 
-    def keep(self, address: str, connection: httpcore.AsyncHTTPConnection) -> None:
+    def keep(self, address: str, connection: httpcore.AsyncHTTP11Connection) -> None:
         """Keep a connection for later requests.
 
-        :param address: request address of the sidecar.
+        :param address: ``host:port`` of the peer.
         :param connection: the connection, idle.
         """
         self.idle.setdefault(address, deque(maxlen=MAX_IDLE)).append(connection)
 
     async def drop_idle(self, address: str) -> None:
-        """Close the idle connections to a sidecar, since one has gone silent.
+        """Close the idle connections to a peer, since one has gone silent.
 
-        :param address: request address of the sidecar.
+        :param address: ``host:port`` of the peer.
         """
         for connection in self.idle.pop(address, ()):
             with anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
@@ -152,3 +145,36 @@
         """Close all idle connections."""
         for address in list(self.idle):
             await self.drop_idle(address)
+
+
+class SidecarConnections(Connections):
+    """Connections to sidecars, which want each request signed.
+
+    :param authenticator: signs requests with the peers' shared key.
+    :param connect_timeout_s: seconds to connect to a sidecar.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        authenticator: PeerAuthenticator,
+        connect_timeout_s: float,
+        clock: Clock,
+    ) -> None:
+        super().__init__(connect_timeout_s=connect_timeout_s, clock=clock)
+        self.authenticator = authenticator
+
+    def post(
+        self, address: str, path: str, body: bytes, read_timeout_s: float
+    ) -> AbstractAsyncContextManager[httpcore.Response]:
+        """Post a signed request; the answer is yielded while it streams.
+
+        :param address: request address of the sidecar.
+        :param path: path of the request.
+        :param body: body of the request.
+        :param read_timeout_s: longest silence while the answer is read.
+        """
+        signature = self.authenticator.sign("POST", path, body)
+        headers = [(AUTH_HEADER, signature)]
+        return self.stream(address, path, body, read_timeout_s, headers)
--- a/src/jasminewalk/dispatch.py
+++ b/src/jasminewalk/dispatch.py
@@ -308,7 +308,7 @@
         metrics.count("output_tokens", trace.output_tokens, **self.labels)
         metrics.count("cached_tokens", trace.cached_tokens, **self.labels)
         if trace.cached_tokens:
-            metrics.count("cache_hits", **self.labels)
+            metrics.count("cache_hits", 1, **self.labels)
 
     async def send(self, action: Send) -> Action:
         """Make one attempt and return what to do after it.
@@ -357,7 +357,7 @@
         if action.attempt > 1:
             name = "resumes" if action.resume_from else "retries"
             self.dispatcher.metrics.count(name, pool=self.job.profile.pool)
-        logging.info(
+        logging.debug(
             "[entry] Request routed. request_id=%s attempt=%d endpoint=%s "
             "resume_from=%d reason=%r",
             self.job.profile.request_id,
--- a/src/jasminewalk/engine_client.py
+++ b/src/jasminewalk/engine_client.py
@@ -6,7 +6,6 @@
 import httpcore
 import msgspec
 
-from jasminewalk._http import url_of
 from jasminewalk._http_call import (
     HTTP_ERRORS,
     HTTP_OK,
@@ -15,8 +14,10 @@
     error_of,
     os_error,
     raise_for_status,
-    timeouts,
 )
+from jasminewalk.clock import SystemClock
+from jasminewalk.connections import Connections
+from jasminewalk._http_streams import HttpStreams
 from jasminewalk.exceptions import OrderRefusedError, StaleFencingNumberError
 from jasminewalk.generated_codes import Code
 from jasminewalk.generated_requests import EngineOrder, EngineState, GenerateRequest
@@ -37,7 +38,7 @@
 class HttpEngine(Engine):
     """Model engine over HTTP.
 
-    :param pool: pool of HTTP connections.
+    :param pool: pool of HTTP connections, for what is not a stream.
     :param address: ``host:port`` of the engine.
     :param timeout_s: seconds to wait for an answer that is not a stream.
     """
@@ -51,6 +52,8 @@
         self.pool = pool
         self.address = address
         self.timeout_s = timeout_s
+        self.streams = HttpStreams(address)
+        self.streams = Connections(connect_timeout_s=timeout_s, clock=SystemClock())
 
     async def generate(self, request: GenerateRequest) -> AsyncIterator[bytes]:
         """Yield the stream of a generation as newline-delimited JSON frames.
@@ -59,11 +62,8 @@
         :raises OSError: if the connection fails.
         """
         try:
-            async with self.pool.stream(
-                "POST",
-                url_of(self.address, "/generate"),
-                content=_encode(request),
-                extensions=timeouts(self.timeout_s, None),
+            async with self.streams.stream(
+                self.address, "/generate", _encode(request)
             ) as response:
                 if response.status != HTTP_OK:
                     body = await response.aread()
--- a/src/jasminewalk/network.py
+++ b/src/jasminewalk/network.py
@@ -12,6 +12,7 @@
 __all__ = ["NetworkBackend", "ReadWatch"]
 
 WATCH_PERIOD_S = 0.1
+UNSENT_BYTES = 1 << 16
 
 
 class ReadWatch:
@@ -61,6 +62,9 @@
 class Connection(httpcore.AsyncNetworkStream):
     """One connection.
 
+    What is written is held back until it fills a buffer or an answer is read, so
+    that a request leaves in one piece.
+
     :param stream: the socket.
     :param watch: enforces timeouts of reads; without one, each read has a timer.
     """
@@ -69,6 +73,8 @@
         self.stream = stream
         self.watch = watch
         self.has_expired = False
+        self.unsent: list[bytes] = []
+        self.unsent_bytes = 0
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return received bytes; none at the end.
@@ -78,6 +84,8 @@
         :raises httpcore.ReadTimeout: if nothing came in time.
         :raises httpcore.ReadError: if the connection failed.
         """
+        if self.unsent:
+            await self.flush(timeout)
         try:
             if timeout is None:
                 return await self.stream.receive(max_bytes)
@@ -122,9 +130,24 @@
         """
         if not buffer:
             return
+        self.unsent.append(buffer)
+        self.unsent_bytes += len(buffer)
+        if self.unsent_bytes >= UNSENT_BYTES:
+            await self.flush(timeout)
+
+    async def flush(self, timeout: float | None) -> None:
+        """Send what was held back.
+
+        :param timeout: longest wait in seconds.
+        :raises httpcore.WriteTimeout: if it could not be sent in time.
+        :raises httpcore.WriteError: if the connection failed.
+        """
+        data = b"".join(self.unsent)
+        self.unsent.clear()
+        self.unsent_bytes = 0
         try:
             with anyio.fail_after(timeout):
-                await self.stream.send(buffer)
+                await self.stream.send(data)
         except TimeoutError as error:
             raise httpcore.WriteTimeout(error) from error
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
