Report learned rates and queues by priority from the sidecar

The measured policy needs them; until now the real sidecar sent the engine's own figures, which hold only without a mix. Generation requests also carry the seconds left to the first token, which the queue gives up by.

--- a/src/jasminewalk/generated_requests.py
+++ b/src/jasminewalk/generated_requests.py
@@ -34,6 +34,8 @@
     :param max_tokens: most output tokens.
     :param expected_tokens: output tokens expected.
     :param deadline_s: seconds left until the deadline.
+    :param first_token_s: seconds left until the first token is wanted; 0 for
+        no limit.
     :param priority: higher runs first.
     :param weight: share of the organisation against others.
     :param resume_from: output tokens the caller already has.
@@ -52,6 +54,7 @@
     max_tokens: int
     expected_tokens: int = 0
     deadline_s: float
+    first_token_s: float = 0.0
     priority: int = 0
     weight: float = 1.0
     resume_from: int = 0
--- a/src/jasminewalk/sidecar_engine.py
+++ b/src/jasminewalk/sidecar_engine.py
@@ -101,11 +101,13 @@
             running=state.running,
             decode_tokens_left=state.decode_tokens_left,
             max_batch=state.max_batch,
-            prefill_tokens_per_s=state.prefill_tokens_per_s,
-            decode_tokens_per_s=state.decode_tokens_per_s,
+            prefill_tokens_per_s=self.queue.prefill_tokens_per_s,
+            decode_tokens_per_s=self.queue.decode_tokens_per_s,
             kv_used=state.kv_used,
             report_age_s=state.age_s + self.clock.monotonic() - self.polled_s,
             completed=self.runner.completed,
+            residence_s=self.queue.residence_s,
+            levels=self.queue.levels(),
         )
 
     def on_fold_event(self, event: FoldEvent) -> None:
@@ -188,4 +190,5 @@
             count=page.next_sequence - page.first_sequence,
         )
         self.event_sequence = page.next_sequence
+        self.queue.observe_cache(message)
         await self.context.send(message)
--- a/src/jasminewalk/sidecar_streams.py
+++ b/src/jasminewalk/sidecar_streams.py
@@ -1,6 +1,7 @@
 """Generations that a sidecar queues, hands to its engine and passes back."""
 
 import contextlib
+import math
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
@@ -38,6 +39,7 @@
     :param now_s: current instant in seconds.
     """
     left = max(1, request.max_tokens - request.resume_from)
+    first_token_s = request.first_token_s or math.inf
     expected = request.expected_tokens - request.resume_from
     return RequestProfile(
         request_id=f"{request.request_id}/{request.attempt}",
@@ -51,6 +53,7 @@
         prefix_hashes=tuple(request.prefix_hashes),
         arrived_s=now_s,
         deadline_s=now_s + request.deadline_s,
+        first_token_deadline_s=now_s + first_token_s,
         priority=request.priority,
         weight=request.weight,
     )
