Refuse values that YAML allows and nothing else does

Numbers that are not finite or do not fit 53 bits, documents that hold themselves, names that are not text: each was accepted or ended in an internal error, found by trying odd files by hand. Files are read by libyaml where PyYAML has it.

--- a/src/jasminewalk/templates.py
+++ b/src/jasminewalk/templates.py
@@ -67,6 +67,7 @@
 
     :param body: any part of a template's body.
     :param values: values by parameter name.
+    :raises BadConfigurationError: if a name is not a string afterwards.
     """
     if isinstance(body, str):
         if "${" not in body:
@@ -79,12 +80,20 @@
         return [substitute(item, values) for item in body]
     if isinstance(body, dict):
         return {
-            substitute(key, values): substitute(value, values)
-            for key, value in body.items()
+            _key(key, values): substitute(value, values) for key, value in body.items()
         }
     return body
 
 
+def _key(key: str, values: Mapping[str, Any]) -> str:
+    name = substitute(key, values)
+    if not isinstance(name, str):
+        raise BadConfigurationError(
+            f"organisation: found {name!r} as a name; allowed is a string"
+        )
+    return name
+
+
 def parameter_problem(parameter: TemplateParameter, value: Any) -> str:
     """Return what is wrong with a value, or nothing.
 
--- a/src/jasminewalk/yaml_files.py
+++ b/src/jasminewalk/yaml_files.py
@@ -12,6 +12,9 @@
 
 ValuePath = tuple[str | int, ...]
 
+LARGEST_NUMBER = 2**53
+Loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+
 
 @attrs.frozen
 class Problem:
@@ -84,7 +87,7 @@
     except (OSError, UnicodeDecodeError) as cause:
         reason = getattr(cause, "strerror", None) or str(cause)
         raise error(f"{file}: cannot be read: {reason}") from cause
-    loader = yaml.SafeLoader(text)
+    loader = Loader(text)
     documents = []
     try:
         while loader.check_node():
@@ -93,6 +96,10 @@
                 documents.append(document)
     except yaml.YAMLError as cause:
         raise error(_yaml_message(file, cause)) from cause
+    except RecursionError as cause:
+        raise error(
+            f"{file}: found values that are nested too deeply or hold themselves"
+        ) from cause
     finally:
         loader.dispose()
     return documents
@@ -105,7 +112,7 @@
     return f"{file}:{line}: found text that is not YAML: {problem}"
 
 
-def _document(file: str, loader: yaml.SafeLoader, node: Any) -> YamlDocument:
+def _document(file: str, loader: Any, node: Any) -> YamlDocument:
     lines: dict[ValuePath, int] = {}
     problems: list[Problem] = []
     data = _value(loader, node, (), lines, problems)
@@ -113,7 +120,7 @@
 
 
 def _value(
-    loader: yaml.SafeLoader,
+    loader: Any,
     node: yaml.Node,
     path: ValuePath,
     lines: dict[ValuePath, int],
@@ -126,12 +133,19 @@
             for index, item in enumerate(node.value)
         ]
     if not isinstance(node, yaml.MappingNode):
-        return loader.construct_object(node, deep=True)
+        value = loader.construct_object(node, deep=True)
+        if isinstance(value, (int, float)) and not abs(value) <= LARGEST_NUMBER:
+            text = f"found {node.value}; allowed is a number up to {LARGEST_NUMBER}"
+            problems.append(Problem(path, text))
+        return value
     problems.extend(_duplicates(node, path))
     loader.flatten_mapping(node)
     found: dict[str, Any] = {}
     for key_node, value_node in node.value:
-        key = str(loader.construct_object(key_node, deep=True))
+        if not isinstance(key_node, yaml.ScalarNode):
+            problems.append(Problem(path, "found a name that is not plain text"))
+            continue
+        key = str(loader.construct_object(key_node))
         key_path = (*path, key)
         found[key] = _value(loader, value_node, key_path, lines, problems)
         lines[key_path] = key_node.start_mark.line + 1
@@ -139,7 +153,8 @@
 
 
 def _duplicates(node: yaml.MappingNode, path: ValuePath) -> list[Problem]:
-    names = [key.value for key, _ in node.value]
+    keys = [key for key, _ in node.value if isinstance(key, yaml.ScalarNode)]
+    names = [key.value for key in keys]
     return [
         Problem((*path, name), "found twice; allowed is once")
         for name in sorted(set(names))
--- a/tests/test_templates.py
+++ b/tests/test_templates.py
@@ -120,6 +120,14 @@
     }
 
 
+def test_a_name_has_to_be_a_string():
+    places = TemplateParameter(type="list", default=["a"])
+    body = {"classes": {"${places}": {}}, "models": {}, "services": {}}
+    version = TemplateVersion(parameters={"places": places}, organisation=body)
+    with pytest.raises(BadConfigurationError, match="as a name; allowed is a string"):
+        render(Template(versions={"1": version}), {})
+
+
 def test_boolean_parameter():
     flag = TemplateParameter(type="boolean", default=False)
     assert parameter_problem(flag, True) == ""
