--- a/src/jasminewalk/authority.py
+++ b/src/jasminewalk/authority.py
@@ -73,7 +73,8 @@
         self.actual_s = float("-inf")
         self.change: _Change | None = None
         self.older_grant = 0
-        self.older_grant_s = 0.0
+        self.older_lapses_s = float("-inf")
+        self.unfinishable_grant = 0
         self.retry_at_s = 0.0
         self.reserved: tuple[str, ...] = ()
         self.reserving = False
@@ -151,6 +152,8 @@
         if now_s < self.retry_at_s:
             return []
         if entry.open and entry.grant_holder == self.settings.incarnation:
+            if not self.is_quiet():
+                return []
             self.retry_at_s = now_s + self.settings.retry_s
             return self.append_outcome(entry, "abandoned", self.actual_role(entry))
         if entry.open:
@@ -172,18 +175,28 @@
         """
         if self.older_grant != entry.grant:
             self.older_grant = entry.grant
-            self.older_grant_s = now_s
-        lapsed_s = self.older_grant_s + entry.lifetime_s + self.settings.margin_s
-        if not self.settings.checks_fencing and now_s < lapsed_s:
+            self.older_lapses_s = now_s + entry.lifetime_s + self.settings.margin_s
+        if not self.settings.checks_fencing and now_s < self.older_lapses_s:
             return []
+        role = entry.wanted_role
+        if self.unfinishable_grant == entry.grant:
+            if not self.is_quiet():
+                return []
+            role = entry.role
         wanted = WantedState(
-            role=entry.wanted_role,
+            role=role,
             models=tuple(entry.wanted_models),
             version=entry.wanted_version,
             reason=f"finish grant {entry.grant}",
         )
         return self.propose(now_s, entry, wanted, is_takeover=True)
 
+    def is_quiet(self) -> bool:
+        """Return whether no order of an older grant is or can get under way."""
+        if self.actual is None or self.actual.changing:
+            return False
+        return self.actual_s >= self.older_lapses_s
+
     def missing_artifacts(self, wanted: WantedState) -> tuple[str, ...]:
         """Return the wanted models and adapters that are not loaded.
 
@@ -280,12 +293,10 @@
         self.retry_at_s = now_s + self.settings.retry_s * self.rng.uniform(0.5, 1.0)
         if event.rejection not in ("minimum", "pool_revision"):
             return []
-        entry = self.entry
         if change.is_takeover:
-            if entry is None or event.rejection == "pool_revision":
-                return []
-            kept = attrs.evolve(change.wanted, role=entry.role)
-            return self.propose(now_s, entry, kept, is_takeover=True)
+            if event.rejection == "minimum":
+                self.unfinishable_grant = event.winner
+            return []
         if self.wanted == change.wanted:
             self.wanted = None
         return [ProposalRejected(wanted=change.wanted, rejection=event.rejection)]
@@ -319,8 +330,9 @@
                 self.change = None
             return []
         if change.phase == "draining":
-            lapsed = now_s >= self.lapses_s(change)
-            return self.abandon(entry, change) if lapsed else []
+            if now_s < self.lapses_s(change) or not self.is_quiet():
+                return []
+            return self.abandon(entry, change)
         if change.phase == "ordered":
             return self.watch_engine(now_s, entry, change)
         return []
@@ -335,7 +347,7 @@
         if change is None or entry is None or change.phase != "draining":
             return []
         if now_s >= self.lapses_s(change):
-            return self.abandon(entry, change)
+            return self.advance(now_s, entry, change)
         change.phase = "ordered"
         return self.send(now_s, change)
 
