--- a/src/jasminewalk/dispatch.py
+++ b/src/jasminewalk/dispatch.py
@@ -1,5 +1,6 @@
 """Runs requests of callers against sidecars, attempt by attempt."""
 
+import math
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Collection, Sequence
 
@@ -45,6 +46,7 @@
 MAX_REFUSAL_BYTES = 1 << 16
 LOG_RETRY_AFTER_S = 1.0
 RETRY_MARK = frozenset({""})
+LEAST_LEFT_S = 0.001
 
 _encode = msgspec.msgpack.Encoder().encode
 _decode_reply = msgspec.msgpack.Decoder(ServiceReply).decode
@@ -486,13 +488,25 @@
             max_tokens=profile.max_tokens,
             expected_tokens=profile.expected_tokens,
             deadline_s=profile.deadline_s - self.clock.monotonic(),
+            first_token_s=self.first_token_left_s(profile),
             priority=profile.priority,
+            weight=profile.weight,
             resume_from=action.resume_from,
             resume_text=self.machine.assembler.text,
             adapter=self.job.adapter,
         )
         return _encode(request)
 
+    def first_token_left_s(self, profile: RequestProfile) -> float:
+        """Return the seconds until the first token is wanted; 0 for no limit.
+
+        :param profile: the request.
+        """
+        if math.isinf(profile.first_token_deadline_s):
+            return 0.0
+        left_s = profile.first_token_deadline_s - self.clock.monotonic()
+        return max(LEAST_LEFT_S, left_s)
+
     async def exchange(self, action: Send, address: str) -> Action:
         """Send one attempt to its sidecar and pass its tokens on.
 
