--- a/src/jasminewalk/settings.py
+++ b/src/jasminewalk/settings.py
@@ -7,6 +7,7 @@
 
 from jasminewalk.exceptions import BadSettingsError
 from jasminewalk.generated_load import LoadPlan
+from jasminewalk.generated_measure import Workload
 from jasminewalk.generated_settings import (
     EntrySettings,
     OperatorSettings,
@@ -54,6 +55,7 @@
     SettingsKind("sidecar", "settings", SidecarSettings),
     SettingsKind("operator", "settings", OperatorSettings),
     SettingsKind("load", "load", LoadPlan),
+    SettingsKind("measure", "measure", Workload),
     SettingsKind("standin engine", "standins", StandinEngineSettings),
     SettingsKind("standin service", "standins", StandinServiceSettings),
     SettingsKind("standin log", "standins", StandinLogSettings),
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -48,9 +48,7 @@
     assert "param" not in text
 
 
-@pytest.mark.parametrize(
-    "file", [path for path in EXAMPLES.rglob("*.yaml") if "measure" not in path.name]
-)
+@pytest.mark.parametrize("file", sorted(EXAMPLES.rglob("*.yaml")))
 def test_every_example_file_is_valid(run_command, file):
     finished = run_command("check", file)
     assert (finished.code, finished.err) == (0, "")
--- a/tools/generate_docs.py
+++ b/tools/generate_docs.py
@@ -153,6 +153,7 @@
     "standins": lambda: schema_lines("standins"),
     "configuration": lambda: schema_lines("configuration"),
     "load": lambda: schema_lines("load"),
+    "measure": lambda: schema_lines("measure"),
 }
 
 
