--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -158,6 +158,15 @@
     return None
 
 
+def streaming(deployment):
+    """Return how many answers have begun and not ended at the first entry."""
+    traces = deployment.entries["entry-0"].traces.traces.values()
+    return sum(
+        not trace.outcome and trace.attempts[-1].first_token_s is not None
+        for trace in traces
+    )
+
+
 async def stream_text(client, **fields):
     stream = await client.chat.completions.create(
         model="tutor", messages=QUESTION, stream=True, **fields
@@ -204,7 +213,7 @@
     async with anyio.create_task_group() as group:
         for _ in range(4):
             group.start_soon(ask)
-        await until(lambda: busy_engine(deployment))
+        await until(lambda: streaming(deployment) == 4)
         set_faults(busy_engine(deployment), crashed=True)
     assert answers == [expected] * 4
     traces = deployment.entries["entry-0"].traces.traces.values()
