--- a/src/jasminewalk/engine_client.py
+++ b/src/jasminewalk/engine_client.py
@@ -17,7 +17,6 @@
 )
 from jasminewalk.clock import SystemClock
 from jasminewalk.connections import Connections
-from jasminewalk._http_streams import HttpStreams
 from jasminewalk.exceptions import OrderRefusedError, StaleFencingNumberError
 from jasminewalk.generated_codes import Code
 from jasminewalk.generated_requests import EngineOrder, EngineState, GenerateRequest
@@ -52,7 +51,6 @@
         self.pool = pool
         self.address = address
         self.timeout_s = timeout_s
-        self.streams = HttpStreams(address)
         self.streams = Connections(connect_timeout_s=timeout_s, clock=SystemClock())
 
     async def generate(self, request: GenerateRequest) -> AsyncIterator[bytes]:
