--- /dev/null
+++ b/benchmarks/_bare_relay.py
@@ -0,0 +1,74 @@
+"""Relay that copies an engine's stream from httpcore to uvicorn and no more."""
+
+import sys
+
+import anyio
+import httpcore
+
+from jasminewalk._http import HttpServer, http_client, read_body
+
+MAX_BODY_BYTES = 1 << 20
+
+
+class BareRelay:
+    """ASGI application that copies chunks.
+
+    :param pool: pool of HTTP connections.
+    :param url: URL of the engine.
+    """
+
+    def __init__(self, pool: httpcore.AsyncConnectionPool, url: str) -> None:
+        self.pool = pool
+        self.url = url
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Copy one answer.
+
+        :param scope: ASGI scope.
+        :param receive: ASGI receive function.
+        :param send: ASGI send function.
+        """
+        body = await read_body(receive, MAX_BODY_BYTES)
+        start = {"type": "http.response.start", "status": 200, "headers": []}
+        await send(start)
+        if scope["method"] == "POST":
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.watch, receive, group.cancel_scope)
+                await self.copy(body, send)
+                group.cancel_scope.cancel()
+        await send({"type": "http.response.body", "body": b""})
+
+    async def copy(self, body: bytes, send) -> None:
+        """Copy the chunks of one answer.
+
+        :param body: body of the request.
+        :param send: ASGI send function.
+        """
+        async with self.pool.stream("POST", self.url, content=body) as response:
+            async for data in response.aiter_stream():
+                part = {"body": data, "more_body": True}
+                await send({"type": "http.response.body", **part})
+
+    async def watch(self, receive, scope: anyio.CancelScope) -> None:
+        """Stop when the caller is gone.
+
+        :param receive: ASGI receive function.
+        :param scope: scope of the answer.
+        """
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        scope.cancel()
+
+
+async def main(address: str, url: str) -> None:
+    """Relay until the process is ended.
+
+    :param address: ``host:port`` to listen on.
+    :param url: URL of the engine.
+    """
+    async with http_client() as pool:
+        await HttpServer(BareRelay(pool, url), address).serve()
+
+
+if __name__ == "__main__":
+    anyio.run(main, *sys.argv[1:], backend_options={"use_uvloop": True})
--- /dev/null
+++ b/benchmarks/_fleet_data.py
@@ -0,0 +1,187 @@
+"""Fleets and configurations of any size, as the benchmarks need them."""
+
+import json
+from collections.abc import Iterator
+
+from jasminewalk.codec import encode_record
+from jasminewalk.generated_messages import LoadReport
+from jasminewalk.generated_records import ConfigurationRecord
+from jasminewalk.generated_requests import Instance
+from jasminewalk.generated_settings import EntrySettings, LogSettings, PeerSettings
+from jasminewalk.types import RequestProfile
+
+__all__ = [
+    "KEY",
+    "SETTINGS",
+    "instances",
+    "organisation_records",
+    "profile",
+    "reports",
+]
+
+POOLS = 19
+DOMAINS = 19
+KEY = "benchmark-shared-key-0123456789"
+
+SETTINGS = EntrySettings(
+    name="entry-1",
+    failure_domain="domain-1",
+    listen="127.0.0.1:0",
+    log=LogSettings(address="127.0.0.1:1"),
+    instances_address="127.0.0.1:1",
+    peers=PeerSettings(shared_key=KEY),
+)
+
+TEMPLATE = {
+    "versions": {
+        "1": {
+            "parameters": {
+                "region": {"type": "string", "required": True},
+                "weight": {"type": "number", "required": True},
+                "seats": {"type": "integer", "required": True},
+            },
+            "organisation": {
+                "weight": "${weight}",
+                "failure_domains": ["${region}-a", "${region}-b"],
+                "classes": {
+                    "verdict": {"deadline_s": 20, "first_token_s": 1.4},
+                    "helper": {"deadline_s": 5, "priority": 1},
+                    "booking": {"deadline_s": 10},
+                },
+                "models": {
+                    "tutor": {"pool": "pool-1", "request_class": "verdict"},
+                    "helper": {"pool": "pool-2", "request_class": "helper"},
+                },
+                "services": {
+                    "enrolment": {
+                        "pool": "pool-3",
+                        "request_class": "booking",
+                        "repeatable": ["GET /"],
+                    }
+                },
+            },
+        }
+    }
+}
+
+
+def organisation_document(number: int) -> dict[str, object]:
+    """Return the document of one organisation.
+
+    :param number: number of the organisation.
+    """
+    return {
+        "template": "school",
+        "version": 1,
+        "parameters": {
+            "region": f"region-{number % 5}",
+            "weight": 1.0 + number % 3,
+            "seats": number % 40,
+        },
+    }
+
+
+def organisation_records(count: int) -> Iterator[bytes]:
+    """Yield the log records of a template and its organisations.
+
+    :param count: number of organisations.
+    """
+    yield record("template/school", TEMPLATE, 0)
+    for number in range(count):
+        subject = f"organisation/escuela-{number:05d}"
+        yield record(subject, organisation_document(number), number + 1)
+
+
+def record(subject: str, document: object, number: int, base: int = 0) -> bytes:
+    """Return one encoded change of the configuration.
+
+    :param subject: what changes.
+    :param document: the new document.
+    :param number: number of the record.
+    :param base: revision that it is based on.
+    """
+    return encode_record(
+        ConfigurationRecord(
+            record_id=f"{number:024x}",
+            subject=subject,
+            base_revision=base,
+            document=json.dumps(document, separators=(",", ":")),
+            author="operator",
+            reason="benchmark",
+        )
+    )
+
+
+def instances(count: int, pools: int = POOLS) -> list[Instance]:
+    """Return rows of the instance list.
+
+    :param count: number of endpoints.
+    :param pools: number of pools that they belong to.
+    """
+    return [
+        Instance(
+            name=f"engine-{number:05d}",
+            kind="engine",
+            address=f"10.{number // 65536}.{number // 256 % 256}.{number % 256}:8000",
+            control_address=f"10.1.{number // 256 % 256}.{number % 256}:8001",
+            pool=f"pool-{number % pools}",
+            failure_domain=f"domain-{number % DOMAINS}",
+            state="live",
+        )
+        for number in range(count)
+    ]
+
+
+def reports(count: int, pools: int = POOLS, sequence: int = 1) -> list[LoadReport]:
+    """Return one load report of each endpoint.
+
+    :param count: number of endpoints.
+    :param pools: number of pools that they belong to.
+    :param sequence: number of the reports.
+    """
+    return [
+        LoadReport(
+            endpoint=row.name,
+            incarnation=f"{number:016x}",
+            sequence=sequence,
+            kind="engine",
+            pool=row.pool,
+            failure_domain=row.failure_domain,
+            address=row.address,
+            state="live",
+            models=["tutor", "helper"],
+            queued=number % 5,
+            queued_prefill_tokens=number % 7 * 1000,
+            running=number % 32,
+            decode_tokens_left=number % 32 * 100,
+            max_batch=32,
+            prefill_tokens_per_s=8000.0 + number % 3 * 1000,
+            decode_tokens_per_s=60.0,
+            kv_used=number % 10 / 10,
+            report_age_s=0.25,
+            revision=12345,
+            completed=1000 + sequence,
+        )
+        for number, row in enumerate(instances(count, pools))
+    ]
+
+
+def profile(number: int, pool: str) -> RequestProfile:
+    """Return a request for a pool.
+
+    :param number: number of the request.
+    :param pool: pool name.
+    """
+    return RequestProfile(
+        request_id=f"request-{number}",
+        organisation=f"escuela-{number % 50:05d}",
+        request_class="verdict",
+        pool=pool,
+        model="tutor",
+        prompt_tokens=3000,
+        expected_tokens=200,
+        max_tokens=400,
+        prefix_hashes=tuple(range(number % 20 * 100, number % 20 * 100 + 46)),
+        deadline_s=1e9,
+        first_token_deadline_s=1e9,
+    )
--- /dev/null
+++ b/benchmarks/_listeners.py
@@ -0,0 +1,86 @@
+"""Process with the control listeners of many sidecars, for control_channel."""
+
+import json
+import os
+import random
+import sys
+import time
+
+import anyio
+from _fleet_data import KEY, reports
+
+from jasminewalk.channel import MessageHandler, PeerListener
+from jasminewalk.generated_settings import PeerSettings
+
+FIRST_PORT = 12000
+LAST_PORT = 20000
+BIND_TRIES = 200
+
+
+class Ignore(MessageHandler):
+    """Handler that drops what comes."""
+
+    def on_message(self, envelope, pipe):
+        """Drop a message."""
+
+    def on_rejected(self, code):
+        """Drop a code."""
+
+
+def listener(name, rng):
+    """Return a listener and its address on a free port.
+
+    :param name: endpoint name.
+    :param rng: random source for the port.
+    """
+    for _ in range(BIND_TRIES):
+        address = f"127.0.0.1:{rng.randrange(FIRST_PORT, LAST_PORT)}"
+        try:
+            made = PeerListener(
+                address, name, "life", PeerSettings(shared_key=KEY), Ignore()
+            )
+        except Exception:
+            continue
+        return made, address
+    raise RuntimeError("no free port")
+
+
+async def send_reports(listeners, rows, period_s):
+    """Send each endpoint's report once in a period, until cancelled.
+
+    :param listeners: listeners by endpoint.
+    :param rows: reports.
+    :param period_s: the period in seconds.
+    """
+    sent = 0
+    while True:
+        for row in rows:
+            sent += await listeners[row.endpoint].broadcast(row)
+            await anyio.sleep(period_s / len(rows))
+        print(json.dumps([sent, time.process_time()]), flush=True)
+
+
+async def main(count, period_s):
+    """Listen, tell the addresses, and send reports until stdin is closed.
+
+    :param count: number of sidecars.
+    :param period_s: seconds between two reports of a sidecar.
+    """
+    rng = random.Random(os.getpid())
+    listeners = {}
+    addresses = []
+    rows = reports(count)
+    for row in rows:
+        listeners[row.endpoint], address = listener(row.endpoint, rng)
+        addresses.append(address)
+    print(json.dumps(addresses), flush=True)
+    async with anyio.create_task_group() as group:
+        group.start_soon(send_reports, listeners, rows, period_s)
+        await anyio.to_thread.run_sync(sys.stdin.read)
+        group.cancel_scope.cancel()
+
+
+if __name__ == "__main__":
+    anyio.run(
+        main, int(sys.argv[1]), float(sys.argv[2]), backend_options={"use_uvloop": True}
+    )
