Keep an entry's endpoints by pool and in the order of their ranks

The subset was sorted by hash anew and the pool searched for among all endpoints. A test took an endpoint out of the dictionary behind the object's back; it now goes through forget, and a new test compares the indexes with a plain search.

--- a/benchmarks/routing_time.py
+++ b/benchmarks/routing_time.py
@@ -39,9 +39,11 @@
     membership = Membership(SETTINGS)
     rows = instances(count)
     membership.observe_instances(0.0, rows)
+    known = set(membership.subset(0.0))
     for sequence in (1, 2):
         for report in reports(count, sequence=sequence):
-            membership.observe_report(0.0, report)
+            if report.endpoint in known:
+                membership.observe_report(0.0, report)
     return membership, rows
 
 
--- a/src/jasminewalk/membership.py
+++ b/src/jasminewalk/membership.py
@@ -76,6 +76,9 @@
         self.seed = xxhash.xxh3_64_intdigest(settings.name.encode())
         self.suspect_s = settings.peers.suspect_s
         self.members: dict[str, Member] = {}
+        self.pools: dict[str, dict[str, Member]] = {}
+        self.reporting: dict[str, dict[str, Member]] = {}
+        self.ranked: dict[str, list[Member]] = {}
 
     def observe_instances(self, now_s: float, instances: Iterable[Instance]) -> None:
         """Take a reading of the instance list.
@@ -98,14 +101,40 @@
         if member is None:
             member = Member(row.name, row.pool, row.failure_domain, row.address)
             self.members[row.name] = member
-        member.pool = row.pool
-        member.failure_domain = row.failure_domain
+            self.place(member)
+        elif (row.pool, row.failure_domain) != (member.pool, member.failure_domain):
+            self.displace(member)
+            member.pool = row.pool
+            member.failure_domain = row.failure_domain
+            self.place(member)
         member.address = row.address
         member.control_address = row.control_address
         member.listed_s = now_s
         if row.state == "leaving":
             member.listed_leaving_s = now_s
 
+    def place(self, member: Member) -> None:
+        """Enter a member under its pool.
+
+        :param member: the member.
+        """
+        self.pools.setdefault(member.pool, {})[member.endpoint] = member
+        if member.report:
+            self.reporting.setdefault(member.pool, {})[member.endpoint] = member
+        self.ranked.pop(member.pool, None)
+
+    def displace(self, member: Member) -> None:
+        """Remove a member from under its pool.
+
+        :param member: the member.
+        """
+        in_pool = self.pools[member.pool]
+        del in_pool[member.endpoint]
+        if not in_pool:
+            del self.pools[member.pool]
+        self.reporting.get(member.pool, {}).pop(member.endpoint, None)
+        self.ranked.pop(member.pool, None)
+
     def forget_unlisted(self, now_s: float) -> None:
         """Drop endpoints that neither the list nor a report has named for long.
 
@@ -114,7 +143,15 @@
         limit_s = now_s - FORGET_S
         for member in list(self.members.values()):
             if max(member.listed_s, member.heard_s) < limit_s:
-                del self.members[member.endpoint]
+                self.forget(member)
+
+    def forget(self, member: Member) -> None:
+        """Drop a member.
+
+        :param member: the member.
+        """
+        del self.members[member.endpoint]
+        self.displace(member)
 
     def observe_report(self, now_s: float, report: LoadReport) -> bool:
         """Take a report, which is also a heartbeat; return whether it is news.
@@ -134,6 +171,8 @@
         if now_s - member.heard_s > self.suspect_s:
             member.steady_reports = 0 if previous else PROBATION_REPORTS - 1
         member.steady_reports = min(member.steady_reports + 1, PROBATION_REPORTS)
+        if not previous:
+            self.reporting.setdefault(member.pool, {})[member.endpoint] = member
         member.report = report
         member.heard_s = now_s
         member.address = report.address or member.address
@@ -187,8 +226,8 @@
         :param now_s: current instant.
         :param pool: pool name.
         """
-        live = [m for m in self.members.values() if m.pool == pool]
-        live = [m for m in live if self.is_live(now_s, m)]
+        reporting = self.reporting.get(pool, {}).values()
+        live = [member for member in reporting if self.is_live(now_s, member)]
         trusted = [m.endpoint for m in live if not self.is_backing_off(now_s, m)]
         return trusted or [m.endpoint for m in live]
 
@@ -256,7 +295,7 @@
         :param now_s: current instant.
         """
         chosen: list[str] = []
-        for pool in sorted({member.pool for member in self.members.values()}):
+        for pool in sorted(self.pools):
             chosen.extend(self.pool_subset(now_s, pool))
         return chosen
 
@@ -266,10 +305,9 @@
         :param now_s: current instant.
         :param pool: pool name.
         """
-        members = [m for m in self.members.values() if m.pool == pool]
         chosen: list[str] = []
         wanted = self.subset_size
-        for member in sorted(members, key=self.rank):
+        for member in self.ranked_members(pool):
             if wanted <= 0 or len(chosen) >= 2 * self.subset_size:
                 break
             chosen.append(member.endpoint)
@@ -277,6 +315,17 @@
             wanted -= stands_in
         return chosen
 
+    def ranked_members(self, pool: str) -> list[Member]:
+        """Return the members of a pool in the order of their ranks.
+
+        :param pool: pool name.
+        """
+        ranked = self.ranked.get(pool)
+        if ranked is None:
+            ranked = sorted(self.pools.get(pool, {}).values(), key=self.rank)
+            self.ranked[pool] = ranked
+        return ranked
+
     def rank(self, member: Member) -> tuple[bool, int]:
         """Return the sort key of a member: own failure domain, then its hash.
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,3 +1,5 @@
+import random
+
 import pytest
 
 from jasminewalk.generated_messages import Leaving, LoadReport
@@ -160,7 +162,7 @@
     assert all(membership.members[name].failure_domain == "a" for name in before)
     gone = before[1]
     membership.observe_instances(1.0, [r for r in rows if r.name != gone])
-    del membership.members[gone]
+    membership.forget(membership.members[gone])
     after = membership.subset(1.0)
     assert [name for name in after if name in before] == [
         name for name in before if name != gone
@@ -177,3 +179,22 @@
     later = membership.subset(10.0)
     assert later[:2] == [first, second]
     assert len(later) == 3
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_indexes_agree_with_a_search_of_all_members(seed):
+    rng = random.Random(seed)
+    membership = make_membership()
+    now_s = 0.0
+    for sequence in range(1, 400):
+        now_s += rng.uniform(0.0, 0.3) + FORGET_S * (sequence % 100 == 0)
+        name = f"e{rng.randrange(12)}"
+        rows = [row(name, domain=rng.choice("ab"), pool=rng.choice("pq"))]
+        membership.observe_instances(now_s, rows if rng.random() < 0.3 else [])
+        membership.observe_report(now_s, report(name, sequence))
+        for pool in "pq":
+            members = [m for m in membership.members.values() if m.pool == pool]
+            live = {m.endpoint for m in members if membership.is_live(now_s, m)}
+            assert set(membership.usable(now_s, pool)) == live
+            ranked = sorted(members, key=membership.rank)
+            assert membership.ranked_members(pool) == ranked
