--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,193 @@
+"""Measures all slopes again and rewrites the tables of docs/CAPACITY.md.
+
+With ``--saved`` the tables are written from the points of the last run.
+"""
+
+import json
+import math
+import sys
+from collections.abc import Sequence
+from importlib import import_module
+from pathlib import Path
+
+from _bench import RESULTS, Ratio, Slope, show
+from _figures import Figure, figures
+
+PAGE = Path(__file__).resolve().parent.parent / "docs" / "CAPACITY.md"
+TASKS = (
+    "entry_state",
+    "routing_time",
+    "control_channel",
+    "log_fold",
+    "log_reading",
+    "claims",
+    "relay",
+    "first_token",
+    "open_streams",
+)
+
+Row = Slope | Ratio
+
+
+def measured(task: str) -> list[Row]:
+    """Run a task and return its rows.
+
+    :param task: name of the task's module.
+    """
+    print(f"# {task}", flush=True)
+    rows = import_module(task).main()
+    show(rows)
+    return rows
+
+
+def saved(task: str) -> list[Row]:
+    """Return the rows of a task's last run.
+
+    :param task: name of the task's module.
+    """
+    values = json.loads((RESULTS / f"{task}.json").read_text(encoding="utf-8"))
+    return [Slope(**row) if "points" in row else Ratio(**row) for row in values]
+
+
+def number(value: float) -> str:
+    """Return a number with three significant digits.
+
+    :param value: the number.
+    """
+    if math.isinf(value):
+        return "none"
+    if value == 0 or abs(value) < 1e-9:
+        return "0"
+    if abs(value) >= 1000:
+        return f"{round(value, 2 - math.floor(math.log10(abs(value)))):,.0f}"
+    return f"{value:.3g}"
+
+
+def table(head: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
+    """Return a Markdown table.
+
+    :param head: titles of the columns.
+    :param rows: cells.
+    """
+    lines = [head, ["---"] * len(head), *rows]
+    return "\n".join("| " + " | ".join(line) + " |" for line in lines)
+
+
+def slope_table(rows: Sequence[Row], task_by_row: dict[str, str]) -> str:
+    """Return the table of slopes.
+
+    :param rows: what was measured.
+    :param task_by_row: task of each row.
+    """
+    head = ["quantity", "sizes and values", "slope", "at size 0", "r2", "command"]
+    cells = [
+        [
+            row.name,
+            "; ".join(f"{number(x)}: {number(y)}" for x, y in row.points),
+            f"{number(row.slope)} {row.unit} per {row.size}",
+            f"{number(row.intercept)} {row.unit}",
+            f"{row.r2:.3f}",
+            f"`python benchmarks/{task_by_row[row.name]}.py`",
+        ]
+        for row in rows
+        if isinstance(row, Slope)
+    ]
+    return table(head, cells)
+
+
+def ratio_table(rows: Sequence[Row]) -> str:
+    """Return the table of comparisons.
+
+    :param rows: what was measured.
+    """
+    head = ["comparison", "bare", "through the path", "result", "limit"]
+    cells = [
+        [
+            row.name,
+            f"{number(row.bare)} {row.unit}",
+            f"{number(row.path)} {row.unit}",
+            row.compared,
+            row.limit,
+        ]
+        for row in rows
+        if isinstance(row, Ratio)
+    ]
+    return table(head, cells)
+
+
+def figure_table(found: Sequence[Figure]) -> str:
+    """Return the table of figures at the size.
+
+    :param found: the figures.
+    """
+    head = ["role", "quantity", "today", "proposed", "limit", "carried by"]
+    cells = [
+        [
+            figure.role,
+            f"{figure.quantity}, {figure.unit}" if figure.unit else figure.quantity,
+            f"**{number(figure.today)}**" if figure.is_gap else number(figure.today),
+            number(figure.proposed),
+            number(figure.limit),
+            figure.carrier,
+        ]
+        for figure in found
+    ]
+    return table(head, cells)
+
+
+def gap_table(found: Sequence[Figure]) -> str:
+    """Return the table of gaps.
+
+    :param found: the figures.
+    """
+    head = ["gap", "today", "limit", "change that closes it", "then"]
+    cells = [
+        [
+            f"{figure.role}: {figure.quantity}",
+            f"{number(figure.today)} {figure.unit}",
+            f"{number(figure.limit)} {figure.unit}",
+            figure.change or "none yet",
+            f"{number(figure.proposed)} {figure.unit}",
+        ]
+        for figure in found
+        if figure.is_gap
+    ]
+    return table(head, cells)
+
+
+def rewrite(name: str, text: str) -> None:
+    """Replace the part of the page between two markers.
+
+    :param name: name of the part.
+    :param text: its new text.
+    """
+    page = PAGE.read_text(encoding="utf-8")
+    begin, end = f"<!-- {name}: begin -->", f"<!-- {name}: end -->"
+    before, rest = page.split(begin)
+    _, after = rest.split(end)
+    PAGE.write_text(f"{before}{begin}\n{text}\n{end}{after}", encoding="utf-8")
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Measure, or read the last points, and rewrite the page.
+
+    :param arguments: arguments of the command line.
+    """
+    read = saved if "--saved" in arguments else measured
+    rows: list[Row] = []
+    task_by_row: dict[str, str] = {}
+    for task in TASKS:
+        found = read(task)
+        rows += found
+        task_by_row.update({row.name: task for row in found})
+    slopes = {row.name: row for row in rows if isinstance(row, Slope)}
+    worked = figures(slopes)
+    rewrite("figures", figure_table(worked))
+    rewrite("gaps", gap_table(worked))
+    rewrite("slopes", slope_table(rows, task_by_row))
+    rewrite("comparisons", ratio_table(rows))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/benchmarks/control_channel.py
+++ b/benchmarks/control_channel.py
@@ -8,8 +8,9 @@
 
 import anyio
 import attrs
+import msgspec
 from _bench import Slope, busy_s, save, show, slope
-from _fleet_data import KEY, reports
+from _fleet_data import KEY, instances, reports
 
 from jasminewalk.channel import MessageHandler, PeerDialer
 from jasminewalk.codec import MessageCodec
@@ -22,6 +23,7 @@
 RUN_S = 5.0
 BATCHES = (10, 100, 1000)
 BLOCK_COUNTS = (10, 100, 1000)
+LIST_SIZES = (100, 1000, 6300)
 MODEL_COUNTS = (1, 4, 19)
 US = 1e6
 
@@ -89,8 +91,11 @@
         messages, seconds = anyio.run(
             received, addresses, backend_options={"use_uvloop": True}
         )
-        child.communicate("")
-    return messages / RUN_S, seconds / RUN_S
+        output, _ = child.communicate("")
+    rounds = [json.loads(line) for line in output.splitlines()]
+    (first, first_s), (last, last_s) = rounds[len(rounds) // 3], rounds[-1]
+    sent_us = (last_s - first_s) / (last - first) * US
+    return messages / RUN_S, seconds / RUN_S, sent_us
 
 
 def sealed_bytes(message):
@@ -131,7 +136,13 @@
             "processor time of an entry for control messages",
             "message received a second",
             "s/s",
-            points,
+            [(rate, seconds) for rate, seconds, _ in points],
+        ),
+        slope(
+            "processor time of a sidecar for control messages",
+            "message sent a second",
+            "s/s",
+            [(rate, rate * sent_us / US) for rate, _, sent_us in points],
         ),
         slope(
             "sealing and opening",
@@ -145,6 +156,12 @@
             "B",
             [(count, events_bytes(report, hashes[:count])) for count in BLOCK_COUNTS],
         ),
+        slope(
+            "instance list answer",
+            "endpoint listed",
+            "B",
+            [(count, listing_bytes(count)) for count in LIST_SIZES],
+        ),
         slope(
             "load report on the channel",
             "model loaded",
@@ -177,6 +194,10 @@
     )
 
 
+def listing_bytes(count):
+    return len(msgspec.json.encode(instances(count)))
+
+
 def models_bytes(report, count):
     models = [f"model-{number:02d}" for number in range(count)]
     return sealed_bytes(attrs.evolve(report, models=models))
