--- /dev/null
+++ b/src/jasminewalk/_cli_daemons.py
@@ -0,0 +1,198 @@
+"""Running of daemons and stand-ins from the command line."""
+
+import errno
+import signal
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+import anyio
+import attrs
+from absl import logging
+
+from jasminewalk.exceptions import BadSettingsError
+from jasminewalk.logs import configure_logging
+
+__all__ = ["Action", "Standins", "run", "serve", "single"]
+
+BIND_ERRORS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EACCES)
+ADDRESS_POLL_S = 0.01
+
+
+@attrs.frozen
+class Action:
+    """What a command line asks for, to be done once all of it was understood.
+
+    :param do: does it.
+    """
+
+    do: Callable[[], None]
+
+
+class Daemon(Protocol):
+    """What the command line needs of a daemon."""
+
+    address: str
+
+    async def run(self) -> None:
+        """Serve until stopped."""
+
+    def stop(self) -> None:
+        """Finish what runs, then end ``run``."""
+
+
+class Standins:
+    """Small stand-ins for the platform and the back ends, for tests and trials."""
+
+    def engine(self, settings: str, verbosity: int = 0) -> Action:
+        """Run an engine stand-in until SIGTERM.
+
+        :param settings: YAML file with the settings (StandinEngineSettings).
+        :param verbosity: 1 logs more, -1 logs warnings only.
+        """
+        from jasminewalk.generated_standins import StandinEngineSettings
+        from jasminewalk.standin_engine import StandinEngine
+
+        return Action(
+            lambda: serve(StandinEngine, StandinEngineSettings, settings, verbosity)
+        )
+
+    def service(self, settings: str, verbosity: int = 0) -> Action:
+        """Run a service stand-in until SIGTERM.
+
+        :param settings: YAML file with the settings (StandinServiceSettings).
+        :param verbosity: 1 logs more, -1 logs warnings only.
+        """
+        from jasminewalk.generated_standins import StandinServiceSettings
+        from jasminewalk.standin_service import StandinService
+
+        return Action(
+            lambda: serve(StandinService, StandinServiceSettings, settings, verbosity)
+        )
+
+    def log(self, settings: str, verbosity: int = 0) -> Action:
+        """Run a stand-in of the platform's log until SIGTERM.
+
+        :param settings: YAML file with the settings (StandinLogSettings).
+        :param verbosity: 1 logs more, -1 logs warnings only.
+        """
+        from jasminewalk.generated_standins import StandinLogSettings
+        from jasminewalk.standin_log import StandinLog
+
+        return Action(
+            lambda: serve(StandinLog, StandinLogSettings, settings, verbosity)
+        )
+
+    def instances(self, settings: str, verbosity: int = 0) -> Action:
+        """Run a stand-in of the platform's instance list until SIGTERM.
+
+        :param settings: YAML file with the settings (StandinInstancesSettings).
+        :param verbosity: 1 logs more, -1 logs warnings only.
+        """
+        from jasminewalk.generated_standins import StandinInstancesSettings
+        from jasminewalk.standin_instances import StandinInstances
+
+        return Action(
+            lambda: serve(
+                StandinInstances, StandinInstancesSettings, settings, verbosity
+            )
+        )
+
+    def weights(self, settings: str, verbosity: int = 0) -> Action:
+        """Run a weight store stand-in until SIGTERM.
+
+        :param settings: YAML file with the settings (StandinWeightsSettings).
+        :param verbosity: 1 logs more, -1 logs warnings only.
+        """
+        from jasminewalk.generated_standins import StandinWeightsSettings
+        from jasminewalk.standin_weights import StandinWeights
+
+        return Action(
+            lambda: serve(StandinWeights, StandinWeightsSettings, settings, verbosity)
+        )
+
+
+def run(function: Callable[[], Awaitable[Any]]) -> Any:
+    """Run an asynchronous function on uvloop and return its result.
+
+    :param function: the function.
+    """
+
+    async def call() -> Any:
+        return await function()
+
+    return anyio.run(call, backend_options={"use_uvloop": True})
+
+
+def serve(
+    daemon_class: Callable[[Any], Daemon],
+    settings_class: type,
+    file: str,
+    verbosity: int,
+) -> None:
+    """Run a daemon until SIGTERM or SIGINT has let it finish.
+
+    :param daemon_class: class of the daemon.
+    :param settings_class: class of its settings.
+    :param file: YAML file with the settings.
+    :param verbosity: level of the logs.
+    :raises BadSettingsError: if the file is not valid or an address is in use.
+    """
+    from jasminewalk.settings import load_settings
+
+    configure_logging(verbosity)
+    settings: Any = load_settings(str(file), settings_class)
+
+    async def run_daemon() -> None:
+        daemon = daemon_class(settings)
+        async with anyio.create_task_group() as group:
+            group.start_soon(_stop_on_signal, daemon)
+            group.start_soon(_print_address, daemon)
+            await daemon.run()
+            group.cancel_scope.cancel()
+
+    try:
+        run(run_daemon)
+    except Exception as error:
+        found = single(error)
+        if not _is_bind_error(found):
+            raise
+        raise BadSettingsError(
+            f"{file}: cannot listen on one of {_listen_addresses(settings)}: {found}"
+        ) from error
+
+
+def _is_bind_error(error: BaseException) -> bool:
+    from pynng.exceptions import AddressInUse
+
+    is_os_error = isinstance(error, OSError) and error.errno in BIND_ERRORS
+    return is_os_error or isinstance(error, AddressInUse)
+
+
+def _listen_addresses(settings: Any) -> str:
+    names = [
+        field.name for field in attrs.fields(type(settings)) if "listen" in field.name
+    ]
+    return ", ".join(getattr(settings, name) for name in names)
+
+
+async def _stop_on_signal(daemon: Daemon) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for number in signals:
+            logging.info("[cli] Stopping. signal=%s", signal.Signals(number).name)
+            daemon.stop()
+
+
+async def _print_address(daemon: Daemon) -> None:
+    while not daemon.address:
+        await anyio.sleep(ADDRESS_POLL_S)
+    print(f"address={daemon.address}", flush=True)
+
+
+def single(error: BaseException) -> BaseException:
+    """Return the only error in groups of errors, or the group if it has several.
+
+    :param error: error or group of errors.
+    """
+    while isinstance(error, BaseExceptionGroup) and len(error.exceptions) == 1:
+        error = error.exceptions[0]
+    return error
--- a/src/jasminewalk/cli.py
+++ b/src/jasminewalk/cli.py
@@ -1,123 +1,24 @@
 """The command line: ``jasminewalk COMMAND``."""
 
-import errno
 import os
-import signal
 import sys
 import traceback
-from collections.abc import Awaitable, Callable
-from typing import Any, Protocol
+from typing import Any
 
-import anyio
-import attrs
 import fire
 import msgspec
 from absl import logging
 
-from jasminewalk.exceptions import BadSettingsError, JasminewalkError
+from jasminewalk._cli_daemons import Action, Standins, run, serve, single
+from jasminewalk.exceptions import JasminewalkError
 from jasminewalk.generated_codes import Code
 from jasminewalk.logs import configure_logging
 
-__all__ = ["Commands", "Standins", "main"]
+__all__ = ["Commands", "main"]
 
 SETTINGS_VARIABLE = "JASMINEWALK_SETTINGS"
 SETTINGS_FILE = "operator.yaml"
 EXIT_INTERRUPTED = 130
-BIND_ERRORS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EACCES)
-ADDRESS_POLL_S = 0.01
-
-
-@attrs.frozen
-class Action:
-    """What a command line asks for, to be done once all of it was understood.
-
-    :param do: does it.
-    """
-
-    do: Callable[[], None]
-
-
-class Daemon(Protocol):
-    """What the command line needs of a daemon."""
-
-    address: str
-
-    async def run(self) -> None:
-        """Serve until stopped."""
-
-    def stop(self) -> None:
-        """Finish what runs, then end ``run``."""
-
-
-class Standins:
-    """Small stand-ins for the platform and the back ends, for tests and trials."""
-
-    def engine(self, settings: str, verbosity: int = 0) -> Action:
-        """Run an engine stand-in until SIGTERM.
-
-        :param settings: YAML file with the settings (StandinEngineSettings).
-        :param verbosity: 1 logs more, -1 logs warnings only.
-        """
-        from jasminewalk.generated_standins import StandinEngineSettings
-        from jasminewalk.standin_engine import StandinEngine
-
-        return Action(
-            lambda: _serve(StandinEngine, StandinEngineSettings, settings, verbosity)
-        )
-
-    def service(self, settings: str, verbosity: int = 0) -> Action:
-        """Run a service stand-in until SIGTERM.
-
-        :param settings: YAML file with the settings (StandinServiceSettings).
-        :param verbosity: 1 logs more, -1 logs warnings only.
-        """
-        from jasminewalk.generated_standins import StandinServiceSettings
-        from jasminewalk.standin_service import StandinService
-
-        return Action(
-            lambda: _serve(StandinService, StandinServiceSettings, settings, verbosity)
-        )
-
-    def log(self, settings: str, verbosity: int = 0) -> Action:
-        """Run a stand-in of the platform's log until SIGTERM.
-
-        :param settings: YAML file with the settings (StandinLogSettings).
-        :param verbosity: 1 logs more, -1 logs warnings only.
-        """
-        from jasminewalk.generated_standins import StandinLogSettings
-        from jasminewalk.standin_log import StandinLog
-
-        return Action(
-            lambda: _serve(StandinLog, StandinLogSettings, settings, verbosity)
-        )
-
-    def instances(self, settings: str, verbosity: int = 0) -> Action:
-        """Run a stand-in of the platform's instance list until SIGTERM.
-
-        :param settings: YAML file with the settings (StandinInstancesSettings).
-        :param verbosity: 1 logs more, -1 logs warnings only.
-        """
-        from jasminewalk.generated_standins import StandinInstancesSettings
-        from jasminewalk.standin_instances import StandinInstances
-
-        return Action(
-            lambda: _serve(
-                StandinInstances, StandinInstancesSettings, settings, verbosity
-            )
-        )
-
-    def weights(self, settings: str, verbosity: int = 0) -> Action:
-        """Run a weight store stand-in until SIGTERM.
-
-        :param settings: YAML file with the settings (StandinWeightsSettings).
-        :param verbosity: 1 logs more, -1 logs warnings only.
-        """
-        from jasminewalk.generated_standins import StandinWeightsSettings
-        from jasminewalk.standin_weights import StandinWeights
-
-        return Action(
-            lambda: _serve(StandinWeights, StandinWeightsSettings, settings, verbosity)
-        )
 
 
 class Commands:
@@ -140,7 +41,7 @@
         from jasminewalk.entry import EntryDaemon
         from jasminewalk.generated_settings import EntrySettings
 
-        return Action(lambda: _serve(EntryDaemon, EntrySettings, settings, verbosity))
+        return Action(lambda: serve(EntryDaemon, EntrySettings, settings, verbosity))
 
     def sidecar(self, settings: str, verbosity: int = 0) -> Action:
         """Run the sidecar of one endpoint until SIGTERM.
@@ -152,7 +53,7 @@
         from jasminewalk.sidecar import SidecarDaemon
 
         return Action(
-            lambda: _serve(SidecarDaemon, SidecarSettings, settings, verbosity)
+            lambda: serve(SidecarDaemon, SidecarSettings, settings, verbosity)
         )
 
     def demo(self, stay: bool = False, verbosity: int = -1) -> Action:
@@ -209,7 +110,7 @@
             file=str(file), dry_run=dry_run, base=base, reason=str(reason), wait=wait
         )
         return Action(
-            lambda: _run(
+            lambda: run(
                 lambda: publish_file(_operator_settings(settings), options, print)
             )
         )
@@ -227,7 +128,7 @@
         from jasminewalk.status_text import status_lines
 
         def do() -> None:
-            status = _run(lambda: read_status(_operator_settings(settings), changes))
+            status = run(lambda: read_status(_operator_settings(settings), changes))
             _show(status, status_lines(status), json)
 
         return Action(do)
@@ -246,7 +147,7 @@
 
         def do() -> None:
             operator = _operator_settings(settings)
-            entry, trace = _run(lambda: explain_request(operator, str(request_id)))
+            entry, trace = run(lambda: explain_request(operator, str(request_id)))
             _show(trace, trace_lines(entry, trace), json)
 
         return Action(do)
@@ -259,7 +160,7 @@
         """
         from jasminewalk.load import run_load
 
-        return Action(lambda: _run(lambda: run_load(str(file), str(out), print)))
+        return Action(lambda: run(lambda: run_load(str(file), str(out), print)))
 
     def measure(
         self,
@@ -313,71 +214,8 @@
     return load_settings(str(name), OperatorSettings)
 
 
-def _run(function: Callable[[], Awaitable[Any]]) -> Any:
-    async def call() -> Any:
-        return await function()
-
-    return anyio.run(call, backend_options={"use_uvloop": True})
-
-
-def _serve(
-    daemon_class: Callable[[Any], Daemon],
-    settings_class: type,
-    file: str,
-    verbosity: int,
-) -> None:
-    from jasminewalk.settings import load_settings
-
-    configure_logging(verbosity)
-    settings: Any = load_settings(str(file), settings_class)
-
-    async def serve() -> None:
-        daemon = daemon_class(settings)
-        async with anyio.create_task_group() as group:
-            group.start_soon(_stop_on_signal, daemon)
-            group.start_soon(_print_address, daemon)
-            await daemon.run()
-            group.cancel_scope.cancel()
-
-    try:
-        _run(serve)
-    except (OSError, BaseExceptionGroup) as error:
-        found = _single(error)
-        if getattr(found, "errno", None) not in BIND_ERRORS:
-            raise
-        raise BadSettingsError(
-            f"{file}: cannot listen on one of {_listen_addresses(settings)}: {found}"
-        ) from error
-
-
-def _listen_addresses(settings: Any) -> str:
-    names = [
-        field.name for field in attrs.fields(type(settings)) if "listen" in field.name
-    ]
-    return ", ".join(getattr(settings, name) for name in names)
-
-
-async def _stop_on_signal(daemon: Daemon) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for number in signals:
-            logging.info("[cli] Stopping. signal=%s", signal.Signals(number).name)
-            daemon.stop()
-
-
-async def _print_address(daemon: Daemon) -> None:
-    while not daemon.address:
-        await anyio.sleep(ADDRESS_POLL_S)
-    print(f"address={daemon.address}", flush=True)
-
-
-def _single(error: BaseException) -> BaseException:
-    while isinstance(error, BaseExceptionGroup) and len(error.exceptions) == 1:
-        error = error.exceptions[0]
-    return error
-
-
 def _fail(error: BaseException) -> int:
-    found = _single(error)
+    found = single(error)
     if isinstance(found, KeyboardInterrupt):
         return EXIT_INTERRUPTED
     if logging.get_verbosity() >= logging.DEBUG:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -2,6 +2,7 @@
 from pathlib import Path
 
 import pytest
+import yaml
 
 from jasminewalk.generated_codes import RESULTS
 
@@ -91,14 +92,24 @@
     assert len(finished.err.strip().splitlines()) == 1
 
 
-def test_an_address_in_use_is_a_numbered_error(run_command, tmp_path, free_address):
+@pytest.mark.parametrize("command", ["sidecar", "standin log"])
+def test_an_address_in_use_is_a_numbered_error(
+    run_command, tmp_path, free_address, command
+):
+    path = tmp_path / "settings.yaml"
     host, port = free_address.split(":")
-    path = tmp_path / "log.yaml"
-    path.write_text(f"listen: {free_address}\nappends_per_s: 5\n")
+    example = EXAMPLES / "local/escuela/sidecar-enrolment-1.yaml"
+    text = f"listen: {free_address}\nappends_per_s: 5\n"
+    if command == "sidecar":
+        changes = {"listen": "127.0.0.1:0", "control_listen": free_address}
+        text = yaml.safe_dump({**yaml.safe_load(example.read_text()), **changes})
+    path.write_text(text)
     with socket.create_server((host, int(port))):
-        finished = run_command("standin", "log", "--settings", path)
+        finished = run_command(*command.split(), "--settings", path)
     assert finished.code == 7
-    assert f"cannot listen on one of {free_address}" in finished.err
+    assert f"cannot listen on one of {free_address}" in finished.err.replace(
+        "127.0.0.1:0, ", ""
+    )
 
 
 def test_a_mistyped_flag_stops_a_command_before_it_does_anything(run_command, tmp_path):
