Let an idle endpoint take what another has cached; learn others' part sooner

Cause: with a hard limit on the time left, a hot prompt was refused while other engines stood idle, and an entry took itself for the only one during the first minutes.

--- a/src/jasminewalk/baselines.py
+++ b/src/jasminewalk/baselines.py
@@ -12,6 +12,7 @@
 from jasminewalk.queueing import EndpointQueue, QueueSettings
 from jasminewalk.roles import RolePlanner, RoleProposal, RoleSettings
 from jasminewalk.routing import Router, RoutingSettings
+from jasminewalk.speeds import SpeedSettings
 from jasminewalk.types import Refusal, RequestProfile, Route
 
 __all__ = [
@@ -273,5 +274,10 @@
         _Ours("no-admission", RoutingSettings(admission=False)),
         _Ours("no-fairness", RoutingSettings(fairness=False)),
         _Ours("no-learning", RoutingSettings(learning=False)),
+        _Ours("no-corrections", RoutingSettings(speeds=SpeedSettings(learning_rate=0))),
+        _Ours("no-own-count", RoutingSettings(speeds=SpeedSettings(count_own=False))),
+        _Ours("no-cheap-first", RoutingSettings(extra_work_weight=0.0)),
+        _Ours("no-queue-shares", queueing=QueueSettings(fairness=False)),
+        _Ours("deep-engine-queue", queueing=QueueSettings(ahead_s=60.0)),
     )
 }
--- a/src/jasminewalk/routing.py
+++ b/src/jasminewalk/routing.py
@@ -1,5 +1,6 @@
 """Which endpoint gets a request, or when the caller should come back."""
 
+import math
 import random
 from collections.abc import Collection, Sequence
 
@@ -19,6 +20,8 @@
 MAX_LEARNED_CLASSES = 10_000
 LATE_PRICE_S = 100.0
 REFERENCE_LEARNING = 0.02
+OTHERS_PRIOR = 2.0
+OTHERS_WINDOW = 200.0
 
 
 @attrs.frozen(kw_only=True)
@@ -32,8 +35,9 @@
     :param affine: endpoints weighed besides for their prefix cache.
     :param work_weight: price of a second of prefill in seconds to the first token.
     :param finish_weight: price of a second to the last token in the same.
-    :param extra_work_weight: part of the time left that work which another endpoint
-        has cached takes away, against its part of the work.
+    :param extra_work_weight: part of the spare time that work which another
+        endpoint has cached takes away, against its part of the work.
+    :param extra_work_patience: least part of the spare time that is left to it.
     :param deadline_margin: part of the time left that a prediction may use.
     :param share_floor: part of the time left that an organisation far above its
         share may use.
@@ -55,6 +59,7 @@
     work_weight: float = 20.0
     finish_weight: float = 0.1
     extra_work_weight: float = 2.0
+    extra_work_patience: float = 0.1
     deadline_margin: float = 0.85
     share_floor: float = 0.4
     min_retry_after_s: float = 0.2
@@ -140,8 +145,8 @@
         self.refused_until_s: dict[str, float] = {}
         self.reference_rate = settings.speeds.default_prefill_tokens_per_s
         self.others = 1.0
-        self.finished_here = 0
-        self.finished_everywhere = 0
+        self.finished_here = 0.0
+        self.finished_everywhere = 0.0
 
     # Observations
 
@@ -163,12 +168,11 @@
 
     def learn_others(self) -> None:
         """Learn how many requests all entries send for each one of this entry."""
-        if self.finished_here < 50:
-            return
-        ratio = max(1.0, self.finished_everywhere / self.finished_here)
-        self.others += 0.2 * (ratio - self.others)
-        self.finished_here = 0
-        self.finished_everywhere = 0
+        everywhere = self.finished_everywhere + OTHERS_PRIOR
+        self.others = max(1.0, everywhere / (self.finished_here + OTHERS_PRIOR))
+        if self.finished_here > OTHERS_WINDOW:
+            self.finished_here *= 0.5
+            self.finished_everywhere *= 0.5
 
     def observe_cache(self, now_s: float, events: CacheEvents) -> None:
         """Take cache events; a gap in their numbers means that some were lost.
@@ -330,8 +334,9 @@
     ) -> _Option:
         """Return an endpoint with its price for a request in seconds.
 
-        An endpoint that would compute again what another one has cached may use
-        less of the time left, so that in a full pool cheap work goes first.
+        A request that would be computed again where another endpoint has it cached
+        may wait for less of its spare time, so that in a full pool cheap work goes
+        first.
 
         :param now_s: current instant in seconds.
         :param profile: the request.
@@ -346,12 +351,16 @@
         price_s += settings.finish_weight * prediction.finish_s
         price_s += settings.work_weight * prefill_s
         left_s = settings.deadline_margin * (profile.deadline_s - now_s)
-        if extra_s > 0.0:
-            work_s = prefill_s + option.view.slot_s
-            left_s *= max(0.0, 1.0 - settings.extra_work_weight * extra_s / work_s)
         late_s = prediction.finish_s - left_s
         first_left_s = profile.first_token_deadline_s - now_s
         late_s = max(late_s, prediction.first_token_s - first_left_s)
+        if extra_s > 0.0 and late_s > -math.inf:
+            extra_part = extra_s / (prefill_s + option.view.slot_s)
+            patience = 1.0 - settings.extra_work_weight * extra_part
+            patience = max(settings.extra_work_patience, patience)
+            late_s = max(
+                late_s, prediction.wait_s - patience * (prediction.wait_s - late_s)
+            )
         if late_s > 0.0:
             price_s += LATE_PRICE_S + late_s
         return attrs.evolve(option, score=price_s, late_s=late_s)
--- a/src/jasminewalk/speeds.py
+++ b/src/jasminewalk/speeds.py
@@ -18,6 +18,7 @@
     """How speeds are learned and backlogs estimated.
 
     :param learning_rate: weight of a new observation of a latency.
+    :param most_correction: greatest factor on a predicted time to the first token.
     :param default_prefill_tokens_per_s: prefill speed before the first report.
     :param default_decode_tokens_per_s: decode speed before the first report.
     :param default_residence_s: seconds of a request on an engine before any report.
@@ -32,6 +33,7 @@
     """
 
     learning_rate: float = 0.1
+    most_correction: float = 3.0
     default_prefill_tokens_per_s: float = 4000.0
     default_decode_tokens_per_s: float = 40.0
     default_residence_s: float = 1.0
@@ -87,11 +89,13 @@
     :param first_token_s: seconds to the first token.
     :param finish_s: seconds to the last token.
     :param work_s: seconds of the endpoint that the request takes.
+    :param wait_s: seconds that it waits for others.
     """
 
     first_token_s: float
     finish_s: float
     work_s: float
+    wait_s: float = 0.0
 
 
 @attrs.frozen
@@ -201,10 +205,13 @@
         if excess > 0.0:
             wait_s = excess * load.residence_s / slots
         prefill_s = (load.prefill_tokens + prefill_tokens) / self.prefill_tokens_per_s
-        first_s = IDLE_LATENCY_S + max(wait_s, prefill_s) * self.first_ratio
+        first_s = IDLE_LATENCY_S + max(wait_s, prefill_s) * min(
+            self.first_ratio, self.settings.most_correction
+        )
         decode_s = output_tokens / decode_rate * self.decode_ratio
         work_s = prefill_tokens / self.prefill_tokens_per_s
-        return Prediction(first_s, first_s + decode_s, work_s)
+        waits_s = max(0.0, first_s - IDLE_LATENCY_S - work_s)
+        return Prediction(first_s, first_s + decode_s, work_s, waits_s)
 
     def load(self, now_s: float, priority: int, others: float) -> _Load:
         """Return what goes before a request sent now.
