--- a/src/jasminewalk/deployment.py
+++ b/src/jasminewalk/deployment.py
@@ -96,6 +96,7 @@
     :param peers: talk between the processes of the system.
     :param progress_timeout_s: longest silence of a stream.
     :param instances_lag_s: lag of the instance list.
+    :param retention_s: seconds that the log keeps a record.
     """
 
     entries: Sequence[EntryPlan]
@@ -105,6 +106,7 @@
     )
     progress_timeout_s: float = 3.0
     instances_lag_s: float = 0.0
+    retention_s: float = 86400.0
 
 
 def escuela_plan() -> DeploymentPlan:
@@ -152,7 +154,7 @@
 
     def __init__(self, plan: DeploymentPlan) -> None:
         self.plan = plan
-        self.log = StandinLog(StandinLogSettings())
+        self.log = StandinLog(StandinLogSettings(retention_s=plan.retention_s))
         self.instances = StandinInstances(
             StandinInstancesSettings(lag_s=plan.instances_lag_s)
         )
@@ -166,7 +168,7 @@
     @property
     def log_settings(self) -> LogSettings:
         """How the daemons reach the log."""
-        return LogSettings(address=self.log.address)
+        return LogSettings(address=self.log.address, retention_s=self.plan.retention_s)
 
     @property
     def back_ends(self) -> list[StandinEngine | StandinService]:
--- a/src/jasminewalk/dispatch.py
+++ b/src/jasminewalk/dispatch.py
@@ -520,6 +520,7 @@
             self.body(action),
             self.dispatcher.progress_timeout_s,
         ) as response:
+            self.membership.observe_answer(self.clock.monotonic(), endpoint)
             if response.status != 200:
                 refusal = await self.read_refusal(response)
                 if refusal is None:
@@ -634,6 +635,7 @@
         async with self.dispatcher.connections.post(
             address, "/call", body, self.patience_s()
         ) as response:
+            self.membership.observe_answer(self.clock.monotonic(), endpoint)
             if response.status != 200:
                 refusal = await self.read_refusal(response)
                 if refusal is None:
--- a/src/jasminewalk/entry.py
+++ b/src/jasminewalk/entry.py
@@ -18,6 +18,7 @@
 from jasminewalk.connections import SidecarConnections
 from jasminewalk.dispatch import Dispatcher
 from jasminewalk.entry_peers import PeerLinks
+from jasminewalk.entry_snapshots import SnapshotTask
 from jasminewalk.entry_status import EntryStatus, endpoint_statuses
 from jasminewalk.fold import LogFold
 from jasminewalk.fold_events import FoldEvent, SubjectChanged
@@ -126,6 +127,13 @@
             clock=self.clock,
             listener=self,
         )
+        snapshots = SnapshotTask(
+            log=log,
+            fold=self.fold,
+            settings=self.settings.log,
+            clock=self.clock,
+            rng=self.rng,
+        )
         requests = HttpServer(self.callers_api(), self.settings.listen)
         operators = HttpServer(OperatorsApp(self), self.settings.control_listen)
         self.address = requests.address
@@ -135,6 +143,7 @@
             group.start_soon(operators.serve)
             group.start_soon(self.follower.run)
             group.start_soon(self.connections.run)
+            group.start_soon(snapshots.run)
             group.start_soon(self.links.run, group)
             group.start_soon(self.follow_instances, instances)
             group.start_soon(self.send_demand)
--- a/src/jasminewalk/entry_peers.py
+++ b/src/jasminewalk/entry_peers.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import anyio
+from absl import logging
 from anyio.abc import TaskGroup
 
 from jasminewalk.channel import MessageHandler, PeerDialer
@@ -21,6 +22,7 @@
 BUFFER_BYTES = 8 << 20
 HELLO_PERIOD_S = 1.5
 REDIAL_SILENCES = 2.0
+PAUSE_S = 0.1
 
 
 class RecordBuffer:
@@ -157,14 +159,26 @@
 
         :param group: task group that the channels run in.
         """
+        period_s = self.settings.peers.heartbeat_s
         try:
             while True:
                 self.tick(group)
-                await anyio.sleep(self.settings.peers.heartbeat_s)
+                slept_s = self.clock.monotonic()
+                await anyio.sleep(period_s)
+                self.note_pause(self.clock.monotonic() - slept_s - period_s)
         finally:
             for endpoint in list(self.links):
                 self.close(endpoint)
 
+    def note_pause(self, late_s: float) -> None:
+        """Do not take a pause of this process for a silence of its peers.
+
+        :param late_s: seconds by which the process woke up too late.
+        """
+        if late_s > PAUSE_S:
+            logging.warning("[entry] Process was paused. seconds=%.2f", late_s)
+            self.membership.observe_pause(late_s)
+
     def tick(self, group: TaskGroup) -> None:
         """Match the channels to the subset and send what is due.
 
--- /dev/null
+++ b/src/jasminewalk/entry_snapshots.py
@@ -0,0 +1,71 @@
+"""Task that keeps a snapshot of the state on the log."""
+
+import random
+
+import anyio
+from absl import logging
+
+from jasminewalk.clock import Clock
+from jasminewalk.codec import encode_record
+from jasminewalk.exceptions import LogUnavailableError
+from jasminewalk.fold import LogFold
+from jasminewalk.generated_records import SnapshotRecord
+from jasminewalk.generated_settings import LogSettings
+from jasminewalk.interfaces import Log
+from jasminewalk.snapshots import SnapshotPlanner, SnapshotSettings
+
+__all__ = ["SnapshotTask"]
+
+APPEND_TRIES = 3
+MIN_WAIT_S = 0.02
+MAX_WAIT_S = 1.0
+
+
+class SnapshotTask:
+    """Appends the chunks of a snapshot when one is due.
+
+    :param log: the platform's log.
+    :param fold: state to write.
+    :param settings: settings of the log.
+    :param clock: source of time.
+    :param rng: source of jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: Log,
+        fold: LogFold,
+        settings: LogSettings,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.log = log
+        self.retry_s = settings.retry_s
+        self.clock = clock
+        self.planner = SnapshotPlanner(
+            fold, SnapshotSettings(retention_s=settings.retention_s), rng
+        )
+
+    async def run(self) -> None:
+        """Append chunks until cancelled."""
+        while True:
+            for record in self.planner.tick(self.clock.monotonic()):
+                await self.append(record)
+            wait_s = self.planner.next_wake_s() - self.clock.monotonic()
+            await anyio.sleep(min(MAX_WAIT_S, max(MIN_WAIT_S, wait_s)))
+
+    async def append(self, record: SnapshotRecord) -> None:
+        """Append a chunk; one that is lost makes its snapshot void.
+
+        :param record: the chunk.
+        """
+        data = encode_record(record)
+        for _ in range(APPEND_TRIES):
+            try:
+                await self.log.append(data)
+            except LogUnavailableError as error:
+                logging.warning("[entry] Snapshot chunk not appended. error=%s", error)
+                await anyio.sleep(self.retry_s)
+            else:
+                return
--- a/src/jasminewalk/membership.py
+++ b/src/jasminewalk/membership.py
@@ -218,6 +218,28 @@
         if member:
             member.failures = 0
 
+    def observe_answer(self, now_s: float, endpoint: str) -> None:
+        """Take the first bytes of an answer as a sign of life of a sidecar.
+
+        :param now_s: current instant.
+        :param endpoint: endpoint name.
+        """
+        member = self.members.get(endpoint)
+        if member and now_s - member.heard_s <= self.suspect_s:
+            member.heard_s = now_s
+
+    def observe_pause(self, paused_s: float) -> None:
+        """Take the news that this process did not run for some time.
+
+        What others sent meanwhile is still to be read, so their silence counts
+        only from now on.
+
+        :param paused_s: length of the pause in seconds.
+        """
+        for in_pool in self.reporting.values():
+            for member in in_pool.values():
+                member.heard_s += paused_s
+
     def usable(self, now_s: float, pool: str) -> list[str]:
         """Return the endpoints of a pool that may get new work.
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -4,6 +4,7 @@
 import random
 
 import anyio
+import attrs
 import openai
 import pytest
 from hypothesis import given, settings, strategies as st
@@ -337,6 +338,28 @@
     assert sum(sum(s.runs.values()) for s in deployment.services.values()) == 1
 
 
+async def test_new_entry_knows_the_configuration_after_its_records_expired(pool):
+    short = attrs.evolve(plan(), retention_s=3.0)
+    async with (
+        anyio.create_task_group() as group,
+        embedded_deployment(short) as deployment,
+    ):
+        await publish(deployment, pool)
+        log = HttpLog(pool, deployment.log.address, BOUND_S)
+        revision = deployment.entries["entry-0"].configuration.revision
+        with anyio.fail_after(BOUND_S):
+            while (await log.read(1, 1)).first <= revision:
+                await anyio.sleep(0.1)
+        newcomer = EntryPlan(name="entry-new", failure_domain="a")
+        await deployment.start_entry(group, newcomer)
+        await deployment.wait_organisation("school")
+        entry = deployment.entries["entry-new"]
+        assert entry.configuration.revision == revision
+        await until(lambda: deployment.sees_all(entry))
+        async with client_of(entry) as client:
+            assert text_of(await stream_text(client, max_tokens=3))
+
+
 async def test_garbage_on_the_sockets_leaves_the_entry_serving(
     deployment, client, entry
 ):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -98,6 +98,21 @@
     assert membership.usable(steady_s, "p") == ["e1"]
 
 
+def test_pause_of_the_entry_is_no_silence_of_the_endpoint(membership):
+    last_s = beat(membership, "e1", 5.0)
+    membership.observe_pause(30.0)
+    assert membership.usable(last_s + 30.0, "p") == ["e1"]
+    assert membership.usable(last_s + 32.0, "p") == []
+
+
+def test_answer_is_a_sign_of_life_but_no_way_out_of_probation(membership):
+    last_s = beat(membership, "e1", 5.0)
+    membership.observe_answer(last_s + 1.0, "e1")
+    assert membership.usable(last_s + 2.0, "p") == ["e1"]
+    membership.observe_answer(last_s + 5.0, "e1")
+    assert membership.usable(last_s + 5.0, "p") == []
+
+
 def test_leaving_wins_over_live_reports_and_list(membership):
     beat(membership, "e1", 1.0)
     leave(membership, "e1", now_s=1.0)
