--- a/src/jasminewalk/generated_settings.py
+++ b/src/jasminewalk/generated_settings.py
@@ -61,7 +61,6 @@
 
     :param name: name of the entry.
     :param failure_domain: failure domain of the instance.
-    :param region: region of the instance.
     :param listen: host:port for callers.
     :param control_listen: host:port for health, metrics and operators.
     :param log: the log service.
@@ -79,7 +78,6 @@
 
     name: str
     failure_domain: str
-    region: str = ""
     listen: Annotated[str, msgspec.Meta(pattern="^[^:\\s]+:[0-9]{1,5}$")]
     control_listen: Annotated[str, msgspec.Meta(pattern="^[^:\\s]+:[0-9]{1,5}$")] = (
         "127.0.0.1:0"
@@ -104,7 +102,6 @@
     :param kind: kind of endpoint.
     :param pool: pool name.
     :param failure_domain: failure domain of the instance.
-    :param region: region of the instance.
     :param listen: host:port for requests from entries.
     :param control_listen: host:port for control messages from entries.
     :param metrics_listen: host:port for health, metrics and operators.
@@ -126,7 +123,6 @@
     kind: Literal["engine", "service"]
     pool: str
     failure_domain: str
-    region: str = ""
     listen: Annotated[str, msgspec.Meta(pattern="^[^:\\s]+:[0-9]{1,5}$")]
     control_listen: Annotated[str, msgspec.Meta(pattern="^[^:\\s]+:[0-9]{1,5}$")]
     metrics_listen: Annotated[str, msgspec.Meta(pattern="^[^:\\s]+:[0-9]{1,5}$")] = (
