--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,4 +1,5 @@
 import json
+import re
 from pathlib import Path
 
 import pytest
@@ -92,6 +93,19 @@
     assert list(thrissur.rendered) == ["o7", "o8", "o9"]
 
 
+def test_the_page_shows_valid_documents(tmp_path):
+    page = (EXAMPLES.parent / "docs/CONFIGURATION.md").read_text()
+    whole, deletion = re.findall(r"```yaml\n(.*?)```", page, re.DOTALL)
+    path = tmp_path / "c.yaml"
+    path.write_text(whole)
+    view = ConfigurationView()
+    check_documents(read_configuration(str(path)), view)
+    assert view.organisation("asturias").services["enrolment"].repeatable == ["GET /"]
+    path.write_text(deletion.replace("hoteles-costa-verde", "asturias"))
+    check_documents(read_configuration(str(path)), view)
+    assert view.organisation("asturias") is None
+
+
 CONFIGURATION = """\
 kind: fleet
 name: default
