Write the capacity page

Each figure is arithmetic on a measured slope; settings for the size and the changes that are not built yet stand in columns of their own. The points come from runs on a busy machine and will be measured again.

--- a/benchmarks/_size.py
+++ b/benchmarks/_size.py
@@ -4,10 +4,11 @@
 
 __all__ = [
     "ASSUMED",
+    "CHANGED",
+    "DEFAULT",
     "LIMITS",
-    "PROPOSED",
     "SIZE",
-    "TODAY",
+    "TUNED",
     "Assumed",
     "Limits",
     "Plan",
@@ -113,8 +114,8 @@
 ASSUMED = Assumed()
 LIMITS = Limits()
 
-# What the daemons do today; subsets are 64 endpoints of each pool.
-TODAY = Plan(
+# The daemons with their default settings; subsets are 64 endpoints of each pool.
+DEFAULT = Plan(
     subset=64 * SIZE.models,
     report_s=0.5,
     hello_s=1.5,
@@ -127,13 +128,28 @@
     feed_share=1.0,
 )
 
-# What the page proposes for this size.
-PROPOSED = Plan(
+# The daemons with settings for this size: subset, heartbeat_s, instances_poll_s and
+# read_gap_s.
+TUNED = Plan(
+    subset=6 * SIZE.models,
+    report_s=2.0,
+    hello_s=1.5,
+    demand_s=1.0,
+    list_s=120.0,
+    list_share=1.0,
+    read_floor_s=0.5,
+    block_share=1.0,
+    claims_apart=False,
+    feed_share=1.0,
+)
+
+# The daemons after the changes that the page proposes.
+CHANGED = Plan(
     subset=6 * SIZE.models,
     report_s=4.0,
     hello_s=15.0,
     demand_s=15.0,
-    list_s=60.0,
+    list_s=120.0,
     list_share=1.0 / SIZE.regions,
     read_floor_s=0.5,
     block_share=0.0,
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -116,38 +116,37 @@
 
 
 def figure_table(found: Sequence[Figure]) -> str:
-    """Return the table of figures at the size.
+    """Return the table of figures at the size; those above the limit are bold.
 
     :param found: the figures.
     """
-    head = ["role", "quantity", "today", "proposed", "limit", "carried by"]
-    cells = [
-        [
-            figure.role,
-            f"{figure.quantity}, {figure.unit}" if figure.unit else figure.quantity,
-            f"**{number(figure.today)}**" if figure.is_gap else number(figure.today),
-            number(figure.proposed),
-            number(figure.limit),
-            figure.carrier,
+    head = ["role", "quantity", "default", "tuned", "changed", "limit", "carried by"]
+    cells = []
+    for figure in found:
+        item = figure.item
+        values = [figure.default, figure.tuned, figure.changed]
+        shown = [
+            f"**{number(value)}**" if value > item.limit else number(value)
+            for value in values
         ]
-        for figure in found
-    ]
+        name = f"{item.quantity}, {item.unit}" if item.unit else item.quantity
+        cells.append([item.role, name, *shown, number(item.limit), item.carrier])
     return table(head, cells)
 
 
 def gap_table(found: Sequence[Figure]) -> str:
-    """Return the table of gaps.
+    """Return the table of gaps that settings alone do not close.
 
     :param found: the figures.
     """
-    head = ["gap", "today", "limit", "change that closes it", "then"]
+    head = ["gap", "tuned", "limit", "change that closes it", "then"]
     cells = [
         [
-            f"{figure.role}: {figure.quantity}",
-            f"{number(figure.today)} {figure.unit}",
-            f"{number(figure.limit)} {figure.unit}",
-            figure.change or "none yet",
-            f"{number(figure.proposed)} {figure.unit}",
+            f"{figure.item.role}: {figure.item.quantity}",
+            f"{number(figure.tuned)} {figure.item.unit}",
+            f"{number(figure.item.limit)} {figure.item.unit}",
+            figure.item.change or "none yet",
+            f"{number(figure.changed)} {figure.item.unit}",
         ]
         for figure in found
         if figure.is_gap
