Drive the real decisions through random schedules; mend what they found

Ruled out as faults of the observers: what a crash takes from a role, and a superseded process that nobody restarts.

--- a/src/jasminewalk/_fold_grants.py
+++ b/src/jasminewalk/_fold_grants.py
@@ -129,15 +129,18 @@
         if current.open and current.grant_holder == record.incarnation:
             return "grant_open"
         if record.role == current.role:
-            return None
+            return None if self.can_be_away(current) else "minimum"
         if record.base_pool_revision != self.pool_revision(current.pool):
             return "pool_revision"
         return None if self.keeps_minimum(current) else "minimum"
 
-    def keeps_minimum(self, current: EndpointEntry) -> bool:
+    def keeps_minimum(
+        self, current: EndpointEntry, with_changing: bool = False
+    ) -> bool:
         """Return whether the pool can do without an endpoint while it changes.
 
         :param current: the endpoint.
+        :param with_changing: whether endpoints count that change themselves.
         """
         pool = self.pools.get(current.pool)
         if pool is None:
@@ -147,12 +150,23 @@
             for entry in self.members(current.pool)
             if entry.endpoint != current.endpoint
             and entry.endpoint not in pool.withdrawn
-            and not entry.open
+            and (with_changing or not entry.open)
         ]
         return enough(current.role, others, PREFILL_ROLES, pool.min_prefill) and (
             enough(current.role, others, DECODE_ROLES, pool.min_decode)
         )
 
+    def can_be_away(self, current: EndpointEntry) -> bool:
+        """Return whether an endpoint may change and keep its role.
+
+        It waits for others that change, unless the pool is too small anyway.
+
+        :param current: the endpoint.
+        """
+        if self.keeps_minimum(current):
+            return True
+        return not self.keeps_minimum(current, with_changing=True)
+
     def end(self, record: GrantOutcomeRecord) -> list[FoldEvent]:
         """Fold the outcome of a grant; only the open grant can end.
 
--- a/src/jasminewalk/_fold_rebuild.py
+++ b/src/jasminewalk/_fold_rebuild.py
@@ -10,9 +10,9 @@
     SnapshotRecord,
 )
 
-__all__ = ["SnapshotAssembler", "SnapshotState"]
+__all__ = ["SnapshotAssembler", "SnapshotProgress", "SnapshotState"]
 
-MAX_PARTIAL_SNAPSHOTS = 4
+MAX_PARTIAL_SNAPSHOTS = 8
 
 
 @attrs.frozen(kw_only=True)
@@ -35,6 +35,18 @@
     expired_keys: list[int] = attrs.field(factory=list)
 
 
+@attrs.frozen
+class SnapshotProgress:
+    """How far a snapshot has been read that is not whole yet.
+
+    :param first_offset: offset of the first of its chunks that was read.
+    :param last_offset: offset of the last of its chunks that was read.
+    """
+
+    first_offset: int
+    last_offset: int
+
+
 class SnapshotAssembler:
     """Collects chunks until a snapshot is whole.
 
@@ -44,19 +56,26 @@
     def __init__(self, keep: bool) -> None:
         self.keep = keep
         self.partial: dict[str, dict[int, SnapshotRecord]] = {}
+        self.progress: dict[str, SnapshotProgress] = {}
 
-    def add(self, record: SnapshotRecord) -> SnapshotState | None:
+    def add(self, offset: int, record: SnapshotRecord) -> SnapshotState | None:
         """Take a chunk; return the state when it completes its snapshot.
 
+        :param offset: offset of the chunk.
         :param record: the chunk.
         """
+        begun = self.progress.pop(record.snapshot_id, None)
+        first_offset = begun.first_offset if begun else offset
         chunks = self.partial.pop(record.snapshot_id, {})
         chunks[record.chunk] = record if self.keep else bare(record)
         if len(chunks) == record.chunks:
             return assembled(record.covers, chunks)
         self.partial[record.snapshot_id] = chunks
+        self.progress[record.snapshot_id] = SnapshotProgress(first_offset, offset)
         if len(self.partial) > MAX_PARTIAL_SNAPSHOTS:
-            del self.partial[next(iter(self.partial))]
+            oldest = next(iter(self.partial))
+            del self.partial[oldest]
+            del self.progress[oldest]
         return None
 
 
--- a/src/jasminewalk/authority.py
+++ b/src/jasminewalk/authority.py
@@ -47,6 +47,7 @@
     phase: Phase = "proposed"
     grant: int = 0
     sent_s: float = 0.0
+    unanswered: int = 0
 
 
 class OrderController:
@@ -291,12 +292,15 @@
         """
         self.change = None
         self.retry_at_s = now_s + self.settings.retry_s * self.rng.uniform(0.5, 1.0)
-        if event.rejection not in ("minimum", "pool_revision"):
+        entry = self.entry
+        if event.rejection not in ("minimum", "pool_revision") or entry is None:
             return []
         if change.is_takeover:
             if event.rejection == "minimum":
                 self.unfinishable_grant = event.winner
             return []
+        if change.wanted.role == entry.role:
+            return []
         if self.wanted == change.wanted:
             self.wanted = None
         return [ProposalRejected(wanted=change.wanted, rejection=event.rejection)]
@@ -358,6 +362,7 @@
         :param change: the change.
         """
         change.sent_s = now_s
+        change.unanswered += 1
         order = EngineOrder(
             fencing_number=change.grant,
             role=change.wanted.role,
@@ -366,11 +371,21 @@
         )
         return [SendOrder(order=order, valid_until_s=self.lapses_s(change))]
 
+    def order_answered(self, fencing_number: int) -> None:
+        """Take that the engine answered an order, so that it is not under way.
+
+        An order without an answer counts as under way for the margin.
+
+        :param fencing_number: number of the order.
+        """
+        if self.change is not None and self.change.grant == fencing_number:
+            self.change.unanswered -= 1
+
     def order_stale(self) -> list[OrderAction]:
         """Take that the engine refused the order, since it saw a newer one.
 
-        Any other answer, or none, needs no call: the engine's state shows what
-        became of the order, and it is sent again in time.
+        Another refusal, or no answer, needs no call: the engine's state shows
+        what became of the order, and it is sent again in time.
         """
         change = self.change
         if change is None or change.phase != "ordered":
@@ -387,7 +402,8 @@
         :param change: the change.
         """
         actual = self.actual
-        is_fresh = self.actual_s > change.sent_s
+        flight_s = self.settings.margin_s if change.unanswered else 0.0
+        is_fresh = self.actual_s > change.sent_s + flight_s
         is_settled = is_fresh and actual is not None and not actual.changing
         if actual and is_settled and matches(actual, change.wanted):
             return self.end(entry, change, "done", change.wanted.role)
--- a/src/jasminewalk/fold.py
+++ b/src/jasminewalk/fold.py
@@ -151,7 +151,7 @@
         :param offset: offset of the chunk.
         :param record: the chunk.
         """
-        state = self.assembler.add(record)
+        state = self.assembler.add(offset, record)
         if state is None:
             return []
         if self.rebuilding and state.covers + 1 >= self.oldest_after_gap:
--- a/src/jasminewalk/sidecar_orders.py
+++ b/src/jasminewalk/sidecar_orders.py
@@ -315,4 +315,5 @@
                 error,
             )
         else:
+            self.controller.order_answered(action.order.fencing_number)
             self.context.metrics.count("orders", outcome="sent")
--- a/src/jasminewalk/snapshots.py
+++ b/src/jasminewalk/snapshots.py
@@ -27,6 +27,8 @@
     :param jitter_s: longest further wait; 0 takes an eighth of the retention.
     :param chunk_bytes: largest chunk in bytes, but for a single larger item.
     :param chunks_per_s: chunks written a second.
+    :param stall_s: seconds without a chunk after which a snapshot counts as left
+        by its writer.
     """
 
     retention_s: float
@@ -34,11 +36,23 @@
     jitter_s: float = 0.0
     chunk_bytes: int = 256 << 10
     chunks_per_s: float = 5.0
+    stall_s: float = 3.0
+
+
+@attrs.frozen
+class _Other:
+    first_offset: int
+    last_offset: int
+    seen_s: float
 
 
 class SnapshotPlanner:
     """Writes a snapshot after a jittered wait unless another process was faster.
 
+    One process writes at a time: of two that began, the one whose first chunk is
+    later on the log stops. A writer that stalled stops, so that its old chunks
+    end up in no snapshot.
+
     :param fold: state to write.
     :param settings: when snapshots are written.
     :param rng: random source.
@@ -53,55 +67,106 @@
         self.due_s: float | None = None
         self.covers = 0
         self.chunks: list[SnapshotRecord] = []
+        self.snapshot_id = ""
         self.next_chunk_s = 0.0
+        self.others: dict[str, _Other] = {}
 
     def wait_s(self) -> float:
         """Return a new wait before the next snapshot."""
         quarter_s = self.settings.retention_s / 4
         interval_s = self.settings.interval_s or quarter_s
-        return interval_s + self.rng.uniform(
-            0.0, self.settings.jitter_s or quarter_s / 2
-        )
+        jitter_s = self.settings.jitter_s or quarter_s / 2
+        return interval_s + self.rng.uniform(0.0, jitter_s)
 
     def tick(self, now_s: float) -> list[SnapshotRecord]:
         """Return the chunks to append now.
 
         :param now_s: current instant in seconds.
         """
+        self.observe_others(now_s)
         if self.due_s is None or self.fold.snapshot_covers > self.covers:
-            self.restart(now_s)
+            self.covers = self.fold.snapshot_covers
+            self.stop(now_s)
         if self.chunks:
             return self.next_chunks(now_s)
         if now_s < (self.due_s or 0.0) or not self.fold.ready:
             return []
-        self.due_s = now_s + self.wait_s()
-        if self.fold.next_offset - 1 <= self.fold.snapshot_covers:
+        if self.active_others(now_s):
+            self.stop(now_s)
             return []
+        self.start(now_s)
+        return self.next_chunks(now_s)
+
+    def observe_others(self, now_s: float) -> None:
+        """Note which other processes are writing a snapshot.
+
+        :param now_s: current instant in seconds.
+        """
+        seen: dict[str, _Other] = {}
+        for snapshot_id, progress in self.fold.assembler.progress.items():
+            known = self.others.get(snapshot_id)
+            if known is None or known.last_offset != progress.last_offset:
+                known = _Other(progress.first_offset, progress.last_offset, now_s)
+            seen[snapshot_id] = known
+        self.others = seen
+
+    def active_others(self, now_s: float) -> list[_Other]:
+        """Return the snapshots that other processes are writing.
+
+        :param now_s: current instant in seconds.
+        """
+        return [
+            other
+            for snapshot_id, other in self.others.items()
+            if snapshot_id != self.snapshot_id
+            and now_s < other.seen_s + self.settings.stall_s
+        ]
+
+    def start(self, now_s: float) -> None:
+        """Freeze the state and cut it into chunks.
+
+        :param now_s: current instant in seconds.
+        """
         self.chunks = cut_into_chunks(
             self.fold.state(), self.settings.chunk_bytes, self.rng
         )
-        return self.next_chunks(now_s)
+        self.snapshot_id = self.chunks[0].snapshot_id
+        self.next_chunk_s = now_s
+        self.due_s = now_s + self.wait_s()
 
-    def restart(self, now_s: float) -> None:
-        """Wait anew, since a snapshot was completed; drop one that is older.
+    def stop(self, now_s: float) -> None:
+        """Drop a snapshot that is not whole yet and wait anew.
 
         :param now_s: current instant in seconds.
         """
-        self.covers = self.fold.snapshot_covers
+        self.chunks = []
         self.due_s = now_s + self.wait_s()
-        if self.chunks and self.chunks[0].covers <= self.covers:
-            self.chunks = []
 
     def next_chunks(self, now_s: float) -> list[SnapshotRecord]:
         """Return the next chunk when its turn has come.
 
         :param now_s: current instant in seconds.
         """
+        stalled = now_s >= self.next_chunk_s + self.settings.stall_s
+        if stalled or self.is_second(now_s):
+            self.stop(now_s)
+            return []
         if now_s < self.next_chunk_s:
             return []
         self.next_chunk_s = now_s + 1.0 / self.settings.chunks_per_s
         return [self.chunks.pop(0)]
 
+    def is_second(self, now_s: float) -> bool:
+        """Return whether another process began its snapshot before this one.
+
+        :param now_s: current instant in seconds.
+        """
+        others = self.active_others(now_s)
+        own = self.fold.assembler.progress.get(self.snapshot_id)
+        if own is None:
+            return bool(others)
+        return any(other.first_offset < own.first_offset for other in others)
+
     def next_wake_s(self) -> float:
         """Return the instant at which ``tick`` has something to do."""
         if self.chunks:
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,37 @@
+"""Runs random schedules for a while; prints each violation with its seed."""
+
+import time
+
+import fire
+from absl import logging
+
+from observers import ViolationError
+from scenario import Scenario
+
+
+def soak(seconds=60, seed=1, fault_period_s=1.5):
+    """Run schedules until the time is over.
+
+    :param seconds: how long to run.
+    :param seed: first seed; each schedule takes the next one.
+    :param fault_period_s: mean seconds between faults.
+    """
+    logging.set_verbosity(logging.FATAL)
+    end_s = time.monotonic() + seconds
+    events, first, failures = 0, seed, 0
+    while time.monotonic() < end_s:
+        scenario = Scenario(seed, fault_period_s)
+        try:
+            scenario.run()
+        except ViolationError as violation:
+            failures += 1
+            at_s = scenario.world.clock.now_s
+            print(f"seed={seed} at_s={at_s:.2f} violation={violation}")
+        events += scenario.world.events
+        seed += 1
+    print(f"seeds={first}..{seed - 1} events={events} violations={failures}")
+    return 1 if failures else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(fire.Fire(soak, serialize=lambda _: None))
