--- a/src/jasminewalk/_api_requests.py
+++ b/src/jasminewalk/_api_requests.py
@@ -8,7 +8,6 @@
 from jasminewalk._http import Scope
 from jasminewalk.clock import Clock
 from jasminewalk.configuration import ConfigurationView
-from jasminewalk.dispatch import CallJob, GenerationJob
 from jasminewalk.exceptions import BadRequestError, JasminewalkError
 from jasminewalk.generated_codes import Code
 from jasminewalk.generated_configuration import (
@@ -16,6 +15,7 @@
     RequestClass,
     ServiceRule,
 )
+from jasminewalk.jobs import CallJob, GenerationJob
 from jasminewalk.tokens import Tokenizer
 from jasminewalk.types import RequestProfile
 
--- /dev/null
+++ b/src/jasminewalk/_run_call.py
@@ -0,0 +1,91 @@
+"""A call of a plain service on its way through its attempts."""
+
+import msgspec
+
+from jasminewalk._run import RequestServices, Run, read_limited
+from jasminewalk.attempts import Action, Send
+from jasminewalk.generated_requests import ServiceCall, ServiceReply
+from jasminewalk.jobs import CallJob
+
+__all__ = ["CallRun"]
+
+MAX_REPLY_BYTES = 32 << 20
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode_reply = msgspec.msgpack.Decoder(ServiceReply).decode
+
+
+class CallRun(Run):
+    """A call of a plain service on its way through its attempts.
+
+    :param services: what all requests share.
+    :param job: the call.
+    """
+
+    def __init__(self, services: RequestServices, job: CallJob) -> None:
+        super().__init__(services, job)
+        self.job: CallJob = job
+        self.reply: ServiceReply | None = None
+
+    def body(self, action: Send) -> bytes:
+        """Return the body of the request to the sidecar.
+
+        :param action: the attempt.
+        """
+        profile = self.job.profile
+        call = ServiceCall(
+            request_id=profile.request_id,
+            attempt=action.attempt,
+            organisation=profile.organisation,
+            service=self.job.service,
+            request_class=profile.request_class,
+            method=self.job.method,
+            path=self.job.path,
+            headers=self.job.headers,
+            body=self.job.body,
+            key=self.job.key,
+            deadline_s=profile.deadline_s - self.clock.monotonic(),
+            priority=profile.priority,
+        )
+        return _encode(call)
+
+    async def exchange(self, action: Send, address: str) -> Action:
+        """Send one attempt to its sidecar and take the reply.
+
+        :param action: the attempt.
+        :param address: request address of the sidecar.
+        """
+        endpoint = action.route.endpoint
+        body = self.body(action)
+        async with self.services.connections.post(
+            address, "/call", body, self.patience_s()
+        ) as response:
+            self.membership.observe_answer(self.clock.monotonic(), endpoint)
+            if response.status != 200:
+                refusal = await self.read_refusal(response)
+                if refusal is None:
+                    self.trace.attempts[-1].outcome = f"status {response.status}"
+                    return self.failed(endpoint, may_have_run=True)
+                return self.refused(endpoint, refusal)
+            reply = await read_limited(response, MAX_REPLY_BYTES)
+        return self.take_reply(endpoint, reply)
+
+    def patience_s(self) -> float:
+        """Return the longest silence to allow: half of the time that is left."""
+        left_s = self.job.profile.deadline_s - self.clock.monotonic()
+        return max(self.services.progress_timeout_s, left_s / 2)
+
+    def take_reply(self, endpoint: str, body: bytes) -> Action:
+        """Take a reply and return what to do after it.
+
+        :param endpoint: endpoint that replied.
+        :param body: encoded reply.
+        """
+        try:
+            self.reply = _decode_reply(body)
+        except msgspec.MsgspecError as error:
+            self.trace.attempts[-1].outcome = f"bad reply {error}"
+            return self.failed(endpoint, may_have_run=True)
+        self.machine.assembler.end = "reply"
+        self.succeeded(endpoint)
+        return self.machine.ended(self.clock.monotonic(), endpoint)
--- /dev/null
+++ b/src/jasminewalk/_run_generation.py
@@ -0,0 +1,154 @@
+"""A generation on its way through its attempts."""
+
+import math
+
+import httpcore
+import msgspec
+
+from jasminewalk._run import RequestServices, Run
+from jasminewalk.attempts import Action, Send
+from jasminewalk.generated_requests import GenerateRequest
+from jasminewalk.jobs import GenerationJob, TokenSink
+from jasminewalk.types import RequestProfile
+
+__all__ = ["GenerationRun"]
+
+LEAST_LEFT_S = 0.001
+
+_encode = msgspec.msgpack.Encoder().encode
+
+
+class GenerationRun(Run):
+    """A generation on its way through its attempts.
+
+    :param services: what all requests share.
+    :param job: the generation.
+    :param sink: receiver of the tokens.
+    """
+
+    def __init__(
+        self, services: RequestServices, job: GenerationJob, sink: TokenSink
+    ) -> None:
+        super().__init__(services, job)
+        self.job: GenerationJob = job
+        self.sink = sink
+        self.first_token_at_s: float | None = None
+
+    def body(self, action: Send) -> bytes:
+        """Return the body of the request to the sidecar.
+
+        :param action: the attempt.
+        """
+        profile = self.job.profile
+        request = GenerateRequest(
+            request_id=profile.request_id,
+            attempt=action.attempt,
+            organisation=profile.organisation,
+            request_class=profile.request_class,
+            model=profile.model,
+            prompt=self.job.prompt,
+            prompt_tokens=profile.prompt_tokens,
+            prefix_hashes=list(profile.prefix_hashes),
+            max_tokens=profile.max_tokens,
+            expected_tokens=profile.expected_tokens,
+            deadline_s=profile.deadline_s - self.clock.monotonic(),
+            first_token_s=self.first_token_left_s(profile),
+            priority=profile.priority,
+            weight=profile.weight,
+            resume_from=action.resume_from,
+            resume_text=self.machine.assembler.text,
+            adapter=self.job.adapter,
+        )
+        return _encode(request)
+
+    def first_token_left_s(self, profile: RequestProfile) -> float:
+        """Return the seconds until the first token is wanted; 0 for no limit.
+
+        :param profile: the request.
+        """
+        if math.isinf(profile.first_token_deadline_s):
+            return 0.0
+        left_s = profile.first_token_deadline_s - self.clock.monotonic()
+        return max(LEAST_LEFT_S, left_s)
+
+    async def exchange(self, action: Send, address: str) -> Action:
+        """Send one attempt to its sidecar and pass its tokens on.
+
+        :param action: the attempt.
+        :param address: request address of the sidecar.
+        """
+        endpoint = action.route.endpoint
+        async with self.services.connections.post(
+            address,
+            "/generate",
+            self.body(action),
+            self.services.progress_timeout_s,
+        ) as response:
+            self.membership.observe_answer(self.clock.monotonic(), endpoint)
+            if response.status != 200:
+                refusal = await self.read_refusal(response)
+                if refusal is None:
+                    self.trace.attempts[-1].outcome = f"status {response.status}"
+                    return self.failed(endpoint, may_have_run=True)
+                return self.refused(endpoint, refusal)
+            await self.relay(action.attempt, response)
+        return self.ended(endpoint)
+
+    async def relay(self, attempt: int, response: httpcore.Response) -> None:
+        """Pass tokens on until the stream or the answer ends.
+
+        :param attempt: number of the attempt.
+        :param response: answer of the sidecar.
+        """
+        assembler = self.machine.assembler
+        write = self.sink.write
+        async for data in response.aiter_stream():
+            texts = assembler.take_lines(attempt, data)
+            if texts:
+                if self.first_token_at_s is None:
+                    self.note_first_token()
+                await write(attempt, texts)
+            if assembler.broken is not None:
+                return
+
+    def note_first_token(self) -> None:
+        """Note the arrival of the first token."""
+        elapsed_s = self.elapsed_s()
+        self.first_token_at_s = elapsed_s
+        self.trace.attempts[-1].first_token_s = elapsed_s
+        self.router.first_token(
+            self.clock.monotonic(),
+            self.job.profile.request_id,
+            self.machine.assembler.cached_tokens,
+        )
+        self.services.metrics.observe("first_token_seconds", elapsed_s, **self.labels)
+
+    def ended(self, endpoint: str) -> Action:
+        """Return what to do after a stream has closed.
+
+        :param endpoint: endpoint that the stream came from.
+        """
+        now_s = self.clock.monotonic()
+        assembler = self.machine.assembler
+        if assembler.end:
+            self.note_token_gap()
+            self.succeeded(endpoint)
+            return self.machine.ended(now_s, endpoint)
+        broken = assembler.broken
+        if broken is not None and broken.ran == "not_run":
+            self.trace.attempts[-1].outcome = f"refused {broken.code}"
+        else:
+            code = broken.code if broken else "none"
+            self.trace.attempts[-1].outcome = f"stream broke code={code}"
+            self.membership.observe_failure(now_s, endpoint)
+        self.router.failed(now_s, self.job.profile.request_id, endpoint)
+        return self.machine.ended(now_s, endpoint)
+
+    def note_token_gap(self) -> None:
+        """Note the mean time between tokens of a whole answer."""
+        gaps = self.machine.assembler.next_token - 1
+        if gaps > 0 and self.first_token_at_s is not None:
+            gap_s = (self.elapsed_s() - self.first_token_at_s) / gaps
+            self.services.metrics.observe(
+                "between_tokens_seconds", gap_s, **self.labels
+            )
--- a/src/jasminewalk/api.py
+++ b/src/jasminewalk/api.py
@@ -1,7 +1,6 @@
 """ASGI application for callers: generations, services and models."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib.parse import unquote
 
@@ -10,6 +9,13 @@
 from absl import logging
 
 from jasminewalk._api_errors import error_document, error_headers
+from jasminewalk._api_exchange import (
+    CallerGoneError,
+    Exchange,
+    StreamSink,
+    WholeSink,
+    while_connected,
+)
 from jasminewalk._api_openai import (
     ChatFormat,
     ChatRequest,
@@ -25,23 +31,18 @@
     JobBuilder,
     raise_if_unready,
 )
-from jasminewalk._http import Receive, Scope, Send, read_body, send_json
+from jasminewalk._http import Receive, Scope, Send, read_body
 from jasminewalk.attempts import AnswerAssembler
-from jasminewalk.dispatch import Dispatcher, GenerationJob, TokenSink
+from jasminewalk.dispatch import Dispatcher
 from jasminewalk.exceptions import BadRequestError, JasminewalkError
 from jasminewalk.generated_codes import Code
+from jasminewalk.jobs import GenerationJob
 
 __all__ = ["CallersApi", "ReadinessSource"]
 
 BODY_TIMEOUT_S = 30.0
 LAST_SEND_TIMEOUT_S = 1.0
 PATH_PREFIX = "organisations"
-STREAM_HEADERS = [
-    (b"content-type", b"text/event-stream; charset=utf-8"),
-    (b"cache-control", b"no-cache"),
-]
-
-Headers = list[tuple[bytes, bytes]]
 
 
 class ReadinessSource(ABC):
@@ -53,122 +54,6 @@
         """Whether the configuration in force has been read."""
 
 
-class CallerGoneError(Exception):
-    """The caller closed the connection, so nobody waits for an answer."""
-
-
-class Exchange:
-    """One HTTP request of a caller and what was answered so far.
-
-    :param scope: ASGI scope.
-    :param receive: ASGI receive function.
-    :param send: ASGI send function.
-    :param request_id: identifier of the request.
-    """
-
-    def __init__(
-        self, scope: Scope, receive: Receive, send: Send, request_id: str
-    ) -> None:
-        self.scope = scope
-        self.receive = receive
-        self.send = send
-        self.request_id = request_id
-        self.attempt = 0
-        self.started = False
-        self.streaming = False
-
-    @property
-    def own_headers(self) -> Headers:
-        """Headers that every answer has."""
-        return [
-            (b"request-id", self.request_id.encode()),
-            (b"attempt", str(self.attempt).encode()),
-        ]
-
-    async def send_document(
-        self, status: int, document: object, headers: Headers | None = None
-    ) -> None:
-        """Send a whole JSON answer.
-
-        :param status: HTTP status.
-        :param document: what to encode.
-        :param headers: further headers.
-        """
-        self.started = True
-        headers = [*self.own_headers, *(headers or [])]
-        await send_json(self.send, status, document, headers)
-
-    async def start_stream(self) -> None:
-        """Send the header of a streamed answer."""
-        self.started = True
-        self.streaming = True
-        await self.send(
-            {
-                "type": "http.response.start",
-                "status": 200,
-                "headers": [*STREAM_HEADERS, *self.own_headers],
-            }
-        )
-
-    async def send_part(self, data: bytes) -> None:
-        """Send a part of a streamed answer.
-
-        :param data: whole events.
-        """
-        await self.send({"type": "http.response.body", "body": data, "more_body": True})
-
-    async def end_stream(self, data: bytes) -> None:
-        """Send the last part of a streamed answer.
-
-        :param data: whole events.
-        """
-        await self.send({"type": "http.response.body", "body": data})
-
-
-class StreamSink(TokenSink):
-    """Passes tokens to the caller as server-sent events.
-
-    :param exchange: the caller's request.
-    :param format: how the answer is written.
-    """
-
-    def __init__(self, exchange: Exchange, format: OpenAiFormat) -> None:
-        self.exchange = exchange
-        self.format = format
-
-    async def write(self, attempt: int, texts: list[str]) -> None:
-        """Pass new tokens on.
-
-        :param attempt: number of the attempt that they came from.
-        :param texts: texts of the tokens.
-        """
-        exchange = self.exchange
-        events = self.format.text_events(texts)
-        if not exchange.started:
-            exchange.attempt = attempt
-            await exchange.start_stream()
-            events = self.format.first_events() + events
-        await exchange.send_part(events)
-
-
-class WholeSink(TokenSink):
-    """Leaves the tokens to the assembler until the answer is whole.
-
-    :param exchange: the caller's request.
-    """
-
-    def __init__(self, exchange: Exchange) -> None:
-        self.exchange = exchange
-
-    async def write(self, attempt: int, texts: list[str]) -> None:
-        """Note which attempt the tokens came from.
-
-        :param attempt: number of the attempt.
-        :param texts: texts of the tokens.
-        """
-        self.exchange.attempt = attempt
-
-
 class CallersApi:
     """ASGI application that checks callers' requests and answers them.
 
@@ -461,32 +346,3 @@
         "total_tokens": prompt_tokens + answer.next_token,
         "prompt_tokens_details": {"cached_tokens": answer.cached_tokens},
     }
-
-
-async def while_connected(receive: Receive, run: Callable[[], Awaitable[None]]) -> None:
-    """Run something until it ends or the caller closes the connection.
-
-    :param receive: ASGI receive function, after the whole body was read.
-    :param run: what to run.
-    :raises CallerGoneError: if the caller left first.
-    """
-    error: JasminewalkError | None = None
-    done = False
-
-    async def watch() -> None:
-        while (await receive())["type"] != "http.disconnect":
-            pass
-        group.cancel_scope.cancel()
-
-    async with anyio.create_task_group() as group:
-        group.start_soon(watch)
-        try:
-            await run()
-            done = True
-        except JasminewalkError as raised:
-            error = raised
-        group.cancel_scope.cancel()
-    if error is not None:
-        raise error
-    if not done:
-        raise CallerGoneError
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -10,7 +10,7 @@
 from jasminewalk._http import HttpServer, read_body, send_json
 from jasminewalk.clock import SystemClock
 from jasminewalk.connections import SidecarConnections
-from jasminewalk.dispatch import CallJob, Dispatcher, GenerationJob, TokenSink
+from jasminewalk.dispatch import Dispatcher
 from jasminewalk.exceptions import RefusedError
 from jasminewalk.generated_codes import Code
 from jasminewalk.generated_messages import LoadReport
@@ -23,6 +23,7 @@
     ServiceReply,
 )
 from jasminewalk.generated_settings import EntrySettings, LogSettings, PeerSettings
+from jasminewalk.jobs import CallJob, GenerationJob, TokenSink
 from jasminewalk.membership import Membership
 from jasminewalk.metrics import Metrics
 from jasminewalk.peer_auth import PeerAuthenticator
