--- a/src/jasminewalk/sidecar_engine.py
+++ b/src/jasminewalk/sidecar_engine.py
@@ -151,12 +151,7 @@
             with anyio.fail_after(self.settings.progress_timeout_s):
                 state = await self.engine.state()
         except (OSError, JasminewalkError, msgspec.MsgspecError) as error:
-            self.poll_failures += 1
-            logging.warning(
-                "[sidecar] Engine state unreadable. endpoint=%s error=%r",
-                self.settings.name,
-                error,
-            )
+            self.note_poll_failure(error)
         else:
             self.poll_failures = 0
             self.engine_state = state
@@ -168,6 +163,19 @@
             self.note_change(f"state {was} -> {self.state}")
             self.context.report_now()
 
+    def note_poll_failure(self, error: Exception) -> None:
+        """Count a failed read of the engine's state, and log the first in a row.
+
+        :param error: what went wrong.
+        """
+        self.poll_failures += 1
+        if self.poll_failures == 1:
+            logging.warning(
+                "[sidecar] Engine state unreadable. endpoint=%s error=%r",
+                self.settings.name,
+                error,
+            )
+
     async def poll_cache(self) -> None:
         """Pass on the engine's cache events until cancelled."""
         while True:
--- a/src/jasminewalk/standin_log.py
+++ b/src/jasminewalk/standin_log.py
@@ -136,13 +136,14 @@
         self.wake_readers()
 
     def counts(self) -> Any:
-        """Return appends, reads, refusals and offsets."""
+        """Return appends, reads, refusals, offsets and appends that land later."""
         return {
             "appends": self.appends,
             "reads": self.reads,
             "refused": self.refused,
             "first": self.first,
             "tail": self.tail,
+            "waiting_late": len(self.late),
         }
 
     async def answer(self, request: StandinRequest) -> None:
@@ -239,6 +240,7 @@
             if not self.late:
                 self.late_added = anyio.Event()
                 await self.late_added.wait()
-            due_s, data = self.late.popleft()
+            due_s, data = self.late[0]
             await anyio.sleep(max(0.0, due_s - self.clock.monotonic()))
             self.append(data)
+            self.late.popleft()
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -159,6 +159,8 @@
             settings["model"] = {
                 "models": ["tutor"],
                 "role_change_s": 0.5,
+                "version_change_s": 0.5,
+                "model_load_s": 0.5,
                 "report_lag_s": 0.1,
                 "checks_fencing": checks,
                 **model,
@@ -166,7 +168,7 @@
         self.start(name, settings, "standin", kind)
         self.start_sidecar(name, kind, number, model.get("checks_fencing", True))
 
-    def start_sidecar(self, name, kind, number, checks_fencing):
+    def start_sidecar(self, name, kind, number, checks_fencing=True):
         listen, control, operators = address(), address(), address()
         self.controls[name] = operators
         settings = {
@@ -330,19 +332,23 @@
     def engine_state(self, name):
         return http_json("GET", f"http://{self.addresses[name]}/state", timeout_s=2.0)
 
+    def is_back(self, name):
+        for process in list(self.revisions):
+            if self.processes[process].poll() is not None:
+                self.restart(process)
+        return self.is_ready(name)
+
     def heal(self):
         """End all failures and wait until the fleet has repaired itself."""
         for name in self.addresses:
-            self.fault(name)
-        for name, process in list(self.processes.items()):
+            self.fault(name, **{k: type(v)() for k, v in self.faults(name).items()})
+        for process in self.processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
-            elif name in self.revisions:
-                self.restart(name)
         for name in (*self.engines(), *self.services()):
             self.set_listed(name, "live")
         for name in self.controls:
-            wait_for(lambda name=name: self.is_ready(name), f"{name} ready again")
+            wait_for(lambda name=name: self.is_back(name), f"{name} ready again")
         for entry in self.entry_addresses:
             for name in (*self.engines(), *self.services()):
                 wait_for(
