Name the attempt on each answer of a sidecar and check it at the entry

The histogram of the time between tokens now has every gap of every stream and not a mean for each answer.

--- a/src/jasminewalk/_http.py
+++ b/src/jasminewalk/_http.py
@@ -15,6 +15,7 @@
 from jasminewalk.network import NetworkBackend
 
 __all__ = [
+    "ATTEMPT_HEADER",
     "AsgiApp",
     "HttpServer",
     "Receive",
@@ -33,6 +34,7 @@
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 AsgiApp = Callable[[Scope, Receive, Send], Awaitable[None]]
 
+ATTEMPT_HEADER = b"jasminewalk-attempt"
 BACKLOG = 2048
 START_POLL_S = 0.005
 
--- a/src/jasminewalk/_run.py
+++ b/src/jasminewalk/_run.py
@@ -8,6 +8,7 @@
 import msgspec
 from absl import logging
 
+from jasminewalk._http import ATTEMPT_HEADER
 from jasminewalk._pool_endpoints import PoolEndpoints
 from jasminewalk.attempts import (
     Action,
@@ -279,6 +280,18 @@
         :param address: request address of the sidecar.
         """
 
+    def check_own(self, action: Send, response: httpcore.Response) -> None:
+        """Refuse an answer that belongs to another attempt or request.
+
+        :param action: the attempt.
+        :param response: answer of the sidecar.
+        :raises httpcore.RemoteProtocolError: if the answer names another attempt.
+        """
+        own = f"{self.job.profile.request_id}/{action.attempt}".encode()
+        for name, value in response.headers:
+            if name.lower() == ATTEMPT_HEADER and value != own:
+                raise httpcore.RemoteProtocolError("The answer is another request's.")
+
     def succeeded(self, endpoint: str) -> None:
         """Note the good end of the request.
 
--- a/src/jasminewalk/_run_call.py
+++ b/src/jasminewalk/_run_call.py
@@ -60,6 +60,7 @@
         async with self.services.connections.post(
             address, "/call", body, self.patience_s()
         ) as response:
+            self.check_own(action, response)
             self.membership.observe_answer(self.clock.monotonic(), endpoint)
             if response.status != 200:
                 refusal = await self.read_refusal(response)
--- a/src/jasminewalk/_run_generation.py
+++ b/src/jasminewalk/_run_generation.py
@@ -32,7 +32,8 @@
         super().__init__(services, job)
         self.job: GenerationJob = job
         self.sink = sink
-        self.first_token_at_s: float | None = None
+        self.last_token_s: float | None = None
+        self.gaps = services.metrics.series("between_tokens_seconds", **self.labels)
 
     def body(self, action: Send) -> bytes:
         """Return the body of the request to the sidecar.
@@ -84,6 +85,7 @@
             self.body(action),
             self.services.progress_timeout_s,
         ) as response:
+            self.check_own(action, response)
             self.membership.observe_answer(self.clock.monotonic(), endpoint)
             if response.status != 200:
                 refusal = await self.read_refusal(response)
@@ -102,11 +104,16 @@
         """
         assembler = self.machine.assembler
         write = self.sink.write
+        monotonic = self.clock.monotonic
         async for data in response.aiter_stream():
             texts = assembler.take_lines(attempt, data)
             if texts:
-                if self.first_token_at_s is None:
+                now_s = monotonic()
+                if self.last_token_s is None:
                     self.note_first_token()
+                else:
+                    self.gaps.add((now_s - self.last_token_s) / len(texts))
+                self.last_token_s = now_s
                 await write(attempt, texts)
             if assembler.broken is not None:
                 return
@@ -114,7 +121,6 @@
     def note_first_token(self) -> None:
         """Note the arrival of the first token."""
         elapsed_s = self.elapsed_s()
-        self.first_token_at_s = elapsed_s
         self.trace.attempts[-1].first_token_s = elapsed_s
         self.router.first_token(
             self.clock.monotonic(),
@@ -131,7 +137,6 @@
         now_s = self.clock.monotonic()
         assembler = self.machine.assembler
         if assembler.end:
-            self.note_token_gap()
             self.succeeded(endpoint)
             return self.machine.ended(now_s, endpoint)
         broken = assembler.broken
@@ -143,12 +148,3 @@
             self.membership.observe_failure(now_s, endpoint)
         self.router.failed(now_s, self.job.profile.request_id, endpoint)
         return self.machine.ended(now_s, endpoint)
-
-    def note_token_gap(self) -> None:
-        """Note the mean time between tokens of a whole answer."""
-        gaps = self.machine.assembler.next_token - 1
-        if gaps > 0 and self.first_token_at_s is not None:
-            gap_s = (self.elapsed_s() - self.first_token_at_s) / gaps
-            self.services.metrics.observe(
-                "between_tokens_seconds", gap_s, **self.labels
-            )
--- a/src/jasminewalk/sidecar_service.py
+++ b/src/jasminewalk/sidecar_service.py
@@ -7,7 +7,7 @@
 from absl import logging
 from anyio.abc import TaskGroup
 
-from jasminewalk._http import Receive, Send, send_json
+from jasminewalk._http import ATTEMPT_HEADER, Receive, Send, send_json
 from jasminewalk.at_most_once import ClaimController
 from jasminewalk.claim_actions import (
     ClaimAction,
@@ -354,6 +354,7 @@
         body_bytes = msgspec.msgpack.encode(answer)
         headers = [
             *MSGPACK_HEADERS,
+            (ATTEMPT_HEADER, f"{call.request_id}/{call.attempt}".encode()),
             (b"content-length", str(len(body_bytes)).encode()),
         ]
         await send({"type": "http.response.start", "status": 200, "headers": headers})
--- a/src/jasminewalk/sidecar_streams.py
+++ b/src/jasminewalk/sidecar_streams.py
@@ -10,7 +10,7 @@
 import msgspec
 from absl import logging
 
-from jasminewalk._http import Receive, Send, send_json
+from jasminewalk._http import ATTEMPT_HEADER, Receive, Send, send_json
 from jasminewalk.clock import Clock
 from jasminewalk.generated_codes import RESULTS, Code
 from jasminewalk.generated_requests import Frame, GenerateRequest, RefusalBody
@@ -261,8 +261,10 @@
         :param stream: the stream.
         """
         stream.header_sent = True
+        attempt = (ATTEMPT_HEADER, stream.profile.request_id.encode())
+        headers = [*STREAM_HEADERS, attempt]
         await stream.send(
-            {"type": "http.response.start", "status": 200, "headers": STREAM_HEADERS}
+            {"type": "http.response.start", "status": 200, "headers": headers}
         )
 
     async def send_end(
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from jasminewalk._http import HttpServer, read_body, send_json
+from jasminewalk._http import ATTEMPT_HEADER, HttpServer, read_body, send_json
 from jasminewalk.clock import SystemClock
 from jasminewalk.connections import SidecarConnections
 from jasminewalk.dispatch import Dispatcher
@@ -49,6 +49,7 @@
         self.cut_after = None
         self.silent_after = None
         self.refusal = None
+        self.attempt_header = None
 
     async def __call__(self, scope, receive, send):
         body = await read_body(receive, 1 << 20)
@@ -63,7 +64,9 @@
     async def generate(self, body, receive, send):
         request = msgspec.msgpack.decode(body, type=GenerateRequest)
         self.requests.append(request)
-        await send({"type": "http.response.start", "status": 200, "headers": []})
+        own = f"{request.request_id}/{request.attempt}".encode()
+        headers = [(ATTEMPT_HEADER, self.attempt_header or own)]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
         await self.part(send, b"{}\n")
         for n in range(request.resume_from, len(TOKENS)):
             if n == self.cut_after:
@@ -250,6 +253,13 @@
     assert bench.outcomes[1] == "ok"
 
 
+async def test_answer_of_another_request_is_not_passed_on(bench):
+    fail_first(bench, attempt_header=b"r0/1")
+    await bench.generate()
+    assert bench.sink.texts == TOKENS
+    assert "another request" in bench.outcomes[0]
+
+
 async def test_refused_everywhere_did_not_run_and_is_answered_at_once(bench):
     body = RefusalBody(
         code=Code.OVERLOADED, name="", message="", ran="not_run", retry_after_s=7.0
