Make a routing decision cheaper

Requests under way are counted by priority as they come and go instead of at each decision, shares are computed only when the pool is pressed, and a large pool's options are 4 at random and 2 with the prefix.

--- a/src/jasminewalk/admission.py
+++ b/src/jasminewalk/admission.py
@@ -6,6 +6,9 @@
 
 __all__ = ["FairShares", "RetryBudget", "ShareSettings"]
 
+ACCOUNTS_PER_REFRESH = 2000
+NEGLIGIBLE_S = 1e-4
+
 
 @attrs.frozen(kw_only=True)
 class ShareSettings:
@@ -13,12 +16,10 @@
 
     :param window_s: seconds after which past work counts a third.
     :param refresh_s: seconds between computations of the shares.
-    :param max_organisations: most organisations whose work is remembered.
     """
 
     window_s: float = 10.0
     refresh_s: float = 0.5
-    max_organisations: int = 60_000
 
 
 @attrs.define
@@ -106,7 +107,8 @@
         :param now_s: current instant in seconds.
         :param organisation: organisation name.
         """
-        if now_s - self.computed_s >= self.settings.refresh_s:
+        rounds = 1 + len(self.accounts) // ACCOUNTS_PER_REFRESH
+        if now_s - self.computed_s >= self.settings.refresh_s * rounds:
             self.compute(now_s)
         account = self.account(now_s, organisation)
         if not math.isfinite(self.level_s) or self.level_s <= 0.0:
@@ -119,11 +121,10 @@
         :param now_s: current instant in seconds.
         """
         self.computed_s = now_s
-        negligible_s = 1e-4
         for name in [*self.accounts]:
             account = self.accounts[name]
             self.decay(now_s, account)
-            if account.demand_s < negligible_s:
+            if account.demand_s < NEGLIGIBLE_S:
                 del self.accounts[name]
         accounts = sorted(
             self.accounts.values(), key=lambda item: item.demand_s / item.weight
--- a/src/jasminewalk/routing.py
+++ b/src/jasminewalk/routing.py
@@ -1,6 +1,7 @@
 """Which endpoint gets a request, or when the caller should come back."""
 
 import math
+import operator
 import random
 from collections.abc import Collection, Sequence
 
@@ -20,6 +21,7 @@
 MAX_LEARNED_CLASSES = 10_000
 LATE_PRICE_S = 100.0
 REFERENCE_LEARNING = 0.02
+SCANNED_POOL = 64
 OTHERS_PRIOR = 2.0
 OTHERS_WINDOW = 200.0
 
@@ -31,7 +33,8 @@
     :param entry: entry name.
     :param speeds: how speeds are learned.
     :param shares: how shares of organisations are measured.
-    :param candidates: endpoints weighed at random in a large pool.
+    :param small_pool: largest pool of which all endpoints are weighed.
+    :param candidates: endpoints weighed at random in a larger pool.
     :param affine: endpoints weighed besides for their prefix cache.
     :param work_weight: price of a second of prefill in seconds to the first token.
     :param finish_weight: price of a second to the last token in the same.
@@ -54,8 +57,9 @@
     entry: str = ""
     speeds: SpeedSettings = attrs.field(factory=SpeedSettings)
     shares: ShareSettings = attrs.field(factory=ShareSettings)
-    candidates: int = 8
-    affine: int = 4
+    small_pool: int = 16
+    candidates: int = 4
+    affine: int = 2
     work_weight: float = 20.0
     finish_weight: float = 0.1
     extra_work_weight: float = 2.0
@@ -92,7 +96,7 @@
     refused: int = 0
 
 
-@attrs.frozen
+@attrs.define
 class _Query:
     """What is worked out once for a request.
 
@@ -106,7 +110,7 @@
     output_tokens: int
 
 
-@attrs.frozen
+@attrs.define
 class _Option:
     """An endpoint that is weighed for a request.
 
@@ -124,6 +128,9 @@
     late_s: float = 0.0
 
 
+_score = operator.attrgetter("score")
+
+
 class Router:
     """Chooses endpoints from old reports, own history and learned speeds.
 
@@ -144,6 +151,8 @@
         self.lengths: dict[tuple[str, str], float] = {}
         self.refused_until_s: dict[str, float] = {}
         self.reference_rate = settings.speeds.default_prefill_tokens_per_s
+        self.last_usable: Sequence[str] = ()
+        self.last_members: frozenset[str] = frozenset()
         self.others = 1.0
         self.finished_here = 0.0
         self.finished_everywhere = 0.0
@@ -235,7 +244,7 @@
             self.count_refused(now_s, profile)
             wait_s = self.settings.min_retry_after_s * 5
             return Refusal(Code.NO_ENDPOINT, "No endpoint is usable.", wait_s)
-        best = min(options, key=lambda option: option.score)
+        best = min(options, key=_score)
         if first_try:
             self.count_arrival(now_s, profile, best)
         refusal = self.refusal(now_s, profile, options)
@@ -268,7 +277,6 @@
         :param usable: endpoints that may get it.
         :param excluded: endpoints that were tried already.
         """
-        profile = query.profile
         names = self.sampled(query, usable, excluded)
         views = [self.view(name) for name in names]
         healthy = [view for view in views if self.is_healthy(now_s, view)]
@@ -276,7 +284,9 @@
         if not options:
             return []
         most = max(option.cached_tokens for option in options)
-        return [self.priced(now_s, profile, option, most) for option in options]
+        for option in options:
+            self.set_price(now_s, query.profile, option, most)
+        return options
 
     def is_healthy(self, now_s: float, view: EndpointView) -> bool:
         """Return whether an endpoint may get more than a trial request.
@@ -300,18 +310,30 @@
         :param usable: endpoints that may get it.
         :param excluded: endpoints that were tried already.
         """
-        limit = self.settings.candidates + self.settings.affine
-        if len(usable) <= limit or not isinstance(usable, Sequence):
+        if len(usable) <= self.settings.small_pool or not isinstance(usable, Sequence):
             return [name for name in usable if name not in excluded]
         names: dict[str, None] = {}
         if self.settings.affinity:
             found = self.prefixes.endpoints(query.sampled, self.settings.affine)
-            names.update(dict.fromkeys(name for name in found if name in usable))
+            members = self.members(usable)
+            names.update(dict.fromkeys(name for name in found if name in members))
         size = len(usable)
         for _ in range(self.settings.candidates):
             names[usable[int(self.rng.random() * size)]] = None
         return [name for name in names if name not in excluded]
 
+    def members(self, usable: Sequence[str]) -> Collection[str]:
+        """Return a large sequence as a set, made once for each sequence object.
+
+        :param usable: endpoints that may get requests; unchanged while it is used.
+        """
+        if len(usable) <= SCANNED_POOL:
+            return usable
+        if usable is not self.last_usable:
+            self.last_usable = usable
+            self.last_members = frozenset(usable)
+        return self.last_members
+
     def option(self, now_s: float, query: _Query, view: EndpointView) -> _Option:
         """Return the price of an endpoint for a request.
 
@@ -329,10 +351,10 @@
         )
         return _Option(view, cached, prediction, prediction.finish_s)
 
-    def priced(
+    def set_price(
         self, now_s: float, profile: RequestProfile, option: _Option, most_cached: int
-    ) -> _Option:
-        """Return an endpoint with its price for a request in seconds.
+    ) -> None:
+        """Set the price of an endpoint for a request in seconds.
 
         A request that would be computed again where another endpoint has it cached
         may wait for less of its spare time, so that in a full pool cheap work goes
@@ -363,7 +385,8 @@
             )
         if late_s > 0.0:
             price_s += LATE_PRICE_S + late_s
-        return attrs.evolve(option, score=price_s, late_s=late_s)
+        option.score = price_s
+        option.late_s = late_s
 
     def expected_tokens(self, profile: RequestProfile) -> int:
         """Return the output tokens to expect, learned by class if possible.
@@ -398,7 +421,10 @@
         if late_s > 0.0:
             reason = f"The earliest finish is in {quickest:.2f} s of {left_s:.2f} s."
             return self.refuse(now_s, Code.OVERLOADED, reason, late_s, options)
-        if not self.settings.fairness:
+        if (
+            not self.settings.fairness
+            or quickest <= limit_s * self.settings.share_floor
+        ):
             return None
         usage = self.pool_shares(profile.pool).usage(now_s, profile.organisation)
         if usage <= 1.0:
@@ -461,7 +487,7 @@
         :param now_s: current instant in seconds.
         :param options: endpoints weighed.
         """
-        ranked = sorted(options, key=lambda option: option.score)
+        ranked = sorted(options, key=_score)
         return tuple(
             Candidate(
                 option.view.endpoint,
@@ -503,7 +529,7 @@
         )
         self.drop(profile.request_id)
         self.flights[profile.request_id] = flight
-        view.flights[profile.request_id] = flight
+        view.add(flight)
         view.trial_s = now_s
         self.prefixes.add(endpoint, profile.prefix_hashes)
         shares = self.pool_shares(profile.pool)
@@ -519,7 +545,7 @@
             return None
         view = self.views.get(flight.endpoint)
         if view is not None:
-            view.flights.pop(request_id, None)
+            view.remove(flight)
         return flight
 
     def first_token(
--- a/src/jasminewalk/speeds.py
+++ b/src/jasminewalk/speeds.py
@@ -82,7 +82,7 @@
     first_token_s: float | None = None
 
 
-@attrs.frozen
+@attrs.define
 class Prediction:
     """When an endpoint would answer a request.
 
@@ -98,7 +98,19 @@
     wait_s: float = 0.0
 
 
-@attrs.frozen
+@attrs.define
+class _UnderWay:
+    """Requests of one priority that this entry sent and that have not ended.
+
+    :param requests: how many.
+    :param prefill_tokens: prompt tokens of those without a first token.
+    """
+
+    requests: int = 0
+    prefill_tokens: int = 0
+
+
+@attrs.define
 class _Load:
     """What goes before a request on an endpoint.
 
@@ -125,12 +137,35 @@
         self.report: LoadReport | None = None
         self.figures_s = float("-inf")
         self.flights: dict[str, Flight] = {}
+        self.under_way: dict[int, _UnderWay] = {}
         self.first_ratio = 1.0
         self.decode_ratio = 1.0
         self.samples = 0
         self.failures = 0
         self.trial_s = float("-inf")
 
+    def add(self, flight: Flight) -> None:
+        """Count a request that was sent to the endpoint.
+
+        :param flight: the request.
+        """
+        self.flights[flight.request_id] = flight
+        level = self.under_way.setdefault(flight.priority, _UnderWay())
+        level.requests += 1
+        level.prefill_tokens += flight.prefill_tokens
+
+    def remove(self, flight: Flight) -> None:
+        """Forget a request that was sent to the endpoint.
+
+        :param flight: the request.
+        """
+        if self.flights.pop(flight.request_id, None) is None:
+            return
+        level = self.under_way[flight.priority]
+        level.requests -= 1
+        if flight.first_token_s is None:
+            level.prefill_tokens -= flight.prefill_tokens
+
     def observe(self, now_s: float, report: LoadReport) -> None:
         """Take a load report; older ones than the newest are ignored.
 
@@ -234,15 +269,17 @@
             requests += report.queued
         own_requests = own_tokens = 0.0
         if self.settings.count_own:
-            for flight in self.flights.values():
-                if flight.priority < priority:
-                    continue
-                waits = flight.first_token_s is None
-                own_requests += others
-                own_tokens += flight.prefill_tokens * others * waits
-                if flight.sent_s > self.figures_s:
+            for own_priority, own in self.under_way.items():
+                if own_priority >= priority:
+                    own_requests += others * own.requests
+                    own_tokens += others * own.prefill_tokens
+            for flight in reversed(self.flights.values()):
+                if flight.sent_s <= self.figures_s:
+                    break
+                if flight.priority >= priority:
                     requests += others
-                    tokens += flight.prefill_tokens * others * waits
+                    if flight.first_token_s is None:
+                        tokens += others * flight.prefill_tokens
         elapsed_s = min(self.age_s(now_s), MAX_ELAPSED_S)
         tokens = max(0.0, tokens - elapsed_s * self.prefill_tokens_per_s)
         residence_s = report.residence_s or self.settings.default_residence_s
@@ -279,6 +316,9 @@
         if flight.first_token_s is not None:
             return
         flight.first_token_s = now_s
+        if flight.request_id in self.flights:
+            level = self.under_way[flight.priority]
+            level.prefill_tokens -= flight.prefill_tokens
         self.failures = 0
         observed_s = now_s - flight.sent_s
         ratio = observed_s / max(flight.predicted_first_s, IDLE_LATENCY_S)
