Say which limit a refused request would miss

"The earliest finish is in 2.26 s of 6.00 s" was the reason of requests that would have missed the deadline of their first token; the reason now gives both times of the best endpoint. The decision is unchanged.

--- a/src/jasminewalk/routing.py
+++ b/src/jasminewalk/routing.py
@@ -417,9 +417,15 @@
         quickest = min(option.prediction.finish_s for option in options)
         left_s = profile.deadline_s - now_s
         limit_s = left_s * self.settings.deadline_margin
-        late_s = min(option.late_s for option in options)
+        best = min(options, key=lambda option: option.late_s)
+        late_s = best.late_s
         if late_s > 0.0:
-            reason = f"The earliest finish is in {quickest:.2f} s of {left_s:.2f} s."
+            first_left_s = profile.first_token_deadline_s - now_s
+            reason = (
+                f"The best endpoint, {best.view.endpoint}, would send the first token "
+                f"in {best.prediction.first_token_s:.2f} s of {first_left_s:.2f} s and "
+                f"finish in {best.prediction.finish_s:.2f} s of {left_s:.2f} s."
+            )
             return self.refuse(now_s, Code.OVERLOADED, reason, late_s, options)
         if (
             not self.settings.fairness
