--- a/src/jasminewalk/_run.py
+++ b/src/jasminewalk/_run.py
@@ -30,7 +30,12 @@
 from jasminewalk.membership import Membership
 from jasminewalk.metrics import Metrics
 from jasminewalk.routing import Router
-from jasminewalk.traces import AttemptTrace, RequestTrace, TraceStore
+from jasminewalk.traces import (
+    MAX_CANDIDATES,
+    AttemptTrace,
+    RequestTrace,
+    TraceStore,
+)
 from jasminewalk.types import Refusal
 
 __all__ = ["RequestServices", "Run", "read_limited"]
@@ -167,6 +172,7 @@
         :raises RefusedError: always.
         """
         self.trace.message = refusal.reason
+        self.trace.weighed = refusal.candidates[:MAX_CANDIDATES]
         self.settle(refusal.code.name.lower(), refusal.ran)
         self.services.metrics.count(
             "refusals", code=str(refusal.code.value), pool=self.job.profile.pool
--- a/src/jasminewalk/status_text.py
+++ b/src/jasminewalk/status_text.py
@@ -1,8 +1,11 @@
 """The fleet's status and request traces as plain text."""
 
+from collections.abc import Sequence
+
 from jasminewalk.status import EndpointRow, EntryRow, FleetStatus
 from jasminewalk.text_tables import count_text, seconds_text, table
 from jasminewalk.traces import AttemptTrace, RequestTrace
+from jasminewalk.types import Candidate
 
 __all__ = ["status_lines", "trace_lines"]
 
@@ -89,7 +92,7 @@
         count_text(row.prefill_tokens_per_s) if is_engine else "-",
         count_text(row.decode_tokens_per_s) if is_engine else "-",
         str(row.completed),
-        str(row.revision),
+        "-" if row.revision is None else str(row.revision),
         "never" if row.silent_s is None else f"{seconds_text(row.silent_s)} ago",
     ]
 
@@ -116,6 +119,8 @@
     lines.append(f"  outcome       {outcome_text(trace)}")
     for attempt in trace.attempts:
         lines += ["", *attempt_lines(attempt)]
+    if trace.weighed:
+        lines += ["", "  When it was refused", *weighed_lines(trace.weighed)]
     return lines
 
 
@@ -145,8 +150,16 @@
     ]
     if attempt.resume_from:
         lines.append(f"    resumed      after {attempt.resume_from} tokens")
-    if not attempt.candidates:
-        return lines
+    return lines + weighed_lines(attempt.candidates)
+
+
+def weighed_lines(candidates: Sequence[Candidate]) -> list[str]:
+    """Return the table of endpoints that were weighed, if there were any.
+
+    :param candidates: the endpoints, best first.
+    """
+    if not candidates:
+        return []
     rows = [
         [
             candidate.endpoint,
@@ -156,7 +169,7 @@
             seconds_text(candidate.report_age_s),
             candidate.note or "-",
         ]
-        for candidate in attempt.candidates
+        for candidate in candidates
     ]
     headings = ("WEIGHED", "FIRST TOKEN", "WHOLE", "CACHED", "REPORT AGE", "NOTE")
-    return lines + [f"    {line}" for line in table(headings, rows)]
+    return [f"    {line}" for line in table(headings, rows)]
--- a/src/jasminewalk/traces.py
+++ b/src/jasminewalk/traces.py
@@ -7,7 +7,7 @@
 
 from jasminewalk.types import Candidate
 
-__all__ = ["AttemptTrace", "RequestTrace", "TraceStore"]
+__all__ = ["MAX_CANDIDATES", "AttemptTrace", "RequestTrace", "TraceStore"]
 
 MAX_TRACES = 2048
 MAX_CANDIDATES = 8
@@ -59,6 +59,7 @@
     :param outcome: name of the result code; empty while the request runs.
     :param ran: whether the request ran.
     :param message: why there was no whole answer.
+    :param weighed: endpoints weighed when the request was refused, best first.
     :param total_s: seconds from arrival to the end.
     """
 
@@ -77,6 +78,7 @@
     outcome: str = ""
     ran: str = ""
     message: str = ""
+    weighed: Sequence[Candidate] = ()
     total_s: float | None = None
 
     def add_attempt(self, attempt: AttemptTrace) -> None:
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -138,3 +138,6 @@
     for part in ("r-1 on entry entry-1", "still running", "lowest price", "leaving"):
         assert part in text
     assert text.count("resumed      after 1 tokens") == 1
+    assert "When it was refused" not in text
+    trace.weighed = [candidate]
+    assert "When it was refused\n    WEIGHED" in "\n".join(trace_lines("e", trace))
