--- a/src/jasminewalk/routing.py
+++ b/src/jasminewalk/routing.py
@@ -44,6 +44,7 @@
     :param deadline_margin: part of the time left that a prediction may use.
     :param share_floor: part of the time left that an organisation far above its
         share may use.
+    :param share_steepness: power of the usage by which that time shrinks.
     :param min_retry_after_s: least seconds to come back after.
     :param max_retry_after_s: most seconds to come back after.
     :param retry_ratio: retries earned by each request.
@@ -66,6 +67,7 @@
     extra_work_patience: float = 0.1
     deadline_margin: float = 0.85
     share_floor: float = 0.4
+    share_steepness: float = 3.0
     min_retry_after_s: float = 0.2
     max_retry_after_s: float = 30.0
     retry_ratio: float = 0.2
@@ -435,7 +437,8 @@
         usage = self.pool_shares(profile.pool).usage(now_s, profile.organisation)
         if usage <= 1.0:
             return None
-        fair_s = limit_s * max(self.settings.share_floor, 1.0 / usage)
+        part = usage**-self.settings.share_steepness
+        fair_s = limit_s * max(self.settings.share_floor, part)
         if quickest <= fair_s:
             return None
         reason = f"The organisation uses {usage:.2f} of its share of a full pool."
