--- a/src/jasminewalk/_measure_driver.py
+++ b/src/jasminewalk/_measure_driver.py
@@ -9,13 +9,19 @@
 import attrs
 
 from jasminewalk._measure_endpoint import POOL, MeasuredEndpoint
-from jasminewalk._measure_workload import MeasuredRequest
+from jasminewalk._measure_faults import DETECT_S, schedule_faults
+from jasminewalk._measure_workload import (
+    MeasuredRequest,
+    deadline_of,
+    generation_of,
+    profile_of,
+)
 from jasminewalk.baselines import Policy
 from jasminewalk.engine_model import FrameOut
 from jasminewalk.generated_codes import Code
-from jasminewalk.generated_measure import MeasureFault, Workload
+from jasminewalk.generated_measure import Workload
 from jasminewalk.generated_messages import LoadReport
-from jasminewalk.generated_requests import GenerateRequest, RefusalBody
+from jasminewalk.generated_requests import RefusalBody
 from jasminewalk.types import Refusal, RequestProfile
 
 __all__ = ["Driver", "RoleChange"]
@@ -23,7 +29,6 @@
 TICK_S = 0.05
 DEMAND_S = 2.0
 PLAN_S = 1.0
-DETECT_S = 1.5
 MAX_ATTEMPTS = 4
 NEVER_S = float("inf")
 
@@ -85,13 +90,11 @@
         self.at(TICK_S, self.tick, None)
         self.at(DEMAND_S, self.share_demand, None)
         self.at(PLAN_S, self.plan, None)
-        for fault in self.workload.faults:
-            self.at(fault.at_s, self.begin_fault, fault)
-            self.at(fault.at_s + fault.for_s, self.end_fault, fault)
+        schedule_faults(self)
         for request in self.requests:
             self.at(request.arrived_s, self.arrive, request)
-            self.at(self.deadline_s(request), self.expire, request)
-        end_s = max(map(self.deadline_s, self.requests)) + 1.0
+            self.at(deadline_of(self.workload, request), self.expire, request)
+        end_s = max(deadline_of(self.workload, item) for item in self.requests) + 1.0
         while self.events and self.events[0][0] <= end_s:
             now_s, _, action, argument = heapq.heappop(self.events)
             action(now_s, argument)
@@ -100,11 +103,6 @@
         """Schedule an action."""
         heapq.heappush(self.events, (at_s, next(self.numbers), action, argument))
 
-    def deadline_s(self, request: MeasuredRequest) -> float:
-        """Return the instant of a request's deadline."""
-        item = self.workload.classes[request.request_class]
-        return request.arrived_s + item.deadline_s
-
     # Requests
 
     def arrive(self, now_s: float, request: MeasuredRequest) -> None:
@@ -112,33 +110,12 @@
         request.entry = self.rng.randrange(len(self.routers))
         self.attempt(now_s, request, frozenset())
 
-    def profile(self, request: MeasuredRequest) -> RequestProfile:
-        """Return what decisions know of a request."""
-        item = self.workload.classes[request.request_class]
-        done = request.done_tokens
-        first_s = NEVER_S if done else request.arrived_s + item.first_token_s
-        return RequestProfile(
-            request_id=str(request.number),
-            organisation=request.organisation,
-            request_class=request.request_class,
-            pool=POOL,
-            prompt_tokens=request.prompt_tokens + done,
-            expected_tokens=max(1, item.output_tokens - done),
-            max_tokens=max(1, request.max_tokens - done),
-            prefix_hashes=request.prefix_hashes,
-            arrived_s=request.arrived_s,
-            deadline_s=NEVER_S if done else self.deadline_s(request),
-            first_token_deadline_s=first_s,
-            priority=item.priority,
-            weight=self.workload.organisations[request.organisation].weight,
-        )
-
     def attempt(
         self, now_s: float, request: MeasuredRequest, excluded: frozenset[str]
     ) -> None:
         """Route a request until an endpoint takes it or it is refused."""
         router = self.routers[request.entry]
-        profile = self.profile(request)
+        profile = profile_of(self.workload, POOL, request)
         while True:
             usable = [item.name for item in self.endpoints.values() if item.usable]
             decision = router.choose(now_s, profile, usable, excluded)
@@ -186,33 +163,13 @@
         for profile in endpoint.queue.start(now_s):
             request = self.requests[int(profile.request_id)]
             endpoint.model.submit(
-                now_s, self.generate_request(request, profile), request.output_tokens
+                now_s, generation_of(request, profile), request.output_tokens
             )
         wake_s = endpoint.model.next_event_s
         if wake_s < endpoint.wake_s:
             endpoint.wake_s = wake_s
             self.at(wake_s, self.wake, endpoint)
 
-    def generate_request(
-        self, request: MeasuredRequest, profile: RequestProfile
-    ) -> GenerateRequest:
-        """Return an attempt as the engine gets it."""
-        return GenerateRequest(
-            request_id=profile.request_id,
-            attempt=request.attempts,
-            organisation=request.organisation,
-            request_class=request.request_class,
-            model="",
-            prompt="",
-            prompt_tokens=request.prompt_tokens,
-            prefix_hashes=list(request.prefix_hashes),
-            max_tokens=request.max_tokens,
-            expected_tokens=profile.expected_tokens + request.done_tokens,
-            deadline_s=profile.deadline_s,
-            priority=profile.priority,
-            resume_from=request.done_tokens,
-        )
-
     def wake(self, now_s: float, endpoint: MeasuredEndpoint) -> None:
         """Pass on the frames of an engine."""
         if now_s < endpoint.wake_s:
@@ -327,50 +284,3 @@
             endpoint.wanted_role = proposal.role
             endpoint.queue.drain()
             return
-
-    # Faults
-
-    def begin_fault(self, now_s: float, fault: MeasureFault) -> None:
-        """Let a fault begin."""
-        if fault.kind == "log_outage":
-            self.log_down = True
-            return
-        endpoint = self.endpoints[f"engine-{fault.endpoint}"]
-        if fault.kind != "crash":
-            endpoint.withdrawn = True
-            endpoint.queue.drain()
-            return
-        endpoint.crash()
-        self.at(now_s + DETECT_S, self.detect, endpoint)
-        endpoint.model.catch_up(now_s)
-        batch = endpoint.model.batch
-        for stream in batch.decoding.values():
-            request = self.requests[int(stream.request.request_id)]
-            done = batch.log.steps - stream.joined_step + 1
-            request.done_tokens = stream.request.resume_from + done
-        for out in endpoint.model.crash(now_s):
-            self.on_frame(out, endpoint)
-        for item in list(endpoint.queue.waiting.values()):
-            endpoint.queue.cancel(item.profile.request_id)
-            request = self.requests[int(item.profile.request_id)]
-            self.routers[request.entry].failed(
-                now_s, item.profile.request_id, endpoint.name
-            )
-            self.attempt(now_s, request, frozenset({endpoint.name}))
-
-    def detect(self, now_s: float, endpoint: MeasuredEndpoint) -> None:
-        """Let the entries find that an endpoint is silent."""
-        del now_s
-        endpoint.visible = endpoint.up
-
-    def end_fault(self, now_s: float, fault: MeasureFault) -> None:
-        """Let a fault end."""
-        if fault.kind == "log_outage":
-            self.log_down = False
-            return
-        endpoint = self.endpoints[f"engine-{fault.endpoint}"]
-        endpoint.withdrawn = False
-        endpoint.queue.resume()
-        if fault.kind == "crash":
-            endpoint.restart(now_s)
-            self.roles[endpoint.name] = endpoint.model.speeds.role
--- a/src/jasminewalk/_measure_endpoint.py
+++ b/src/jasminewalk/_measure_endpoint.py
@@ -126,10 +126,6 @@
             order = EngineOrder(fencing_number=number, role=role, models=[])  # type: ignore[arg-type]
             self.model.order(now_s, order)
 
-    def crash(self) -> None:
-        """Stop taking requests; the driver breaks those that run."""
-        self.up = False
-
     def restart(self, now_s: float) -> None:
         """Come up again as a new incarnation.
 
--- a/src/jasminewalk/_measure_workload.py
+++ b/src/jasminewalk/_measure_workload.py
@@ -1,5 +1,6 @@
 """Requests of a workload, drawn with a seed, and the work that each one takes."""
 
+import math
 import random
 from collections.abc import Iterator
 from pathlib import Path
@@ -9,9 +10,20 @@
 
 from jasminewalk.exceptions import BadSettingsError
 from jasminewalk.generated_measure import MeasureClass, Workload
+from jasminewalk.generated_requests import GenerateRequest
 from jasminewalk.generated_standins import EngineModelSettings
-
-__all__ = ["MeasuredRequest", "Traffic", "engine_settings", "load_workload", "variant"]
+from jasminewalk.types import RequestProfile
+
+__all__ = [
+    "MeasuredRequest",
+    "Traffic",
+    "deadline_of",
+    "engine_settings",
+    "generation_of",
+    "load_workload",
+    "profile_of",
+    "variant",
+]
 
 SPREAD = 0.5
 ZIPF_EXPONENT = 0.8
@@ -111,6 +123,68 @@
     )
 
 
+def deadline_of(workload: Workload, request: MeasuredRequest) -> float:
+    """Return the instant of a request's deadline in seconds.
+
+    :param workload: the workload.
+    :param request: the request.
+    """
+    return request.arrived_s + workload.classes[request.request_class].deadline_s
+
+
+def profile_of(
+    workload: Workload, pool: str, request: MeasuredRequest
+) -> RequestProfile:
+    """Return what decisions know of a request; a resumed one has no deadline.
+
+    :param workload: the workload.
+    :param pool: pool name.
+    :param request: the request.
+    """
+    item = workload.classes[request.request_class]
+    done = request.done_tokens
+    deadline_s = math.inf if done else deadline_of(workload, request)
+    first_s = math.inf if done else request.arrived_s + item.first_token_s
+    return RequestProfile(
+        request_id=str(request.number),
+        organisation=request.organisation,
+        request_class=request.request_class,
+        pool=pool,
+        prompt_tokens=request.prompt_tokens + done,
+        expected_tokens=max(1, item.output_tokens - done),
+        max_tokens=max(1, request.max_tokens - done),
+        prefix_hashes=request.prefix_hashes,
+        arrived_s=request.arrived_s,
+        deadline_s=deadline_s,
+        first_token_deadline_s=first_s,
+        priority=item.priority,
+        weight=workload.organisations[request.organisation].weight,
+    )
+
+
+def generation_of(request: MeasuredRequest, profile: RequestProfile) -> GenerateRequest:
+    """Return an attempt as the engine gets it.
+
+    :param request: the request.
+    :param profile: what decisions know of it.
+    """
+    return GenerateRequest(
+        request_id=profile.request_id,
+        attempt=request.attempts,
+        organisation=request.organisation,
+        request_class=request.request_class,
+        model="",
+        prompt="",
+        prompt_tokens=request.prompt_tokens,
+        prefix_hashes=list(request.prefix_hashes),
+        max_tokens=request.max_tokens,
+        expected_tokens=profile.expected_tokens + request.done_tokens,
+        deadline_s=profile.deadline_s,
+        priority=profile.priority,
+        resume_from=request.done_tokens,
+    )
+
+
 class Traffic:
     """Draws the requests of a workload.
 
--- a/src/jasminewalk/generated_measure.py
+++ b/src/jasminewalk/generated_measure.py
@@ -84,9 +84,6 @@
     :param event_loss: fraction of cache events that are lost.
     :param engine: settings of an engine of speed 1.
     :param speeds: speed of each engine.
-    :param service_delay_s: seconds that a call of a plain service takes.
-    :param service_endpoints: number of service endpoints.
-    :param service_calls_per_s: calls of plain services a second.
     :param role_change_cost: price of a role change in lost seconds of one
         engine.
     :param horizon_s: seconds over which a role change must pay.
@@ -111,9 +108,6 @@
     event_loss: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     engine: dict[str, Any]
     speeds: list[float]
-    service_delay_s: Annotated[float, msgspec.Meta(gt=0)] = 0.05
-    service_endpoints: Annotated[int, msgspec.Meta(ge=0)] = 0
-    service_calls_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     role_change_cost: Annotated[float, msgspec.Meta(ge=0)] = 8.0
     horizon_s: Annotated[float, msgspec.Meta(gt=0)] = 120.0
     min_prefill: Annotated[int, msgspec.Meta(ge=0)] = 2
