--- /dev/null
+++ b/src/jasminewalk/_demand.py
@@ -0,0 +1,128 @@
+"""Work that arrives at an entry, as evidence for role changes."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from jasminewalk.generated_messages import PoolDemand
+from jasminewalk.speeds import EndpointView
+from jasminewalk.types import RequestProfile
+
+__all__ = ["DemandCounts"]
+
+
+@attrs.define
+class _Demand:
+    """Work that arrived for a pool since the last count.
+
+    :param since_s: start of the count in seconds.
+    :param prompt_tokens: prompt tokens.
+    :param cached_tokens: prompt tokens expected in a cache.
+    :param output_tokens: output tokens expected.
+    :param requests: requests.
+    :param refused: requests refused.
+    """
+
+    since_s: float
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    output_tokens: int = 0
+    requests: int = 0
+    refused: int = 0
+
+
+class DemandCounts:
+    """Counts work by pool and class.
+
+    :param entry: entry name.
+    """
+
+    def __init__(self, entry: str) -> None:
+        self.entry = entry
+        self.demands: dict[tuple[str, str], _Demand] = {}
+
+    def arrived(
+        self,
+        now_s: float,
+        profile: RequestProfile,
+        cached_tokens: int,
+        output_tokens: int,
+    ) -> None:
+        """Count a new request.
+
+        :param now_s: current instant in seconds.
+        :param profile: the request.
+        :param cached_tokens: prompt tokens expected in a cache.
+        :param output_tokens: output tokens expected.
+        """
+        demand = self.demand_of(now_s, profile)
+        demand.prompt_tokens += profile.prompt_tokens
+        demand.cached_tokens += cached_tokens
+        demand.output_tokens += output_tokens
+        demand.requests += 1
+
+    def refused(self, now_s: float, profile: RequestProfile) -> None:
+        """Count a refused request.
+
+        :param now_s: current instant in seconds.
+        :param profile: the request.
+        """
+        self.demand_of(now_s, profile).refused += 1
+
+    def demand_of(self, now_s: float, profile: RequestProfile) -> _Demand:
+        """Return the demand counted for a request's pool and class.
+
+        :param now_s: current instant in seconds.
+        :param profile: the request.
+        """
+        key = (profile.pool, profile.request_class)
+        demand = self.demands.get(key)
+        if demand is None:
+            demand = self.demands[key] = _Demand(now_s)
+        return demand
+
+    def collect(self, now_s: float, views: Iterable[EndpointView]) -> list[PoolDemand]:
+        """Return the work that arrived since the last call, by pool and class.
+
+        :param now_s: current instant in seconds.
+        :param views: endpoints that the entry knows.
+        """
+        prefill, decode = pool_speeds(views)
+        counted = [
+            PoolDemand(
+                entry=self.entry,
+                pool=pool,
+                request_class=request_class,
+                period_s=max(1e-3, now_s - demand.since_s),
+                prompt_tokens=demand.prompt_tokens,
+                cached_tokens=demand.cached_tokens,
+                output_tokens=demand.output_tokens,
+                requests=demand.requests,
+                refused=demand.refused,
+                prefill_tokens_per_s=prefill.get(pool, 0.0),
+                decode_tokens_per_s=decode.get(pool, 0.0),
+            )
+            for (pool, request_class), demand in self.demands.items()
+        ]
+        self.demands = {key: _Demand(now_s) for key in self.demands}
+        return counted
+
+
+def pool_speeds(
+    views: Iterable[EndpointView],
+) -> tuple[dict[str, float], dict[str, float]]:
+    """Return prefill and full-batch decode tokens per second by pool.
+
+    :param views: endpoints.
+    """
+    prefill: dict[str, float] = {}
+    decode: dict[str, float] = {}
+    for view in views:
+        report = view.report
+        if report is None or report.kind == "service":
+            continue
+        pool = report.pool
+        prefill[pool] = prefill.get(pool, 0.0) + view.prefill_tokens_per_s
+        batch = view.decode_tokens_per_s * report.max_batch
+        decode[pool] = decode.get(pool, 0.0) + batch
+    return prefill, decode
