--- a/src/jasminewalk/queueing.py
+++ b/src/jasminewalk/queueing.py
@@ -1,7 +1,6 @@
 """Final admission and order of the requests that wait for one endpoint."""
 
-import attrs
-
+from jasminewalk._queue_items import Expired, QueueSettings, Running, Waiting
 from jasminewalk._queue_speeds import QueueSpeeds
 from jasminewalk.generated_codes import Code
 from jasminewalk.generated_messages import CacheEvents, QueueLevel
@@ -14,90 +13,6 @@
 HERE = "here"
 
 
-@attrs.frozen(kw_only=True)
-class QueueSettings:
-    """How a sidecar admits and orders requests.
-
-    :param max_running: most requests on the endpoint; 0 follows its batch.
-    :param max_queued: most requests that wait.
-    :param ahead_s: seconds of prefill that the engine may hold in its own queue.
-    :param prefill_share: part of a mixed step that goes to prefill.
-    :param slack_s: seconds by which a prediction may miss the deadline.
-    :param decode_margin: factor of the predicted time to decode.
-    :param min_retry_after_s: least seconds to come back after.
-    :param default_prefill_tokens_per_s: prefill speed before the first report.
-    :param default_decode_tokens_per_s: decode speed before the first report.
-    :param default_residence_s: seconds of a request on the endpoint before any ended.
-    :param share_window_s: seconds of work by which an organisation's place in
-        the queue may move.
-    :param cache_blocks: most prefix blocks remembered.
-    :param fairness: whether organisations take turns within a priority.
-    """
-
-    max_running: int = 0
-    max_queued: int = 512
-    ahead_s: float = 0.1
-    prefill_share: float = 0.5
-    slack_s: float = 0.0
-    decode_margin: float = 1.0
-    min_retry_after_s: float = 0.2
-    default_prefill_tokens_per_s: float = 4000.0
-    default_decode_tokens_per_s: float = 40.0
-    default_residence_s: float = 1.0
-    share_window_s: float = 2.0
-    cache_blocks: int = 50_000
-    fairness: bool = True
-
-
-@attrs.frozen
-class Expired:
-    """A request that was given up while it waited.
-
-    :param profile: the request.
-    :param refusal: why, and when to come back.
-    """
-
-    profile: RequestProfile
-    refusal: Refusal
-
-
-@attrs.define
-class _Waiting:
-    """A request that waits.
-
-    :param profile: the request.
-    :param rank: place in the queue; lower goes first.
-    :param latest_start_s: instant after which the deadline cannot be met.
-    :param tokens: prompt tokens that need prefill.
-    """
-
-    profile: RequestProfile
-    rank: tuple[float, float, float]
-    latest_start_s: float
-    tokens: int
-
-
-@attrs.define
-class _Running:
-    """A request on the endpoint.
-
-    :param profile: the request.
-    :param started_s: instant at which it was handed over.
-    :param tokens: prompt tokens that need prefill.
-    :param first_token_s: instant of its first token, if it came.
-    """
-
-    profile: RequestProfile
-    started_s: float
-    tokens: int
-    first_token_s: float | None = None
-
-    @property
-    def prefilling(self) -> bool:
-        """Whether the first token has not come yet."""
-        return self.first_token_s is None
-
-
 class EndpointQueue:
     """Requests of one endpoint, from their offer to their end.
 
@@ -106,8 +21,8 @@
 
     def __init__(self, settings: QueueSettings) -> None:
         self.settings = settings
-        self.waiting: dict[str, _Waiting] = {}
-        self.running: dict[str, _Running] = {}
+        self.waiting: dict[str, Waiting] = {}
+        self.running: dict[str, Running] = {}
         self.served: dict[str, float] = {}
         self.served_floor = 0.0
         self.state: EngineState | None = None
@@ -228,7 +143,7 @@
             return Refusal(Code.DRAINING, reason, self.settings.min_retry_after_s)
         if len(self.waiting) >= self.settings.max_queued:
             return self.overloaded("The queue is full.", self.wait_s())
-        item = _Waiting(
+        item = Waiting(
             profile,
             self.rank(now_s, profile),
             self.latest_start_s(profile),
@@ -269,7 +184,7 @@
             profile.first_token_deadline_s,
         )
 
-    def wait_s(self, item: _Waiting | None = None) -> float:
+    def wait_s(self, item: Waiting | None = None) -> float:
         """Return the seconds until a request's first token.
 
         :param item: the request; one behind all others if absent.
@@ -341,7 +256,7 @@
         """Prompt tokens that the engine may hold before it gets more."""
         return self.settings.ahead_s * self.prefill_tokens_per_s
 
-    def begin(self, now_s: float, item: _Waiting) -> None:
+    def begin(self, now_s: float, item: Waiting) -> None:
         """Count a request as handed to the endpoint.
 
         :param now_s: current instant in seconds.
@@ -350,7 +265,7 @@
         profile = item.profile
         alone = not any(other.prefilling for other in self.running.values())
         self.speeds.prefill_began(now_s, alone=alone)
-        self.running[profile.request_id] = _Running(profile, now_s, item.tokens)
+        self.running[profile.request_id] = Running(profile, now_s, item.tokens)
         self.prefixes.add(HERE, profile.prefix_hashes)
         prefill_s = item.tokens / self.prefill_tokens_per_s
         work_s = (prefill_s + self.service_s(profile) / self.limit) / profile.weight
