--- a/src/jasminewalk/publish.py
+++ b/src/jasminewalk/publish.py
@@ -303,7 +303,11 @@
     :param revision: the revision.
     """
     rows = [(row.name, row.state, row.revision) for row in status.entries]
-    rows += [(row.name, row.state, row.revision) for row in status.endpoints]
+    rows += [
+        (row.name, row.state, row.revision)
+        for row in status.endpoints
+        if row.revision is not None
+    ]
     return [
         f"{name} ({state}, revision {found})"
         for name, state, found in rows
@@ -318,8 +322,10 @@
     :param revision: the revision.
     """
     entries = sum(row.state != "leaving" for row in status.entries)
-    endpoints = sum(row.state != "leaving" for row in status.endpoints)
+    engines = sum(
+        row.revision is not None and row.state != "leaving" for row in status.endpoints
+    )
     return (
         f"In force on all live instances: {number_of(entries, 'entry', 'entries')} "
-        f"and {number_of(endpoints, 'endpoint')}. revision={revision}"
+        f"and {number_of(engines, 'engine')}. revision={revision}"
     )
--- a/src/jasminewalk/status.py
+++ b/src/jasminewalk/status.py
@@ -66,7 +66,8 @@
     :param prefill_tokens_per_s: learned prefill speed.
     :param decode_tokens_per_s: learned decode speed of one stream.
     :param silent_s: seconds since the freshest report; nothing if none came.
-    :param revision: offset it has folded the log to.
+    :param revision: offset it has folded the log to; nothing for a service, whose
+        sidecar has no use for the configuration.
     :param completed: requests finished since the start of its sidecar.
     """
 
@@ -84,7 +85,7 @@
     prefill_tokens_per_s: float = 0.0
     decode_tokens_per_s: float = 0.0
     silent_s: float | None = None
-    revision: int = 0
+    revision: int | None = 0
     completed: int = 0
 
 
@@ -92,7 +93,7 @@
 class FleetStatus:
     """State of the fleet.
 
-    :param revision: revision in force on every live entry and endpoint.
+    :param revision: revision in force on every live entry and engine.
     :param log_revision: last offset of the log; nothing if it did not answer.
     :param entries: entries of the instance list.
     :param endpoints: endpoints that the list or any entry knows.
@@ -191,7 +192,9 @@
     ]
     live = [row.revision for row in entries if row.state == "live"]
     live += [
-        row.revision for row in endpoints if row.state not in ("silent", "leaving")
+        row.revision
+        for row in endpoints
+        if row.revision is not None and row.state not in ("silent", "leaving")
     ]
     return FleetStatus(
         revision=min(live, default=0),
@@ -248,6 +251,7 @@
             pool=row.pool,
             failure_domain=row.failure_domain,
             state="silent",
+            revision=0 if row.kind == "engine" else None,
         )
         for row in rows
         if row.kind != "entry" and row.name not in seen
@@ -285,7 +289,7 @@
         prefill_tokens_per_s=report.prefill_tokens_per_s,
         decode_tokens_per_s=report.decode_tokens_per_s,
         silent_s=freshest.silent_s,
-        revision=report.revision,
+        revision=report.revision if report.kind == "engine" else None,
         completed=report.completed,
     )
 
