--- a/src/jasminewalk/routing.py
+++ b/src/jasminewalk/routing.py
@@ -270,14 +270,11 @@
             view.remove(flight)
         return flight
 
-    def first_token(
-        self, now_s: float, request_id: str, cached_tokens: int | None = None
-    ) -> None:
+    def first_token(self, now_s: float, request_id: str) -> None:
         """Learn from the first token of an answer.
 
         :param now_s: current instant in seconds.
         :param request_id: identifier of the request.
-        :param cached_tokens: prompt tokens that the engine found in its cache.
         """
         flight = self.flights.get(request_id)
         if flight is None:
