--- a/src/jasminewalk/_run_generation.py
+++ b/src/jasminewalk/_run_generation.py
@@ -122,11 +122,7 @@
         """Note the arrival of the first token."""
         elapsed_s = self.elapsed_s()
         self.trace.attempts[-1].first_token_s = elapsed_s
-        self.router.first_token(
-            self.clock.monotonic(),
-            self.job.profile.request_id,
-            self.machine.assembler.cached_tokens,
-        )
+        self.router.first_token(self.clock.monotonic(), self.job.profile.request_id)
         self.services.metrics.observe("first_token_seconds", elapsed_s, **self.labels)
 
     def ended(self, endpoint: str) -> Action:
