--- a/src/jasminewalk/_measure_driver.py
+++ b/src/jasminewalk/_measure_driver.py
@@ -194,7 +194,7 @@
         if request.first_s is None:
             request.first_s = out.at_s
         endpoint.queue.first_token(out.at_s, out.request_id)
-        router.first_token(out.at_s, out.request_id)
+        router.first_token(out.at_s, out.request_id, out.frame.cached)
         if out.frame.end:
             endpoint.completed += 1
             endpoint.queue.finished(out.at_s, out.request_id, request.output_tokens)
--- a/src/jasminewalk/routing.py
+++ b/src/jasminewalk/routing.py
@@ -40,6 +40,8 @@
         self.budget = RetryBudget(settings.retry_ratio)
         self.finished_here = 0.0
         self.finished_everywhere = 0.0
+        self.expected_cached_tokens = 0
+        self.found_cached_tokens = 0
 
     def observe_report(self, now_s: float, report: LoadReport) -> None:
         """Take a load report.
@@ -270,15 +272,20 @@
             view.remove(flight)
         return flight
 
-    def first_token(self, now_s: float, request_id: str) -> None:
+    def first_token(
+        self, now_s: float, request_id: str, cached_tokens: int = 0
+    ) -> None:
         """Learn from the first token of an answer.
 
         :param now_s: current instant in seconds.
         :param request_id: identifier of the request.
+        :param cached_tokens: prompt tokens that the engine found in its cache.
         """
         flight = self.flights.get(request_id)
         if flight is None:
             return
+        self.expected_cached_tokens += flight.cached_tokens
+        self.found_cached_tokens += cached_tokens
         self.view(flight.endpoint).observe_first_token(now_s, flight)
 
     def finished(self, now_s: float, request_id: str, output_tokens: int) -> None:
