--- a/src/jasminewalk/publish.py
+++ b/src/jasminewalk/publish.py
@@ -1,5 +1,6 @@
 """Publishing of a configuration: append, read back, wait until in force."""
 
+import contextlib
 import getpass
 import random
 from collections.abc import Callable
@@ -33,6 +34,7 @@
 
 READ_WAIT_S = 0.2
 IN_FORCE_POLL_S = 0.2
+IN_FORCE_POLL_MAX_S = 2.0
 APPENDS_PER_S = 100.0
 APPEND_BURST = 50
 MAX_DIFFS = 40
@@ -272,18 +274,17 @@
     :raises NotInForceError: if some instances do not have it in time.
     """
     status: FleetStatus | None = None
+    poll_s = IN_FORCE_POLL_S
     with anyio.move_on_after(timeout_s):
         while True:
-            try:
+            with contextlib.suppress(OSError):
                 rows, statuses = await reader.read()
-            except OSError:
-                await anyio.sleep(IN_FORCE_POLL_S)
-                continue
-            status = fleet_status(rows, statuses, changes=[], log_revision=revision)
-            if status.entries and not behind(status, revision):
-                printer(in_force_line(status, revision))
-                return
-            await anyio.sleep(IN_FORCE_POLL_S)
+                status = fleet_status(rows, statuses, changes=[], log_revision=revision)
+                if status.entries and not behind(status, revision):
+                    printer(in_force_line(status, revision))
+                    return
+            await anyio.sleep(poll_s)
+            poll_s = min(IN_FORCE_POLL_MAX_S, poll_s * 2)
     if status is None or not status.entries:
         raise NotInForceError(
             f"Revision {revision} is accepted, but the instance list names no entry "
