--- a/src/jasminewalk/metrics.py
+++ b/src/jasminewalk/metrics.py
@@ -70,7 +70,7 @@
     MetricSpec(*row)
     for row in (
         ("up", "gauge", "1 while the process runs."),
-        ("requests", "counter", "Requests that callers sent."),
+        ("requests", "counter", "Requests that an entry began to route."),
         ("refusals", "counter", "Requests refused or given up, by result code."),
         ("retries", "counter", "Attempts after the first that began anew."),
         ("resumes", "counter", "Attempts that went on where a broken one ended."),
