Feed all records again, now that claims leave the main stream; pace hellos by heartbeats

Claims get streams of their own, so leaving them out of a feed has no use left. The period of hellos is three heartbeats, which is 1.5 s as before by default, so that a large fleet slows both with one setting.

--- a/src/jasminewalk/codec.py
+++ b/src/jasminewalk/codec.py
@@ -24,7 +24,6 @@
     "TypedCodec",
     "decode_record",
     "encode_record",
-    "record_type",
 ]
 
 TAG_BYTES = 16
@@ -41,7 +40,6 @@
     """
 
     def __init__(self, type_by_number: dict[int, type]) -> None:
-        self.type_by_number = type_by_number
         self.number_by_type = {kind: n for n, kind in type_by_number.items()}
         self.decoders: dict[int, msgspec.msgpack.Decoder[Any]] = {
             number: self.decoder(kind) for number, kind in type_by_number.items()
@@ -62,17 +60,6 @@
         """
         return _encoder.encode((self.number_by_type[type(value)], value))
 
-    def type_of(self, data: bytes) -> type | None:
-        """Return the class of an encoded object, if it is known.
-
-        :param data: what ``encode`` returned.
-        """
-        try:
-            number, _ = self.frame_decoder.decode(data)
-        except (msgspec.MsgspecError, ValueError, RecursionError):
-            return None
-        return self.type_by_number.get(number)
-
     def decode(self, data: bytes) -> Any:
         """Return the object that the bytes hold.
 
@@ -167,14 +154,6 @@
     return _records.decode(data)
 
 
-def record_type(data: bytes) -> type | None:
-    """Return the class of an encoded log record, if it is known.
-
-    :param data: what ``encode_record`` returned.
-    """
-    return _records.type_of(data)
-
-
 @attrs.frozen
 class Envelope:
     """A control message with its sender.
--- a/src/jasminewalk/entry_peers.py
+++ b/src/jasminewalk/entry_peers.py
@@ -10,9 +10,7 @@
 
 from jasminewalk.channel import MessageHandler, PeerDialer
 from jasminewalk.clock import Clock
-from jasminewalk.codec import record_type
 from jasminewalk.generated_messages import EntryHello, PoolDemand, RecordFeed
-from jasminewalk.generated_records import ClaimBatchRecord, OutcomeBatchRecord
 from jasminewalk.generated_settings import EntrySettings
 from jasminewalk.interfaces import LogEntry
 from jasminewalk.membership import Membership
@@ -22,10 +20,9 @@
 OUTBOX_MESSAGES = 64
 FEED_BYTES = 1 << 20
 BUFFER_BYTES = 8 << 20
-HELLO_PERIOD_S = 1.5
+HELLO_HEARTBEATS = 3
 REDIAL_SILENCES = 2.0
 PAUSE_S = 0.1
-CLAIM_TYPES = (ClaimBatchRecord, OutcomeBatchRecord)
 
 
 class RecordBuffer:
@@ -37,7 +34,6 @@
     def __init__(self, max_bytes: int = BUFFER_BYTES) -> None:
         self.max_bytes = max_bytes
         self.records: deque[bytes] = deque()
-        self.without_claims: deque[bytes] = deque()
         self.first_offset = 1
         self.size = 0
 
@@ -54,32 +50,25 @@
         for entry in entries:
             if entry.offset != self.next_offset:
                 self.records.clear()
-                self.without_claims.clear()
                 self.size = 0
                 self.first_offset = entry.offset
             self.records.append(entry.data)
-            is_claim = record_type(entry.data) in CLAIM_TYPES
-            self.without_claims.append(b"" if is_claim else entry.data)
             self.size += len(entry.data)
         while self.size > self.max_bytes:
             self.size -= len(self.records.popleft())
-            self.without_claims.popleft()
             self.first_offset += 1
 
-    def feed(self, offset: int, *, claims: bool = True) -> RecordFeed | None:
+    def feed(self, offset: int) -> RecordFeed | None:
         """Return the records from an offset on, as many as fit in a message.
 
         :param offset: first offset wanted; nothing is returned if it is gone.
-        :param claims: whether claims and their outcomes are wanted; if not, an
-            empty record stands in the place of each.
         """
         if not self.first_offset <= offset <= self.next_offset:
             return None
         records: list[bytes] = []
         size = 0
-        kept = self.records if claims else self.without_claims
-        for index in range(offset - self.first_offset, len(kept)):
-            record = kept[index]
+        for index in range(offset - self.first_offset, len(self.records)):
+            record = self.records[index]
             if records and size + len(record) > FEED_BYTES:
                 break
             records.append(record)
@@ -202,7 +191,8 @@
                 self.close(endpoint)
         for endpoint in wanted - self.links.keys():
             self.open(group, now_s, endpoint)
-        if now_s - self.hello_s >= HELLO_PERIOD_S:
+        period_s = HELLO_HEARTBEATS * self.settings.peers.heartbeat_s
+        if now_s - self.hello_s >= period_s:
             self.hello_s = now_s
             self.greet_all()
 
@@ -276,8 +266,7 @@
         if member is None or member.report is None:
             return
         offset = max(link.fed_offset, member.report.revision + 1)
-        claims = member.report.kind == "service"
-        message = self.buffer.feed(offset, claims=claims)
+        message = self.buffer.feed(offset)
         if message is not None:
             link.fed_offset = offset + len(message.records)
             link.post(message)
--- a/src/jasminewalk/log_follower.py
+++ b/src/jasminewalk/log_follower.py
@@ -107,24 +107,13 @@
             return
         events: list[FoldEvent] = []
         for entry in entries:
-            if entry.data:
-                events.extend(self.fold.apply(entry))
-            else:
-                self.skip(entry)
+            events.extend(self.fold.apply(entry))
             if self.fold.next_offset <= entry.offset:
                 break
         self.listener.on_records(entries[0].offset, entries)
         for event in events:
             self.listener.on_fold_event(event)
 
-    def skip(self, entry: LogEntry) -> None:
-        """Pass over a record that a peer left out, since it is of no use here.
-
-        :param entry: entry without data.
-        """
-        if entry.offset == self.fold.next_offset:
-            self.fold.next_offset += 1
-
     def take_page(self, page: LogPage) -> None:
         """Fold a page that was read from the log.
 
