--- a/src/jasminewalk/_api_exchange.py
+++ b/src/jasminewalk/_api_exchange.py
@@ -46,6 +46,7 @@
         self.send = send
         self.request_id = request_id
         self.attempt = 0
+        self.body_bytes = 0
         self.started = False
         self.streaming = False
 
--- a/src/jasminewalk/api.py
+++ b/src/jasminewalk/api.py
@@ -34,7 +34,7 @@
 from jasminewalk._http import Receive, Scope, Send, read_body
 from jasminewalk.attempts import AnswerAssembler
 from jasminewalk.dispatch import Dispatcher
-from jasminewalk.exceptions import BadRequestError, JasminewalkError
+from jasminewalk.exceptions import BadRequestError, JasminewalkError, RefusedError
 from jasminewalk.generated_codes import Code
 from jasminewalk.jobs import GenerationJob
 
@@ -42,6 +42,8 @@
 
 BODY_TIMEOUT_S = 30.0
 LAST_SEND_TIMEOUT_S = 1.0
+MAX_HELD_BYTES = 256 << 20
+ROOM_RETRY_AFTER_S = 1.0
 PATH_PREFIX = "organisations"
 
 
@@ -79,6 +81,7 @@
         self.body_bytes = body_bytes
         self.id_prefix = id_prefix
         self.requests = 0
+        self.held_bytes = 0
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one HTTP request.
@@ -102,6 +105,8 @@
             logging.exception("[entry] Request failed. request_id=%s", request_id)
             failure = JasminewalkError(code=Code.INTERNAL_ERROR)
             await self.send_error(exchange, failure)
+        finally:
+            self.held_bytes -= exchange.body_bytes
 
     async def send_error(self, exchange: Exchange, error: JasminewalkError) -> None:
         """Tell the caller about an error, also in the middle of a stream.
@@ -115,6 +120,7 @@
             error,
             error.ran,
         )
+        exchange.attempt = self.dispatcher.last_attempt(exchange.request_id)
         document = error_document(error, exchange.request_id)
         with anyio.move_on_after(LAST_SEND_TIMEOUT_S):
             if exchange.streaming:
@@ -194,12 +200,16 @@
         """Return the body of a request.
 
         :param exchange: the caller's request.
-        :raises JasminewalkError: if it is too large or takes too long.
+        :raises JasminewalkError: if it is too large, takes too long or has no room.
         :raises CallerGoneError: if the caller left.
         """
+        self.check_room()
         with anyio.move_on_after(BODY_TIMEOUT_S):
             try:
-                return await read_body(exchange.receive, self.body_bytes)
+                body = await read_body(exchange.receive, self.body_bytes)
+                exchange.body_bytes = len(body)
+                self.held_bytes += len(body)
+                return body
             except JasminewalkError as error:
                 if error.code == Code.CALLER_GONE:
                     raise CallerGoneError from error
@@ -210,6 +220,19 @@
             ran="not_run",
         )
 
+    def check_room(self) -> None:
+        """Refuse a body while the bodies of open requests fill the memory.
+
+        :raises RefusedError: if there is no room.
+        """
+        if self.held_bytes + self.body_bytes <= MAX_HELD_BYTES:
+            return
+        raise RefusedError(
+            f"Open requests hold {self.held_bytes} bytes of bodies.",
+            code=Code.OVERLOADED,
+            retry_after_s=ROOM_RETRY_AFTER_S,
+        )
+
     async def generate(
         self,
         exchange: Exchange,
--- a/src/jasminewalk/dispatch.py
+++ b/src/jasminewalk/dispatch.py
@@ -29,6 +29,14 @@
         await run.run()
         return run.machine.assembler
 
+    def last_attempt(self, request_id: str) -> int:
+        """Return the number of the last attempt of a request; 0 if none was made.
+
+        :param request_id: identifier of the request.
+        """
+        trace = self.traces.get(request_id)
+        return trace.attempts[-1].attempt if trace and trace.attempts else 0
+
     async def call(self, job: CallJob) -> tuple[int, ServiceReply]:
         """Run a call of a service and return its last attempt and reply.
 
--- a/src/jasminewalk/membership.py
+++ b/src/jasminewalk/membership.py
@@ -80,8 +80,10 @@
         self.reporting: dict[str, dict[str, Member]] = {}
         self.ranked: dict[str, list[Member]] = {}
 
-    def observe_instances(self, now_s: float, instances: Iterable[Instance]) -> None:
-        """Take a reading of the instance list.
+    def observe_instances(
+        self, now_s: float, instances: Iterable[Instance]
+    ) -> list[str]:
+        """Take a reading of the instance list; return the endpoints forgotten.
 
         :param now_s: current instant.
         :param instances: rows of the list.
@@ -89,7 +91,7 @@
         for row in instances:
             if row.kind != "entry":
                 self.observe_row(now_s, row)
-        self.forget_unlisted(now_s)
+        return self.forget_unlisted(now_s)
 
     def observe_row(self, now_s: float, row: Instance) -> None:
         """Take one row of the instance list.
@@ -135,15 +137,20 @@
         self.reporting.get(member.pool, {}).pop(member.endpoint, None)
         self.ranked.pop(member.pool, None)
 
-    def forget_unlisted(self, now_s: float) -> None:
-        """Drop endpoints that neither the list nor a report has named for long.
+    def forget_unlisted(self, now_s: float) -> list[str]:
+        """Drop and return endpoints that no list and no report has named for long.
 
         :param now_s: current instant.
         """
         limit_s = now_s - FORGET_S
-        for member in list(self.members.values()):
-            if max(member.listed_s, member.heard_s) < limit_s:
-                self.forget(member)
+        forgotten = [
+            member
+            for member in self.members.values()
+            if max(member.listed_s, member.heard_s) < limit_s
+        ]
+        for member in forgotten:
+            self.forget(member)
+        return [member.endpoint for member in forgotten]
 
     def forget(self, member: Member) -> None:
         """Drop a member.
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -55,6 +55,9 @@
         answer.end = "stop"
         return answer
 
+    def last_attempt(self, request_id):
+        return 3 if self.jobs else 0
+
     async def call(self, job):
         self.jobs.append(job)
         if self.error:
@@ -216,6 +219,7 @@
     dispatcher.error = RefusedError("full", code=Code.OVERLOADED, retry_after_s=1.2)
     answer = await caller.post(CHAT, chat(stream=True))
     assert (answer.status, answer.headers["retry-after"]) == (429, "2")
+    assert answer.headers["attempt"] == "3"
     assert answer.document["ran"] == "not_run"
     assert answer.document["request_id"] == answer.headers["request-id"]
 
@@ -261,6 +265,17 @@
     assert dispatcher.jobs == []
 
 
+async def test_bodies_of_open_requests_are_bounded(caller, dispatcher, monkeypatch):
+    monkeypatch.setattr("jasminewalk.api.MAX_HELD_BYTES", 2500)
+    assert (await caller.post(CHAT, chat())).status == 200
+    assert caller.app.held_bytes == 0
+    caller.app.held_bytes = 1000
+    answer = await caller.post(CHAT, chat())
+    assert (answer.status, answer.document["code"]) == (429, Code.OVERLOADED)
+    assert answer.headers["retry-after"] == "1"
+    assert caller.app.held_bytes == 1000
+
+
 async def test_unknown_model(caller):
     answer = await caller.post(CHAT, chat(model="other"))
     assert answer.document["code"] == Code.UNKNOWN_MODEL
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -146,7 +146,8 @@
     last_s = beat(membership, "e1", FORGET_S * 2)
     membership.observe_instances(last_s, [])
     assert membership.usable(last_s, "p") == ["e1"]
-    membership.observe_instances(last_s + FORGET_S + 1.0, [])
+    gone = membership.observe_instances(last_s + FORGET_S + 1.0, [])
+    assert "e1" in gone
     assert membership.members == {}
 
 
