--- a/benchmarks/_figures.py
+++ b/benchmarks/_figures.py
@@ -82,9 +82,9 @@
         value=lambda sums: sums.channel_core * 100,
         limit=LIMITS.core * 100,
         carrier="subset of each pool; one report carries the whole load",
-        change="a subset of 6 a pool; load on the last frame of each answer, a"
-        " report of its own only after 4 s without one; hello and demand in one"
-        " message each 15 s; no feed of records to sidecars of engines",
+        change="load on the last frame of each answer, a report of its own only after"
+        " 5 s without one; hello and demand in one message each 20 s; records only to"
+        " sidecars of the pool that they are about",
     ),
     Item(
         role="entry",
@@ -108,9 +108,8 @@
         unit="% of a core",
         value=lambda sums: sums.log_core * 100,
         limit=LIMITS.core * 100,
-        carrier="long poll; records in pages",
-        change="claims on a stream of their own that only the sidecars of the"
-        " pool read; at least 0.5 s between two reads",
+        carrier="long poll; claims on streams that entries do not read",
+        change="a least gap between two reads, which is a setting",
     ),
     Item(
         role="entry",
@@ -119,8 +118,8 @@
         value=lambda sums: sums.entry_bytes * BYTES_TO_KB,
         limit=LIMITS.bytes_per_s * BYTES_TO_KB,
         carrier="subset of each pool",
-        change="as for the processor; cache events are not sent at all, the entry"
-        " learns hits from the first frame of each answer",
+        change="as for the processor; no raw cache events, the entry learns hits from"
+        " the first frame of each answer",
     ),
     Item(
         role="entry",
@@ -128,9 +127,9 @@
         unit="KB/s",
         value=lambda sums: sums.list_bytes * BYTES_TO_KB,
         limit=LIMITS.bytes_per_s * BYTES_TO_KB,
-        carrier="a read of the whole list each second",
-        change="a read of the region's rows each 60 s; leaving and dead endpoints"
-        " are known from their own messages and failed requests",
+        carrier="a read of the whole list each period; leaving and dead endpoints are"
+        " known from their own messages and failed requests",
+        change="a read of the region's rows",
     ),
     Item(
         role="entry",
@@ -185,6 +184,22 @@
         change="the entry's smaller subset and longer periods; records from one"
         " entry only",
     ),
+    Item(
+        role="sidecar of a service",
+        quantity="claims of its pool that its bytes allow",
+        unit="claims/s",
+        value=lambda sums: sums.pool_claims_by_bytes,
+        limit=UNLIMITED,
+        carrier="a stream of claims for each service pool",
+    ),
+    Item(
+        role="sidecar of a service",
+        quantity="claims of its pool that its processor allows",
+        unit="claims/s",
+        value=lambda sums: sums.pool_claims_by_core,
+        limit=UNLIMITED,
+        carrier="a stream of claims for each service pool",
+    ),
     Item(
         role="log",
         quantity="appends for configuration, registrations and grants",
@@ -240,7 +255,7 @@
         value=lambda sums: sums.start_read_s,
         limit=START_LIMIT_S,
         carrier="read from the oldest record until a snapshot is whole",
-        change="claims on streams of their own with a shorter retention",
+        change="a shorter retention",
     ),
     Item(
         role="failure domain lost",
--- a/benchmarks/_size.py
+++ b/benchmarks/_size.py
@@ -94,8 +94,7 @@
     :param list_share: part of the list that is read.
     :param read_floor_s: least seconds between two reads of the log.
     :param block_share: part of the cache events that is sent.
-    :param claims_apart: whether claims have streams of their own.
-    :param feed_share: part of the log's bytes that a channel carries.
+    :param feed_share: part of the main stream's records that a channel carries.
     """
 
     subset: int
@@ -106,7 +105,6 @@
     list_share: float
     read_floor_s: float
     block_share: float
-    claims_apart: bool
     feed_share: float
 
 
@@ -124,35 +122,32 @@
     list_share=1.0,
     read_floor_s=0.0,
     block_share=1.0,
-    claims_apart=False,
     feed_share=1.0,
 )
 
-# The daemons with settings for this size: subset, heartbeat_s, instances_poll_s and
-# read_gap_s.
+# The daemons with settings for this size: subset, peers.heartbeat_s, which hello and
+# demand follow, instances_poll_s and log.read_gap_s.
 TUNED = Plan(
     subset=6 * SIZE.models,
     report_s=2.0,
-    hello_s=1.5,
-    demand_s=1.0,
+    hello_s=6.0,
+    demand_s=4.0,
     list_s=120.0,
     list_share=1.0,
     read_floor_s=0.5,
     block_share=1.0,
-    claims_apart=False,
     feed_share=1.0,
 )
 
 # The daemons after the changes that the page proposes.
 CHANGED = Plan(
     subset=6 * SIZE.models,
-    report_s=4.0,
-    hello_s=15.0,
-    demand_s=15.0,
+    report_s=5.0,
+    hello_s=20.0,
+    demand_s=20.0,
     list_s=120.0,
     list_share=1.0 / SIZE.regions,
     read_floor_s=0.5,
     block_share=0.0,
-    claims_apart=True,
     feed_share=0.0,
 )
--- a/benchmarks/_sums.py
+++ b/benchmarks/_sums.py
@@ -81,32 +81,29 @@
         registrations = 2 * SIZE.restarts_per_day
         return (SIZE.changes_per_day + grants + registrations) / DAY_S
 
-    @property
-    def appends_per_s(self) -> float:
-        """Appends a second on the stream that every process reads."""
-        claims = 0.0 if self.plan.claims_apart else self.claim_appends_per_s
-        return self.change_appends_per_s + claims
-
     @property
     def feed_bytes_per_s(self) -> float:
-        """Bytes a second of the records fed to one sidecar of an engine."""
-        name = "feed of claims to the sidecar of an engine"
-        claims = 0.0 if self.plan.claims_apart else self.claims_per_s
+        """Bytes a second of the main stream's records on one channel."""
         changes = self.change_appends_per_s * self.slope("snapshot on the log")
-        return changes + claims * self.slope(name)
+        return self.plan.feed_share * changes
+
+    @property
+    def feeds_per_s(self) -> float:
+        """Feeds of records on one channel a second."""
+        return self.plan.feed_share * min(self.reads_per_s, self.change_appends_per_s)
 
     @property
     def reads_per_s(self) -> float:
-        """Reads of the log of one entry a second; each append ends a read."""
-        ended = self.appends_per_s + 1.0
+        """Reads of the main stream by one entry a second; an append ends a read."""
+        ended = self.change_appends_per_s + 1.0
         if self.plan.read_floor_s:
             return min(ended, 1.0 / self.plan.read_floor_s)
         return ended
 
     @property
     def retained_records(self) -> float:
-        """Records that the log keeps for a day."""
-        return self.appends_per_s * DAY_S
+        """Records of the main stream that the log keeps for a day."""
+        return self.change_appends_per_s * DAY_S
 
     # An entry
 
@@ -144,15 +141,10 @@
             self.reports_per_s
             + self.plan.subset / self.plan.hello_s
             + self.plan.subset / self.plan.demand_s
-            + self.plan.subset * self.plan.feed_share * self.feeds_per_s
+            + self.plan.subset * self.feeds_per_s
         )
         return messages * self.slope("processor time of an entry for control messages")
 
-    @property
-    def feeds_per_s(self) -> float:
-        """Feeds of records on one channel a second."""
-        return self.reads_per_s
-
     @property
     def decision_core(self) -> float:
         """Part of a core that routing takes at an entry."""
@@ -176,7 +168,7 @@
         fold = "one change of an organisation folded and put in force"
         fold_us = self.at(fold, SIZE.organisations)
         record_us = self.slope("one read of the log") + fold_us
-        return (self.reads_per_s * read_us + self.appends_per_s * record_us) * US
+        return (self.reads_per_s * read_us + self.change_appends_per_s * record_us) * US
 
     @property
     def entry_bytes(self) -> float:
@@ -187,7 +179,7 @@
         report = self.report_bytes / plan.report_s
         blocks = plan.block_share * self.engine_blocks_per_s
         events = blocks * self.slope("cache events on the channel")
-        feed = plan.feed_share * self.feed_bytes_per_s
+        feed = self.feed_bytes_per_s
         return plan.subset * (hello + demand + report + events + feed)
 
     @property
@@ -225,9 +217,28 @@
     def sidecar_memory(self) -> float:
         """Bytes of a sidecar's memory, without its streams."""
         base = self.rows["resident memory of a sidecar with open streams"].intercept
-        held = 0 if self.plan.claims_apart else SIZE.organisations
+        held = SIZE.organisations if self.plan.feed_share else 0
         return base + self.slope("memory for the configuration") * held
 
+    @property
+    def claim_core(self) -> float:
+        """Part of a core that a claim a second takes at each sidecar of its pool."""
+        appends = self.slope("appends of a sidecar that claims")
+        read_us = self.rows["one read of the log"].intercept
+        claim_us = self.slope("processor time of a sidecar that claims")
+        return (appends * read_us + claim_us) * US
+
+    @property
+    def pool_claims_by_core(self) -> float:
+        """Claims a second of a pool at which its sidecars spend their core share."""
+        return LIMITS.core / self.claim_core
+
+    @property
+    def pool_claims_by_bytes(self) -> float:
+        """Claims a second of a pool at which its sidecars spend their bytes."""
+        each = self.slope("bytes on the log of a sidecar that claims")
+        return LIMITS.bytes_per_s / each
+
     # Starts and failures
 
     @property
@@ -295,6 +306,6 @@
         """Bytes that the log sends to the processes of a failure domain's return."""
         share = 1.0 / SIZE.failure_domains
         learners = SIZE.entries * share
-        if not self.plan.claims_apart:
+        if self.plan.feed_share:
             learners += SIZE.engines * share
         return learners * self.snapshot_bytes
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,6 +1,7 @@
 """Measures all slopes again and rewrites the tables of docs/CAPACITY.md.
 
-With ``--saved`` the tables are written from the points of the last run.
+With ``--saved`` the tables are written from the points of the last run; with
+``--check`` they are only compared with these.
 """
 
 import json
@@ -154,37 +155,51 @@
     return table(head, cells)
 
 
-def rewrite(name: str, text: str) -> None:
-    """Replace the part of the page between two markers.
+def replaced(page: str, name: str, text: str) -> str:
+    """Return a page with the part between two markers replaced.
 
+    :param page: the page.
     :param name: name of the part.
     :param text: its new text.
     """
-    page = PAGE.read_text(encoding="utf-8")
     begin, end = f"<!-- {name}: begin -->", f"<!-- {name}: end -->"
     before, rest = page.split(begin)
     _, after = rest.split(end)
-    PAGE.write_text(f"{before}{begin}\n{text}\n{end}{after}", encoding="utf-8")
+    return f"{before}{begin}\n{text}\n{end}{after}"
+
+
+def rewritten(page: str, rows: Sequence[Row], task_by_row: dict[str, str]) -> str:
+    """Return the page with tables made from what was measured.
+
+    :param page: the page.
+    :param rows: what was measured.
+    :param task_by_row: task of each row.
+    """
+    slopes = {row.name: row for row in rows if isinstance(row, Slope)}
+    worked = figures(slopes)
+    page = replaced(page, "figures", figure_table(worked))
+    page = replaced(page, "gaps", gap_table(worked))
+    page = replaced(page, "slopes", slope_table(rows, task_by_row))
+    return replaced(page, "comparisons", ratio_table(rows))
 
 
 def main(arguments: Sequence[str]) -> int:
-    """Measure, or read the last points, and rewrite the page.
+    """Measure, or read the last points, and rewrite or check the page.
 
     :param arguments: arguments of the command line.
     """
-    read = saved if "--saved" in arguments else measured
+    read = measured if not {"--saved", "--check"} & set(arguments) else saved
     rows: list[Row] = []
     task_by_row: dict[str, str] = {}
     for task in TASKS:
         found = read(task)
         rows += found
         task_by_row.update({row.name: task for row in found})
-    slopes = {row.name: row for row in rows if isinstance(row, Slope)}
-    worked = figures(slopes)
-    rewrite("figures", figure_table(worked))
-    rewrite("gaps", gap_table(worked))
-    rewrite("slopes", slope_table(rows, task_by_row))
-    rewrite("comparisons", ratio_table(rows))
+    page = PAGE.read_text(encoding="utf-8")
+    text = rewritten(page, rows, task_by_row)
+    if "--check" in arguments:
+        return 0 if text == page else 1
+    PAGE.write_text(text, encoding="utf-8")
     return 0
 
 
--- a/benchmarks/control_channel.py
+++ b/benchmarks/control_channel.py
@@ -13,17 +13,9 @@
 from _fleet_data import KEY, instances, reports
 
 from jasminewalk.channel import MessageHandler, PeerDialer
-from jasminewalk.codec import MessageCodec, encode_record
-from jasminewalk.entry_peers import RecordBuffer
+from jasminewalk.codec import MessageCodec
 from jasminewalk.generated_messages import CacheEvents, EntryHello, PoolDemand
-from jasminewalk.generated_records import (
-    Claim,
-    ClaimBatchRecord,
-    ClaimOutcome,
-    OutcomeBatchRecord,
-)
 from jasminewalk.generated_settings import PeerSettings
-from jasminewalk.interfaces import LogEntry
 
 SIDECARS = (16, 64, 128)
 PERIOD_S = 0.25
@@ -176,15 +168,6 @@
             "B",
             [(count, models_bytes(report, count)) for count in MODEL_COUNTS],
         ),
-        *(
-            slope(
-                f"feed of claims to the sidecar of {name}",
-                "claim with its outcome",
-                "B",
-                [(count, feed_bytes(count, claims)) for count in BATCHES],
-            )
-            for name, claims in (("a service", True), ("an engine", False))
-        ),
         *(
             slope(
                 f"{name} on the channel",
@@ -211,26 +194,6 @@
     )
 
 
-def feed_bytes(count, claims):
-    """Return the sealed bytes of a feed of claims and their outcomes."""
-    buffer = RecordBuffer()
-    for number in range(count):
-        key = f"escuela-00001/enrolment/{number:032x}"
-        claim = Claim(key=key, fingerprint="0" * 16, request_id=f"request-{number}/1")
-        outcome = ClaimOutcome(
-            key=key, claim=number, outcome="ran", status=200, body=b"x" * 200
-        )
-        life = {"endpoint": "service-1", "incarnation": "0" * 16}
-        records = (
-            ClaimBatchRecord(record_id="0" * 24, claims=[claim], **life),
-            OutcomeBatchRecord(record_id="0" * 24, outcomes=[outcome], **life),
-        )
-        for record in records:
-            data = encode_record(record)
-            buffer.extend([LogEntry(buffer.next_offset, data)])
-    return sealed_bytes(buffer.feed(1, claims=claims))
-
-
 def listing_bytes(count):
     return len(msgspec.json.encode(instances(count)))
 
