--- a/src/jasminewalk/baselines.py
+++ b/src/jasminewalk/baselines.py
@@ -83,7 +83,7 @@
             self.budget.earn()
             query = self.query(profile)
             option = self.option(now_s, query, self.view(names[0]))
-            self.count_arrival(now_s, profile, option)
+            self.count_arrival(now_s, query, option)
         return Route(self.pick(profile, names), type(self).__name__)
 
     @abstractmethod
--- a/src/jasminewalk/routing.py
+++ b/src/jasminewalk/routing.py
@@ -11,7 +11,7 @@
 from jasminewalk.generated_requests import RefusalBody
 from jasminewalk.speeds import Flight
 from jasminewalk.types import Candidate, Refusal, RequestProfile, Route
-from jasminewalk.weighing import Option, RoutingSettings, Weigher
+from jasminewalk.weighing import Option, Query, RoutingSettings, Weigher
 
 __all__ = ["Router", "RoutingSettings"]
 
@@ -117,7 +117,7 @@
             return Refusal(Code.NO_ENDPOINT, "No endpoint is usable.", wait_s)
         best = min(options, key=_score)
         if first_try:
-            self.count_arrival(now_s, profile, best)
+            self.count_arrival(now_s, query, best)
         refusal = self.refusal(now_s, profile, options)
         if refusal is not None:
             self.demands.refused(now_s, profile)
@@ -257,7 +257,7 @@
         view.trial_s = now_s
         self.prefixes.add(endpoint, profile.prefix_hashes)
         shares = self.pool_shares(profile.pool)
-        shares.admitted(now_s, profile.organisation, self.work_s(profile, option))
+        shares.admitted(now_s, profile.organisation, self.work_s(query, option))
 
     def drop(self, request_id: str) -> Flight | None:
         """Forget a request that was sent, and return it.
@@ -344,31 +344,29 @@
         """Return whether the retry budget allows a retry, and take it out."""
         return self.budget.spend()
 
-    def work_s(self, profile: RequestProfile, option: Option) -> float:
+    def work_s(self, query: Query, option: Option) -> float:
         """Return the work of a request in seconds of its endpoint.
 
-        :param profile: the request.
+        :param query: the request.
         :param option: the endpoint.
         """
         view = option.view
         if view.is_service:
             return option.prediction.work_s
-        slots = max(1, view.report.max_batch) if view.report else 1
-        decode_s = self.expected_tokens(profile) / view.decode_tokens_per_s / slots
+        decode_s = query.output_tokens / view.decode_tokens_per_s / view.slots
         return option.prediction.work_s + decode_s
 
-    def count_arrival(
-        self, now_s: float, profile: RequestProfile, best: Option
-    ) -> None:
+    def count_arrival(self, now_s: float, query: Query, best: Option) -> None:
         """Count the work of a new request.
 
         :param now_s: current instant in seconds.
-        :param profile: the request.
+        :param query: the request.
         :param best: best endpoint for it.
         """
-        output = self.expected_tokens(profile)
+        profile = query.profile
+        output = query.output_tokens
         self.demands.arrived(now_s, profile, best.cached_tokens, output)
-        work_s = self.work_s(profile, best)
+        work_s = self.work_s(query, best)
         shares = self.pool_shares(profile.pool)
         shares.arrived(now_s, profile.organisation, profile.weight, work_s)
 
--- a/src/jasminewalk/speeds.py
+++ b/src/jasminewalk/speeds.py
@@ -127,6 +127,8 @@
 class EndpointView:
     """Load, speeds and health of one endpoint, as one entry knows them.
 
+    Prompt tokens and output tokens a second hold under the present mix.
+
     :param endpoint: endpoint name.
     :param settings: how to learn and estimate.
     """
@@ -136,6 +138,10 @@
         self.settings = settings
         self.report: LoadReport | None = None
         self.figures_s = float("-inf")
+        self.prefill_tokens_per_s = settings.default_prefill_tokens_per_s
+        self.decode_tokens_per_s = settings.default_decode_tokens_per_s
+        self.residence_s = settings.default_residence_s
+        self.slots = 1
         self.flights: dict[str, Flight] = {}
         self.under_way: dict[int, _UnderWay] = {}
         self.first_ratio = 1.0
@@ -180,6 +186,15 @@
             self.failures = 0
         self.report = report
         self.figures_s = now_s - report.report_age_s
+        settings = self.settings
+        self.prefill_tokens_per_s = (
+            report.prefill_tokens_per_s or settings.default_prefill_tokens_per_s
+        )
+        self.decode_tokens_per_s = (
+            report.decode_tokens_per_s or settings.default_decode_tokens_per_s
+        )
+        self.residence_s = report.residence_s or settings.default_residence_s
+        self.slots = max(1, report.max_batch)
 
     def age_s(self, now_s: float) -> float:
         """Return the age of the load figures; infinite before the first.
@@ -193,26 +208,10 @@
         """Whether the endpoint is a plain service."""
         return self.report is not None and self.report.kind == "service"
 
-    @property
-    def prefill_tokens_per_s(self) -> float:
-        """Prompt tokens per second under the present mix."""
-        reported = self.report.prefill_tokens_per_s if self.report else 0.0
-        return reported or self.settings.default_prefill_tokens_per_s
-
-    @property
-    def decode_tokens_per_s(self) -> float:
-        """Output tokens per second of one stream under the present mix."""
-        reported = self.report.decode_tokens_per_s if self.report else 0.0
-        return reported or self.settings.default_decode_tokens_per_s
-
     @property
     def slot_s(self) -> float:
         """Seconds of the endpoint that a request's place in the batch takes."""
-        report = self.report
-        if report is None:
-            return self.settings.default_residence_s
-        residence_s = report.residence_s or self.settings.default_residence_s
-        return residence_s / max(1, report.max_batch)
+        return self.residence_s / self.slots
 
     def predict(
         self,
@@ -233,7 +232,7 @@
         if self.is_service:
             return self.predict_service(now_s, others)
         load = self.load(now_s, priority, others)
-        slots = self.report.max_batch if self.report else 1
+        slots = self.slots
         decode_rate = self.decode_tokens_per_s
         excess = load.requests + 1.0 - slots
         wait_s = 0.0
@@ -282,8 +281,8 @@
                         tokens += others * flight.prefill_tokens
         elapsed_s = min(self.age_s(now_s), MAX_ELAPSED_S)
         tokens = max(0.0, tokens - elapsed_s * self.prefill_tokens_per_s)
-        residence_s = report.residence_s or self.settings.default_residence_s
-        ended = elapsed_s * min(report.max_batch, requests) / residence_s
+        residence_s = self.residence_s
+        ended = elapsed_s * min(self.slots, requests) / residence_s
         requests = max(0.0, requests - ended)
         if self.settings.count_own:
             trust = math.exp(-elapsed_s / self.settings.trust_s)
