--- a/src/jasminewalk/_engine_batch.py
+++ b/src/jasminewalk/_engine_batch.py
@@ -2,11 +2,11 @@
 
 import bisect
 import heapq
-from collections import OrderedDict
 
 import attrs
 
 from jasminewalk._engine_cache import PrefixCache
+from jasminewalk._engine_kv import KvImports
 from jasminewalk._engine_speeds import EngineSpeeds
 from jasminewalk._engine_steps import Gaps, Run, StepLog, Stream, StreamKey
 from jasminewalk._engine_text import token_of
@@ -66,7 +66,7 @@
         self.prefilling: list[tuple[tuple[int, int], Stream]] = []
         self.decoding: dict[StreamKey, Stream] = {}
         self.finishing: list[tuple[int, tuple[int, int], Stream]] = []
-        self.imports: OrderedDict[tuple[str, int], int] = OrderedDict()
+        self.imports = KvImports()
         self.out: list[FrameOut] = []
         self.run: Run | None = None
 
@@ -198,7 +198,7 @@
         tokens = request.prompt_tokens + request.resume_from
         cached = min(self.cache.cached_tokens(request.prefix_hashes), tokens - 1)
         stream.cached = max(0, cached)
-        imported = self.imports.pop((request.request_id, stream.digest), 0)
+        imported = self.imports.take(stream)
         if imported:
             ratio = (
                 self.settings.prefill_tokens_per_s
--- /dev/null
+++ b/src/jasminewalk/_engine_kv.py
@@ -0,0 +1,71 @@
+"""KV caches that modelled engines export to each other."""
+
+from collections import OrderedDict
+
+import attrs
+import msgspec
+
+from jasminewalk._engine_steps import Stream
+from jasminewalk.exceptions import BadRequestError
+
+__all__ = ["KvImports", "kv_handle"]
+
+MAX_IMPORTS = 1024
+
+
+@attrs.frozen(kw_only=True)
+class _Handle:
+    """Exported KV cache of a stream.
+
+    :param request_id: identifier of the request.
+    :param digest: digest of the prompt.
+    :param tokens: prompt and output tokens it holds.
+    """
+
+    request_id: str
+    digest: int
+    tokens: int
+
+
+def kv_handle(stream: Stream, output_tokens: int) -> bytes:
+    """Return the KV cache of a stream as one handle.
+
+    :param stream: the stream.
+    :param output_tokens: tokens that it has produced on this engine.
+    """
+    request = stream.request
+    tokens = request.prompt_tokens + request.resume_from + output_tokens
+    handle = _Handle(request_id=request.request_id, digest=stream.digest, tokens=tokens)
+    return msgspec.msgpack.encode(handle)
+
+
+class KvImports:
+    """Imported KV caches that wait for their requests, the newest of them."""
+
+    def __init__(self) -> None:
+        self.tokens: OrderedDict[tuple[str, int], int] = OrderedDict()
+
+    def put(self, data: bytes) -> None:
+        """Keep an imported KV cache.
+
+        :param data: handle of the exported KV cache.
+        :raises BadRequestError: if the handle is malformed.
+        """
+        try:
+            handle = msgspec.msgpack.decode(data, type=_Handle)
+        except msgspec.MsgspecError as error:
+            raise BadRequestError(str(error)) from error
+        self.tokens[(handle.request_id, handle.digest)] = handle.tokens
+        if len(self.tokens) > MAX_IMPORTS:
+            self.tokens.popitem(last=False)
+
+    def take(self, stream: Stream) -> int:
+        """Return the tokens that were imported for a stream, and forget them.
+
+        :param stream: the stream.
+        """
+        return self.tokens.pop((stream.request.request_id, stream.digest), 0)
+
+    def clear(self) -> None:
+        """Forget all of them."""
+        self.tokens.clear()
--- a/src/jasminewalk/engine_model.py
+++ b/src/jasminewalk/engine_model.py
@@ -8,10 +8,10 @@
 import random
 
 import attrs
-import msgspec
 
 from jasminewalk._engine_batch import Batch, FrameOut
 from jasminewalk._engine_cache import PrefixCache
+from jasminewalk._engine_kv import kv_handle
 from jasminewalk._engine_load import LoadLog
 from jasminewalk._engine_speeds import EngineSpeeds
 from jasminewalk._engine_steps import Stream
@@ -39,22 +39,6 @@
     "token_text",
 ]
 
-MAX_IMPORTS = 1024
-
-
-@attrs.frozen(kw_only=True)
-class _KvHandle:
-    """Exported KV cache of a stream.
-
-    :param request_id: identifier of the request.
-    :param digest: digest of the prompt.
-    :param tokens: prompt and output tokens it holds.
-    """
-
-    request_id: str
-    digest: int
-    tokens: int
-
 
 @attrs.define
 class _Change:
@@ -395,10 +379,7 @@
                 f"No stream {request_id} {attempt} decodes.", code=Code.UNKNOWN_PATH
             )
         done = self.batch.log.steps - stream.joined_step + 1
-        request = stream.request
-        tokens = request.prompt_tokens + request.resume_from + done
-        handle = _KvHandle(request_id=request_id, digest=stream.digest, tokens=tokens)
-        return msgspec.msgpack.encode(handle)
+        return kv_handle(stream, done)
 
     def import_kv(self, now_s: float, handle: bytes) -> None:
         """Keep an exported KV cache for the request's next attempt here.
@@ -407,11 +388,4 @@
         :param handle: what ``export_kv`` returned.
         :raises BadRequestError: if the handle is malformed.
         """
-        try:
-            found = msgspec.msgpack.decode(handle, type=_KvHandle)
-        except msgspec.MsgspecError as error:
-            raise BadRequestError(str(error)) from error
-        imports = self.batch.imports
-        imports[(found.request_id, found.digest)] = found.tokens
-        if len(imports) > MAX_IMPORTS:
-            imports.popitem(last=False)
+        self.batch.imports.put(handle)
