Test that no document on the log stops a process

Random and broken documents are applied and rendered; without the check of names after substitution, or without that of templates, the test fails.

--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import given, settings, strategies as st
 
 from jasminewalk.configuration import ConfigurationView
 from jasminewalk.configuration_checks import check_documents
@@ -93,6 +94,60 @@
     assert list(thrissur.rendered) == ["o7", "o8", "o9"]
 
 
+VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False)
+    | st.sampled_from(["a", "${a}", "${b}", "engine", "list", "(", "GET /", ""]),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from(["a", "1", "${a}", "default"]), inner)
+    ),
+    max_leaves=6,
+)
+TEMPLATE = {
+    "versions": {
+        "1": {
+            "parameters": {"a": {"type": "list", "default": ["x"], "pattern": "x+"}},
+            "organisation": {
+                "classes": {"c": {"deadline_s": 3}},
+                "failure_domains": "${a}",
+                "models": {"m": {"pool": "p", "request_class": "c"}},
+                "services": {},
+            },
+        }
+    }
+}
+
+
+def paths_of(value, path=()):
+    yield path
+    if isinstance(value, dict):
+        for key, inner in value.items():
+            yield from paths_of(inner, (*path, key))
+
+
+def replaced(value, path, new):
+    if not path:
+        return new
+    return {**value, path[0]: replaced(value[path[0]], path[1:], new)}
+
+
+@settings(derandomize=True, deadline=None, max_examples=400)
+@given(path=st.sampled_from(list(paths_of(TEMPLATE))), new=VALUES, parameters=VALUES)
+def test_no_document_on_the_log_stops_a_process(path, new, parameters):
+    view = ConfigurationView()
+    view.apply("template/t", 1, json.dumps(replaced(TEMPLATE, path, new)))
+    organisation = {"template": "t", "version": 1, "parameters": parameters}
+    for name, document in (("o", organisation), ("p", new), ("o", organisation)):
+        view.apply(f"organisation/{name}", 2, json.dumps(document))
+        found = view.organisation(name)
+        assert found is None or found.name == name
+    view.apply("fleet/default", 3, json.dumps({"pools": {"p": new}}))
+    assert all(pool.kind in ("engine", "service") for pool in view.pools.values())
+
+
 def test_the_page_shows_valid_documents(tmp_path):
     page = (EXAMPLES.parent / "docs/CONFIGURATION.md").read_text()
     whole, deletion = re.findall(r"```yaml\n(.*?)```", page, re.DOTALL)
