--- a/benchmarks/_figures.py
+++ b/benchmarks/_figures.py
@@ -121,6 +121,14 @@
         change="as for the processor; no raw cache events, the entry learns hits from"
         " the first frame of each answer",
     ),
+    Item(
+        role="entry",
+        quantity="control messages for each endpoint of its subset",
+        unit="B/s",
+        value=lambda sums: sums.entry_bytes / sums.plan.subset,
+        limit=UNLIMITED,
+        carrier="one report carries the whole load",
+    ),
     Item(
         role="entry",
         quantity="instance list",
