--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -40,6 +40,10 @@
 
 @pytest.fixture
 def profile():
+    return make_profile()
+
+
+def make_profile():
     return RequestProfile(
         request_id="r",
         organisation="o",
