Keep the claims of a service pool on a stream of their own

Cause: claims are nearly all of the log's bytes and every process folded all of them. Entries and sidecars of engines follow the main stream. Ruled out: leaving claims out of the feeds only, which leaves the entries' reading and the start as they were. A sidecar of a service has no use for the configuration, so publishing does not wait for it.

--- a/src/jasminewalk/entry.py
+++ b/src/jasminewalk/entry.py
@@ -18,7 +18,6 @@
 from jasminewalk.connections import SidecarConnections
 from jasminewalk.dispatch import Dispatcher
 from jasminewalk.entry_peers import PeerLinks
-from jasminewalk.entry_snapshots import SnapshotTask
 from jasminewalk.entry_status import EntryStatus, endpoint_statuses
 from jasminewalk.fold import LogFold
 from jasminewalk.fold_events import FoldEvent, SubjectChanged
@@ -34,6 +33,7 @@
 from jasminewalk.operators_http import OperatorsApp, StatusSource
 from jasminewalk.peer_auth import PeerAuthenticator
 from jasminewalk.routing import Router, RoutingSettings
+from jasminewalk.snapshot_task import SnapshotTask
 from jasminewalk.tokens import CharacterTokenizer
 from jasminewalk.traces import RequestTrace, TraceStore
 
--- a/src/jasminewalk/log_client.py
+++ b/src/jasminewalk/log_client.py
@@ -1,5 +1,7 @@
 """Client of the platform's append-only log."""
 
+from urllib.parse import quote
+
 import httpcore
 import msgspec
 
@@ -8,24 +10,43 @@
 from jasminewalk.generated_standins import AppendResult
 from jasminewalk.interfaces import Log, LogEntry, LogPage
 
-__all__ = ["HttpLog"]
+__all__ = ["MAIN_STREAM", "HttpLog", "claims_stream"]
+
+MAIN_STREAM = "main"
 
 _decode_append = msgspec.json.Decoder(AppendResult).decode
 _decode_page = msgspec.msgpack.Decoder(tuple[int, int, list[tuple[int, bytes]]]).decode
 
 
+def claims_stream(pool: str) -> str:
+    """Return the stream that holds the claims of a service pool.
+
+    Only the sidecars of the pool follow it, since claims would be most of what
+    the other processes read.
+
+    :param pool: pool name.
+    """
+    return f"claims-{quote(pool, safe='')}"
+
+
 class HttpLog(Log):
-    """Log service over HTTP.
+    """One stream of the log service, over HTTP.
 
     :param pool: pool of HTTP connections.
     :param address: ``host:port`` of the log service.
     :param timeout_s: seconds to wait for an answer.
+    :param stream: name of the stream.
     """
 
     def __init__(
-        self, pool: httpcore.AsyncConnectionPool, address: str, timeout_s: float
+        self,
+        pool: httpcore.AsyncConnectionPool,
+        address: str,
+        timeout_s: float,
+        stream: str = MAIN_STREAM,
     ) -> None:
         self.pool = pool
+        self.path = f"/streams/{stream}/records"
         self.address = address
         self.timeout_s = timeout_s
 
@@ -35,7 +56,7 @@
         :param data: encoded record.
         :raises LogUnavailableError: if no answer came; the record may be there.
         """
-        answer = await self.call("POST", "/records", data, self.timeout_s)
+        answer = await self.call("POST", self.path, data, self.timeout_s)
         try:
             return _decode_append(answer.body).offset
         except msgspec.MsgspecError as error:
@@ -49,7 +70,7 @@
         :param wait_s: longest wait for a new record in seconds.
         :raises LogUnavailableError: if no answer came.
         """
-        path = f"/records?offset={offset}&limit={limit}&wait_s={wait_s:g}"
+        path = f"{self.path}?offset={offset}&limit={limit}&wait_s={wait_s:g}"
         answer = await self.call("GET", path, b"", self.timeout_s + wait_s)
         try:
             first, tail, rows = _decode_page(answer.body)
--- a/src/jasminewalk/sidecar.py
+++ b/src/jasminewalk/sidecar.py
@@ -25,7 +25,7 @@
 from jasminewalk.generated_records import SnapshotEntry
 from jasminewalk.generated_settings import SidecarSettings
 from jasminewalk.interfaces import LogEntry
-from jasminewalk.log_client import HttpLog
+from jasminewalk.log_client import MAIN_STREAM, HttpLog, claims_stream
 from jasminewalk.log_follower import FoldListener, LogFollower
 from jasminewalk.metrics import Metrics
 from jasminewalk.operators_http import OperatorsApp, StatusSource
@@ -37,7 +37,7 @@
 
 __all__ = ["SidecarDaemon", "SidecarStatus"]
 
-FEED_FRESH_S = 3.0
+FEED_FRESH_HEARTBEATS = 6
 IDLE_POLL_S = 0.02
 LINGER_S = 0.3
 
@@ -100,14 +100,19 @@
     async def run(self) -> None:
         """Serve until ``stop`` is called; requests that were admitted finish."""
         async with http_client() as pool:
-            log = HttpLog(pool, self.settings.log.address, self.settings.log.timeout_s)
+            log = HttpLog(
+                pool,
+                self.settings.log.address,
+                self.settings.log.timeout_s,
+                self.log_stream,
+            )
             self.follower = LogFollower(
                 log=log,
                 fold=self.fold,
                 settings=self.settings.log,
                 clock=self.clock,
                 listener=self,
-                feed_fresh_s=FEED_FRESH_S,
+                feed_fresh_s=self.feed_fresh_s,
             )
             self.part = self.make_part(
                 PartContext(
@@ -126,6 +131,11 @@
             )
             await self.serve()
 
+    @property
+    def feed_fresh_s(self) -> float:
+        """Seconds for which a feed of records makes reads of the log needless."""
+        return FEED_FRESH_HEARTBEATS * self.settings.peers.heartbeat_s
+
     def make_part(self, context: PartContext) -> EndpointPart:
         """Return the part that deals with the endpoint.
 
@@ -135,6 +145,13 @@
             return EnginePart(context)
         return ServicePart(context)
 
+    @property
+    def log_stream(self) -> str:
+        """Stream of the log that the sidecar follows."""
+        if self.settings.kind == "engine":
+            return MAIN_STREAM
+        return claims_stream(self.settings.pool)
+
     async def serve(self) -> None:
         """Run all tasks of the daemon until the shutdown is over."""
         app = SidecarApp(
@@ -237,10 +254,15 @@
             failure_domain=self.settings.failure_domain,
             address=self.address,
             state=self.endpoint_state,
-            revision=self.fold.next_offset - 1,
+            revision=self.revision,
         )
         return self.part.fill_report(report)
 
+    @property
+    def revision(self) -> int:
+        """Offset of the main stream that was folded; 0 if another is followed."""
+        return self.fold.next_offset - 1 if self.log_stream == MAIN_STREAM else 0
+
     @property
     def endpoint_state(self) -> Any:
         """What the endpoint can take."""
@@ -258,12 +280,20 @@
         if isinstance(message, EntryHello):
             self.on_hello(message)
         elif isinstance(message, RecordFeed):
-            self.follower.feed(message.first_offset, message.records, message.tail)
+            self.on_feed(message)
         elif isinstance(message, PoolDemand):
             self.part.on_demand(message)
         elif not isinstance(message, CacheEvents | Leaving | LoadReport):
             logging.warning("[sidecar] Message ignored. type=%s", type(message))
 
+    def on_feed(self, feed: RecordFeed) -> None:
+        """Fold records that an entry passes on, unless this follows another stream.
+
+        :param feed: records of the main stream.
+        """
+        if self.log_stream == MAIN_STREAM:
+            self.follower.feed(feed.first_offset, feed.records, feed.tail)
+
     def on_hello(self, hello: EntryHello) -> None:
         """Note an entry; a new one gets a load report at once.
 
--- a/src/jasminewalk/sidecar_service.py
+++ b/src/jasminewalk/sidecar_service.py
@@ -26,6 +26,7 @@
 from jasminewalk.registration import Registrar
 from jasminewalk.service_client import HttpService
 from jasminewalk.sidecar_parts import EndpointPart, EndpointState, PartContext
+from jasminewalk.snapshot_task import SnapshotTask
 from jasminewalk.types import Refusal
 
 __all__ = ["ServicePart", "claim_key", "fingerprint_of"]
@@ -109,6 +110,13 @@
             clock=context.clock,
             rng=context.rng,
         )
+        self.snapshots = SnapshotTask(
+            log=context.log,
+            fold=context.fold,
+            settings=self.settings.log,
+            clock=context.clock,
+            rng=context.rng,
+        )
         self.pending: dict[str, PendingCall] = {}
         self.running = 0
         self.completed = 0
@@ -164,6 +172,7 @@
         async with anyio.create_task_group() as group:
             self.group = group
             group.start_soon(self.appender.run)
+            group.start_soon(self.snapshots.run)
             await self.context.follower.ready.wait()
             for append in self.registrar.register():
                 self.appender.submit(append)
--- a/src/jasminewalk/entry_snapshots.py
+++ b/src/jasminewalk/snapshot_task.py
@@ -65,7 +65,7 @@
             try:
                 await self.log.append(data)
             except LogUnavailableError as error:
-                logging.warning("[entry] Snapshot chunk not appended. error=%s", error)
+                logging.warning("[log] Snapshot chunk not appended. error=%s", error)
                 await anyio.sleep(self.retry_s)
             else:
                 return
--- a/src/jasminewalk/standin_log.py
+++ b/src/jasminewalk/standin_log.py
@@ -14,11 +14,13 @@
 from jasminewalk.exceptions import BadRequestError, JasminewalkError
 from jasminewalk.generated_codes import Code
 from jasminewalk.generated_standins import AppendResult, LogFaults, StandinLogSettings
+from jasminewalk.log_client import MAIN_STREAM
 
-__all__ = ["StandinLog", "StoredRecord"]
+__all__ = ["LogStream", "StandinLog", "StoredRecord"]
 
 MAX_PAGE_RECORDS = 100_000
 MAX_WAIT_S = 60.0
+MAX_STREAMS = 1000
 
 
 @attrs.frozen
@@ -35,45 +37,32 @@
     data: bytes
 
 
-class StandinLog(Standin[LogFaults]):
-    """Log in memory with retention, an append budget and faults.
+class LogStream:
+    """Records of one stream, each with an offset of the stream.
 
-    :param settings: limits of the log.
-    :param clock: source of time.
+    :param retention_s: seconds that a record is kept.
     """
 
-    def __init__(
-        self, settings: StandinLogSettings, *, clock: Clock | None = None
-    ) -> None:
-        super().__init__(settings.listen, settings.record_bytes, LogFaults())
-        self.settings = settings
-        self.clock = clock or SystemClock()
-        self.rng = random.Random(settings.seed)
+    def __init__(self, retention_s: float) -> None:
+        self.retention_s = retention_s
         self.records: deque[StoredRecord] = deque()
         self.tail = 1
-        self.budget = float(settings.append_burst)
-        self.budget_s = self.clock.monotonic()
         self.changed = anyio.Event()
-        self.appends = 0
-        self.reads = 0
-        self.refused = 0
-        self.late: deque[tuple[float, bytes]] = deque()
-        self.late_added = anyio.Event()
 
     @property
     def first(self) -> int:
         """Offset of the oldest record kept; the tail if there is none."""
         return self.records[0].offset if self.records else self.tail
 
-    def append(self, data: bytes) -> int:
+    def append(self, now_s: float, data: bytes) -> int:
         """Keep a record and return its offset.
 
+        :param now_s: current instant in seconds.
         :param data: the record.
         """
         offset = self.tail
         self.tail += 1
-        self.appends += 1
-        self.records.append(StoredRecord(offset, self.clock.monotonic(), data))
+        self.records.append(StoredRecord(offset, now_s, data))
         self.wake_readers()
         return offset
 
@@ -82,25 +71,74 @@
         self.changed.set()
         self.changed = anyio.Event()
 
-    def forget_old(self) -> None:
-        """Drop records that are older than the retention."""
-        oldest_s = self.clock.monotonic() - self.settings.retention_s
-        while self.records and self.records[0].at_s < oldest_s:
-            self.records.popleft()
-
-    def read(self, offset: int, limit: int) -> list[StoredRecord]:
+    def read(self, now_s: float, offset: int, limit: int) -> list[StoredRecord]:
         """Return kept records from an offset on.
 
+        :param now_s: current instant in seconds.
         :param offset: first offset wanted.
         :param limit: most records to return.
         """
-        self.forget_old()
+        while self.records and self.records[0].at_s < now_s - self.retention_s:
+            self.records.popleft()
         start = max(0, offset - self.first)
         stop = min(len(self.records), start + limit)
         if start >= stop:
             return []
         return [self.records[index] for index in range(start, stop)]
 
+
+class StandinLog(Standin[LogFaults]):
+    """Log in memory with retention, an append budget and faults.
+
+    :param settings: limits of the log.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self, settings: StandinLogSettings, *, clock: Clock | None = None
+    ) -> None:
+        super().__init__(settings.listen, settings.record_bytes, LogFaults())
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.rng = random.Random(settings.seed)
+        self.streams: dict[str, LogStream] = {}
+        self.main = self.stream(MAIN_STREAM)
+        self.budget = float(settings.append_burst)
+        self.budget_s = self.clock.monotonic()
+        self.appends = 0
+        self.reads = 0
+        self.refused = 0
+        self.late: deque[tuple[float, LogStream, bytes]] = deque()
+        self.late_added = anyio.Event()
+
+    def stream(self, name: str) -> LogStream:
+        """Return the stream of a name, made when it is first used.
+
+        :param name: name of the stream.
+        :raises BadRequestError: if there are too many streams.
+        """
+        stream = self.streams.get(name)
+        if stream is not None:
+            return stream
+        if len(self.streams) >= MAX_STREAMS:
+            raise BadRequestError(f"The log has {MAX_STREAMS} streams already.")
+        self.streams[name] = LogStream(self.settings.retention_s)
+        return self.streams[name]
+
+    def append(self, data: bytes, stream: LogStream | None = None) -> int:
+        """Keep a record and return its offset.
+
+        :param data: the record.
+        :param stream: stream to append to; the main one if absent.
+        """
+        self.appends += 1
+        return (stream or self.main).append(self.clock.monotonic(), data)
+
+    def wake_readers(self) -> None:
+        """Let waiting reads look again."""
+        for stream in self.streams.values():
+            stream.wake_readers()
+
     def take_budget(self) -> None:
         """Spend one append.
 
@@ -141,8 +179,9 @@
             "appends": self.appends,
             "reads": self.reads,
             "refused": self.refused,
-            "first": self.first,
-            "tail": self.tail,
+            "first": self.main.first,
+            "tail": self.main.tail,
+            "tails": {name: item.tail for name, item in self.streams.items()},
             "waiting_late": len(self.late),
         }
 
@@ -151,19 +190,32 @@
 
         :param request: the request.
         """
-        if request.path != "/records" or request.method not in ("GET", "POST"):
-            raise self.no_such_path(request)
+        stream = self.stream_of(request)
         await anyio.sleep(self.faults.delay_s)
         self.check_outage()
         if request.method == "POST":
-            await self.answer_append(request)
+            await self.answer_append(request, stream)
         else:
-            await self.answer_read(request)
+            await self.answer_read(request, stream)
 
-    async def answer_append(self, request: StandinRequest) -> None:
+    def stream_of(self, request: StandinRequest) -> LogStream:
+        """Return the stream that a path names.
+
+        :param request: request for ``/records`` or ``/streams/{name}/records``.
+        """
+        parts = request.parts
+        if request.method in ("GET", "POST"):
+            if parts == ["records"]:
+                return self.main
+            if len(parts) == 3 and (parts[0], parts[2]) == ("streams", "records"):
+                return self.stream(parts[1])
+        raise self.no_such_path(request)
+
+    async def answer_append(self, request: StandinRequest, stream: LogStream) -> None:
         """Append a record, subject to the faults.
 
         :param request: request with the record as its body.
+        :param stream: stream to append to.
         """
         if not request.body:
             raise BadRequestError("The record is empty.")
@@ -173,10 +225,10 @@
                 self.faults, late_appends=self.faults.late_appends - 1
             )
             due_s = self.clock.monotonic() + self.faults.late_s
-            self.late.append((due_s, request.body))
+            self.late.append((due_s, stream, request.body))
             self.late_added.set()
             raise JasminewalkError(code=Code.LOG_UNAVAILABLE)
-        offset = self.append(request.body)
+        offset = self.append(request.body, stream)
         if self.loses_answer():
             await self.lose_answer(request)
             return
@@ -192,23 +244,24 @@
             return True
         return self.faults.loss > 0 and self.rng.random() < self.faults.loss
 
-    async def answer_read(self, request: StandinRequest) -> None:
+    async def answer_read(self, request: StandinRequest, stream: LogStream) -> None:
         """Send a page of records, waiting for one if asked to.
 
         :param request: request with offset, limit and wait.
+        :param stream: stream to read.
         """
         self.reads += 1
         offset = int(request.number("offset", 1, 1 << 62))
         limit = int(request.number("limit", 1000, MAX_PAGE_RECORDS))
         wait_s = request.number("wait_s", 0.0, MAX_WAIT_S)
-        records = self.read(offset, limit)
+        records = stream.read(self.clock.monotonic(), offset, limit)
         if not records:
-            await self.wait_for_record(offset, wait_s)
+            await self.wait_for_record(stream, offset, wait_s)
             self.check_outage()
-            records = self.read(offset, limit)
+            records = stream.read(self.clock.monotonic(), offset, limit)
         self.check_silence(request)
         rows = [(record.offset, record.data) for record in records]
-        body = msgspec.msgpack.encode((self.first, self.tail, rows))
+        body = msgspec.msgpack.encode((stream.first, stream.tail, rows))
         headers = [
             (b"content-type", b"application/msgpack"),
             (b"content-length", str(len(body)).encode()),
@@ -217,17 +270,20 @@
         await request.send(start)
         await request.send({"type": "http.response.body", "body": body})
 
-    async def wait_for_record(self, offset: int, wait_s: float) -> None:
+    async def wait_for_record(
+        self, stream: LogStream, offset: int, wait_s: float
+    ) -> None:
         """Wait until a record is there, the log goes down or the wait is over.
 
+        :param stream: stream to read.
         :param offset: offset wanted.
         :param wait_s: longest wait in seconds.
         """
         with anyio.move_on_after(wait_s):
-            while self.tail <= offset and not self.faults.outage:
+            while stream.tail <= offset and not self.faults.outage:
                 if self.stopping.is_set():
                     return
-                await self.changed.wait()
+                await stream.changed.wait()
 
     def stop(self) -> None:
         """End waiting reads, finish open requests, then return from ``run``."""
@@ -240,7 +296,7 @@
             if not self.late:
                 self.late_added = anyio.Event()
                 await self.late_added.wait()
-            due_s, data = self.late[0]
+            due_s, stream, data = self.late[0]
             await anyio.sleep(max(0.0, due_s - self.clock.monotonic()))
-            self.append(data)
+            self.append(data, stream)
             self.late.popleft()
