--- a/src/jasminewalk/operators_http.py
+++ b/src/jasminewalk/operators_http.py
@@ -14,7 +14,12 @@
 
 
 class StatusSource(ABC):
-    """What a daemon tells operators about itself."""
+    """What a daemon tells operators about itself.
+
+    :param stopping: whether the daemon is shutting down.
+    """
+
+    stopping: bool = False
 
     @property
     @abstractmethod
@@ -36,7 +41,6 @@
         """
         return None
 
-
     def subject(self, subject: str) -> SnapshotEntry | None:
         """Return the revision of a subject of the configuration in force.
 
@@ -67,7 +71,7 @@
         if path == "/healthz":
             await send_json(send, 200, {"ok": True})
         elif path == "/readyz":
-            ready = self.source.is_ready
+            ready = self.source.is_ready and not self.source.stopping
             await send_json(send, 200 if ready else 503, {"ready": ready})
         elif path == "/metrics":
             await self.send_metrics(send)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -109,6 +109,16 @@
     assert (await publish())[-1].startswith("In force on all live instances")
 
 
+async def test_readiness_ends_when_a_daemon_stops(deployment):
+    entry = deployment.entries["entry-0"]
+    async with http_client() as pool:
+        url = url_of(entry.control_address, "/readyz")
+        assert (await pool.request("GET", url)).status == 200
+        entry.stopping = True
+        assert (await pool.request("GET", url)).status == 503
+        entry.stopping = False
+
+
 async def test_load_counts_every_request(deployment, publish):
     await publish()
     kinds = {
