--- /dev/null
+++ b/src/jasminewalk/_order_change.py
@@ -0,0 +1,137 @@
+"""A change of an engine under way, and the grant that an earlier process left."""
+
+import random
+from typing import Literal
+
+import attrs
+
+from jasminewalk.generated_records import EndpointEntry, GrantRecord
+from jasminewalk.generated_requests import EngineOrder, EngineState
+from jasminewalk.log_writer import new_record_id
+from jasminewalk.order_actions import OrderSettings, WantedState
+
+__all__ = ["Change", "OlderGrant", "grant_record", "is_busy", "matches"]
+
+Phase = Literal["proposed", "draining", "ordered", "ended"]
+
+
+@attrs.define(kw_only=True)
+class Change:
+    """A change between its proposal and its outcome.
+
+    :param record_id: identifier of the record that proposes it.
+    :param wanted: the wanted state.
+    :param proposed_s: instant before its append, from which its grant counts.
+    :param is_takeover: whether it finishes an earlier process's change.
+    :param phase: how far it is.
+    :param grant: offset of the accepted grant; 0 before.
+    :param sent_s: instant at which its order was last sent.
+    :param unanswered: orders that were sent and not answered.
+    """
+
+    record_id: str
+    wanted: WantedState
+    proposed_s: float
+    is_takeover: bool
+    phase: Phase = "proposed"
+    grant: int = 0
+    sent_s: float = 0.0
+    unanswered: int = 0
+
+    @property
+    def order(self) -> EngineOrder:
+        """The order that states the wanted state in full."""
+        return EngineOrder(
+            fencing_number=self.grant,
+            role=self.wanted.role,
+            models=list(self.wanted.models),
+            version=self.wanted.version,
+        )
+
+
+@attrs.define(kw_only=True)
+class OlderGrant:
+    """The last grant of an earlier process that was seen open.
+
+    :param grant: offset of the grant; 0 for none.
+    :param lapses_s: instant by which none of its orders can be under way.
+    :param is_unfinishable: whether the pool cannot bear the change it stood for.
+    """
+
+    grant: int = 0
+    lapses_s: float = float("-inf")
+    is_unfinishable: bool = False
+
+    def observe(self, now_s: float, entry: EndpointEntry, margin_s: float) -> None:
+        """Take an open grant; its lifetime counts from the first sight of it.
+
+        :param now_s: current instant in seconds.
+        :param entry: the endpoint with the open grant.
+        :param margin_s: seconds an order may travel, clock drift included.
+        """
+        if self.grant == entry.grant:
+            return
+        self.grant = entry.grant
+        self.lapses_s = now_s + entry.lifetime_s + margin_s
+        self.is_unfinishable = False
+
+    def wanted(self, entry: EndpointEntry) -> WantedState:
+        """Return the state that finishes the change, or keeps the role.
+
+        :param entry: the endpoint with the open grant.
+        """
+        return WantedState(
+            role=entry.role if self.is_unfinishable else entry.wanted_role,
+            models=tuple(entry.wanted_models),
+            version=entry.wanted_version,
+            reason=f"finish grant {entry.grant}",
+        )
+
+
+def grant_record(
+    settings: OrderSettings,
+    entry: EndpointEntry,
+    pool_revision: int,
+    wanted: WantedState,
+    rng: random.Random,
+) -> GrantRecord:
+    """Return the record that proposes a change.
+
+    :param settings: limits of the orders.
+    :param entry: the endpoint as the log has it.
+    :param pool_revision: offset of the last accepted role change of the pool.
+    :param wanted: the wanted state.
+    :param rng: random source for identifiers.
+    """
+    return GrantRecord(
+        record_id=new_record_id(rng, settings.incarnation),
+        endpoint=settings.endpoint,
+        pool=settings.pool,
+        incarnation=settings.incarnation,
+        base_grant=entry.grant,
+        base_pool_revision=pool_revision,
+        role=wanted.role,
+        models=list(wanted.models),
+        version=wanted.version,
+        lifetime_s=settings.lifetime_s,
+        reason=wanted.reason,
+    )
+
+
+def is_busy(actual: EngineState | None) -> bool:
+    """Return whether an engine reports that it carries out an order.
+
+    :param actual: what the engine reports.
+    """
+    return actual is not None and actual.changing
+
+
+def matches(actual: EngineState, wanted: WantedState) -> bool:
+    """Return whether an engine is in the wanted state.
+
+    :param actual: what the engine reports.
+    :param wanted: the wanted state.
+    """
+    if actual.role != wanted.role or set(actual.models) != set(wanted.models):
+        return False
+    return not wanted.version or actual.version == wanted.version
--- a/src/jasminewalk/at_most_once.py
+++ b/src/jasminewalk/at_most_once.py
@@ -3,13 +3,13 @@
 import random
 from typing import Any, Literal
 
+from jasminewalk._claim_rules import ClaimRules
 from jasminewalk._claim_state import (
     ClaimBatches,
     ClaimRequest,
     KeyState,
     refusal_of,
     refuse,
-    replay,
 )
 from jasminewalk.claim_actions import (
     ClaimAction,
@@ -59,8 +59,7 @@
         self.settings = settings
         self.fold = fold
         self.rng = rng
-        self.log_available = True
-        self.draining = False
+        self.rules = ClaimRules(settings, fold)
         self.keys: dict[str, KeyState] = {}
         self.key_by_request: dict[str, str] = {}
         self.batches = ClaimBatches(settings, rng)
@@ -70,6 +69,24 @@
         """Whether no request waits or runs and every outcome is on the log."""
         return not self.keys and not self.batches.outcomes.items
 
+    @property
+    def log_available(self) -> bool:
+        """Whether the log answers; without it no claim is made."""
+        return self.rules.log_available
+
+    @log_available.setter
+    def log_available(self, value: bool) -> None:
+        self.rules.log_available = value
+
+    @property
+    def draining(self) -> bool:
+        """Whether the endpoint takes no new work."""
+        return self.rules.draining
+
+    @draining.setter
+    def draining(self, value: bool) -> None:
+        self.rules.draining = value
+
     def request(
         self,
         now_s: float,
@@ -103,14 +120,14 @@
         :param now_s: current instant in seconds.
         :param request: a request without a claim of its own.
         """
-        known = self.known_outcome(request)
+        state = self.keys.get(request.key)
+        known = self.rules.known_outcome(request, state)
         if known is not None:
             return self.close(known)
-        state = self.keys.get(request.key)
-        if self.is_held(request, state):
+        if self.rules.is_held(request, state):
             self.key_state(request.key).waiting[request.request_id] = request
             return []
-        refusal = self.refusal(now_s, request)
+        refusal = self.rules.refusal(now_s, request)
         if refusal is not None:
             return self.close(refuse(request, refusal))
         request.record_id = ""
@@ -119,67 +136,6 @@
         self.batches.claims.add(now_s, request)
         return self.due_claims(now_s)
 
-    def known_outcome(
-        self, request: ClaimRequest
-    ) -> ReplyToRequest | RefuseRequest | None:
-        """Return the answer that an earlier request decides, if one does.
-
-        :param request: the request.
-        """
-        entry = self.fold.claim(request.key)
-        if entry is None:
-            if not self.fold.claims.is_expired(request.key):
-                return self.reused_locally(request)
-            return refuse(request, refusal_of(Code.KEY_EXPIRED))
-        if entry.fingerprint != request.fingerprint:
-            return refuse(request, refusal_of(Code.KEY_REUSED))
-        state = self.keys.get(request.key)
-        outcome = state.outcome if state else None
-        if outcome is not None and outcome.claim == entry.claim:
-            return replay(request, outcome)
-        return replay(request, entry)
-
-    def reused_locally(self, request: ClaimRequest) -> RefuseRequest | None:
-        """Refuse a request whose key is being claimed for another one.
-
-        :param request: the request.
-        """
-        state = self.keys.get(request.key)
-        owner = state.owner if state else None
-        if owner is None or owner.fingerprint == request.fingerprint:
-            return None
-        return refuse(request, refusal_of(Code.KEY_REUSED))
-
-    def is_held(self, request: ClaimRequest, state: KeyState | None) -> bool:
-        """Return whether another request has or may get the claim of the key.
-
-        :param request: the request.
-        :param state: what this process knows of the key.
-        """
-        if state is not None and state.owner not in (None, request):
-            return True
-        entry = self.fold.claim(request.key)
-        return entry is not None and not entry.outcome
-
-    def refusal(self, now_s: float, request: ClaimRequest) -> Refusal | None:
-        """Return why a request cannot be claimed now, or nothing.
-
-        :param now_s: current instant in seconds.
-        :param request: the request.
-        """
-        settings = self.settings
-        if now_s >= request.deadline_s:
-            return refusal_of(Code.DEADLINE_PASSED, "not_run")
-        if self.draining:
-            return refusal_of(Code.DRAINING, retry_after_s=settings.retry_after_s)
-        if not self.fold.is_registered(settings.endpoint, settings.incarnation):
-            return refusal_of(Code.NOT_READY, retry_after_s=settings.retry_after_s)
-        if not self.log_available or not self.fold.ready:
-            return refusal_of(
-                Code.LOG_UNAVAILABLE, retry_after_s=settings.retry_after_s
-            )
-        return None
-
     def due_claims(self, now_s: float) -> list[ClaimAction]:
         """Return the record of the claims that are due.
 
--- a/src/jasminewalk/authority.py
+++ b/src/jasminewalk/authority.py
@@ -3,8 +3,13 @@
 import random
 from typing import Literal
 
-import attrs
-
+from jasminewalk._order_change import (
+    Change,
+    OlderGrant,
+    grant_record,
+    is_busy,
+    matches,
+)
 from jasminewalk.fold import LogFold
 from jasminewalk.fold_events import (
     FoldEvent,
@@ -13,12 +18,8 @@
     GrantRejected,
     StateReplaced,
 )
-from jasminewalk.generated_records import (
-    EndpointEntry,
-    GrantOutcomeRecord,
-    GrantRecord,
-)
-from jasminewalk.generated_requests import EngineOrder, EngineState
+from jasminewalk.generated_records import EndpointEntry, GrantOutcomeRecord
+from jasminewalk.generated_requests import EngineState
 from jasminewalk.log_writer import AppendRecord, new_record_id
 from jasminewalk.order_actions import (
     ChangeEnded,
@@ -35,20 +36,6 @@
 
 __all__ = ["OrderController"]
 
-Phase = Literal["proposed", "draining", "ordered", "ended"]
-
-
-@attrs.define(kw_only=True)
-class _Change:
-    record_id: str
-    wanted: WantedState
-    proposed_s: float
-    is_takeover: bool
-    phase: Phase = "proposed"
-    grant: int = 0
-    sent_s: float = 0.0
-    unanswered: int = 0
-
 
 class OrderController:
     """Brings one engine into its wanted state, one order at a time.
@@ -72,10 +59,8 @@
         self.wanted: WantedState | None = None
         self.actual: EngineState | None = None
         self.actual_s = float("-inf")
-        self.change: _Change | None = None
-        self.older_grant = 0
-        self.older_lapses_s = float("-inf")
-        self.unfinishable_grant = 0
+        self.change: Change | None = None
+        self.older = OlderGrant()
         self.retry_at_s = 0.0
         self.reserved: tuple[str, ...] = ()
         self.reserving = False
@@ -174,29 +159,18 @@
         :param now_s: current instant in seconds.
         :param entry: the endpoint with the open grant.
         """
-        if self.older_grant != entry.grant:
-            self.older_grant = entry.grant
-            self.older_lapses_s = now_s + entry.lifetime_s + self.settings.margin_s
-        if not self.settings.checks_fencing and now_s < self.older_lapses_s:
+        self.older.observe(now_s, entry, self.settings.margin_s)
+        if not self.settings.checks_fencing and now_s < self.older.lapses_s:
             return []
-        role = entry.wanted_role
-        if self.unfinishable_grant == entry.grant:
-            if not self.is_quiet():
-                return []
-            role = entry.role
-        wanted = WantedState(
-            role=role,
-            models=tuple(entry.wanted_models),
-            version=entry.wanted_version,
-            reason=f"finish grant {entry.grant}",
-        )
-        return self.propose(now_s, entry, wanted, is_takeover=True)
+        if self.older.is_unfinishable and not self.is_quiet():
+            return []
+        return self.propose(now_s, entry, self.older.wanted(entry), is_takeover=True)
 
     def is_quiet(self) -> bool:
         """Return whether no order of an older grant is or can get under way."""
         if self.actual is None or self.actual.changing:
             return False
-        return self.actual_s >= self.older_lapses_s
+        return self.actual_s >= self.older.lapses_s
 
     def missing_artifacts(self, wanted: WantedState) -> tuple[str, ...]:
         """Return the wanted models and adapters that are not loaded.
@@ -226,20 +200,9 @@
         :param wanted: the wanted state.
         :param is_takeover: whether it finishes an earlier process's change.
         """
-        record = GrantRecord(
-            record_id=new_record_id(self.rng, self.settings.incarnation),
-            endpoint=self.settings.endpoint,
-            pool=self.settings.pool,
-            incarnation=self.settings.incarnation,
-            base_grant=entry.grant,
-            base_pool_revision=self.fold.pool_revision(self.settings.pool),
-            role=wanted.role,
-            models=list(wanted.models),
-            version=wanted.version,
-            lifetime_s=self.settings.lifetime_s,
-            reason=wanted.reason,
-        )
-        self.change = _Change(
+        revision = self.fold.pool_revision(self.settings.pool)
+        record = grant_record(self.settings, entry, revision, wanted, self.rng)
+        self.change = Change(
             record_id=record.record_id,
             wanted=wanted,
             proposed_s=now_s,
@@ -267,7 +230,7 @@
                 return self.replaced(now_s, change)
         return []
 
-    def accepted(self, now_s: float, change: _Change, grant: int) -> list[OrderAction]:
+    def accepted(self, now_s: float, change: Change, grant: int) -> list[OrderAction]:
         """Drain the engine under an accepted grant.
 
         :param now_s: current instant in seconds.
@@ -282,7 +245,7 @@
         return [StartDrain(reason=reason), *self.tick(now_s)]
 
     def rejected(
-        self, now_s: float, change: _Change, event: GrantRejected
+        self, now_s: float, change: Change, event: GrantRejected
     ) -> list[OrderAction]:
         """Give up a proposal that the log did not accept.
 
@@ -296,8 +259,7 @@
         if event.rejection not in ("minimum", "pool_revision") or entry is None:
             return []
         if change.is_takeover:
-            if event.rejection == "minimum":
-                self.unfinishable_grant = event.winner
+            self.older.is_unfinishable = event.rejection == "minimum"
             return []
         if change.wanted.role == entry.role:
             return []
@@ -305,7 +267,7 @@
             self.wanted = None
         return [ProposalRejected(wanted=change.wanted, rejection=event.rejection)]
 
-    def replaced(self, now_s: float, change: _Change) -> list[OrderAction]:
+    def replaced(self, now_s: float, change: Change) -> list[OrderAction]:
         """Compare the change with a state that was rebuilt from a snapshot.
 
         :param now_s: current instant in seconds.
@@ -321,7 +283,7 @@
         return []
 
     def advance(
-        self, now_s: float, entry: EndpointEntry, change: _Change
+        self, now_s: float, entry: EndpointEntry, change: Change
     ) -> list[OrderAction]:
         """Go on with a change.
 
@@ -355,7 +317,7 @@
         change.phase = "ordered"
         return self.send(now_s, change)
 
-    def send(self, now_s: float, change: _Change) -> list[OrderAction]:
+    def send(self, now_s: float, change: Change) -> list[OrderAction]:
         """Send the order.
 
         :param now_s: current instant in seconds.
@@ -363,13 +325,7 @@
         """
         change.sent_s = now_s
         change.unanswered += 1
-        order = EngineOrder(
-            fencing_number=change.grant,
-            role=change.wanted.role,
-            models=list(change.wanted.models),
-            version=change.wanted.version,
-        )
-        return [SendOrder(order=order, valid_until_s=self.lapses_s(change))]
+        return [SendOrder(order=change.order, valid_until_s=self.lapses_s(change))]
 
     def order_answered(self, fencing_number: int) -> None:
         """Take that the engine answered an order, so that it is not under way.
@@ -393,7 +349,7 @@
         return self.drop_change()
 
     def watch_engine(
-        self, now_s: float, entry: EndpointEntry, change: _Change
+        self, now_s: float, entry: EndpointEntry, change: Change
     ) -> list[OrderAction]:
         """End a change once the engine shows its end, or send the order again.
 
@@ -415,7 +371,7 @@
             return self.end(entry, change, "abandoned", actual.role)
         return []
 
-    def abandon(self, entry: EndpointEntry, change: _Change) -> list[OrderAction]:
+    def abandon(self, entry: EndpointEntry, change: Change) -> list[OrderAction]:
         """End a change whose order was never sent.
 
         :param entry: the endpoint as the log has it.
@@ -426,7 +382,7 @@
     def end(
         self,
         entry: EndpointEntry,
-        change: _Change,
+        change: Change,
         outcome: Literal["done", "abandoned"],
         role: Role,
     ) -> list[OrderAction]:
@@ -473,28 +429,9 @@
         """
         return self.actual.role if self.actual is not None else entry.role
 
-    def lapses_s(self, change: _Change) -> float:
+    def lapses_s(self, change: Change) -> float:
         """Return the instant at which a change's grant lapses.
 
         :param change: the change.
         """
         return change.proposed_s + self.settings.lifetime_s
-
-
-def is_busy(actual: EngineState | None) -> bool:
-    """Return whether an engine reports that it carries out an order.
-
-    :param actual: what the engine reports.
-    """
-    return actual is not None and actual.changing
-
-
-def matches(actual: EngineState, wanted: WantedState) -> bool:
-    """Return whether an engine is in the wanted state.
-
-    :param actual: what the engine reports.
-    :param wanted: the wanted state.
-    """
-    if actual.role != wanted.role or set(actual.models) != set(wanted.models):
-        return False
-    return not wanted.version or actual.version == wanted.version
