Pass on the demand of every class; feed no records to sidecars of services

Cause: the demand of a pool's classes overwrote each other on its way to the sidecars, so a planner saw one class only; and the sidecar of a service, which reports no revision since it follows its own stream, would have been fed the whole buffer at every greeting.

--- a/src/jasminewalk/entry_peers.py
+++ b/src/jasminewalk/entry_peers.py
@@ -260,11 +260,15 @@
     def feed(self, link: PeerLink) -> None:
         """Send the records that a sidecar lacks, or the news that it lacks none.
 
+        The sidecar of a service follows another stream of the log.
+
         :param link: the channel.
         """
         member = self.membership.members.get(link.endpoint)
         if member is None or member.report is None:
             return
+        if member.report.kind != "engine":
+            return
         offset = max(link.fed_offset, member.report.revision + 1)
         message = self.buffer.feed(offset)
         if message is not None:
@@ -293,13 +297,14 @@
             link.fed_offset = 0
 
     def send_demand(self, demands: Sequence[PoolDemand]) -> None:
-        """Pass evidence of demand on to the sidecars of each pool.
+        """Pass evidence of demand on to the sidecars of each pool's engines.
 
-        :param demands: what the entry saw.
+        :param demands: what the entry saw of each pool and class.
         """
-        by_pool = {demand.pool: demand for demand in demands}
+        by_pool: dict[str, list[PoolDemand]] = {}
+        for demand in demands:
+            by_pool.setdefault(demand.pool, []).append(demand)
         for endpoint, link in self.links.items():
             member = self.membership.members.get(endpoint)
-            demand = by_pool.get(member.pool) if member else None
-            if demand is not None:
+            for demand in by_pool.get(member.pool, ()) if member else ():
                 link.post(demand)
--- /dev/null
+++ b/tests/test_entry_peers.py
@@ -0,0 +1,71 @@
+import pytest
+
+from jasminewalk.entry_peers import PeerLink, PeerLinks
+from jasminewalk.generated_messages import LoadReport, PoolDemand, RecordFeed
+from jasminewalk.generated_requests import Instance
+from jasminewalk.generated_settings import EntrySettings, LogSettings, PeerSettings
+from jasminewalk.interfaces import LogEntry
+from jasminewalk.membership import Membership
+
+pytestmark = pytest.mark.anyio
+ENTRY = EntrySettings(
+    name="entry-1",
+    failure_domain="a",
+    listen="127.0.0.1:0",
+    log=LogSettings(address="127.0.0.1:1"),
+    instances_address="127.0.0.1:1",
+    peers=PeerSettings(shared_key="0123456789abcdef"),
+)
+
+
+@pytest.fixture
+async def links(clock):
+    membership = Membership(ENTRY)
+    made = PeerLinks(
+        settings=ENTRY,
+        incarnation="i",
+        clock=clock,
+        membership=membership,
+        handler=None,
+        revision=lambda: 0,
+    )
+    for kind in ("engine", "service"):
+        row = Instance(name=kind, kind=kind, address="a:1", pool=kind, state="live")
+        membership.observe_instances(0.0, [row])
+        report = LoadReport(
+            endpoint=kind,
+            incarnation="i",
+            sequence=1,
+            kind=kind,
+            pool=kind,
+            failure_domain="a",
+            address="a:1",
+            state="live",
+        )
+        membership.observe_report(0.0, report)
+        made.links[kind] = PeerLink(kind, None, 0.0)
+    return made
+
+
+async def test_sidecars_of_services_are_fed_no_records(links):
+    links.on_records([LogEntry(1, b"x")])
+    assert [type(m) for m in links.links["engine"].outbox] == [RecordFeed]
+    assert not links.links["service"].outbox
+
+
+async def test_demand_of_each_class_reaches_its_pool(links):
+    demands = [
+        PoolDemand(
+            entry="entry-1",
+            pool="engine",
+            period_s=1.0,
+            prompt_tokens=1,
+            output_tokens=1,
+            requests=1,
+            request_class=name,
+        )
+        for name in ("verdict", "helper")
+    ]
+    links.send_demand(demands)
+    assert list(links.links["engine"].outbox) == demands
+    assert not links.links["service"].outbox
