--- a/benchmarks/_figures.py
+++ b/benchmarks/_figures.py
@@ -287,7 +287,7 @@
         unit="%",
         value=lambda sums: sums.foreign_share * 100,
         limit=UNLIMITED,
-        carrier="own failure domain first in rank",
+        carrier="own failure domain first in rank, then own region",
     ),
 )
 
--- a/benchmarks/_sums.py
+++ b/benchmarks/_sums.py
@@ -281,18 +281,15 @@
     # Failure domains and regions
 
     @property
-    def pool_per_domain(self) -> float:
-        """Engines of one pool in one failure domain."""
-        return SIZE.engines / SIZE.models / SIZE.failure_domains
+    def pool_per_region(self) -> float:
+        """Engines of one pool in one region."""
+        return SIZE.engines / SIZE.models / SIZE.regions
 
     @property
     def foreign_share(self) -> float:
         """Part of an entry's subset that is in other regions."""
         pool = self.plan.subset / SIZE.models
-        elsewhere = max(0.0, pool - self.pool_per_domain)
-        domains = SIZE.failure_domains
-        foreign = domains * (1.0 - 1.0 / SIZE.regions)
-        return elsewhere * foreign / (domains - 1) / pool
+        return max(0.0, pool - self.pool_per_region) / pool
 
     @property
     def resumed_streams(self) -> float:
--- a/src/jasminewalk/generated_requests.py
+++ b/src/jasminewalk/generated_requests.py
@@ -171,6 +171,7 @@
     :param control_address: host:port of the control address.
     :param pool: pool name.
     :param failure_domain: failure domain name.
+    :param region: region name.
     :param state: state as the platform knows it.
     """
 
@@ -180,6 +181,7 @@
     control_address: str = ""
     pool: str = ""
     failure_domain: str = ""
+    region: str = ""
     state: Literal["live", "leaving"]
 
 
--- a/src/jasminewalk/generated_settings.py
+++ b/src/jasminewalk/generated_settings.py
@@ -61,6 +61,8 @@
 
     :param name: name of the entry.
     :param failure_domain: failure domain of the instance.
+    :param region: region of the instance; endpoints of the own region come
+        second after those of the own failure domain.
     :param listen: host:port for callers.
     :param control_listen: host:port for health, metrics and operators.
     :param log: the log service.
@@ -78,6 +80,7 @@
 
     name: str
     failure_domain: str
+    region: str = ""
     listen: Annotated[str, msgspec.Meta(pattern="^[^:\\s]+:[0-9]{1,5}$")]
     control_listen: Annotated[str, msgspec.Meta(pattern="^[^:\\s]+:[0-9]{1,5}$")] = (
         "127.0.0.1:0"
--- a/src/jasminewalk/membership.py
+++ b/src/jasminewalk/membership.py
@@ -26,6 +26,7 @@
     :param endpoint: endpoint name.
     :param pool: pool name.
     :param failure_domain: failure domain name.
+    :param region: region name.
     :param address: request address of its sidecar.
     :param control_address: control address of its sidecar.
     :param listed_s: instant at which the instance list last had it.
@@ -42,6 +43,7 @@
     endpoint: str
     pool: str
     failure_domain: str
+    region: str
     address: str
     control_address: str = ""
     listed_s: float = float("-inf")
@@ -72,6 +74,7 @@
 
     def __init__(self, settings: EntrySettings) -> None:
         self.failure_domain = settings.failure_domain
+        self.region = settings.region
         self.subset_size = settings.subset
         self.seed = xxhash.xxh3_64_intdigest(settings.name.encode())
         self.suspect_s = settings.peers.suspect_s
@@ -101,13 +104,16 @@
         """
         member = self.members.get(row.name)
         if member is None:
-            member = Member(row.name, row.pool, row.failure_domain, row.address)
+            member = Member(
+                row.name, row.pool, row.failure_domain, row.region, row.address
+            )
             self.members[row.name] = member
             self.place(member)
-        elif (row.pool, row.failure_domain) != (member.pool, member.failure_domain):
+        elif self.has_moved(member, row):
             self.displace(member)
             member.pool = row.pool
             member.failure_domain = row.failure_domain
+            member.region = row.region
             self.place(member)
         member.address = row.address
         member.control_address = row.control_address
@@ -115,6 +121,18 @@
         if row.state == "leaving":
             member.listed_leaving_s = now_s
 
+    def has_moved(self, member: Member, row: Instance) -> bool:
+        """Return whether a row has an endpoint in another place than known.
+
+        :param member: the endpoint.
+        :param row: its row of the instance list.
+        """
+        return (
+            row.pool != member.pool
+            or row.failure_domain != member.failure_domain
+            or row.region != member.region
+        )
+
     def place(self, member: Member) -> None:
         """Enter a member under its pool.
 
@@ -355,10 +373,14 @@
             self.ranked[pool] = ranked
         return ranked
 
-    def rank(self, member: Member) -> tuple[bool, int]:
-        """Return the sort key of a member: own failure domain, then its hash.
+    def rank(self, member: Member) -> tuple[bool, bool, int]:
+        """Return the sort key of a member: own failure domain, own region, its hash.
 
         :param member: the member.
         """
         weight = xxhash.xxh3_64_intdigest(member.endpoint.encode(), self.seed)
-        return member.failure_domain != self.failure_domain, weight
+        return (
+            member.failure_domain != self.failure_domain,
+            member.region != self.region,
+            weight,
+        )
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -15,6 +15,7 @@
         EntrySettings(
             name="entry-1",
             failure_domain="a",
+            region="north",
             listen="127.0.0.1:0",
             log=LogSettings(address="127.0.0.1:1"),
             instances_address="127.0.0.1:1",
@@ -31,7 +32,7 @@
     return made
 
 
-def row(name, state="live", domain="a", pool="p"):
+def row(name, state="live", domain="a", pool="p", region="north"):
     return Instance(
         name=name,
         kind="engine",
@@ -39,6 +40,7 @@
         control_address=f"{name}:2",
         pool=pool,
         failure_domain=domain,
+        region=region,
         state=state,
     )
 
@@ -169,6 +171,20 @@
     assert membership.usable(0.1, "p") == ["e1"]
 
 
+def test_subset_prefers_the_own_region_after_the_own_failure_domain():
+    membership = make_membership(subset=6)
+    rows = [row(f"a{n}") for n in range(2)]
+    rows += [row(f"b{n}", domain="b") for n in range(3)]
+    rows += [row(f"s{n}", domain="c", region="south") for n in range(9)]
+    membership.observe_instances(0.0, rows)
+    subset = membership.subset(0.0)
+    assert sorted(subset[:2]) == ["a0", "a1"]
+    assert sorted(subset[2:5]) == ["b0", "b1", "b2"]
+    assert [name[0] for name in subset[5:]] == ["s"]
+    membership.observe_instances(0.0, [row("s0", domain="c"), row("b0", domain="b")])
+    assert "s0" in membership.subset(0.0)[2:6]
+
+
 def test_subset_prefers_the_own_failure_domain_and_is_stable():
     membership = make_membership(subset=4)
     rows = [row(f"e{n}", domain="a" if n % 2 else "b") for n in range(20)]
