--- a/src/jasminewalk/_cli_daemons.py
+++ b/src/jasminewalk/_cli_daemons.py
@@ -9,6 +9,7 @@
 import attrs
 from absl import logging
 
+from jasminewalk._cli_text import text_arguments
 from jasminewalk.exceptions import BadSettingsError
 from jasminewalk.logs import configure_logging
 
@@ -43,6 +44,7 @@
 class Standins:
     """Small stand-ins for the platform and the back ends, for tests and trials."""
 
+    @text_arguments("settings")
     def engine(self, settings: str, verbosity: int = 0) -> Action:
         """Run an engine stand-in until SIGTERM.
 
@@ -56,6 +58,7 @@
             lambda: serve(StandinEngine, StandinEngineSettings, settings, verbosity)
         )
 
+    @text_arguments("settings")
     def service(self, settings: str, verbosity: int = 0) -> Action:
         """Run a service stand-in until SIGTERM.
 
@@ -69,6 +72,7 @@
             lambda: serve(StandinService, StandinServiceSettings, settings, verbosity)
         )
 
+    @text_arguments("settings")
     def log(self, settings: str, verbosity: int = 0) -> Action:
         """Run a stand-in of the platform's log until SIGTERM.
 
@@ -82,6 +86,7 @@
             lambda: serve(StandinLog, StandinLogSettings, settings, verbosity)
         )
 
+    @text_arguments("settings")
     def instances(self, settings: str, verbosity: int = 0) -> Action:
         """Run a stand-in of the platform's instance list until SIGTERM.
 
@@ -97,6 +102,7 @@
             )
         )
 
+    @text_arguments("settings")
     def weights(self, settings: str, verbosity: int = 0) -> Action:
         """Run a weight store stand-in until SIGTERM.
 
@@ -140,7 +146,7 @@
     from jasminewalk.settings import load_settings
 
     configure_logging(verbosity)
-    settings: Any = load_settings(str(file), settings_class)
+    settings: Any = load_settings(file, settings_class)
 
     async def run_daemon() -> None:
         daemon = daemon_class(settings)
--- a/src/jasminewalk/cli.py
+++ b/src/jasminewalk/cli.py
@@ -10,6 +10,7 @@
 from absl import logging
 
 from jasminewalk._cli_daemons import Action, Standins, run, serve, single
+from jasminewalk._cli_text import text_arguments
 from jasminewalk.exceptions import JasminewalkError
 from jasminewalk.generated_codes import Code
 from jasminewalk.logs import configure_logging
@@ -32,6 +33,7 @@
     def __init__(self) -> None:
         self.standin = Standins()
 
+    @text_arguments("settings")
     def entry(self, settings: str, verbosity: int = 0) -> Action:
         """Run an entry: accept callers and relay their answers, until SIGTERM.
 
@@ -43,6 +45,7 @@
 
         return Action(lambda: serve(EntryDaemon, EntrySettings, settings, verbosity))
 
+    @text_arguments("settings")
     def sidecar(self, settings: str, verbosity: int = 0) -> Action:
         """Run the sidecar of one endpoint until SIGTERM.
 
@@ -73,6 +76,7 @@
 
         return Action(do)
 
+    @text_arguments("file")
     def check(self, file: str) -> Action:
         """Check a settings, load or configuration file without publishing it.
 
@@ -80,8 +84,9 @@
         """
         from jasminewalk.file_checks import check_file
 
-        return Action(lambda: print(check_file(str(file))))
+        return Action(lambda: print(check_file(file)))
 
+    @text_arguments("file", "reason", "settings")
     def publish(
         self,
         file: str,
@@ -107,7 +112,7 @@
         from jasminewalk.publish import PublishOptions, publish_file
 
         options = PublishOptions(
-            file=str(file), dry_run=dry_run, base=base, reason=str(reason), wait=wait
+            file=file, dry_run=dry_run, base=base, reason=reason, wait=wait
         )
         return Action(
             lambda: run(
@@ -115,6 +120,7 @@
             )
         )
 
+    @text_arguments("settings")
     def status(
         self, json: bool = False, changes: int = 10, settings: str = ""
     ) -> Action:
@@ -133,6 +139,7 @@
 
         return Action(do)
 
+    @text_arguments("request_id", "settings")
     def explain(
         self, request_id: str, json: bool = False, settings: str = ""
     ) -> Action:
@@ -147,11 +154,12 @@
 
         def do() -> None:
             operator = _operator_settings(settings)
-            entry, trace = run(lambda: explain_request(operator, str(request_id)))
+            entry, trace = run(lambda: explain_request(operator, request_id))
             _show(trace, trace_lines(entry, trace), json)
 
         return Action(do)
 
+    @text_arguments("file", "out")
     def load(self, file: str, out: str = "reports/load") -> Action:
         """Send an open-loop load to a fleet and report percentiles and goodput.
 
@@ -160,8 +168,9 @@
         """
         from jasminewalk.load import run_load
 
-        return Action(lambda: run(lambda: run_load(str(file), str(out), print)))
+        return Action(lambda: run(lambda: run_load(file, out, print)))
 
+    @text_arguments("file", "json", "plot")
     def measure(
         self,
         file: str,
@@ -184,12 +193,12 @@
 
         return Action(
             lambda: run_measure(
-                str(file),
+                file,
                 variants=_items(variants),
                 policies=_items(policies) or DEFAULT_POLICIES,
                 seeds=[int(seed) for seed in _items(seeds)] or DEFAULT_SEEDS,
-                json_path=str(json),
-                plot_path=str(plot),
+                json_path=json,
+                plot_path=plot,
             )
         )
 
--- a/src/jasminewalk/inspection.py
+++ b/src/jasminewalk/inspection.py
@@ -1,5 +1,7 @@
 """What the commands ``status`` and ``explain`` gather from the fleet."""
 
+from urllib.parse import quote
+
 import anyio
 import msgspec
 
@@ -92,7 +94,9 @@
         found: dict[str, RequestTrace] = {}
 
         async def ask(row: Instance) -> None:
-            body = await reader.get(row.control_address, f"/explain/{request_id}")
+            body = await reader.get(
+                row.control_address, f"/explain/{quote(request_id, safe='')}"
+            )
             if body is not None:
                 found[row.name] = msgspec.json.decode(body, type=RequestTrace)
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -47,6 +47,7 @@
     assert finished.code == 0
     assert f"jasminewalk {command} - " in text
     assert "param" not in text
+    assert "GROUP" not in text
 
 
 @pytest.mark.parametrize("file", sorted(EXAMPLES.rglob("*.yaml")))
@@ -112,6 +113,12 @@
     )
 
 
+@pytest.mark.parametrize("name", ["1e3", "a,b", "[x]", "True"])
+def test_texts_stay_as_they_are_written(run_command, name):
+    finished = run_command("check", name)
+    assert f"{name}: cannot be read" in finished.err
+
+
 def test_a_mistyped_flag_stops_a_command_before_it_does_anything(run_command, tmp_path):
     path = tmp_path / "report"
     finished = run_command(
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -80,8 +80,9 @@
     entry, trace = await explain_request(settings, request_id)
     assert (entry, trace.outcome) == ("entry-0", "ok")
     assert trace.attempts[0].endpoint == "enrolment-0"
-    with pytest.raises(UnknownRequestError):
-        await explain_request(settings, "no-such-request")
+    for unknown in ("no-such-request", "a b?c#d/../status"):
+        with pytest.raises(UnknownRequestError):
+            await explain_request(settings, unknown)
 
 
 async def test_publish_survives_lost_answers_and_reports_an_outage(deployment, publish):
