--- a/src/jasminewalk/api.py
+++ b/src/jasminewalk/api.py
@@ -52,7 +52,7 @@
 
     @property
     @abstractmethod
-    def is_ready(self) -> bool:
+    def has_configuration(self) -> bool:
         """Whether the configuration in force has been read."""
 
 
@@ -143,7 +143,7 @@
                 f"There is nothing at {path[:100]!r}.", code=Code.UNKNOWN_PATH
             )
         organisation, area, rest = unquote(parts[2]), parts[3], parts[4]
-        raise_if_unready(self.readiness.is_ready)
+        raise_if_unready(self.readiness.has_configuration)
         request = CallerRequest.from_scope(
             exchange.scope,
             request_id=exchange.request_id,
--- a/src/jasminewalk/entry.py
+++ b/src/jasminewalk/entry.py
@@ -41,7 +41,7 @@
 
 PLATFORM_CONNECTIONS = 8
 LINGER_S = 0.3
-DEMAND_PERIOD_S = 1.0
+DEMAND_HEARTBEATS = 2
 
 
 class EntryDaemon(MessageHandler, FoldListener, StatusSource, ReadinessSource):
@@ -224,7 +224,9 @@
         while True:
             try:
                 rows = await instances.instances()
-                self.membership.observe_instances(self.clock.monotonic(), rows)
+                now_s = self.clock.monotonic()
+                for endpoint in self.membership.observe_instances(now_s, rows):
+                    self.router.forget(endpoint)
                 failing = False
             except OSError as error:
                 if not failing:
@@ -235,7 +237,7 @@
     async def send_demand(self) -> None:
         """Tell the sidecars what work arrives, until cancelled."""
         while True:
-            await anyio.sleep(DEMAND_PERIOD_S)
+            await anyio.sleep(DEMAND_HEARTBEATS * self.settings.peers.heartbeat_s)
             self.links.send_demand(self.router.demand(self.clock.monotonic()))
 
     def on_message(self, envelope: Envelope, pipe: Any) -> None:
@@ -283,10 +285,15 @@
         self.links.on_records(entries)
 
     @property
-    def is_ready(self) -> bool:
+    def has_configuration(self) -> bool:
         """Whether the configuration was read up to a tail seen after the start."""
         return self.follower is not None and self.follower.ready.is_set()
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return self.has_configuration and not self.stopping
+
     def status(self) -> EntryStatus:
         """Return the entry's state."""
         now_s = self.clock.monotonic()
--- a/src/jasminewalk/network.py
+++ b/src/jasminewalk/network.py
@@ -84,17 +84,15 @@
         :raises httpcore.ReadTimeout: if nothing came in time.
         :raises httpcore.ReadError: if the connection failed.
         """
-        if self.unsent:
-            await self.flush(timeout)
         try:
             if timeout is None:
-                return await self.stream.receive(max_bytes)
+                return await self.receive(max_bytes)
             if self.watch is None:
                 with anyio.fail_after(timeout):
-                    return await self.stream.receive(max_bytes)
+                    return await self.receive(max_bytes)
             self.watch.begin(self, timeout)
             try:
-                return await self.stream.receive(max_bytes)
+                return await self.receive(max_bytes)
             finally:
                 self.watch.end(self)
         except anyio.EndOfStream:
@@ -106,6 +104,22 @@
                 raise httpcore.ReadTimeout(error) from error
             raise httpcore.ReadError(error) from error
 
+    async def receive(self, max_bytes: int) -> bytes:
+        """Send what was held back, then return received bytes.
+
+        :param max_bytes: most bytes to return.
+        """
+        if self.unsent:
+            await self.stream.send(self.take_unsent())
+        return await self.stream.receive(max_bytes)
+
+    def take_unsent(self) -> bytes:
+        """Return what was held back and forget it."""
+        data = b"".join(self.unsent)
+        self.unsent.clear()
+        self.unsent_bytes = 0
+        return data
+
     def ended(self) -> bytes:
         """Return the end of the stream.
 
@@ -142,12 +156,9 @@
         :raises httpcore.WriteTimeout: if it could not be sent in time.
         :raises httpcore.WriteError: if the connection failed.
         """
-        data = b"".join(self.unsent)
-        self.unsent.clear()
-        self.unsent_bytes = 0
         try:
             with anyio.fail_after(timeout):
-                await self.stream.send(data)
+                await self.stream.send(self.take_unsent())
         except TimeoutError as error:
             raise httpcore.WriteTimeout(error) from error
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -67,7 +67,7 @@
 
 
 class FakeReadiness(ReadinessSource):
-    is_ready = True
+    has_configuration = True
 
 
 class Answer:
