--- a/src/jasminewalk/_claim_rules.py
+++ b/src/jasminewalk/_claim_rules.py
@@ -25,8 +25,6 @@
     def __init__(self, settings: ClaimSettings, fold: LogFold) -> None:
         self.settings = settings
         self.fold = fold
-        self.log_available = True
-        self.draining = False
 
     def known_outcome(
         self, request: ClaimRequest, state: KeyState | None
@@ -72,20 +70,28 @@
         entry = self.fold.claim(request.key)
         return entry is not None and not entry.outcome
 
-    def refusal(self, now_s: float, request: ClaimRequest) -> Refusal | None:
+    def refusal(
+        self,
+        now_s: float,
+        request: ClaimRequest,
+        log_available: bool,
+        draining: bool,
+    ) -> Refusal | None:
         """Return why a request cannot be claimed now, or nothing.
 
         :param now_s: current instant in seconds.
         :param request: the request.
+        :param log_available: whether the log answers.
+        :param draining: whether the endpoint takes no new work.
         """
         settings = self.settings
         if now_s >= request.deadline_s:
             return refusal_of(Code.DEADLINE_PASSED, "not_run")
-        if self.draining:
+        if draining:
             return refusal_of(Code.DRAINING, retry_after_s=settings.retry_after_s)
         if not self.fold.is_registered(settings.endpoint, settings.incarnation):
             return refusal_of(Code.NOT_READY, retry_after_s=settings.retry_after_s)
-        if not self.log_available or not self.fold.ready:
+        if not log_available or not self.fold.ready:
             return refusal_of(
                 Code.LOG_UNAVAILABLE, retry_after_s=settings.retry_after_s
             )
--- a/src/jasminewalk/_claim_state.py
+++ b/src/jasminewalk/_claim_state.py
@@ -11,6 +11,7 @@
     RefuseRequest,
     ReplyToRequest,
 )
+from jasminewalk.fold import LogFold
 from jasminewalk.generated_codes import RESULTS, Code, Ran
 from jasminewalk.generated_records import (
     Claim,
@@ -26,6 +27,7 @@
     "ClaimBatches",
     "ClaimRequest",
     "KeyState",
+    "KeyTable",
     "refusal_of",
     "refuse",
     "replay",
@@ -68,6 +70,80 @@
     outcome: ClaimOutcome | None = None
 
 
+class KeyTable:
+    """What one process knows of each key that its requests are about.
+
+    :param fold: state of the log.
+    """
+
+    def __init__(self, fold: LogFold) -> None:
+        self.fold = fold
+        self.state_by_key: dict[str, KeyState] = {}
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no request waits or runs and every outcome is on the log."""
+        return not self.state_by_key
+
+    def get(self, key: str) -> KeyState | None:
+        """Return what is known of a key, if anything.
+
+        :param key: the key.
+        """
+        return self.state_by_key.get(key)
+
+    def items(self) -> list[tuple[str, KeyState]]:
+        """Return all keys with what is known of them."""
+        return list(self.state_by_key.items())
+
+    def add(self, key: str) -> KeyState:
+        """Return what this process knows of a key.
+
+        :param key: the key.
+        """
+        return self.state_by_key.setdefault(key, KeyState())
+
+    def forget(self, key: str) -> None:
+        """Forget a key that no request of this process is about.
+
+        :param key: the key.
+        """
+        state = self.state_by_key.get(key)
+        if state is None or state.owner or state.waiting or state.outcome:
+            return
+        del self.state_by_key[key]
+
+    def drop_recorded(self, key: str, state: KeyState) -> None:
+        """Forget an outcome that the fold has, or has no more use for.
+
+        :param key: the key.
+        :param state: what this process knows of it.
+        """
+        if state.outcome is None:
+            return
+        entry = self.fold.claim(key)
+        if entry is None or entry.outcome or entry.claim != state.outcome.claim:
+            state.outcome = None
+            self.forget(key)
+
+    def owns(self, request: ClaimRequest) -> bool:
+        """Return whether a request still wants the claim of its key.
+
+        :param request: the request.
+        """
+        state = self.state_by_key.get(request.key)
+        return state is not None and state.owner is request
+
+    def next_wake_s(self) -> float:
+        """Return the instant at which the next request is given up."""
+        instants: list[float] = []
+        for state in self.state_by_key.values():
+            if state.owner is not None and not state.owner.running:
+                instants.append(state.owner.give_up_s)
+            instants.extend(request.give_up_s for request in state.waiting.values())
+        return min(instants, default=float("inf"))
+
+
 class ClaimBatches:
     """Collects claims and outcomes into records.
 
@@ -110,6 +186,15 @@
         give_up_s = max(request.give_up_s for request in due)
         return [AppendRecord(record=record, give_up_s=give_up_s)]
 
+    def end(self, now_s: float, outcome: ClaimOutcome) -> list[ClaimAction]:
+        """Put an outcome into the next record.
+
+        :param now_s: current instant in seconds.
+        :param outcome: the outcome.
+        """
+        self.outcomes.add(now_s, outcome)
+        return self.due_outcomes(now_s)
+
     def due_outcomes(self, now_s: float) -> list[ClaimAction]:
         """Return the record of the outcomes that are due.
 
--- a/src/jasminewalk/_fold_claims.py
+++ b/src/jasminewalk/_fold_claims.py
@@ -67,6 +67,13 @@
         """
         return self.claim_by_key.get(key)
 
+    def open_keys(self, endpoint: str) -> Iterable[str]:
+        """Return the keys of an endpoint's claims without an outcome.
+
+        :param endpoint: endpoint name.
+        """
+        return self.open_by_endpoint.get(endpoint, {})
+
     def is_expired(self, key: str) -> bool:
         """Return whether a key was used by a claim that is no longer kept.
 
@@ -185,7 +192,7 @@
         :param incarnation: identifier of the process that is registered now.
         """
         events: list[FoldEvent] = []
-        for key in list(self.open_by_endpoint.get(endpoint, ())):
+        for key in list(self.open_keys(endpoint)):
             current = self.claim_by_key[key]
             if current.incarnation == incarnation:
                 continue
--- a/src/jasminewalk/_order_change.py
+++ b/src/jasminewalk/_order_change.py
@@ -5,12 +5,21 @@
 
 import attrs
 
-from jasminewalk.generated_records import EndpointEntry, GrantRecord
+from jasminewalk.generated_records import EndpointEntry, GrantOutcomeRecord, GrantRecord
 from jasminewalk.generated_requests import EngineOrder, EngineState
-from jasminewalk.log_writer import new_record_id
-from jasminewalk.order_actions import OrderSettings, WantedState
-
-__all__ = ["Change", "OlderGrant", "grant_record", "is_busy", "matches"]
+from jasminewalk.log_writer import AppendRecord, new_record_id
+from jasminewalk.order_actions import OrderSettings, Role, WantedState
+
+__all__ = [
+    "Change",
+    "OlderGrant",
+    "grant_record",
+    "is_busy",
+    "known_role",
+    "matches",
+    "missing_artifacts",
+    "outcome_append",
+]
 
 Phase = Literal["proposed", "draining", "ordered", "ended"]
 
@@ -118,6 +127,49 @@
     )
 
 
+def outcome_append(
+    settings: OrderSettings,
+    entry: EndpointEntry,
+    outcome: Literal["done", "abandoned"],
+    role: Role,
+    rng: random.Random,
+) -> AppendRecord:
+    """Return the append of the record that ends the open grant of an endpoint.
+
+    :param settings: limits of the orders.
+    :param entry: the endpoint as the log has it.
+    :param outcome: how the change ended.
+    :param role: role in force.
+    :param rng: random source for identifiers.
+    """
+    record = GrantOutcomeRecord(
+        record_id=new_record_id(rng, settings.incarnation),
+        endpoint=settings.endpoint,
+        grant=entry.grant,
+        outcome=outcome,
+        role=role,
+    )
+    return AppendRecord(record=record)
+
+
+def missing_artifacts(actual: EngineState, wanted: WantedState) -> tuple[str, ...]:
+    """Return the wanted models and adapters that an engine has not loaded.
+
+    :param actual: what the engine reports.
+    :param wanted: the wanted state.
+    """
+    return tuple(name for name in wanted.models if name not in actual.models)
+
+
+def known_role(actual: EngineState | None, entry: EndpointEntry) -> Role:
+    """Return the role of an engine, as far as it is known.
+
+    :param actual: what the engine reports.
+    :param entry: the endpoint as the log has it.
+    """
+    return actual.role if actual is not None else entry.role
+
+
 def is_busy(actual: EngineState | None) -> bool:
     """Return whether an engine reports that it carries out an order.
 
--- a/src/jasminewalk/at_most_once.py
+++ b/src/jasminewalk/at_most_once.py
@@ -7,7 +7,7 @@
 from jasminewalk._claim_state import (
     ClaimBatches,
     ClaimRequest,
-    KeyState,
+    KeyTable,
     refusal_of,
     refuse,
 )
@@ -59,33 +59,17 @@
         self.settings = settings
         self.fold = fold
         self.rng = rng
+        self.log_available = True
+        self.draining = False
         self.rules = ClaimRules(settings, fold)
-        self.keys: dict[str, KeyState] = {}
+        self.keys = KeyTable(fold)
         self.key_by_request: dict[str, str] = {}
         self.batches = ClaimBatches(settings, rng)
 
     @property
     def idle(self) -> bool:
         """Whether no request waits or runs and every outcome is on the log."""
-        return not self.keys and not self.batches.outcomes.items
-
-    @property
-    def log_available(self) -> bool:
-        """Whether the log answers; without it no claim is made."""
-        return self.rules.log_available
-
-    @log_available.setter
-    def log_available(self, value: bool) -> None:
-        self.rules.log_available = value
-
-    @property
-    def draining(self) -> bool:
-        """Whether the endpoint takes no new work."""
-        return self.rules.draining
-
-    @draining.setter
-    def draining(self, value: bool) -> None:
-        self.rules.draining = value
+        return self.keys.is_empty and not self.batches.outcomes.items
 
     def request(
         self,
@@ -125,31 +109,16 @@
         if known is not None:
             return self.close(known)
         if self.rules.is_held(request, state):
-            self.key_state(request.key).waiting[request.request_id] = request
+            self.keys.add(request.key).waiting[request.request_id] = request
             return []
-        refusal = self.rules.refusal(now_s, request)
+        refusal = self.rules.refusal(now_s, request, self.log_available, self.draining)
         if refusal is not None:
             return self.close(refuse(request, refusal))
         request.record_id = ""
         request.give_up_s = min(request.deadline_s, now_s + self.settings.claim_wait_s)
-        self.key_state(request.key).owner = request
+        self.keys.add(request.key).owner = request
         self.batches.claims.add(now_s, request)
-        return self.due_claims(now_s)
-
-    def due_claims(self, now_s: float) -> list[ClaimAction]:
-        """Return the record of the claims that are due.
-
-        :param now_s: current instant in seconds.
-        """
-        return self.batches.due_claims(now_s, self.owns)
-
-    def owns(self, request: ClaimRequest) -> bool:
-        """Return whether a request still wants the claim of its key.
-
-        :param request: the request.
-        """
-        state = self.keys.get(request.key)
-        return state is not None and state.owner is request
+        return self.batches.due_claims(now_s, self.keys.owns)
 
     def on_event(self, now_s: float, event: FoldEvent) -> list[ClaimAction]:
         """Take what a record of the log changed.
@@ -198,7 +167,7 @@
         :param claim: the claim.
         """
         outcome = ClaimOutcome(key=claim.key, claim=claim.claim, outcome="not_run")
-        return self.record_outcome(now_s, outcome)
+        return self.batches.end(now_s, outcome)
 
     def rejected(self, now_s: float, record_id: str, key: str) -> list[ClaimAction]:
         """Decide anew about a request whose claim was not accepted.
@@ -226,22 +195,9 @@
         state = self.keys.get(claim.key)
         if state is None:
             return []
-        self.drop_recorded(claim.key, state)
+        self.keys.drop_recorded(claim.key, state)
         return self.decide_waiting(now_s, claim.key)
 
-    def drop_recorded(self, key: str, state: KeyState) -> None:
-        """Forget an outcome that the fold has, or has no more use for.
-
-        :param key: the key.
-        :param state: what this process knows of it.
-        """
-        if state.outcome is None:
-            return
-        entry = self.fold.claim(key)
-        if entry is None or entry.outcome or entry.claim != state.outcome.claim:
-            state.outcome = None
-            self.forget_key(key)
-
     def decide_waiting(self, now_s: float, key: str) -> list[ClaimAction]:
         """Decide anew about the requests that wait for a key.
 
@@ -251,12 +207,11 @@
         state = self.keys.get(key)
         if state is None:
             return []
-        waiting = list(state.waiting.values())
-        state.waiting.clear()
+        waiting, state.waiting = state.waiting, {}
         actions: list[ClaimAction] = []
-        for request in waiting:
+        for request in waiting.values():
             actions.extend(self.decide(now_s, request))
-        self.forget_key(key)
+        self.keys.forget(key)
         return actions
 
     def replaced(self, now_s: float) -> list[ClaimAction]:
@@ -265,7 +220,7 @@
         :param now_s: current instant in seconds.
         """
         actions: list[ClaimAction] = []
-        for key, state in list(self.keys.items()):
+        for key, state in self.keys.items():
             entry = self.fold.claim(key)
             owner = state.owner
             if owner is not None and owner.record_id and entry is not None:
@@ -280,10 +235,9 @@
     def withdraw_orphans(self, now_s: float) -> list[ClaimAction]:
         """End own open claims that no request of this process has."""
         actions: list[ClaimAction] = []
-        own = self.fold.claims.open_by_endpoint.get(self.settings.endpoint, {})
-        for key in list(own):
+        for key in list(self.fold.claims.open_keys(self.settings.endpoint)):
             entry = self.fold.claim(key)
-            if key in self.keys or entry is None:
+            if self.keys.get(key) or entry is None:
                 continue
             if entry.incarnation == self.settings.incarnation:
                 actions.extend(self.withdraw(now_s, entry))
@@ -371,16 +325,7 @@
         if outcome != "not_run":
             state.outcome = record
             actions += self.decide_waiting(now_s, key)
-        return actions + self.record_outcome(now_s, record)
-
-    def record_outcome(self, now_s: float, outcome: ClaimOutcome) -> list[ClaimAction]:
-        """Put an outcome into the next batch.
-
-        :param now_s: current instant in seconds.
-        :param outcome: the outcome.
-        """
-        self.batches.outcomes.add(now_s, outcome)
-        return self.batches.due_outcomes(now_s)
+        return actions + self.batches.end(now_s, record)
 
     def cancel(self, now_s: float, request_id: str) -> list[ClaimAction]:
         """Take that the caller has gone; a request that runs is not stopped.
@@ -407,8 +352,8 @@
         :param now_s: current instant in seconds.
         """
         actions: list[ClaimAction] = []
-        for key, state in list(self.keys.items()):
-            self.drop_recorded(key, state)
+        for key, state in self.keys.items():
+            self.keys.drop_recorded(key, state)
             owner = state.owner
             if owner is not None and not owner.running and now_s >= owner.give_up_s:
                 actions.extend(self.give_up(now_s, owner))
@@ -419,7 +364,7 @@
                         Code.OUTCOME_UNKNOWN, retry_after_s=self.settings.retry_after_s
                     )
                     actions.extend(self.close(refuse(request, refusal)))
-        actions.extend(self.due_claims(now_s))
+        actions.extend(self.batches.due_claims(now_s, self.keys.owns))
         actions.extend(self.batches.due_outcomes(now_s))
         return actions
 
@@ -431,7 +376,7 @@
         :param now_s: current instant in seconds.
         :param owner: the request.
         """
-        self.keys[owner.key].owner = None
+        self.keys.add(owner.key).owner = None
         late = now_s >= owner.deadline_s
         code = Code.DEADLINE_PASSED if late else Code.LOG_UNAVAILABLE
         refusal = refusal_of(code, "not_run", retry_after_s=self.settings.retry_after_s)
@@ -444,31 +389,12 @@
         :param answer: the answer.
         """
         key = self.key_by_request.pop(answer.request_id, "")
-        self.forget_key(key)
+        self.keys.forget(key)
         return [answer]
 
-    def key_state(self, key: str) -> KeyState:
-        """Return what this process knows of a key.
-
-        :param key: the key.
-        """
-        return self.keys.setdefault(key, KeyState())
-
-    def forget_key(self, key: str) -> None:
-        """Forget a key that no request of this process is about.
-
-        :param key: the key.
-        """
-        state = self.keys.get(key)
-        if state is None or state.owner or state.waiting or state.outcome:
-            return
-        del self.keys[key]
-
     def next_wake_s(self) -> float:
         """Return the instant at which ``tick`` has something to do."""
-        instants = [self.batches.claims.due_s, self.batches.outcomes.due_s]
-        for state in self.keys.values():
-            if state.owner is not None and not state.owner.running:
-                instants.append(state.owner.give_up_s)
-            instants.extend(request.give_up_s for request in state.waiting.values())
-        return min(instants)
+        batches = self.batches
+        return min(
+            batches.claims.due_s, batches.outcomes.due_s, self.keys.next_wake_s()
+        )
--- a/src/jasminewalk/authority.py
+++ b/src/jasminewalk/authority.py
@@ -8,7 +8,10 @@
     OlderGrant,
     grant_record,
     is_busy,
+    known_role,
     matches,
+    missing_artifacts,
+    outcome_append,
 )
 from jasminewalk.fold import LogFold
 from jasminewalk.fold_events import (
@@ -18,9 +21,9 @@
     GrantRejected,
     StateReplaced,
 )
-from jasminewalk.generated_records import EndpointEntry, GrantOutcomeRecord
+from jasminewalk.generated_records import EndpointEntry
 from jasminewalk.generated_requests import EngineState
-from jasminewalk.log_writer import AppendRecord, new_record_id
+from jasminewalk.log_writer import AppendRecord
 from jasminewalk.order_actions import (
     ChangeEnded,
     OrderAction,
@@ -141,14 +144,15 @@
             if not self.is_quiet():
                 return []
             self.retry_at_s = now_s + self.settings.retry_s
-            return self.append_outcome(entry, "abandoned", self.actual_role(entry))
+            role = known_role(self.actual, entry)
+            return [outcome_append(self.settings, entry, "abandoned", role, self.rng)]
         if entry.open:
             return self.take_over(now_s, entry)
         if self.wanted is None or self.actual is None or self.actual.changing:
             return []
         if matches(self.actual, self.wanted):
             return []
-        missing = self.missing_artifacts(self.wanted)
+        missing = missing_artifacts(self.actual, self.wanted)
         if missing and self.settings.reserves_weights and missing != self.reserved:
             return self.reserve(missing)
         return self.propose(now_s, entry, self.wanted, is_takeover=False)
@@ -172,14 +176,6 @@
             return False
         return self.actual_s >= self.older.lapses_s
 
-    def missing_artifacts(self, wanted: WantedState) -> tuple[str, ...]:
-        """Return the wanted models and adapters that are not loaded.
-
-        :param wanted: the wanted state.
-        """
-        loaded = self.actual.models if self.actual else []
-        return tuple(name for name in wanted.models if name not in loaded)
-
     def reserve(self, artifacts: tuple[str, ...]) -> list[OrderAction]:
         """Ask the weight store once for what a change has to load.
 
@@ -298,7 +294,8 @@
         if change.phase == "draining":
             if now_s < self.lapses_s(change) or not self.is_quiet():
                 return []
-            return self.abandon(entry, change)
+            role = known_role(self.actual, entry)
+            return self.end(entry, change, "abandoned", role)
         if change.phase == "ordered":
             return self.watch_engine(now_s, entry, change)
         return []
@@ -371,14 +368,6 @@
             return self.end(entry, change, "abandoned", actual.role)
         return []
 
-    def abandon(self, entry: EndpointEntry, change: Change) -> list[OrderAction]:
-        """End a change whose order was never sent.
-
-        :param entry: the endpoint as the log has it.
-        :param change: the change.
-        """
-        return self.end(entry, change, "abandoned", self.actual_role(entry))
-
     def end(
         self,
         entry: EndpointEntry,
@@ -396,39 +385,11 @@
         change.phase = "ended"
         self.reserved = ()
         return [
-            *self.append_outcome(entry, outcome, role),
+            outcome_append(self.settings, entry, outcome, role, self.rng),
             ChangeEnded(outcome=outcome, wanted=change.wanted, role=role),
             ResumeWork(),
         ]
 
-    def append_outcome(
-        self,
-        entry: EndpointEntry,
-        outcome: Literal["done", "abandoned"],
-        role: Role,
-    ) -> list[OrderAction]:
-        """Return the record that ends the open grant.
-
-        :param entry: the endpoint as the log has it.
-        :param outcome: how the change ended.
-        :param role: role in force.
-        """
-        record = GrantOutcomeRecord(
-            record_id=new_record_id(self.rng, self.settings.incarnation),
-            endpoint=self.settings.endpoint,
-            grant=entry.grant,
-            outcome=outcome,
-            role=role,
-        )
-        return [AppendRecord(record=record)]
-
-    def actual_role(self, entry: EndpointEntry) -> Role:
-        """Return the role in force, as far as it is known.
-
-        :param entry: the endpoint as the log has it.
-        """
-        return self.actual.role if self.actual is not None else entry.role
-
     def lapses_s(self, change: Change) -> float:
         """Return the instant at which a change's grant lapses.
 
