Do not wait for engines that no entry hears; end quietly on a closed pipe

A killed sidecar that the platform still listed made every publication end with exit code 9 after 30 s. Such an engine gets no work and reads the log before it gets any, so it is named and not waited for. Silent entries are still waited for.

--- a/src/jasminewalk/cli.py
+++ b/src/jasminewalk/cli.py
@@ -20,6 +20,7 @@
 SETTINGS_VARIABLE = "JASMINEWALK_SETTINGS"
 SETTINGS_FILE = "operator.yaml"
 EXIT_INTERRUPTED = 130
+EXIT_BROKEN_PIPE = 141
 
 
 class Commands:
@@ -256,6 +257,9 @@
             action.do()
     except SystemExit:
         raise
+    except BrokenPipeError:
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        sys.exit(EXIT_BROKEN_PIPE)
     except BaseException as error:
         sys.exit(_fail(error))
 
--- a/src/jasminewalk/publish.py
+++ b/src/jasminewalk/publish.py
@@ -300,6 +300,9 @@
 def behind(status: FleetStatus, revision: int) -> list[str]:
     """Return the live instances that do not have a revision in force.
 
+    An engine that no entry hears gets no work, and it reads the log before it gets
+    any again, so it is not waited for.
+
     :param status: state of the fleet.
     :param revision: the revision.
     """
@@ -307,7 +310,7 @@
     rows += [
         (row.name, row.state, row.revision)
         for row in status.endpoints
-        if row.revision is not None
+        if row.revision is not None and row.state != "silent"
     ]
     return [
         f"{name} ({state}, revision {found})"
@@ -323,10 +326,13 @@
     :param revision: the revision.
     """
     entries = sum(row.state != "leaving" for row in status.entries)
-    engines = sum(
-        row.revision is not None and row.state != "leaving" for row in status.endpoints
-    )
-    return (
+    engines = [row for row in status.endpoints if row.revision is not None]
+    live = sum(row.state not in ("leaving", "silent") for row in engines)
+    silent = [row.name for row in engines if row.state == "silent"]
+    line = (
         f"In force on all live instances: {number_of(entries, 'entry', 'entries')} "
-        f"and {number_of(engines, 'engine')}. revision={revision}"
+        f"and {number_of(live, 'engine')}. revision={revision}"
     )
+    if silent:
+        line += f" Silent, and without work: {', '.join(silent)}."
+    return line
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -4,7 +4,7 @@
 from jasminewalk.entry_status import EndpointStatus, EntryStatus
 from jasminewalk.generated_messages import LoadReport
 from jasminewalk.generated_requests import Instance
-from jasminewalk.publish import behind
+from jasminewalk.publish import behind, in_force_line
 from jasminewalk.status import fleet_status
 from jasminewalk.status_text import status_lines, trace_lines
 from jasminewalk.traces import AttemptTrace, RequestTrace
@@ -97,6 +97,15 @@
     assert behind(status, 9) == ["tutor-1 (withdrawn, revision 7)"]
 
 
+def test_silent_engines_are_named_and_not_waited_for():
+    status = status_of(endpoint(silent_s=60.0))
+    assert behind(status, 9) == []
+    line = in_force_line(status, 9)
+    assert "1 entry and 0 engines" in line
+    assert line.endswith("Silent, and without work: tutor-1.")
+    assert behind(status_of(None), 9) == ["entry-1 (silent, revision 0)"]
+
+
 def test_leaving_endpoints_are_not_waited_for():
     status = status_of(endpoint(leaving=True))
     assert status.endpoints[0].state == "leaving"
