Prove stalled directions, failures together and twice, and retention

Six further cases with real processes: nothing more reaches or leaves an engine on its open connections, a log outage with a killed sidecar and a crashed engine at once and twice, a stopped sidecar of a service under bookings, and an entry that starts after the log has dropped the configuration's records.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -15,6 +15,7 @@
 
 from jasminewalk.codec import encode_record
 from jasminewalk.generated_records import ConfigurationRecord
+from relay import Relay
 
 BOUND_S = 60.0
 POLL_S = 0.05
@@ -110,13 +111,15 @@
 
 
 class Fleet:
-    def __init__(self, folder):
+    def __init__(self, folder, retention_s=0.0):
         self.folder = folder
+        self.retention_s = retention_s
         self.processes = {}
         self.addresses = {}
         self.controls = {}
         self.entry_addresses = {}
         self.revisions = {}
+        self.relays = {}
 
     def command(self, name, settings, *words):
         path = self.folder / f"{name}.yaml"
@@ -143,12 +146,21 @@
             settings = {"listen": self.addresses[kind]}
             if kind == "instances":
                 settings["lag_s"] = 0.2
+            elif self.retention_s:
+                settings["retention_s"] = self.retention_s
             self.start(kind, settings, "standin", kind)
         for kind in ("log", "instances"):
             wait_for(lambda kind=kind: self.counts(kind) is not None, kind)
 
     def log_settings(self):
-        return {"address": self.addresses["log"], "timeout_s": 1.0, "poll_wait_s": 0.5}
+        settings = {
+            "address": self.addresses["log"],
+            "timeout_s": 1.0,
+            "poll_wait_s": 0.5,
+        }
+        if self.retention_s:
+            settings["retention_s"] = self.retention_s
+        return settings
 
     def start_endpoint(self, kind, number, **model):
         name = f"{'tutor' if kind == 'engine' else 'enrolment'}-{number}"
@@ -179,7 +191,7 @@
             "listen": listen,
             "control_listen": control,
             "metrics_listen": operators,
-            "endpoint_address": self.addresses[name],
+            "endpoint_address": self.relayed(name),
             "log": self.log_settings(),
             "peers": PEERS,
             "checks_fencing": checks_fencing,
@@ -198,6 +210,16 @@
             state="live",
         )
 
+    def relayed(self, name):
+        """Return the address of a relay in front of an endpoint."""
+        if name not in self.relays:
+            near = address()
+            self.relays[name] = (Relay(near, self.addresses[name]), near)
+        return self.relays[name][1]
+
+    def stall(self, name, way):
+        self.relays[name][0].stall(way)
+
     def start_entry(self, number, **changes):
         name = f"entry-{number}"
         self.entry_addresses[name] = address()
@@ -273,6 +295,8 @@
                 process.kill()
         for process in self.processes.values():
             process.wait()
+        for relay, _ in self.relays.values():
+            relay.close()
 
     def url(self, entry, path):
         return f"http://{self.entry_addresses[entry]}/organisations/school{path}"
@@ -357,8 +381,8 @@
                 )
 
 
-def start_fleet(folder, engines=2, services=2, entries=2, **model):
-    fleet = Fleet(folder)
+def start_fleet(folder, engines=2, services=2, entries=2, retention_s=0.0, **model):
+    fleet = Fleet(folder, retention_s)
     try:
         fleet.start_platform()
         fleet.publish()
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -121,6 +121,8 @@
 DISTURBANCES = {
     "engine crashes": lambda fleet, name: fleet.fault(name, crashed=True),
     "engine connection goes silent": lambda fleet, name: fleet.fault(name, silent=True),
+    "nothing more reaches the engine": lambda fleet, name: fleet.stall(name, "up"),
+    "nothing more leaves the engine": lambda fleet, name: fleet.stall(name, "down"),
     "engine freezes": lambda fleet, name: fleet.fault(name, frozen=True),
     "sidecar is killed": lambda fleet, name: fleet.kill(f"sidecar-{name}"),
     "sidecar is paused": lambda fleet, name: fleet.signal(
@@ -142,6 +144,21 @@
     assert caller.text == whole_answer
 
 
+def test_failures_together_and_twice(fleet, whole_answer):
+    for _ in range(2):
+        caller = Caller(fleet).wait_for_tokens(5)
+        name = serving_endpoint(fleet)
+        fleet.fault("log", outage=True)
+        fleet.fault("instances", outage=True)
+        fleet.kill(f"sidecar-{name}")
+        other = next(engine for engine in fleet.engines() if engine != name)
+        fleet.fault(other, crashed=True)
+        caller.finish()
+        assert caller.done
+        assert caller.text == whole_answer
+        fleet.heal()
+
+
 def test_paused_sidecar_that_wakes_adds_nothing(fleet, whole_answer):
     caller = Caller(fleet).wait_for_tokens(5)
     name = serving_endpoint(fleet)
@@ -232,6 +249,18 @@
     assert fleet.runs(key) == 1
 
 
+def test_stopped_sidecar_of_a_service_cuts_no_booking(fleet):
+    for name in fleet.services():
+        fleet.fault(name, delay_s=1.0)
+    keys = [uuid.uuid4().hex for _ in range(8)]
+    with ThreadPoolExecutor(len(keys)) as pool:
+        answers = [pool.submit(fleet.book, key) for key in keys]
+        name = wait_for(lambda: fleet.running_service(), "a running booking")
+        fleet.signal(f"sidecar-{name}", signal.SIGTERM)
+        assert [answer.result().status for answer in answers] == [200] * len(keys)
+    assert [fleet.runs(key) for key in keys] == [1] * len(keys)
+
+
 def test_duplicates_at_once_through_two_entries(fleet):
     key = uuid.uuid4().hex
     with ThreadPoolExecutor(6) as pool:
@@ -349,6 +378,23 @@
     fleet.kill("paused")
 
 
+def test_entry_that_starts_after_the_retention_reads_a_snapshot(tmp_path):
+    fleet = fleets.start_fleet(
+        tmp_path, engines=1, services=1, entries=2, retention_s=4.0
+    )
+    try:
+        subject = "organisation/school"
+        offset = fleet.revision_of(subject)
+        wait_for(lambda: fleet.counts("log")["first"] > offset, "the record expired")
+        fleet.kill("entry-2")
+        fleet.restart("entry-2")
+        wait_for(lambda: fleet.is_ready("entry-2"), "the entry is ready")
+        assert fleet.revision_of(subject, "entry-2") == offset
+        wait_for(lambda: fleet.chat("entry-2").status == 200, "an answer")
+    finally:
+        fleet.stop()
+
+
 def test_wrong_method_and_bad_body_are_numbered_errors(fleet):
     url = fleet.url("entry-1", "/v1/chat/completions")
     assert refusal_of(http("GET", url)) == ("wrong_method", "not_run")
