--- a/benchmarks/_path.py
+++ b/benchmarks/_path.py
@@ -14,7 +14,7 @@
 import msgspec
 
 ROOT = Path(__file__).resolve().parent.parent
-sys.path.insert(0, str(ROOT / "tests"))
+sys.path.append(str(ROOT / "tests"))
 
 import fleet  # noqa: E402
 from jasminewalk.generated_requests import GenerateRequest  # noqa: E402
@@ -116,6 +116,13 @@
         command = [sys.executable, path, self.addresses[name], *words]
         self.processes[name] = subprocess.Popen(command)
 
+    def relayed(self, name: str) -> str:
+        """Return the address of an endpoint itself, without the tests' relay.
+
+        :param name: endpoint name.
+        """
+        return self.addresses[name]
+
     def publish(self) -> None:
         """Publish an organisation whose requests may take long."""
         body = fleet.TEMPLATE["versions"]["1"]["organisation"]
