--- a/tests/relay.py
+++ b/tests/relay.py
@@ -1,5 +1,6 @@
 """A TCP relay that can stall one direction of the connections that are open."""
 
+import contextlib
 import socket
 import threading
 
@@ -7,6 +8,14 @@
 POLL_S = 0.05
 
 
+def close(*sockets):
+    """Close sockets, also under a thread that waits for their data."""
+    for sock in sockets:
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_RDWR)
+        sock.close()
+
+
 class Relay:
     def __init__(self, address, target):
         self.target = target
@@ -42,8 +51,7 @@
             pass
         if pair in self.stalled[way]:
             return
-        for sock in pair:
-            sock.close()
+        close(*pair)
 
     def stall(self, way):
         """Let nothing more through one way on the connections open now."""
@@ -52,5 +60,4 @@
     def close(self):
         self.listener.close()
         for pair in self.pairs:
-            for sock in pair:
-                sock.close()
+            close(*pair)
