--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -276,6 +276,38 @@
     assert actions[0].record.outcome == "done"
 
 
+@pytest.mark.parametrize(
+    ("endpoints", "expected"),
+    [(["e0"], ["GrantAccepted"]), (["e0", "e1"], ["GrantAccepted", "GrantRejected"])],
+)
+def test_loads_wait_for_each_other_unless_the_pool_is_too_small(endpoints, expected):
+    log, fold = Log(), LogFold()
+    document = '{"pools": {"pool": {"kind": "engine", "min_decode": 1}}}'
+    log.append(
+        ConfigurationRecord(
+            record_id="f", subject="fleet/default", base_revision=0, document=document
+        )
+    )
+    for name in endpoints:
+        log.append(registration(name, name))
+    log.read(fold)
+    for name in endpoints:
+        log.append(
+            GrantRecord(
+                record_id=f"load-{name}",
+                endpoint=name,
+                pool="pool",
+                incarnation=name,
+                base_grant=0,
+                base_pool_revision=0,
+                role="mixed",
+                models=["m"],
+                lifetime_s=LIFETIME_S,
+            )
+        )
+    assert kinds(log.read(fold)) == expected
+
+
 def claims(log, endpoint="s0"):
     fold = LogFold()
     log.read(fold)
