--- a/src/jasminewalk/_order_change.py
+++ b/src/jasminewalk/_order_change.py
@@ -152,13 +152,16 @@
     return AppendRecord(record=record)
 
 
-def missing_artifacts(actual: EngineState, wanted: WantedState) -> tuple[str, ...]:
+def missing_artifacts(
+    actual: EngineState | None, wanted: WantedState
+) -> tuple[str, ...]:
     """Return the wanted models and adapters that an engine has not loaded.
 
     :param actual: what the engine reports.
     :param wanted: the wanted state.
     """
-    return tuple(name for name in wanted.models if name not in actual.models)
+    loaded = actual.models if actual is not None else []
+    return tuple(name for name in wanted.models if name not in loaded)
 
 
 def known_role(actual: EngineState | None, entry: EndpointEntry) -> Role:
--- a/src/jasminewalk/authority.py
+++ b/src/jasminewalk/authority.py
@@ -152,9 +152,6 @@
             return []
         if matches(self.actual, self.wanted):
             return []
-        missing = missing_artifacts(self.actual, self.wanted)
-        if missing and self.settings.reserves_weights and missing != self.reserved:
-            return self.reserve(missing)
         return self.propose(now_s, entry, self.wanted, is_takeover=False)
 
     def take_over(self, now_s: float, entry: EndpointEntry) -> list[OrderAction]:
@@ -189,13 +186,16 @@
     def propose(
         self, now_s: float, entry: EndpointEntry, wanted: WantedState, is_takeover: bool
     ) -> list[OrderAction]:
-        """Append a proposal; the grant counts from now on.
+        """Append a proposal once its weights are reserved; the grant counts from now.
 
         :param now_s: current instant in seconds.
         :param entry: the endpoint as the log has it.
         :param wanted: the wanted state.
         :param is_takeover: whether it finishes an earlier process's change.
         """
+        missing = missing_artifacts(self.actual, wanted)
+        if missing and self.settings.reserves_weights and missing != self.reserved:
+            return self.reserve(missing)
         revision = self.fold.pool_revision(self.settings.pool)
         record = grant_record(self.settings, entry, revision, wanted, self.rng)
         self.change = Change(
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -32,7 +32,12 @@
     LogWriterSettings,
     SendAppend,
 )
-from jasminewalk.order_actions import OrderSettings, SendOrder, WantedState
+from jasminewalk.order_actions import (
+    OrderSettings,
+    ReserveWeights,
+    SendOrder,
+    WantedState,
+)
 from jasminewalk.snapshots import SnapshotPlanner, SnapshotSettings, cut_into_chunks
 from jasminewalk.types import Refusal
 
@@ -188,7 +193,7 @@
     assert not started_late(log).ready
 
 
-def orders(log, checks_fencing, incarnation="new"):
+def orders(log, checks_fencing, incarnation="new", reserves_weights=False):
     fold = LogFold()
     log.read(fold)
     settings = OrderSettings(
@@ -198,11 +203,12 @@
         checks_fencing=checks_fencing,
         lifetime_s=LIFETIME_S,
         margin_s=MARGIN_S,
+        reserves_weights=reserves_weights,
     )
     return OrderController(settings, fold, random.Random(1))
 
 
-def open_grant_of_old_process(log):
+def open_grant_of_old_process(log, models=()):
     log.append(
         GrantRecord(
             record_id="grant",
@@ -212,6 +218,7 @@
             base_grant=0,
             base_pool_revision=0,
             role="prefill",
+            models=list(models),
             lifetime_s=LIFETIME_S,
         )
     )
@@ -244,6 +251,15 @@
     assert actions[0].record.outcome == "abandoned"
 
 
+def test_takeover_reserves_the_weights_it_loads(log):
+    open_grant_of_old_process(log, models=["tutor"])
+    controller = orders(log, checks_fencing=True, reserves_weights=True)
+    assert controller.tick(0.0) == [ReserveWeights(artifacts=("tutor",))]
+    assert controller.tick(0.1) == []
+    (proposal,) = controller.weights_ready(0.2, ("tutor",))
+    assert proposal.record.models == ["tutor"]
+
+
 @pytest.mark.parametrize("is_guarded", [True, False])
 def test_no_order_is_sent_after_the_lapse(log, monkeypatch, is_guarded):
     if not is_guarded:
