--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -22,7 +22,7 @@
     "log_fold",
     "log_reading",
     "claims",
-    "relay",
+    "token_relay",
     "first_token",
     "open_streams",
 )
--- a/benchmarks/relay.py
+++ b/benchmarks/token_relay.py
@@ -91,7 +91,7 @@
         limit=f"{LIMIT:g} times",
         compared=f"{both / bare.slope:.2f} times",
     )
-    save("relay", [*rows, ratio])
+    save("token_relay", [*rows, ratio])
     return [*rows, ratio]
 
 
