--- a/src/jasminewalk/routing.py
+++ b/src/jasminewalk/routing.py
@@ -15,7 +15,7 @@
 
 __all__ = ["Router", "RoutingSettings"]
 
-SHOWN_CANDIDATES = 4
+SHOWN_CANDIDATES = 3
 MAX_LEARNED_CLASSES = 10_000
 REFERENCE_LEARNING = 0.02
 OTHERS_PRIOR = 2.0
--- a/src/jasminewalk/weighing.py
+++ b/src/jasminewalk/weighing.py
@@ -50,7 +50,7 @@
     speeds: SpeedSettings = attrs.field(factory=SpeedSettings)
     shares: ShareSettings = attrs.field(factory=ShareSettings)
     small_pool: int = 16
-    candidates: int = 4
+    candidates: int = 3
     affine: int = 2
     work_weight: float = 20.0
     finish_weight: float = 0.1
