--- a/src/jasminewalk/connections.py
+++ b/src/jasminewalk/connections.py
@@ -16,6 +16,7 @@
 
 KEEP_IDLE_S = 30.0
 MAX_IDLE = 256
+EXPIRY_PERIOD_S = 10.0
 CLOSE_TIMEOUT_S = 1.0
 
 UNSENT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout)
@@ -44,8 +45,20 @@
         self.idle: dict[str, deque[httpcore.AsyncHTTP11Connection]] = {}
 
     async def run(self) -> None:
-        """Drop silent connections until cancelled."""
-        await self.watch.run()
+        """Drop silent and expired connections until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.watch.run)
+            while True:
+                await anyio.sleep(EXPIRY_PERIOD_S)
+                await self.drop_expired()
+
+    async def drop_expired(self) -> None:
+        """Close the idle connections that have expired, oldest first."""
+        for address, idle in list(self.idle.items()):
+            while idle and idle[0].has_expired():
+                await close(idle.popleft())
+            if not idle and self.idle.get(address) is idle:
+                del self.idle[address]
 
     @asynccontextmanager
     async def stream(
@@ -91,11 +104,8 @@
             await self.drop_idle(address)
             raise
         finally:
-            if finished:
-                self.keep(address, connection)
-            else:
-                with anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
-                    await connection.aclose()
+            if not (finished and self.keep(address, connection)):
+                await close(connection)
 
     def take(self, address: str) -> httpcore.AsyncHTTP11Connection | None:
         """Return an idle connection, if there is one.
@@ -124,13 +134,17 @@
             keepalive_expiry=KEEP_IDLE_S,
         )
 
-    def keep(self, address: str, connection: httpcore.AsyncHTTP11Connection) -> None:
-        """Keep a connection for later requests.
+    def keep(self, address: str, connection: httpcore.AsyncHTTP11Connection) -> bool:
+        """Keep a connection for later requests; return whether there was room.
 
         :param address: ``host:port`` of the peer.
         :param connection: the connection, idle.
         """
-        self.idle.setdefault(address, deque(maxlen=MAX_IDLE)).append(connection)
+        idle = self.idle.setdefault(address, deque())
+        if len(idle) >= MAX_IDLE:
+            return False
+        idle.append(connection)
+        return True
 
     async def drop_idle(self, address: str) -> None:
         """Close the idle connections to a peer, since one has gone silent.
@@ -138,8 +152,7 @@
         :param address: ``host:port`` of the peer.
         """
         for connection in self.idle.pop(address, ()):
-            with anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
-                await connection.aclose()
+            await close(connection)
 
     async def aclose(self) -> None:
         """Close all idle connections."""
@@ -147,6 +160,15 @@
             await self.drop_idle(address)
 
 
+async def close(connection: httpcore.AsyncHTTP11Connection) -> None:
+    """Close a connection, also while the task is being cancelled.
+
+    :param connection: the connection.
+    """
+    with anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
+        await connection.aclose()
+
+
 class SidecarConnections(Connections):
     """Connections to sidecars, which want each request signed.
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -52,6 +52,21 @@
     assert "another request" in bench.outcomes[0]
 
 
+async def test_connections_are_kept_and_closed_once_the_peer_is_gone(bench):
+    await bench.generate()
+    (address,) = bench.connections.idle
+    (kept,) = bench.connections.idle[address]
+    await bench.connections.drop_expired()
+    assert list(bench.connections.idle[address]) == [kept]
+    for sidecar in bench.sidecars.values():
+        sidecar.server.stop()
+    with anyio.fail_after(FAR_S):
+        while bench.connections.idle:
+            await bench.connections.drop_expired()
+            await anyio.sleep(0.01)
+    assert kept.is_closed()
+
+
 async def test_refused_everywhere_did_not_run_and_is_answered_at_once(bench):
     body = RefusalBody(
         code=Code.OVERLOADED, name="", message="", ran="not_run", retry_after_s=7.0
