Stop a sidecar that was replaced; let the tests' relay outlive a late target

Cause of a start that failed once in eight: the relay's thread ended when an engine was not listening yet, and its socket went on taking connections that nobody served; the sidecar's code was ruled out by its log, which showed one refused poll and then silence.

--- a/src/jasminewalk/sidecar.py
+++ b/src/jasminewalk/sidecar.py
@@ -127,6 +127,7 @@
                     metrics=self.metrics,
                     report_now=self.want_report,
                     send=self.broadcast,
+                    stop=self.stop,
                 )
             )
             await self.serve()
--- a/src/jasminewalk/sidecar_orders.py
+++ b/src/jasminewalk/sidecar_orders.py
@@ -118,6 +118,8 @@
             self.on_fleet(event)
         for append in self.registrar.on_event(event):
             self.appender.submit(append)
+        if self.registrar.superseded:
+            self.context.stop()
         self.add(self.controller.on_event(self.clock.monotonic(), event))
 
     def on_fleet(self, event: SubjectChanged) -> None:
--- a/src/jasminewalk/sidecar_parts.py
+++ b/src/jasminewalk/sidecar_parts.py
@@ -41,6 +41,7 @@
     :param metrics: counters and histograms.
     :param report_now: sends a load report at once.
     :param send: sends a control message to every connected entry.
+    :param stop: shuts the sidecar down.
     """
 
     settings: SidecarSettings
@@ -54,6 +55,7 @@
     metrics: Metrics
     report_now: Callable[[], None]
     send: Callable[[Any], Awaitable[None]]
+    stop: Callable[[], None]
 
 
 class EndpointPart(ABC):
--- a/src/jasminewalk/sidecar_service.py
+++ b/src/jasminewalk/sidecar_service.py
@@ -165,6 +165,8 @@
         self.appender.on_fold_event(event)
         for append in self.registrar.on_event(event):
             self.appender.submit(append)
+        if self.registrar.superseded:
+            self.context.stop()
         self.act(self.controller.on_event(self.clock.monotonic(), event))
 
     async def run(self) -> None:
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -30,9 +30,13 @@
         while True:
             try:
                 near, _ = self.listener.accept()
-                far = socket.create_connection((host, int(port)))
             except OSError:
                 return
+            try:
+                far = socket.create_connection((host, int(port)))
+            except OSError:
+                near.close()
+                continue
             pair = (near, far)
             self.pairs.append(pair)
             for way, source, sink in (("up", near, far), ("down", far, near)):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -375,7 +375,7 @@
     fleet.publish_version("v4")
     wait_for(lambda: fleet.engine_state(name)["version"] == "v4", "the version")
     assert len(fleet.counts(name)["orders"]) == orders + 1
-    fleet.kill("paused")
+    assert fleet.processes["paused"].wait(fleets.BOUND_S) == 0
 
 
 def test_entry_that_starts_after_the_retention_reads_a_snapshot(tmp_path):
