--- a/Makefile
+++ b/Makefile
@@ -8,8 +8,8 @@
 
 .venv/.installed: requirements.txt pyproject.toml
 	$(PYTHON) -m venv .venv
-	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
-	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	$(BIN)/pip install --quiet --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $@
 
 demo: env
--- a/src/jasminewalk/embedded.py
+++ b/src/jasminewalk/embedded.py
@@ -286,8 +286,8 @@
         "with their sidecars."
     )
     async with http_client() as pool, embedded_deployment(plan) as deployment:
-        await publish(deployment)
         await deployment.wait_usable()
+        await publish(deployment)
         good = await send_requests(pool, deployment)
         print("All went well." if good else "Something went wrong.")
         if stay:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -184,9 +184,10 @@
 
 
 def test_killed_entry_frees_its_work(fleet):
-    Caller(fleet).wait_for_tokens(3)
+    caller = Caller(fleet).wait_for_tokens(3)
     name = serving_endpoint(fleet)
     fleet.kill("entry-1")
+    assert not caller.finish().done
     wait_for(lambda: fleet.counts(name)["open"] == 0, "the engine is free")
     assert fleet.chat("entry-2").status == 200
 
@@ -360,6 +361,22 @@
     assert fleet.chat().status == 200
 
 
+def test_changes_of_loaded_engines_cut_no_answer(fleet, whole_answer):
+    callers = [Caller(fleet, entry) for entry in fleet.entry_addresses for _ in "ab"]
+    for caller in callers:
+        caller.wait_for_tokens(3)
+    fleet.publish_version("v2b")
+    for caller in callers:
+        caller.finish()
+        assert caller.done
+        assert caller.text == whole_answer
+    for engine in fleet.engines():
+        wait_for(
+            lambda engine=engine: fleet.engine_state(engine)["version"] == "v2b",
+            f"{engine} has the version",
+        )
+
+
 def test_sidecar_that_was_replaced_while_paused_gives_no_orders(fleet):
     name = fleet.engines()[0]
     old = f"sidecar-{name}"
