--- a/src/jasminewalk/_pool_endpoints.py
+++ b/src/jasminewalk/_pool_endpoints.py
@@ -10,8 +10,6 @@
 
 __all__ = ["PoolEndpoints"]
 
-RETRY_MARK = frozenset({""})
-
 
 class PoolEndpoints(Endpoints):
     """Endpoints of the pool that serves one job.
@@ -46,8 +44,9 @@
             for endpoint in self.membership.usable(now_s, profile.pool)
             if self.allows(endpoint)
         ]
-        barred = RETRY_MARK.union(excluded) if retry else frozenset(excluded)
-        return self.router.choose(now_s, profile, usable, barred)
+        return self.router.choose(
+            now_s, profile, usable, frozenset(excluded), retry=retry
+        )
 
     def may_retry(self) -> bool:
         """Return whether a retry can be afforded, and use it up."""
--- a/src/jasminewalk/baselines.py
+++ b/src/jasminewalk/baselines.py
@@ -66,6 +66,8 @@
         profile: RequestProfile,
         usable: Collection[str],
         excluded: frozenset[str] = frozenset(),
+        *,
+        retry: bool = False,
     ) -> Route | Refusal:
         """Return the endpoint that the rule picks.
 
@@ -73,13 +75,14 @@
         :param profile: the request.
         :param usable: endpoints that may get it.
         :param excluded: endpoints that were tried already.
+        :param retry: whether the request was sent before.
         """
         names = sorted(name for name in usable if name not in excluded)
         if not names:
             return Refusal(
                 Code.NO_ENDPOINT, "No endpoint is usable.", NO_ENDPOINT_RETRY_S
             )
-        if not excluded:
+        if not (retry or excluded):
             self.budget.earn()
             query = self.query(profile)
             option = self.option(now_s, query, self.view(names[0]))
--- a/src/jasminewalk/routing.py
+++ b/src/jasminewalk/routing.py
@@ -98,6 +98,8 @@
         profile: RequestProfile,
         usable: Collection[str],
         excluded: frozenset[str] = frozenset(),
+        *,
+        retry: bool = False,
     ) -> Route | Refusal:
         """Return the endpoint for a request, or why there is none.
 
@@ -105,8 +107,10 @@
         :param profile: the request.
         :param usable: endpoints that may get it.
         :param excluded: endpoints that were tried already.
+        :param retry: whether the request was sent before, also if no endpoint is
+            excluded for it.
         """
-        first_try = not excluded
+        first_try = not (retry or excluded)
         if first_try:
             self.budget.earn()
         query = self.query(profile)
