--- a/src/jasminewalk/sidecar_http.py
+++ b/src/jasminewalk/sidecar_http.py
@@ -15,8 +15,9 @@
 )
 from jasminewalk.metrics import Metrics
 from jasminewalk.peer_auth import AUTH_HEADER, PeerAuthenticator
+from jasminewalk.types import Refusal
 
-__all__ = ["SidecarApp", "error_body"]
+__all__ = ["Calls", "Generations", "SidecarApp", "error_body", "refusal_body"]
 
 _decode_generate = msgspec.msgpack.Decoder(GenerateRequest).decode
 _decode_call = msgspec.msgpack.Decoder(ServiceCall).decode
@@ -57,6 +58,32 @@
     )
 
 
+def refusal_body(
+    refusal: Refusal,
+    request_id: str,
+    *,
+    queued: int,
+    queued_prefill_tokens: int = 0,
+) -> RefusalBody:
+    """Return the body that tells an entry about a refusal.
+
+    :param refusal: the refusal.
+    :param request_id: identifier of the request.
+    :param queued: requests in the queue of the endpoint.
+    :param queued_prefill_tokens: prompt tokens that wait at the endpoint.
+    """
+    return RefusalBody(
+        code=refusal.code,
+        name=refusal.code.name.lower(),
+        message=refusal.reason,
+        ran=refusal.ran,
+        request_id=request_id,
+        retry_after_s=refusal.retry_after_s,
+        queued=queued,
+        queued_prefill_tokens=queued_prefill_tokens,
+    )
+
+
 class SidecarApp:
     """ASGI application that authenticates entries and dispatches their requests.
 
--- a/src/jasminewalk/sidecar_service.py
+++ b/src/jasminewalk/sidecar_service.py
@@ -19,12 +19,13 @@
 from jasminewalk.fold_events import FoldEvent
 from jasminewalk.generated_codes import RESULTS, Code
 from jasminewalk.generated_messages import LoadReport, PoolDemand
-from jasminewalk.generated_requests import RefusalBody, ServiceCall, ServiceReply
+from jasminewalk.generated_requests import ServiceCall, ServiceReply
 from jasminewalk.interfaces import ServiceAnswer, ServiceRequest
 from jasminewalk.log_appender import LogAppender
 from jasminewalk.log_writer import AppendRecord
 from jasminewalk.registration import Registrar
 from jasminewalk.service_client import HttpService
+from jasminewalk.sidecar_http import refusal_body
 from jasminewalk.sidecar_parts import EndpointPart, EndpointState, PartContext
 from jasminewalk.snapshot_task import SnapshotTask
 from jasminewalk.types import Refusal
@@ -351,15 +352,7 @@
         :param send: ASGI send function.
         """
         if isinstance(answer, Refusal):
-            body = RefusalBody(
-                code=answer.code,
-                name=answer.code.name.lower(),
-                message=answer.reason,
-                ran=answer.ran,
-                request_id=call.request_id,
-                retry_after_s=answer.retry_after_s,
-                queued=len(self.pending),
-            )
+            body = refusal_body(answer, call.request_id, queued=len(self.pending))
             await send_json(send, RESULTS[answer.code].http_status, body)
             return
         body_bytes = msgspec.msgpack.encode(answer)
--- a/src/jasminewalk/sidecar_streams.py
+++ b/src/jasminewalk/sidecar_streams.py
@@ -1,25 +1,25 @@
 """Generations that a sidecar queues, hands to its engine and passes back."""
 
 import contextlib
-import math
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from typing import Any
 
 import anyio
-import attrs
 import msgspec
 from absl import logging
 
 from jasminewalk._http import ATTEMPT_HEADER, Receive, Send, send_json
 from jasminewalk.clock import Clock
 from jasminewalk.generated_codes import RESULTS, Code
-from jasminewalk.generated_requests import Frame, GenerateRequest, RefusalBody
+from jasminewalk.generated_requests import Frame, GenerateRequest
+from jasminewalk.generation_stream import GenerationStream, profile_of
 from jasminewalk.interfaces import Engine
 from jasminewalk.metrics import Metrics
 from jasminewalk.queueing import EndpointQueue
-from jasminewalk.types import Refusal, RequestProfile
+from jasminewalk.sidecar_http import refusal_body
+from jasminewalk.types import Refusal
 
-__all__ = ["GenerationRunner", "profile_of", "refusal_body"]
+__all__ = ["GenerationRunner"]
 
 HEARTBEAT_LINE = b"{}\n"
 HEARTBEAT_S = 0.5
@@ -31,86 +31,6 @@
 _encode = msgspec.json.Encoder().encode
 
 
-def profile_of(request: GenerateRequest, pool: str, now_s: float) -> RequestProfile:
-    """Return what decisions need to know about a generation.
-
-    :param request: the attempt.
-    :param pool: pool of the endpoint.
-    :param now_s: current instant in seconds.
-    """
-    left = max(1, request.max_tokens - request.resume_from)
-    first_token_s = request.first_token_s or math.inf
-    expected = request.expected_tokens - request.resume_from
-    return RequestProfile(
-        request_id=f"{request.request_id}/{request.attempt}",
-        organisation=request.organisation,
-        request_class=request.request_class,
-        pool=pool,
-        model=request.model,
-        prompt_tokens=request.prompt_tokens + request.resume_from,
-        expected_tokens=min(left, max(1, expected)),
-        max_tokens=left,
-        prefix_hashes=tuple(request.prefix_hashes),
-        arrived_s=now_s,
-        deadline_s=now_s + request.deadline_s,
-        first_token_deadline_s=now_s + first_token_s,
-        priority=request.priority,
-        weight=request.weight,
-    )
-
-
-def refusal_body(refusal: Refusal, request_id: str, queue: EndpointQueue) -> Any:
-    """Return the body that tells an entry about a refusal.
-
-    :param refusal: the refusal.
-    :param request_id: identifier of the request.
-    :param queue: queue of the endpoint.
-    """
-    return RefusalBody(
-        code=refusal.code,
-        name=refusal.code.name.lower(),
-        message=refusal.reason,
-        ran=refusal.ran,
-        request_id=request_id,
-        retry_after_s=refusal.retry_after_s,
-        queued_prefill_tokens=queue.queued_prefill_tokens,
-    )
-
-
-@attrs.define(kw_only=True, eq=False)
-class Stream:
-    """A generation between its arrival and its end.
-
-    :param request: the attempt.
-    :param profile: what the queue knows of it.
-    :param send: ASGI send function of the entry's request.
-    :param arrived_s: instant of arrival in seconds.
-    :param scope: cancelled when the entry leaves or the engine is stuck.
-    :param started: set when the queue lets the generation go on or gives it up.
-    :param refusal: why the queue gave the generation up.
-    :param header_sent: whether the answer's header was sent.
-    :param handed_over: whether the engine has the generation.
-    :param sent_s: instant of the last bytes to the entry in seconds.
-    :param progress_s: instant of the last bytes from the engine in seconds.
-    :param got_bytes: whether the engine sent anything yet.
-    :param stuck: whether the engine was silent for too long.
-    """
-
-    request: GenerateRequest
-    profile: RequestProfile
-    send: Send
-    arrived_s: float
-    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
-    started: anyio.Event = attrs.field(factory=anyio.Event)
-    refusal: Refusal | None = None
-    header_sent: bool = False
-    handed_over: bool = False
-    sent_s: float = 0.0
-    progress_s: float = 0.0
-    got_bytes: bool = False
-    stuck: bool = False
-
-
 class GenerationRunner:
     """Runs generations on one engine, in the order the queue decides.
 
@@ -138,7 +58,7 @@
         self.pool = pool
         self.clock = clock
         self.progress_timeout_s = progress_timeout_s
-        self.streams: dict[str, Stream] = {}
+        self.streams: dict[str, GenerationStream] = {}
         self.completed = 0
         self.failed = 0
 
@@ -161,7 +81,9 @@
         if refused is not None:
             await self.send_refusal(request, refused, send)
             return
-        stream = Stream(request=request, profile=profile, send=send, arrived_s=now_s)
+        stream = GenerationStream(
+            request=request, profile=profile, send=send, arrived_s=now_s
+        )
         self.streams[profile.request_id] = stream
         try:
             self.start_ready()
@@ -169,7 +91,7 @@
         finally:
             self.end(stream)
 
-    async def run_until_left(self, stream: Stream, receive: Receive) -> None:
+    async def run_until_left(self, stream: GenerationStream, receive: Receive) -> None:
         """Run a stream until it ends or the entry closes the connection.
 
         :param stream: the stream.
@@ -191,7 +113,7 @@
         if stream.scope.cancelled_caught and stream.handed_over:
             await self.cancel_on_engine(stream.request)
 
-    async def run(self, stream: Stream) -> None:
+    async def run(self, stream: GenerationStream) -> None:
         """Wait for the stream's turn and pass on the engine's output.
 
         :param stream: the stream.
@@ -217,7 +139,7 @@
         self.completed += 1
         await stream.send({"type": "http.response.body", "body": b""})
 
-    async def pass_on(self, stream: Stream) -> None:
+    async def pass_on(self, stream: GenerationStream) -> None:
         """Copy the engine's frames to the entry.
 
         :param stream: the stream.
@@ -231,7 +153,7 @@
                 self.note_first_token(stream, now_s)
             await self.send_lines(stream, lines, now_s)
 
-    def note_first_token(self, stream: Stream, now_s: float) -> None:
+    def note_first_token(self, stream: GenerationStream, now_s: float) -> None:
         """Tell the queue that a prefill is done, and start who waited for it.
 
         :param stream: the stream.
@@ -241,7 +163,9 @@
         self.queue.first_token(now_s, stream.profile.request_id)
         self.start_ready()
 
-    async def send_lines(self, stream: Stream, lines: bytes, now_s: float) -> None:
+    async def send_lines(
+        self, stream: GenerationStream, lines: bytes, now_s: float
+    ) -> None:
         """Send frames, preceded by the header if it has not been sent.
 
         :param stream: the stream.
@@ -255,7 +179,7 @@
             {"type": "http.response.body", "body": lines, "more_body": True}
         )
 
-    async def send_header(self, stream: Stream) -> None:
+    async def send_header(self, stream: GenerationStream) -> None:
         """Send the header of a stream.
 
         :param stream: the stream.
@@ -268,7 +192,7 @@
         )
 
     async def send_end(
-        self, stream: Stream, code: Code, ran: Any, retry_after_s: float = 0.0
+        self, stream: GenerationStream, code: Code, ran: Any, retry_after_s: float = 0.0
     ) -> None:
         """End a stream that broke.
 
@@ -283,7 +207,7 @@
         )
         await stream.send({"type": "http.response.body", "body": b""})
 
-    async def give_up(self, stream: Stream, refusal: Refusal) -> None:
+    async def give_up(self, stream: GenerationStream, refusal: Refusal) -> None:
         """Tell the entry at once that a queued generation will not run.
 
         :param stream: the stream.
@@ -305,7 +229,12 @@
         :param refusal: why it is refused.
         :param send: ASGI send function.
         """
-        body = refusal_body(refusal, request.request_id, self.queue)
+        body = refusal_body(
+            refusal,
+            request.request_id,
+            queued=self.queue.queued,
+            queued_prefill_tokens=self.queue.queued_prefill_tokens,
+        )
         await send_json(send, RESULTS[refusal.code].http_status, body)
 
     def start_ready(self) -> None:
@@ -324,7 +253,7 @@
                 request_class=profile.request_class,
             )
 
-    def end(self, stream: Stream) -> None:
+    def end(self, stream: GenerationStream) -> None:
         """Forget a stream and free its place.
 
         :param stream: the stream.
@@ -370,7 +299,7 @@
             self.watch_progress(stream, now_s)
             await self.beat(stream, now_s)
 
-    def watch_progress(self, stream: Stream, now_s: float) -> None:
+    def watch_progress(self, stream: GenerationStream, now_s: float) -> None:
         """Stop a stream whose engine has been silent for too long.
 
         :param stream: the stream.
@@ -384,7 +313,7 @@
             self.failed += 1
             stream.scope.cancel()
 
-    async def beat(self, stream: Stream, now_s: float) -> None:
+    async def beat(self, stream: GenerationStream, now_s: float) -> None:
         """Show the entry that a silent stream is alive.
 
         :param stream: the stream.
@@ -397,13 +326,3 @@
         last_s = stream.sent_s or stream.arrived_s + HEADER_DELAY_S - HEARTBEAT_S
         if now_s - last_s >= HEARTBEAT_S:
             await self.send_lines(stream, HEARTBEAT_LINE, now_s)
-
-    async def run_ticks(self, period_s: float, stopped: Callable[[], bool]) -> None:
-        """Tick until stopped.
-
-        :param period_s: seconds between ticks.
-        :param stopped: returns whether to end.
-        """
-        while not stopped():
-            await self.tick()
-            await anyio.sleep(period_s)
