--- a/src/jasminewalk/__init__.py
+++ b/src/jasminewalk/__init__.py
@@ -1,1 +1,82 @@
-"""Serving system for language-model work on a fixed fleet of engines."""
+"""Serving system for language-model work on a fixed fleet of engines.
+
+The names below are the public surface; all else is internal. They are imported when
+they are first used, so that a short command does not load the whole system.
+"""
+
+from importlib import import_module
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from jasminewalk.clock import Clock, ManualClock, SystemClock
+    from jasminewalk.configuration import ConfigurationView
+    from jasminewalk.entry import EntryDaemon
+    from jasminewalk.exceptions import JasminewalkError, RefusedError
+    from jasminewalk.fold import LogFold
+    from jasminewalk.generated_codes import RESULTS, Code
+    from jasminewalk.generated_settings import EntrySettings, SidecarSettings
+    from jasminewalk.interfaces import Engine, InstanceList, Log, Service, WeightStore
+    from jasminewalk.queueing import EndpointQueue, QueueSettings
+    from jasminewalk.roles import RolePlanner, RoleSettings
+    from jasminewalk.routing import Router, RoutingSettings
+    from jasminewalk.sidecar import SidecarDaemon
+    from jasminewalk.types import Candidate, Refusal, RequestProfile, Route
+
+__all__ = [
+    "Candidate",
+    "Clock",
+    "Code",
+    "ConfigurationView",
+    "EndpointQueue",
+    "Engine",
+    "EntryDaemon",
+    "EntrySettings",
+    "InstanceList",
+    "JasminewalkError",
+    "Log",
+    "LogFold",
+    "ManualClock",
+    "QueueSettings",
+    "RESULTS",
+    "Refusal",
+    "RefusedError",
+    "RequestProfile",
+    "RolePlanner",
+    "RoleSettings",
+    "Route",
+    "Router",
+    "RoutingSettings",
+    "Service",
+    "SidecarDaemon",
+    "SidecarSettings",
+    "SystemClock",
+    "WeightStore",
+]
+
+_NAMES_BY_MODULE = {
+    "clock": ("Clock", "ManualClock", "SystemClock"),
+    "configuration": ("ConfigurationView",),
+    "entry": ("EntryDaemon",),
+    "exceptions": ("JasminewalkError", "RefusedError"),
+    "fold": ("LogFold",),
+    "generated_codes": ("RESULTS", "Code"),
+    "generated_settings": ("EntrySettings", "SidecarSettings"),
+    "interfaces": ("Engine", "InstanceList", "Log", "Service", "WeightStore"),
+    "queueing": ("EndpointQueue", "QueueSettings"),
+    "roles": ("RolePlanner", "RoleSettings"),
+    "routing": ("Router", "RoutingSettings"),
+    "sidecar": ("SidecarDaemon",),
+    "types": ("Candidate", "Refusal", "RequestProfile", "Route"),
+}
+
+
+def __getattr__(name: str) -> Any:
+    """Import a public name when it is first used.
+
+    :param name: the name.
+    :raises AttributeError: if it is not public.
+    """
+    for module, names in _NAMES_BY_MODULE.items():
+        if name in names:
+            return getattr(import_module(f"jasminewalk.{module}"), name)
+    raise AttributeError(f"module 'jasminewalk' has no attribute {name!r}")
