--- a/src/jasminewalk/generated_configuration.py
+++ b/src/jasminewalk/generated_configuration.py
@@ -105,6 +105,8 @@
     :param min_prefill: least engines that can prefill.
     :param min_decode: least engines that can decode.
     :param withdrawn: endpoints that get no work.
+    :param artifact_bytes: size of the weights of models and adapters by name;
+        16 GB where a name is missing.
     """
 
     kind: Literal["engine", "service"]
@@ -115,6 +117,9 @@
     min_prefill: Annotated[int, msgspec.Meta(ge=0)] = 0
     min_decode: Annotated[int, msgspec.Meta(ge=0)] = 0
     withdrawn: list[str] = attrs.field(factory=list)
+    artifact_bytes: dict[str, Annotated[int, msgspec.Meta(ge=0)]] = attrs.field(
+        factory=dict
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/src/jasminewalk/sidecar_orders.py
+++ b/src/jasminewalk/sidecar_orders.py
@@ -4,6 +4,7 @@
 
 import anyio
 from absl import logging
+from anyio.abc import TaskGroup
 
 from jasminewalk.authority import OrderController
 from jasminewalk.configuration import ConfigurationView
@@ -13,7 +14,6 @@
 from jasminewalk.generated_messages import PoolDemand
 from jasminewalk.generated_requests import EngineState
 from jasminewalk.interfaces import Engine, WeightStore
-from jasminewalk.log_appender import LogAppender
 from jasminewalk.log_writer import AppendRecord
 from jasminewalk.order_actions import (
     ChangeEnded,
@@ -27,7 +27,6 @@
     StartDrain,
     WantedState,
 )
-from jasminewalk.registration import Registrar
 from jasminewalk.roles import RolePlanner
 from jasminewalk.sidecar_parts import PartContext
 from jasminewalk.weights_client import HttpWeightStore
@@ -36,6 +35,7 @@
 
 TICK_S = 0.1
 RETRY_S = 1.0
+DEFAULT_ARTIFACT_BYTES = 16_000_000_000
 FLEET_SUBJECT = "fleet/default"
 
 
@@ -92,21 +92,11 @@
             context.fold,
             context.rng,
         )
-        self.registrar = Registrar(
-            endpoint=settings.name,
-            pool=settings.pool,
-            incarnation=context.incarnation,
-            fold=context.fold,
-            rng=context.rng,
-        )
-        self.appender = LogAppender(
-            log=context.log,
-            follower=context.follower,
-            clock=context.clock,
-            rng=context.rng,
-        )
+        self.registrar = context.new_registrar()
+        self.appender = context.new_appender()
         self.pending: list[OrderAction] = []
         self.wanted = anyio.Event()
+        self.group: TaskGroup | None = None
 
     def on_fold_event(self, event: FoldEvent) -> None:
         """Take what a new log record changed.
@@ -164,6 +154,7 @@
     async def run(self) -> None:
         """Register, then carry out changes until cancelled."""
         async with anyio.create_task_group() as group:
+            self.group = group
             group.start_soon(self.appender.run)
             group.start_soon(self.carry_out)
             await self.context.follower.ready.wait()
@@ -231,7 +222,7 @@
             case AppendRecord():
                 self.appender.submit(action)
             case ReserveWeights():
-                await self.reserve(action)
+                self.start_reserving(action)
             case StartDrain():
                 self.hold(action.reason)
             case ResumeWork():
@@ -280,21 +271,44 @@
             action.wanted.reason,
         )
 
+    def start_reserving(self, action: ReserveWeights) -> None:
+        """Ask the weight store in a task of its own, since it may take long.
+
+        :param action: what is to be loaded.
+        """
+        if self.group is not None:
+            self.group.start_soon(self.reserve, action)
+
     async def reserve(self, action: ReserveWeights) -> None:
         """Wait for the weight store's rate to allow a load.
 
         :param action: what is to be loaded.
         """
-        wait_s = 0.0
-        for artifact in action.artifacts if self.weights else ():
-            try:
-                wait_s = max(wait_s, await self.weights.reserve(artifact, 0))  # type: ignore[union-attr]
-            except (OSError, JasminewalkError):
-                wait_s = max(wait_s, RETRY_S)
-        await anyio.sleep(wait_s)
+        for artifact in action.artifacts:
+            await anyio.sleep(await self.reserve_one(artifact))
         now_s = self.clock.monotonic()
         self.add(self.controller.weights_ready(now_s, action.artifacts))
 
+    async def reserve_one(self, artifact: str) -> float:
+        """Return the seconds until an artifact may be loaded; ask until answered.
+
+        :param artifact: name of the model or adapter.
+        """
+        if self.weights is None:
+            return 0.0
+        sizes = self.pool_rule.artifact_bytes if self.pool_rule else {}
+        size_bytes = sizes.get(artifact, DEFAULT_ARTIFACT_BYTES)
+        while True:
+            try:
+                return await self.weights.reserve(artifact, size_bytes)
+            except (OSError, JasminewalkError) as error:
+                logging.warning(
+                    "[orders] Weight store unavailable. endpoint=%s error=%r",
+                    self.settings.name,
+                    error,
+                )
+                await anyio.sleep(RETRY_S)
+
     async def send_order(self, action: SendOrder) -> None:
         """Send an order, unless its grant has lapsed.
 
--- a/src/jasminewalk/sidecar_parts.py
+++ b/src/jasminewalk/sidecar_parts.py
@@ -15,8 +15,10 @@
 from jasminewalk.generated_messages import LoadReport, PoolDemand
 from jasminewalk.generated_settings import SidecarSettings
 from jasminewalk.interfaces import Log
+from jasminewalk.log_appender import LogAppender
 from jasminewalk.log_follower import LogFollower
 from jasminewalk.metrics import Metrics
+from jasminewalk.registration import Registrar
 from jasminewalk.sidecar_http import Calls, Generations
 
 __all__ = ["EndpointPart", "EndpointState", "PartContext"]
@@ -57,6 +59,22 @@
     send: Callable[[Any], Awaitable[None]]
     stop: Callable[[], None]
 
+    def new_registrar(self) -> Registrar:
+        """Return what makes this process the only writer for its endpoint."""
+        return Registrar(
+            endpoint=self.settings.name,
+            pool=self.settings.pool,
+            incarnation=self.incarnation,
+            fold=self.fold,
+            rng=self.rng,
+        )
+
+    def new_appender(self) -> LogAppender:
+        """Return what appends records to the stream that the sidecar follows."""
+        return LogAppender(
+            log=self.log, follower=self.follower, clock=self.clock, rng=self.rng
+        )
+
 
 class EndpointPart(ABC):
     """The part of a sidecar that deals with its endpoint.
--- a/src/jasminewalk/sidecar_service.py
+++ b/src/jasminewalk/sidecar_service.py
@@ -21,9 +21,7 @@
 from jasminewalk.generated_messages import LoadReport, PoolDemand
 from jasminewalk.generated_requests import ServiceCall, ServiceReply
 from jasminewalk.interfaces import ServiceAnswer, ServiceRequest
-from jasminewalk.log_appender import LogAppender
 from jasminewalk.log_writer import AppendRecord
-from jasminewalk.registration import Registrar
 from jasminewalk.service_client import HttpService
 from jasminewalk.sidecar_http import refusal_body
 from jasminewalk.sidecar_parts import EndpointPart, EndpointState, PartContext
@@ -98,19 +96,8 @@
             context.fold,
             context.rng,
         )
-        self.registrar = Registrar(
-            endpoint=self.settings.name,
-            pool=self.settings.pool,
-            incarnation=context.incarnation,
-            fold=context.fold,
-            rng=context.rng,
-        )
-        self.appender = LogAppender(
-            log=context.log,
-            follower=context.follower,
-            clock=context.clock,
-            rng=context.rng,
-        )
+        self.registrar = context.new_registrar()
+        self.appender = context.new_appender()
         self.snapshots = SnapshotTask(
             log=context.log,
             fold=context.fold,
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -20,6 +20,7 @@
 BOUND_S = 60.0
 POLL_S = 0.05
 KEY = "fleet-shared-key-0123456789"
+PLATFORM = ("log", "instances", "weights")
 FIRST_PORT = 20000
 LAST_PORT = 32000
 DOMAINS = ("norte-oviedo", "norte-santander", "norte-coruna")
@@ -57,12 +58,14 @@
     }
 }
 
-_ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
+SPREAD = 997
+
+_first = FIRST_PORT + (os.getpid() % 12) * SPREAD
+_ports = itertools.chain(range(_first, LAST_PORT), range(FIRST_PORT, _first))
 
 
 def free_port():
-    for _ in range(1 + os.getpid() % 997):
-        next(_ports)
+    """Return a port that is free and was not returned before."""
     for port in _ports:
         with socket.socket() as sock:
             try:
@@ -141,15 +144,15 @@
         return (self.folder / f"{name}.log").read_text(encoding="utf-8")
 
     def start_platform(self):
-        for kind in ("log", "instances"):
+        for kind in PLATFORM:
             self.addresses[kind] = address()
             settings = {"listen": self.addresses[kind]}
             if kind == "instances":
                 settings["lag_s"] = 0.2
-            elif self.retention_s:
+            elif kind == "log" and self.retention_s:
                 settings["retention_s"] = self.retention_s
             self.start(kind, settings, "standin", kind)
-        for kind in ("log", "instances"):
+        for kind in PLATFORM:
             wait_for(lambda kind=kind: self.counts(kind) is not None, kind)
 
     def log_settings(self):
@@ -193,6 +196,7 @@
             "metrics_listen": operators,
             "endpoint_address": self.relayed(name),
             "log": self.log_settings(),
+            "weights_address": self.addresses["weights"],
             "peers": PEERS,
             "checks_fencing": checks_fencing,
             "report_s": 0.1,
@@ -345,8 +349,10 @@
         return http_json("GET", url, timeout_s=2.0).get("revision", 0)
 
     def publish_version(self, version):
-        pools = {**FLEET["pools"], "tutor": {**FLEET["pools"]["tutor"]}}
-        pools["tutor"]["version"] = version
+        return self.publish_pool(version=version)
+
+    def publish_pool(self, **changes):
+        pools = {**FLEET["pools"], "tutor": {**FLEET["pools"]["tutor"], **changes}}
         base = self.revision_of("fleet/default")
         return self.append("fleet/default", {"pools": pools}, base)
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -361,6 +361,28 @@
     assert fleet.chat().status == 200
 
 
+def test_model_is_loaded_only_once_the_weight_store_allows_it(fleet):
+    fleet.fault("weights", outage=True)
+    fleet.publish_pool(models=["tutor", "festival"], artifact_bytes={"festival": 1})
+    wait_for(
+        lambda: (
+            "Weight store unavailable"
+            in "".join(fleet.log_text(f"sidecar-{name}") for name in fleet.engines())
+        ),
+        "a failed reservation",
+    )
+    for _ in range(12):
+        assert fleet.chat().status == 200
+    for engine in fleet.engines():
+        assert fleet.engine_state(engine)["models"] == ["tutor"]
+    fleet.fault("weights", outage=False)
+    for engine in fleet.engines():
+        wait_for(
+            lambda engine=engine: "festival" in fleet.engine_state(engine)["models"],
+            f"{engine} has the model",
+        )
+
+
 def test_changes_of_loaded_engines_cut_no_answer(fleet, whole_answer):
     callers = [Caller(fleet, entry) for entry in fleet.entry_addresses for _ in "ab"]
     for caller in callers:
