--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -1,9 +1,12 @@
+import typing
+
 import attrs
 import msgspec
 import pytest
-from hypothesis import given, strategies as st
+from hypothesis import given, settings, strategies as st
 
 from jasminewalk.codec import (
+    TAG_BYTES,
     MessageCodec,
     PositionalCodec,
     decode_record,
@@ -62,3 +65,60 @@
     )
     fields = {**attrs.asdict(record), "added_later": 1}
     assert decode_record(msgspec.msgpack.encode((3, fields))) == record
+
+
+FIELDS = st.lists(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**63), 2**64 - 1)
+    | st.floats()
+    | st.text(max_size=20)
+    | st.binary(max_size=20)
+    | st.lists(st.integers(0, 2**64 - 1), max_size=4),
+    max_size=30,
+)
+SAMPLES = {str: "x", int: 1, float: 1.0, bool: True}
+
+
+def sample_of(kind):
+    values = {}
+    for field in attrs.fields(kind):
+        if field.default is not attrs.NOTHING:
+            continue
+        options = typing.get_args(field.type)
+        is_choice = typing.get_origin(field.type) is typing.Literal
+        values[field.name] = options[0] if is_choice else SAMPLES.get(field.type, [])
+    return kind(**values)
+
+
+@pytest.mark.parametrize("number", TYPE_BY_NUMBER)
+@settings(derandomize=True, deadline=None)
+@given(fields=FIELDS)
+def test_any_fields_are_a_message_or_a_numbered_error(number, fields):
+    codec = PositionalCodec(TYPE_BY_NUMBER)
+    try:
+        message = codec.decode(msgspec.msgpack.encode((number, fields)))
+    except BadMessageError as error:
+        assert error.code == 1502
+    else:
+        assert type(message) is TYPE_BY_NUMBER[number]
+
+
+@pytest.mark.parametrize("number", TYPE_BY_NUMBER)
+def test_truncated_message_is_a_numbered_error(number):
+    codec = MessageCodec(KEY)
+    sealed = codec.seal("a", "b", 1, sample_of(TYPE_BY_NUMBER[number]))
+    body = sealed[TAG_BYTES:]
+    assert codec.open(sealed).message == sample_of(TYPE_BY_NUMBER[number])
+    for length in range(len(body)):
+        part = body[:length]
+        with pytest.raises(BadMessageError):
+            codec.open(codec.tag(part) + part)
+
+
+def test_oversized_and_unknown_messages_are_numbered_errors():
+    codec = MessageCodec(KEY, max_bytes=1024)
+    with pytest.raises(BadMessageError):
+        codec.open(b"x" * 1025)
+    with pytest.raises(BadMessageError):
+        PositionalCodec(TYPE_BY_NUMBER).decode(msgspec.msgpack.encode((999, [])))
