--- /dev/null
+++ b/src/jasminewalk/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Gateway: the process between the platform's callers and the engines."""
--- /dev/null
+++ b/src/jasminewalk/gateway/admission.py
@@ -0,0 +1,71 @@
+"""Decision whether a generation is sent now, sent behind others, or refused."""
+
+import attrs
+
+__all__ = ["Admission", "AdmissionPolicy", "Admitted", "Refused"]
+
+# Seconds that the network and a first token take besides reading the prompt.
+FIRST_TOKEN_S = 0.035
+# Urgency at the engine of work that will be late, behind all that can be in time.
+LATE_PRIORITY = 8
+MOST_URGENT, LEAST_URGENT_IN_TIME = 1, 6
+# Shortest and longest advice to come back, in seconds.
+SHORTEST_RETRY_S, LONGEST_RETRY_S = 0.1, 2.0
+
+
+@attrs.frozen
+class Admitted:
+    """A generation is sent.
+
+    :param priority: urgency at the engine, 0 first.
+    :param in_time: whether it is expected within its objective.
+    """
+
+    priority: int
+    in_time: bool
+
+
+@attrs.frozen
+class Refused:
+    """A generation is refused, not run.
+
+    :param retry_after_s: seconds after which it is expected to be served.
+    """
+
+    retry_after_s: float
+
+
+Admission = Admitted | Refused
+
+
+@attrs.define
+class AdmissionPolicy:
+    """Admits a generation by its predicted time to the first token.
+
+    It answers bursts of prompts that the engines can't read in time: sending all of
+    them would make each one late.
+
+    :param late_share: share of the time that is left within which a late answer is
+        still worth its engine time.
+    """
+
+    late_share: float = 0.45
+
+    def decide(
+        self, predicted_s: float, objective_left_s: float, left_s: float, rank: int
+    ) -> Admission:
+        """Decide on one generation.
+
+        :param predicted_s: seconds until its prompt is read.
+        :param objective_left_s: seconds until its objective passes.
+        :param left_s: seconds until its deadline.
+        :param rank: urgency of its route, 0 is the most urgent.
+        """
+        first_token_s = predicted_s + FIRST_TOKEN_S
+        if first_token_s <= objective_left_s:
+            priority = min(LEAST_URGENT_IN_TIME, MOST_URGENT + 2 * rank)
+            return Admitted(priority, in_time=True)
+        if first_token_s <= self.late_share * left_s:
+            return Admitted(LATE_PRIORITY, in_time=False)
+        excess_s = first_token_s - max(0.0, objective_left_s)
+        return Refused(min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, excess_s)))
--- /dev/null
+++ b/src/jasminewalk/gateway/daemon.py
@@ -0,0 +1,425 @@
+"""The gateway's process: from its settings to its end."""
+
+import asyncio
+import json
+import signal
+import socket
+import time
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from jasminewalk.exceptions import BadSettingsError, LogUnavailableError
+from jasminewalk.gateway.admission import AdmissionPolicy
+from jasminewalk.gateway.decision_log import DecisionLog
+from jasminewalk.gateway.engine_clients import EngineClients
+from jasminewalk.gateway.fleet import Fleet
+from jasminewalk.gateway.metrics import GatewayMetrics
+from jasminewalk.gateway.peers import LoadExchange, decode_news
+from jasminewalk.gateway.placement import PlacementPolicy
+from jasminewalk.gateway.plain_run import PlainRun
+from jasminewalk.gateway.routes import RouteTable
+from jasminewalk.gateway.run import GatewayParts
+from jasminewalk.gateway.stage_holder import HolderLease
+from jasminewalk.gateway.stage_keeper import SESSION_S, StageKeeper
+from jasminewalk.gateway.stage_planner import StagePlanner
+from jasminewalk.gateway.store_follower import (
+    ConfigurationFollower,
+    RegistryFollower,
+    TopicFollower,
+)
+from jasminewalk.gateway.stream_run import StreamRun
+from jasminewalk.http1.client import (
+    ConnectionPool,
+    Exchange,
+    ExchangeBrokenError,
+    connect,
+    request_bytes,
+)
+from jasminewalk.http1.server import (
+    CallerConnection,
+    CallerRequest,
+    CallersServer,
+    ServerLimits,
+)
+from jasminewalk.platform.configuration import ServingConfiguration
+from jasminewalk.platform.headers import decode_request_head
+from jasminewalk.platform.settings import load_settings
+from jasminewalk.platform.store import (
+    GATEWAYS_TOPIC,
+    RecordsPage,
+    StoreClient,
+)
+
+__all__ = ["GatewayDaemon"]
+
+NOT_FOUND, UNAVAILABLE, OK, BAD_REQUEST = 404, 503, 200, 400
+# Advice to come back to a gateway that knows no configuration yet, in seconds.
+STARTING_RETRY_S = 0.5
+# Seconds between two messages to the other gateways, and what each gateway beyond
+# the first few adds, so that large fleets do not spend their time on them.
+NEWS_S = 0.1
+FEW_GATEWAYS = 6
+# Seconds between two reads of the list of gateways.
+GATEWAYS_PERIOD_S = 6.0
+SETTINGS_PERIOD_S = 1.0
+# Seconds after SIGTERM during which new connections are still taken, until the
+# balancer has seen two refusals of readiness.
+LINGER_S = 2.3
+# Seconds kept back at the end of the grace time.
+GRACE_MARGIN_S = 0.7
+STORE_CONNECT_S = 0.5
+STORE_IDLE_S = 2.0
+
+
+class GatewayDaemon:
+    """Serves callers until SIGTERM.
+
+    :param path: settings file.
+    """
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self.settings = load_settings(path)
+        self.clock: Callable[[], float] = time.monotonic
+        self.started_ms = int(time.time() * 1e3)
+        self.log = DecisionLog(self.settings.name, self.clock)
+        self.fleet = Fleet()
+        self.clients = EngineClients(self.fleet, self.clock)
+        self.metrics = GatewayMetrics()
+        self.routes: RouteTable | None = None
+        self.stopping = asyncio.Event()
+        peer_address = f"{self.settings.ip}:{self.settings.peer_port}"
+        self.peers = LoadExchange(
+            self.settings.name, peer_address, self.started_ms, self.fleet
+        )
+        self.parts = GatewayParts(
+            settings=self.settings,
+            fleet=self.fleet,
+            clients=self.clients,
+            placement=PlacementPolicy(self.settings.failure_domain),
+            admission=AdmissionPolicy(),
+            peers=self.peers,
+            log=self.log,
+            metrics=self.metrics,
+            clock=self.clock,
+        )
+        self.callers = CallersServer(
+            self.handle, self.clock, self._handler_failed, self._unreadable
+        )
+        self.control = CallersServer(
+            self.handle_control, self.clock, self._handler_failed, self._unreadable
+        )
+        self.store_pool = ConnectionPool(
+            self.settings.store_address, self.clock, STORE_IDLE_S
+        )
+        self.store = StoreClient(self._store_call)
+        self.configuration = ConfigurationFollower(
+            self.store, self.log, self.clock, self._apply
+        )
+        self.registry = RegistryFollower(self.store, self.log, self.clock, self.fleet)
+        self.registry.on_return = lambda: self.fleet.store_returned(self.clock())
+        self.gateways = _GatewaysFollower(
+            GATEWAYS_TOPIC, self.store, self.log, self.clock, 0.0, GATEWAYS_PERIOD_S
+        )
+        self.gateways.peers = self.peers
+        self.keeper = StageKeeper(
+            f"{self.settings.name}/{self.started_ms}",
+            self.settings.name,
+            self.store,
+            self.fleet,
+            self.clients,
+            StagePlanner(),
+            HolderLease(SESSION_S, self.settings.bounds.holder_gap_s),
+            self.log,
+            self.clock,
+        )
+        self.udp: asyncio.DatagramTransport | None = None
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then finish what runs."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        self.log.info("started", zone=self.settings.failure_domain)
+        await self.control.listen(self.settings.readiness_address)
+        await self.callers.listen(self.settings.callers_address)
+        await self._open_peers()
+        for work in (
+            self.log.flush_forever(),
+            self.callers.sweep_forever(),
+            self.control.sweep_forever(),
+            self.clients.sweep_forever(),
+            self.configuration.run(),
+            self.registry.run(),
+            self._join_gateways(),
+            self._tell_peers(),
+            self._watch_settings(),
+            self.keeper.run(),
+        ):
+            self._spawn(work)
+        await self.stopping.wait()
+        await self._drain()
+
+    def reload(self) -> None:
+        """Read the settings file again; a bad one changes nothing."""
+        try:
+            settings = load_settings(self.path)
+        except BadSettingsError as error:
+            self.log.warning("settings_unreadable", detail=str(error))
+            return
+        if settings != self.parts.settings:
+            self.parts.settings = settings
+            self.parts.budgets.clear()
+            self.store_pool.address = settings.store_address
+            self.log.info("settings_reloaded")
+
+    @property
+    def ready(self) -> bool:
+        """Whether this process can serve callers."""
+        return (
+            self.routes is not None and self.fleet.loaded and not self.stopping.is_set()
+        )
+
+    # Callers.
+
+    async def handle(
+        self, connection: CallerConnection, request: CallerRequest
+    ) -> None:
+        """Handle one request of a caller.
+
+        :param connection: the caller's connection.
+        :param request: the request.
+        """
+        head = decode_request_head(request.headers)
+        if self.routes is None or not self.fleet.loaded:
+            headers = [(b"retry-after", b"%.1f" % STARTING_RETRY_S)]
+            connection.answer(UNAVAILABLE, headers, b"")
+            self.log.warning("refused", request=head.request_id, reason="starting")
+            return
+        route = self.routes.match(request.host, request.path)
+        if route is None:
+            connection.answer(NOT_FOUND, (), b"")
+            self.log.info(
+                "no_route",
+                request=head.request_id,
+                host=request.host,
+                path=request.path[:80],
+                version=self.routes.version,
+            )
+            return
+        if not head.request_id:
+            connection.answer(BAD_REQUEST, (), b"")
+            self.log.warning("no_request_id", route=route.name)
+            return
+        service = self.routes.service_of(route, head.request_id)
+        self.parts.budget(service).count_request(self.clock())
+        kind = StreamRun if route.streaming else PlainRun
+        await kind(self.parts, connection, request, head, route, service).run()
+
+    async def handle_control(
+        self, connection: CallerConnection, request: CallerRequest
+    ) -> None:
+        """Answer the balancer and whoever reads metrics.
+
+        :param connection: their connection.
+        :param request: the request.
+        """
+        if request.path == "/metrics":
+            connection.answer(OK, (), self.metrics.text())
+        else:
+            connection.answer(OK if self.ready else UNAVAILABLE, (), b"")
+
+    def _handler_failed(self, request: CallerRequest, error: Exception) -> None:
+        self.log.warning(
+            "handler_failed",
+            path=request.path[:80],
+            error=repr(error),
+            at=_where(error),
+        )
+
+    def _unreadable(self, status: int) -> None:
+        self.log.warning("request_unreadable", status=status)
+
+    # Configuration.
+
+    def _apply(self, configuration: ServingConfiguration) -> None:
+        self.routes = RouteTable.of(configuration)
+        self.fleet.use_services(configuration.services)
+        limits = configuration.limits
+        self.callers.limits = ServerLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout_s,
+            limits.idle_timeout_s,
+        )
+        self.log.info(
+            "configuration_in_force",
+            version=configuration.version,
+            routes=len(configuration.routes),
+        )
+
+    async def _watch_settings(self) -> None:
+        seen = self._settings_stamp()
+        while True:
+            await asyncio.sleep(SETTINGS_PERIOD_S)
+            stamp = self._settings_stamp()
+            if stamp != seen:
+                seen = stamp
+                self.reload()
+
+    def _settings_stamp(self) -> tuple[int, int] | None:
+        try:
+            status = self.path.stat()
+        except OSError as error:
+            self.log.warning("settings_missing", reason=repr(error))
+            return None
+        return status.st_mtime_ns, status.st_size
+
+    # The store.
+
+    async def _store_call(
+        self, method: bytes, target: str, body: bytes, timeout_s: float
+    ) -> tuple[int, bytes]:
+        address = self.store_pool.address
+        headers = [(b"host", address.encode())]
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = self.store_pool.take_idle(STORE_IDLE_S)
+                if connection is None:
+                    connection = await connect(address, STORE_CONNECT_S, self.clock)
+                exchange = Exchange()
+                try:
+                    connection.send(
+                        request_bytes(method, target.encode(), headers, body), exchange
+                    )
+                    answer = await exchange.head()
+                    content = await exchange.body()
+                finally:
+                    if exchange.complete:
+                        self.store_pool.put_back(connection)
+                    else:
+                        connection.abort()
+        except ExchangeBrokenError as error:
+            raise LogUnavailableError(f"store: {error.reason}") from error
+        except TimeoutError as error:
+            raise LogUnavailableError("store: no answer in time") from error
+        return answer.status, content
+
+    # Other gateways.
+
+    async def _open_peers(self) -> None:
+        loop = asyncio.get_running_loop()
+        udp, _ = await loop.create_datagram_endpoint(
+            lambda: _PeerProtocol(self._heard),
+            local_addr=(self.settings.ip, self.settings.peer_port),
+            family=socket.AF_INET,
+        )
+        self.udp = udp
+
+    async def _join_gateways(self) -> None:
+        value = json.dumps({"address": self.peers.address}).encode()
+        while True:
+            try:
+                await self.store.put(GATEWAYS_TOPIC, self.settings.name, value)
+                break
+            except (LogUnavailableError, OSError) as error:
+                self.log.warning("gateway_not_listed", reason=repr(error))
+                await asyncio.sleep(STARTING_RETRY_S)
+        await self.gateways.run()
+
+    async def _tell_peers(self) -> None:
+        while True:
+            now = self.clock()
+            data = self.peers.message(now, self.configuration.offset or 0, 0, 0)
+            for peer in list(self.peers.peers.values()):
+                host, _, port = peer.address.rpartition(":")
+                if self.udp is not None:
+                    self.udp.sendto(data, (host, int(port)))
+            for node in self.peers.forget_silent(now):
+                self.log.info("peer_silent", peer=node)
+            count = 1 + len(self.peers.peers)
+            await asyncio.sleep(NEWS_S * max(1.0, count / FEW_GATEWAYS))
+
+    def _heard(self, data: bytes) -> None:
+        news = decode_news(data)
+        if news is None:
+            self.log.warning("peer_unreadable", size=len(data))
+            return
+        self.peers.take(self.clock(), news)
+
+    # The end.
+
+    async def _drain(self) -> None:
+        grace_s = self.parts.settings.bounds.grace_s
+        ends_at = self.clock() + grace_s - GRACE_MARGIN_S
+        self.log.info("stopping", active=self.callers.active)
+        self._spawn(self.keeper.leave())
+        self.callers.draining = True
+        await asyncio.sleep(LINGER_S)
+        self.callers.stop_listening()
+        while self.clock() < ends_at:
+            self.callers.close_idle()
+            if not self.callers.active and not self.callers.connections:
+                break
+            await asyncio.sleep(0.05)
+        self.log.info("stopped", active=self.callers.active)
+        for task in self.tasks:
+            task.cancel()
+        self.log.flush()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        task.add_done_callback(self._task_ended)
+        self.tasks.append(task)
+
+    def _task_ended(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            error = task.exception()
+            self.log.warning("task_failed", error=repr(error), at=_where(error))
+            self.stopping.set()
+
+
+class _PeerProtocol(asyncio.DatagramProtocol):
+    def __init__(self, heard: Callable[[bytes], None]) -> None:
+        self.heard = heard
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        self.heard(data)
+
+    def error_received(self, exc: Exception) -> None:
+        """Pass over unreachable peers; their silence is noticed."""
+
+
+class _GatewaysFollower(TopicFollower):
+    peers: LoadExchange
+
+    def take_newest(self, page: RecordsPage) -> None:
+        self.take_changes(page)
+
+    def take_changes(self, page: RecordsPage) -> None:
+        for record in page.records:
+            if record.value is None:
+                continue
+            try:
+                address = msgspec.json.decode(record.value)["address"]
+                host, _, port = address.rpartition(":")
+                socket.inet_aton(host)
+                int(port)
+            except (msgspec.DecodeError, KeyError, TypeError, ValueError, OSError) as e:
+                self.log.warning("gateway_unreadable", key=record.key, reason=repr(e))
+                continue
+            self.peers.learn_address(record.key, address)
+
+
+def _where(error: BaseException | None) -> str:
+    trace = error.__traceback__ if error else None
+    while trace is not None and trace.tb_next is not None:
+        trace = trace.tb_next
+    if trace is None:
+        return ""
+    return f"{trace.tb_frame.f_code.co_filename}:{trace.tb_lineno}"
--- /dev/null
+++ b/src/jasminewalk/gateway/decision_log.py
@@ -0,0 +1,163 @@
+"""Structured log lines on standard output, bounded and never blocking."""
+
+import asyncio
+import logging as standard_logging
+import os
+from collections import deque
+from collections.abc import Callable
+from datetime import UTC, datetime
+from typing import Any
+
+import attrs
+import msgspec
+from absl import flags, logging
+
+__all__ = ["DecisionLog", "LineBuffer"]
+
+# Lines of ordinary decisions written in a second; failures may use as many again.
+LINES_PER_S = 300
+# Lines held while standard output takes none.
+HELD_LINES = 4000
+FLUSH_S = 0.1
+STDOUT = 1
+
+
+@attrs.define(eq=False)
+class LineBuffer:
+    """Lines that wait until standard output takes them.
+
+    :param write: writes bytes without blocking and returns how many were taken.
+    """
+
+    write: Callable[[bytes], int]
+    lines: deque[bytes] = attrs.field(factory=deque)
+    partial: bytes = b""
+    suppressed: int = 0
+
+    def append(self, line: bytes) -> None:
+        """Hold a line, or count it as suppressed if too many are held.
+
+        :param line: the line with its end.
+        """
+        if len(self.lines) >= HELD_LINES:
+            self.suppressed += 1
+            return
+        self.lines.append(line)
+
+    def flush(self) -> None:
+        """Write as much as is taken."""
+        while self.partial or self.lines:
+            if not self.partial:
+                self.partial = b"".join(self.lines)
+                self.lines.clear()
+            try:
+                taken = self.write(self.partial)
+            except BlockingIOError:
+                return
+            except OSError:
+                self.partial = b""
+                return
+            self.partial = self.partial[taken:]
+
+
+class _JsonHandler(standard_logging.Handler):
+    def __init__(self, buffer: LineBuffer) -> None:
+        super().__init__()
+        self.buffer = buffer
+
+    def emit(self, record: standard_logging.LogRecord) -> None:
+        line = {
+            "time": datetime.fromtimestamp(record.created, UTC).isoformat(),
+            "severity": record.levelname,
+            "event": record.getMessage(),
+        }
+        line.update(getattr(record, "fields", {}))
+        self.buffer.append(msgspec.json.encode(line, enc_hook=str) + b"\n")
+
+
+class DecisionLog:
+    """Writes one line for each decision and each change of belief.
+
+    :param node: name of the instance, part of each line.
+    :param clock: returns the current instant in seconds.
+    :param write: writes bytes without blocking; standard output if None.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        clock: Callable[[], float],
+        write: Callable[[bytes], int] | None = None,
+    ) -> None:
+        self.node = node
+        self.clock = clock
+        self.buffer = LineBuffer(write or _nonblocking_stdout())
+        self.second = 0
+        self.in_second = 0
+        self.suppressed = 0
+        self.handler = _JsonHandler(self.buffer)
+        if not flags.FLAGS.is_parsed():
+            flags.FLAGS.mark_as_parsed()
+        self.logger = logging.get_absl_logger()
+        self.logger.handlers = [self.handler]
+        self.logger.propagate = False
+        logging.set_verbosity(logging.INFO)
+
+    def info(self, event: str, **fields: Any) -> None:
+        """Write a line for an ordinary decision.
+
+        :param event: what was decided or believed.
+        :param fields: inputs, their age, and the outcome.
+        """
+        if self._allowed(LINES_PER_S):
+            self._write(standard_logging.INFO, event, fields)
+
+    def warning(self, event: str, **fields: Any) -> None:
+        """Write a line for a failure; such lines are the last to be suppressed.
+
+        :param event: what failed.
+        :param fields: inputs, their age, and the outcome.
+        """
+        if self._allowed(2 * LINES_PER_S):
+            self._write(standard_logging.WARNING, event, fields)
+
+    async def flush_forever(self) -> None:
+        """Hand held lines to standard output."""
+        while True:
+            await asyncio.sleep(FLUSH_S)
+            self.flush()
+
+    def flush(self) -> None:
+        """Hand held lines to standard output, once, and tell of suppressed ones."""
+        dropped = self.suppressed + self.buffer.suppressed
+        if dropped and len(self.buffer.lines) < HELD_LINES:
+            self.suppressed = self.buffer.suppressed = 0
+            fields = {"count": dropped}
+            self._write(standard_logging.WARNING, "lines_suppressed", fields)
+        self.buffer.flush()
+
+    def _allowed(self, limit: int) -> bool:
+        second = int(self.clock())
+        if second != self.second:
+            self.second = second
+            self.in_second = 0
+        self.in_second += 1
+        if self.in_second <= limit:
+            return True
+        self.suppressed += 1
+        return False
+
+    def _write(self, level: int, event: str, fields: dict[str, Any]) -> None:
+        fields = {"node": self.node, **fields}
+        record = self.logger.makeRecord(
+            "jasminewalk", level, "", 0, event, (), None, extra={"fields": fields}
+        )
+        self.handler.emit(record)
+
+
+def _nonblocking_stdout() -> Callable[[bytes], int]:
+    try:
+        os.set_blocking(STDOUT, False)
+    except OSError:
+        pass  # standard output is closed; writes fail and are dropped
+    return lambda data: os.write(STDOUT, data)
--- /dev/null
+++ b/src/jasminewalk/gateway/event_stream.py
@@ -0,0 +1,69 @@
+"""Splitting of a stream into whole events."""
+
+import re
+
+import attrs
+
+__all__ = ["EventSplitter", "OutOfOrderError"]
+
+EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+EVENT_END = re.compile(rb"\r?\n\r?\n")
+
+
+class OutOfOrderError(Exception):
+    """An event does not follow the one before it."""
+
+
+@attrs.define
+class EventSplitter:
+    """Passes on whole events, each once and in order.
+
+    >>> splitter = EventSplitter(last_id=b"1")
+    >>> splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2\\ndata: b\\n\\nid: 3")
+    [b'id: 2\\ndata: b\\n\\n']
+
+    :param last_id: id of the last event that the caller has; empty if none.
+    """
+
+    last_id: bytes = b""
+    buffer: bytes = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Return the whole events that bytes of a stream complete.
+
+        :param data: bytes in the order of the stream.
+        :raises OutOfOrderError: if an event is missing.
+        """
+        self.buffer += data
+        events = []
+        start = 0
+        for end in EVENT_END.finditer(self.buffer):
+            event = self.buffer[start : end.end()]
+            start = end.end()
+            if self._is_next(event):
+                events.append(event)
+        self.buffer = self.buffer[start:]
+        return events
+
+    @property
+    def between_events(self) -> bool:
+        """Whether no part of an event is held back."""
+        return not self.buffer.strip()
+
+    def restart(self) -> None:
+        """Drop a cut event before the stream goes on elsewhere."""
+        self.buffer = b""
+
+    def _is_next(self, event: bytes) -> bool:
+        found = EVENT_ID.search(event)
+        if found is None:
+            return True
+        event_id = found.group(1).strip()
+        if event_id.isdigit() and self.last_id.isdigit():
+            step = int(event_id) - int(self.last_id)
+            if step <= 0:
+                return False
+            if step > 1:
+                raise OutOfOrderError(f"event {event_id!r} after {self.last_id!r}")
+        self.last_id = event_id
+        return True
--- /dev/null
+++ b/src/jasminewalk/gateway/placement.py
@@ -0,0 +1,161 @@
+"""Choice of the engine, or engines, of a request."""
+
+from collections.abc import Collection, Sequence
+
+import attrs
+import xxhash
+
+from jasminewalk.gateway.fleet import EngineState, in_stage
+from jasminewalk.platform.headers import PromptPart
+from jasminewalk.platform.registry import DECODE, PREFILL
+
+__all__ = ["Estimate", "PlacementPolicy", "PromptWork"]
+
+# Seconds added for an engine in another failure domain: network and priced bytes.
+OTHER_DOMAIN_S = 0.004
+# Shortest read for which reading at a prefill engine pays, in tokens.
+SHORTEST_SPLIT_TOKENS = 1500
+# Seconds of the hand-over of a prompt between two engines.
+HAND_OVER_S = 0.04
+# Engine time weighs this much besides the caller's waiting time.
+ENGINE_TIME_WEIGHT = 1.0
+# Seconds that one running request adds to the first token of another.
+RUNNING_S = 0.0012
+# Seconds of a plain request's wait per failure in a hundred.
+FAILURE_S = 0.02
+ACCEPTED_FAILURE_RATE = 0.2
+
+
+@attrs.frozen
+class PromptWork:
+    """What placing needs to know of a prompt.
+
+    :param parts: parts of the prompt in order.
+    :param tokens: its length in tokens.
+    """
+
+    parts: tuple[PromptPart, ...]
+    tokens: int
+
+    @property
+    def shared_key(self) -> str:
+        """Id of the last part that other requests share; empty if there is none."""
+        return self.parts[-2].part_id if len(self.parts) > 1 else ""
+
+
+@attrs.frozen
+class Estimate:
+    """What a request can expect of an engine.
+
+    :param engine: the engine.
+    :param wait_s: seconds until the engine starts on it.
+    :param read_s: seconds that the engine reads its prompt.
+    :param cached_tokens: tokens that need no reading.
+    """
+
+    engine: EngineState
+    wait_s: float
+    read_s: float
+    cached_tokens: int
+
+    @property
+    def total_s(self) -> float:
+        """Seconds until the prompt is read."""
+        return self.wait_s + self.read_s
+
+
+@attrs.define
+class PlacementPolicy:
+    """Chooses engines by predicted time.
+
+    :param failure_domain: zone of the gateway.
+    """
+
+    failure_domain: str
+
+    def plain(
+        self, engines: Sequence[EngineState], excluded: Collection[str]
+    ) -> EngineState | None:
+        """Choose the engine of a plain request.
+
+        :param engines: engines that may get work.
+        :param excluded: ids of engines that had the request before.
+        """
+        candidates = [e for e in engines if e.entry.engine_id not in excluded]
+        return min(candidates, key=self._plain_cost, default=None)
+
+    def direct(
+        self,
+        work: PromptWork,
+        engines: Sequence[EngineState],
+        excluded: Collection[str] = (),
+    ) -> Estimate | None:
+        """Choose the engine that reads and answers a prompt by itself.
+
+        :param work: the prompt.
+        :param engines: engines that may get work.
+        :param excluded: ids of engines that had the request before.
+        """
+        return self._best(work, in_stage(engines, DECODE), excluded)
+
+    def reader(
+        self,
+        work: PromptWork,
+        engines: Sequence[EngineState],
+        excluded: Collection[str] = (),
+    ) -> Estimate | None:
+        """Choose the engine that reads a prompt for another one.
+
+        :param work: the prompt.
+        :param engines: engines that may get work.
+        :param excluded: ids of engines that had the request before.
+        """
+        return self._best(work, in_stage(engines, PREFILL), excluded)
+
+    def _best(
+        self,
+        work: PromptWork,
+        engines: Sequence[EngineState],
+        excluded: Collection[str],
+    ) -> Estimate | None:
+        estimates = [
+            self.estimate(work, engine)
+            for engine in engines
+            if engine.entry.engine_id not in excluded
+        ]
+        return min(estimates, key=lambda found: self._cost(work, found), default=None)
+
+    def estimate(self, work: PromptWork, engine: EngineState) -> Estimate:
+        """Predict what a prompt can expect of an engine.
+
+        :param work: the prompt.
+        :param engine: the engine.
+        """
+        cached = engine.cache.cached_tokens(work.parts)
+        rate = engine.read_rate
+        wait_s = engine.prompt_tokens / rate + RUNNING_S * engine.requests
+        if engine.entry.failure_domain != self.failure_domain:
+            wait_s += OTHER_DOMAIN_S
+        return Estimate(engine, wait_s, (work.tokens - cached) / rate, cached)
+
+    def _cost(self, work: PromptWork, found: Estimate) -> tuple[float, int]:
+        failing = max(0.0, found.engine.failure_rate - ACCEPTED_FAILURE_RATE)
+        cost_s = (
+            found.wait_s
+            + (1.0 + ENGINE_TIME_WEIGHT) * found.read_s
+            + 100 * FAILURE_S * failing
+        )
+        # Rounding lets prompts of one key meet again where all engines are alike.
+        return round(cost_s, 2), _affinity(work.shared_key, found.engine)
+
+    def _plain_cost(self, engine: EngineState) -> tuple[float, float]:
+        failing = max(0.0, engine.failure_rate - ACCEPTED_FAILURE_RATE)
+        queue = engine.requests / engine.entry.slots
+        cost_s = engine.latency_s * (1.0 + 2.0 * queue) + 100 * FAILURE_S * failing
+        if engine.entry.failure_domain != self.failure_domain:
+            cost_s += OTHER_DOMAIN_S
+        return cost_s, engine.entry.started_ms
+
+
+def _affinity(key: str, engine: EngineState) -> int:
+    return xxhash.xxh32_intdigest(f"{key} {engine.entry.engine_id}".encode())
--- /dev/null
+++ b/src/jasminewalk/gateway/stage_keeper.py
@@ -0,0 +1,167 @@
+"""Task that holds the right to give orders and carries out planned changes."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+from jasminewalk.exceptions import BadMessageError, LogUnavailableError
+from jasminewalk.gateway.decision_log import DecisionLog
+from jasminewalk.gateway.engine_clients import EngineClients, NotSentError
+from jasminewalk.gateway.fleet import Fleet
+from jasminewalk.gateway.stage_holder import HolderLease
+from jasminewalk.gateway.stage_planner import StageChange, StagePlanner
+from jasminewalk.http1.client import ExchangeBrokenError
+from jasminewalk.platform.engines import (
+    ACCEPTED,
+    REPORT_PATH,
+    decode_report,
+    order_path,
+    stage_order,
+)
+from jasminewalk.platform.headers import engine_headers
+from jasminewalk.platform.store import GATEWAYS_TOPIC, StoreClient
+
+__all__ = ["StageKeeper"]
+
+GROUP = "stage-holder"
+# Seconds of silence after which the store drops a member of the group.
+SESSION_S = 3.0
+# Seconds between two renewals.
+RENEWAL_S = 0.7
+# Seconds that a call to an engine may take.
+CALL_TIMEOUT_S = 0.4
+
+
+def suspended_clock() -> float:
+    """Return seconds of a clock that goes on while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class StageKeeper:
+    """Renews the right to give orders, and orders what the planner wants.
+
+    :param member: name of this process in the group.
+    :param node: name of the instance, told to engines as the holder.
+    :param store: the metadata store.
+    :param fleet: the engines.
+    :param clients: connections to the engines.
+    :param planner: decides on changes.
+    :param lease: decides whether an order may be sent.
+    :param log: decision log.
+    :param clock: returns the current instant in seconds.
+    """
+
+    def __init__(
+        self,
+        member: str,
+        node: str,
+        store: StoreClient,
+        fleet: Fleet,
+        clients: EngineClients,
+        planner: StagePlanner,
+        lease: HolderLease,
+        log: DecisionLog,
+        clock: Callable[[], float],
+    ) -> None:
+        self.member = member
+        self.node = node
+        self.store = store
+        self.fleet = fleet
+        self.clients = clients
+        self.planner = planner
+        self.lease = lease
+        self.log = log
+        self.clock = clock
+
+    async def run(self) -> None:
+        """Renew and order forever."""
+        while True:
+            await self._renew()
+            if self.lease.may_order(suspended_clock()):
+                await self._order_next()
+            await asyncio.sleep(RENEWAL_S * random.uniform(0.9, 1.1))
+
+    async def leave(self) -> None:
+        """Give up the right before the process ends."""
+        self.lease.held_since = None
+        try:
+            await self.store.leave(GROUP, self.member)
+        except (LogUnavailableError, OSError, TimeoutError) as error:
+            # The store drops the member after its session.
+            self.log.info("holder_not_left", reason=repr(error))
+
+    async def _renew(self) -> None:
+        asked_at = suspended_clock()
+        try:
+            told = await self.store.join(
+                GROUP, self.member, GATEWAYS_TOPIC, SESSION_S, self.lease.generation
+            )
+        except (LogUnavailableError, OSError, TimeoutError) as error:
+            if self.lease.held_since is not None:
+                self.log.warning("holder_not_renewed", reason=repr(error))
+            return
+        if self.lease.renewed(asked_at, suspended_clock(), told):
+            self.log.info(
+                "holder_changed",
+                held=self.lease.held_since is not None,
+                generation=told.generation,
+            )
+
+    async def _order_next(self) -> None:
+        for service in self.fleet.services.values():
+            if service.engine is None:
+                continue
+            now = self.clock()
+            engines = self.fleet.usable(service.name, now)
+            change = self.planner.plan(now, service.name, engines)
+            if change is not None:
+                await self._order(service.name, change)
+                return
+
+    async def _order(self, service: str, change: StageChange) -> None:
+        engine_id = change.engine.entry.engine_id
+        try:
+            _, body = await self.clients.call(
+                change.engine, b"GET", REPORT_PATH, (), b"", CALL_TIMEOUT_S
+            )
+            report = decode_report(body)
+            if report.ordering or report.stage == change.stage:
+                self.planner.changed(self.clock(), service)
+                return
+            if not self.lease.may_order(suspended_clock()):
+                return
+            self.planner.changed(self.clock(), service)
+            fence = self.lease.generation
+            headers = engine_headers((), engine_id=engine_id, deadline_s=CALL_TIMEOUT_S)
+            status, _ = await self.clients.call(
+                change.engine,
+                b"POST",
+                order_path(),
+                headers,
+                stage_order(change.stage, self.node, fence, report.orders_taken),
+                CALL_TIMEOUT_S,
+            )
+        except (
+            BadMessageError,
+            ExchangeBrokenError,
+            NotSentError,
+            TimeoutError,
+        ) as error:
+            self.planner.changed(self.clock(), service)
+            self.log.warning(
+                "order_unanswered",
+                engine=engine_id,
+                stage=change.stage,
+                reason=repr(error),
+            )
+            return
+        self.log.info(
+            "stage_ordered",
+            engine=engine_id,
+            stage=change.stage,
+            accepted=status in ACCEPTED,
+            status=status,
+            fence=fence,
+            reason=change.reason,
+        )
--- /dev/null
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -0,0 +1,419 @@
+"""Generations: placed by prompt, relayed event by event, resumed where allowed."""
+
+import asyncio
+from enum import Enum, auto
+
+import attrs
+
+from jasminewalk.exceptions import BadMessageError
+from jasminewalk.gateway.admission import Refused
+from jasminewalk.gateway.engine_clients import NotSentError, OpenExchange
+from jasminewalk.gateway.event_stream import EventSplitter, OutOfOrderError
+from jasminewalk.gateway.fleet import EngineState
+from jasminewalk.gateway.placement import (
+    HAND_OVER_S,
+    SHORTEST_SPLIT_TOKENS,
+    Estimate,
+    PromptWork,
+)
+from jasminewalk.gateway.run import (
+    BAD_GATEWAY,
+    ENGINE_FULL_RETRY_S,
+    GATEWAY_TIMEOUT,
+    Run,
+    RunLoad,
+)
+from jasminewalk.http1.client import Answer, ExchangeBrokenError
+from jasminewalk.platform.engines import decode_prompt_handle, release_path
+from jasminewalk.platform.headers import engine_headers, relayed_headers
+
+__all__ = ["StreamRun"]
+
+# A stream without a byte for this long is taken for broken, in seconds.
+SILENCE_S = 1.2
+# Seconds that freeing a handle may take.
+RELEASE_TIMEOUT_S = 0.5
+MAX_CONNECTS = 3
+SUCCESS = 200
+SHORTEST_SEND_S = 0.02
+
+
+class End(Enum):
+    """How one attempt at a stream ended."""
+
+    DONE = auto()
+    NOT_RUN = auto()
+    BROKEN = auto()
+    NOT_SENT = auto()
+
+
+@attrs.define
+class ReadPrompt:
+    """A prompt that an engine read for this request and keeps.
+
+    :param engine: the engine that keeps it.
+    :param handle_id: names it there.
+    :param taken: whether it was handed over.
+    """
+
+    engine: EngineState
+    handle_id: str
+    taken: bool = False
+
+    @property
+    def source(self) -> str:
+        """Address and handle for the engine that goes on."""
+        return f"{self.engine.entry.address}/{self.handle_id}"
+
+
+class StreamRun(Run):
+    """Runs a generation, and resumes it at another engine where that is allowed."""
+
+    async def run(self) -> None:
+        """Run the request and answer the caller."""
+        self.work = PromptWork(self.head.prompt, self.head.prompt_tokens)
+        self.splitter = EventSplitter(self.head.last_event_id.encode())
+        self.started = False
+        self.may_have_run = False
+        self.failure: tuple[Answer, bytes] | None = None
+        self.reason = ""
+        self.prompt: ReadPrompt | None = None
+        self.prompts_failed = 0
+        self.first_event_at: float | None = None
+        try:
+            async with asyncio.timeout(max(0.0, self.left_s)):
+                await self._run()
+        except TimeoutError:
+            self._finish("no answer in time", GATEWAY_TIMEOUT)
+        finally:
+            self._free_prompt()
+
+    async def _run(self) -> None:
+        connects = 0
+        while True:
+            chosen = self._place()
+            if chosen is None:
+                return
+            estimate, split, priority = chosen
+            if split and not await self._read_prompt(estimate, priority):
+                continue
+            engine = self._decoder() if split else estimate.engine
+            if engine is None:
+                self._finish("no engine", BAD_GATEWAY)
+                return
+            end = await self._attempt(engine, estimate, priority)
+            if end is End.DONE:
+                return
+            self._free_prompt()
+            if end is End.NOT_SENT:
+                connects += 1
+                if connects < MAX_CONNECTS:
+                    continue
+            elif self._may_go_on(end):
+                self.log("retried", reason=self.reason, events=self._last_id())
+                continue
+            self._finish(self.reason, BAD_GATEWAY)
+            return
+
+    def _may_go_on(self, end: End) -> bool:
+        if end is End.BROKEN and not self.route.resumable:
+            return False
+        return self.left_s > SHORTEST_SEND_S and self.may_repeat()
+
+    # Placing.
+
+    def _place(self) -> tuple[Estimate, bool, int] | None:
+        now = self.parts.clock()
+        engines = self.parts.fleet.usable(self.service, now)
+        best, split = self._best(engines)
+        if best is None:
+            self._finish("no engine", BAD_GATEWAY)
+            return None
+        predicted_s = best.total_s + (HAND_OVER_S if split else 0.0)
+        decision = self.parts.admission.decide(
+            predicted_s,
+            self.route.objective_s - self.age_s,
+            self.left_s,
+            self.route.rank,
+        )
+        inputs = {
+            "engine": best.engine.entry.engine_id,
+            "split": split,
+            "predicted_ms": round(predicted_s * 1e3, 1),
+            "wait_ms": round(best.wait_s * 1e3, 1),
+            "tokens": self.work.tokens,
+            "cached": best.cached_tokens,
+            "speed": round(best.engine.speed, 2),
+        }
+        if isinstance(decision, Refused) and not self.started:
+            self.log("not_admitted", **inputs)
+            if self.may_have_run:
+                self._finish("too late to go on", BAD_GATEWAY)
+            else:
+                self.refuse("overloaded", decision.retry_after_s)
+            return None
+        priority = 0 if isinstance(decision, Refused) else decision.priority
+        self.log("placed", priority=priority, **inputs)
+        return best, split, priority
+
+    def _best(self, engines: list[EngineState]) -> tuple[Estimate | None, bool]:
+        placement = self.parts.placement
+        direct = placement.direct(self.work, engines, self.tried)
+        reader = None
+        # A second call to read the prompt would count against the retry budget.
+        long = self.work.tokens >= SHORTEST_SPLIT_TOKENS and not self.prompts_failed
+        if long or direct is None:
+            reader = placement.reader(self.work, engines, self.tried)
+        if reader is None:
+            return direct, False
+        if direct is None:
+            return (reader, True) if self._decoder() else (None, False)
+        split_s = reader.total_s + reader.read_s + HAND_OVER_S
+        return (
+            (direct, False)
+            if direct.total_s + direct.read_s < split_s
+            else (
+                reader,
+                True,
+            )
+        )
+
+    def _decoder(self) -> EngineState | None:
+        now = self.parts.clock()
+        engines = self.parts.fleet.usable(self.service, now)
+        done = PromptWork((), 1)
+        chosen = self.parts.placement.direct(done, engines, self.tried)
+        return chosen.engine if chosen else None
+
+    # Reading the prompt at one engine for another.
+
+    async def _read_prompt(self, estimate: Estimate, priority: int) -> bool:
+        engine = estimate.engine
+        unread = max(1, self.work.tokens - estimate.cached_tokens)
+        started = self.parts.clock()
+        with self.load(engine, unread):
+            alone = engine.prompt_tokens <= unread
+            self.parts.peers.note_read(started, engine, self.work.parts)
+            try:
+                sent = await self._send(engine, priority, prefill_only=True)
+            except NotSentError as error:
+                self._suspect(engine, error.reason)
+                return False
+            try:
+                answer = await sent.exchange.head()
+                body = await sent.exchange.body()
+                handle = (
+                    decode_prompt_handle(body) if answer.status == SUCCESS else None
+                )
+            except (ExchangeBrokenError, BadMessageError) as error:
+                self._prompt_failed(engine, str(error))
+                return False
+            finally:
+                sent.close()
+        if handle is None:
+            self._prompt_failed(engine, f"engine answered {answer.status}")
+            return False
+        taken_s = self.parts.clock() - started
+        if alone and unread > SHORTEST_SPLIT_TOKENS:
+            engine.observe_read(estimate.read_s, taken_s)
+        self.prompt = ReadPrompt(engine, handle.handle_id)
+        self.log(
+            "prompt_read",
+            engine=engine.entry.engine_id,
+            taken_ms=round(taken_s * 1e3, 1),
+            predicted_ms=round(estimate.total_s * 1e3, 1),
+            read_tokens=unread,
+        )
+        return True
+
+    def _prompt_failed(self, engine: EngineState, reason: str) -> None:
+        engine.observe_outcome(True)
+        self.tried.append(engine.entry.engine_id)
+        self.reason = reason
+        self.prompts_failed += 1
+        self.warn("prompt_not_read", engine=engine.entry.engine_id, reason=reason)
+
+    def _free_prompt(self) -> None:
+        prompt, self.prompt = self.prompt, None
+        if prompt is not None and not prompt.taken:
+            asyncio.get_running_loop().create_task(self._release(prompt))
+
+    async def _release(self, prompt: ReadPrompt) -> None:
+        try:
+            await self.parts.clients.call(
+                prompt.engine,
+                b"DELETE",
+                release_path(prompt.handle_id),
+                (),
+                b"",
+                RELEASE_TIMEOUT_S,
+            )
+        except (ExchangeBrokenError, NotSentError, TimeoutError) as error:
+            # The engine frees the handle by itself when it expires.
+            self.log("handle_not_freed", reason=repr(error))
+
+    # The stream.
+
+    async def _attempt(
+        self, engine: EngineState, estimate: Estimate, priority: int
+    ) -> End:
+        prompt = self.prompt
+        unread = 1
+        if prompt is None:
+            unread = max(1, self.work.tokens - estimate.cached_tokens)
+        with self.load(engine, unread) as load:
+            self.parts.peers.note_read(self.parts.clock(), engine, self.work.parts)
+            alone = engine.prompt_tokens <= unread
+            started = self.parts.clock()
+            try:
+                sent = await self._send(engine, priority)
+            except NotSentError as error:
+                self._suspect(engine, error.reason)
+                return End.NOT_SENT
+            self.attempts += 1
+            self.tried.append(engine.entry.engine_id)
+            try:
+                end = await self._relay(sent, engine, load)
+            finally:
+                sent.close()
+        if end is not End.NOT_RUN:
+            engine.observe_outcome(end is End.BROKEN)
+        self._learn_read(engine, estimate, prompt, alone, started)
+        return end
+
+    def _learn_read(
+        self,
+        engine: EngineState,
+        estimate: Estimate,
+        prompt: ReadPrompt | None,
+        alone: bool,
+        started: float,
+    ) -> None:
+        first_at = self.first_event_at
+        if prompt is None and alone and first_at and estimate.read_s > 0.02:
+            engine.observe_read(estimate.read_s, first_at - started)
+
+    async def _send(
+        self, engine: EngineState, priority: int, *, prefill_only: bool = False
+    ) -> OpenExchange:
+        resumed = self.started
+        return await self.parts.clients.send(
+            engine,
+            self.request.method,
+            self.request.target,
+            engine_headers(
+                self.request.headers,
+                engine_id=engine.entry.engine_id,
+                deadline_s=self.engine_left_s,
+                priority=priority,
+                prefill_only=prefill_only,
+                prompt_source=self.prompt.source if self.prompt else "",
+                last_event_id=self._last_id() if resumed else None,
+            ),
+            self.request.body,
+            request_id="" if prefill_only else self.head.request_id,
+            repeatable=self.route.resumable or prefill_only,
+            timeout_s=self.engine_left_s,
+        )
+
+    async def _relay(
+        self, sent: OpenExchange, engine: EngineState, load: RunLoad
+    ) -> End:
+        try:
+            answer = await sent.exchange.head()
+            if answer.status != SUCCESS:
+                return await self._not_streamed(sent, answer, engine)
+            if answer.head.encoded or not answer.head.signed:
+                return self._broken(engine, "answer is not the engine's")
+            self.may_have_run = True
+            if self.prompt is not None:
+                self.prompt.taken = True
+            while True:
+                chunk = await self._next_chunk(sent, engine)
+                if not chunk:
+                    break
+                load.prompt_was_read()
+                for event in self.splitter.feed(chunk):
+                    self._deliver(answer, event)
+        except ExchangeBrokenError as error:
+            self.may_have_run = True
+            return self._broken(engine, error.reason)
+        except OutOfOrderError as error:
+            return self._broken(engine, str(error))
+        if not self.splitter.between_events:
+            return self._broken(engine, "stream ended within an event")
+        self._end_stream(answer, engine)
+        return End.DONE
+
+    async def _next_chunk(self, sent: OpenExchange, engine: EngineState) -> bytes:
+        if not self.started:
+            return await sent.exchange.next_chunk()
+        try:
+            async with asyncio.timeout(SILENCE_S):
+                return await sent.exchange.next_chunk()
+        except TimeoutError as error:
+            raise ExchangeBrokenError(f"silent for {SILENCE_S} s") from error
+
+    async def _not_streamed(
+        self, sent: OpenExchange, answer: Answer, engine: EngineState
+    ) -> End:
+        body = await sent.exchange.body()
+        if answer.head.not_executed:
+            self.reason = f"engine refused with {answer.status}"
+            self.log("not_executed", engine=engine.entry.engine_id, reason=self.reason)
+            return End.NOT_RUN
+        self.may_have_run = True
+        self.failure = (answer, body)
+        return self._broken(engine, f"engine answered {answer.status}")
+
+    def _broken(self, engine: EngineState, reason: str) -> End:
+        self.reason = reason
+        self.splitter.restart()
+        self.warn(
+            "stream_broken",
+            engine=engine.entry.engine_id,
+            reason=reason,
+            events=self._last_id(),
+        )
+        return End.BROKEN
+
+    def _deliver(self, answer: Answer, event: bytes) -> None:
+        if not self.started:
+            self.started = True
+            self.first_event_at = self.parts.clock()
+            self.parts.metrics.first_event(self.route.name, self.age_s)
+            self.connection.start_stream(answer.status, relayed_headers(answer.headers))
+        self.connection.send_chunk(event)
+
+    def _end_stream(self, answer: Answer, engine: EngineState) -> None:
+        event = self.parts.fleet.trust(engine)
+        if event is not None:
+            self.log(event.event, engine=event.engine, detail=event.detail)
+        if not self.started:
+            self.connection.start_stream(answer.status, relayed_headers(answer.headers))
+            self.started = True
+        self.connection.end_stream()
+        self.answered(answer.status)
+
+    def _finish(self, reason: str, status: int) -> None:
+        if self.started:
+            self.parts.metrics.failed(self.route.name, reason)
+            self.warn("stream_cut", reason=reason, events=self._last_id())
+            self.connection.abort()
+        elif (not self.may_have_run and not self.attempts) or (
+            not self.may_have_run and status != GATEWAY_TIMEOUT
+        ):
+            self.refuse(reason, ENGINE_FULL_RETRY_S)
+        elif self.failure is not None:
+            self.relay(*self.failure)
+        else:
+            self.fail(status, reason)
+
+    def _suspect(self, engine: EngineState, reason: str) -> None:
+        self.reason = reason
+        self.tried.append(engine.entry.engine_id)
+        event = self.parts.fleet.suspect(self.parts.clock(), engine, reason)
+        self.warn(event.event, engine=event.engine, detail=event.detail)
+
+    def _last_id(self) -> str:
+        return self.splitter.last_id.decode("latin-1")
--- /dev/null
+++ b/src/jasminewalk/http1/__init__.py
@@ -0,0 +1,34 @@
+"""HTTP/1.1 over asyncio protocols, parsed by httptools.
+
+The layer below uvicorn and httpcore is used because the gateway must see what those
+hide: whether an answer ended whole, whose answer arrives on a kept connection, and the
+moment at which a caller leaves.
+"""
+
+from jasminewalk.http1.client import (
+    Answer,
+    Connection,
+    ConnectionPool,
+    Exchange,
+    ExchangeBrokenError,
+    connect,
+)
+from jasminewalk.http1.server import (
+    CallerConnection,
+    CallerRequest,
+    CallersServer,
+    ServerLimits,
+)
+
+__all__ = [
+    "Answer",
+    "CallerConnection",
+    "CallerRequest",
+    "CallersServer",
+    "Connection",
+    "ConnectionPool",
+    "Exchange",
+    "ExchangeBrokenError",
+    "ServerLimits",
+    "connect",
+]
