--- a/src/jasminewalk/gateway/event_stream.py
+++ b/src/jasminewalk/gateway/event_stream.py
@@ -16,11 +16,11 @@
 
 @attrs.define
 class EventSplitter:
-    """Passes on whole events, each once and in order.
+    r"""Passes on whole events, each once and in order.
 
     >>> splitter = EventSplitter(last_id=b"1")
-    >>> splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2\\ndata: b\\n\\nid: 3")
-    [b'id: 2\\ndata: b\\n\\n']
+    >>> splitter.feed(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3")
+    [b'id: 2\ndata: b\n\n']
 
     :param last_id: id of the last event that the caller has; empty if none.
     """
--- a/src/jasminewalk/gateway/fleet.py
+++ b/src/jasminewalk/gateway/fleet.py
@@ -1,5 +1,6 @@
 """View that a gateway has of the engines: members, load, speed, health."""
 
+from collections import deque
 from collections.abc import Iterable, Iterator
 
 import attrs
@@ -8,7 +9,6 @@
 from jasminewalk.gateway.prompt_cache import PromptCache
 from jasminewalk.platform.configuration import EngineTraits, Service
 from jasminewalk.platform.registry import (
-    DECODE,
     PREFILL,
     EngineEntry,
     decode_engine_entry,
@@ -24,13 +24,13 @@
 LONGEST_SUSPICION_S = 4.0
 # Weight of the newest outcome in an engine's failure rate.
 FAILURE_WEIGHT = 0.08
-# Weight of the newest observation in an engine's speed.
-SPEED_WEIGHT = 0.15
-# Prompt tokens per second that an unknown engine reads in stage prefill.
-DEFAULT_READ_RATE = 60_000.0
-# Stage decode reads prompts at half the speed (the platform's protocol).
-DECODE_READ_SHARE = 0.5
-SLOWEST, FASTEST = 0.15, 3.0
+# Weight of the newest observation in an engine's latency.
+LATENCY_WEIGHT = 0.15
+SLOWEST, FASTEST = 0.1, 6.0
+# Observations of a speed that are kept, and which of them counts: others' work makes
+# an engine look slower than it is, nothing makes it look faster.
+SPEEDS_KEPT = 9
+SPEED_QUANTILE = 0.7
 # Seconds that a plain request takes at an unknown engine.
 DEFAULT_LATENCY_S = 0.06
 
@@ -40,11 +40,11 @@
     """Work that one gateway has at an engine.
 
     :param requests: requests sent and not yet ended.
-    :param prompt_tokens: prompt tokens among them that are still to be read.
+    :param reading_s: seconds that an engine of speed 1 needs for their unread prompts.
     """
 
     requests: int = 0
-    prompt_tokens: int = 0
+    reading_s: float = 0.0
 
 
 @attrs.frozen
@@ -69,7 +69,8 @@
     :param cache: parts it is believed to keep.
     :param own: work that this gateway has there.
     :param peers: work that other gateways say they have there, by their names.
-    :param speed: speed relative to an engine of the default read rate.
+    :param speeds: newest observations of its speed by this gateway.
+    :param peer_speeds: speed and number of observations of other gateways.
     :param latency_s: smoothed seconds of a plain request.
     :param failure_rate: smoothed share of failed requests.
     :param suspect_until: instant up to which it is avoided.
@@ -82,7 +83,8 @@
     cache: PromptCache
     own: Load = attrs.field(factory=Load)
     peers: dict[str, Load] = attrs.field(factory=dict)
-    speed: float = 1.0
+    speeds: deque[float] = attrs.field(factory=lambda: deque(maxlen=SPEEDS_KEPT))
+    peer_speeds: dict[str, tuple[float, int]] = attrs.field(factory=dict)
     latency_s: float = DEFAULT_LATENCY_S
     failure_rate: float = 0.0
     suspect_until: float = 0.0
@@ -96,34 +98,42 @@
         return self.own.requests + sum(load.requests for load in self.peers.values())
 
     @property
-    def prompt_tokens(self) -> int:
-        """Prompt tokens still to be read at the engine, of all gateways."""
-        return self.own.prompt_tokens + sum(
-            load.prompt_tokens for load in self.peers.values()
-        )
+    def reading_s(self) -> float:
+        """Seconds of unread prompts of all gateways, for an engine of speed 1."""
+        return self.own.reading_s + sum(load.reading_s for load in self.peers.values())
+
+    @property
+    def own_speed(self) -> float:
+        """Speed that this gateway observed; 1 if it observed none."""
+        if not self.speeds:
+            return 1.0
+        ranked = sorted(self.speeds)
+        return ranked[int(SPEED_QUANTILE * (len(ranked) - 1) + 0.5)]
 
     @property
-    def read_rate(self) -> float:
-        """Prompt tokens that the engine reads in a second."""
-        stage_share = DECODE_READ_SHARE if self.entry.stage == DECODE else 1.0
-        return DEFAULT_READ_RATE * self.speed * stage_share
+    def speed(self) -> float:
+        """Speed relative to the engine that estimates are made for."""
+        seen = [*self.peer_speeds.values(), (self.own_speed, len(self.speeds))]
+        count = sum(number for _, number in seen)
+        if not count:
+            return 1.0
+        return sum(speed * number for speed, number in seen) / count
 
     def observe_read(self, expected_s: float, taken_s: float) -> None:
-        """Learn the speed from a prompt that was read.
+        """Learn the speed from a prompt that was read without others before it.
 
-        :param expected_s: seconds it should have taken at the present speed.
+        :param expected_s: seconds that an engine of speed 1 takes.
         :param taken_s: seconds it took.
         """
-        seen = self.speed * min(3.0, max(0.33, expected_s / max(taken_s, 1e-3)))
-        learned = self.speed + SPEED_WEIGHT * (seen - self.speed)
-        self.speed = min(FASTEST, max(SLOWEST, learned))
+        speed = expected_s / max(taken_s, 1e-4)
+        self.speeds.append(min(FASTEST, max(SLOWEST, speed)))
 
     def observe_latency(self, taken_s: float) -> None:
         """Learn the latency of plain requests.
 
         :param taken_s: seconds that a request took.
         """
-        self.latency_s += SPEED_WEIGHT * (taken_s - self.latency_s)
+        self.latency_s += LATENCY_WEIGHT * (taken_s - self.latency_s)
 
     def observe_outcome(self, failed: bool) -> None:
         """Learn the failure rate.
--- a/src/jasminewalk/gateway/peers.py
+++ b/src/jasminewalk/gateway/peers.py
@@ -32,7 +32,7 @@
     configuration_offset: int
     registry_digest: int
     registry_offset: int
-    loads: list[tuple[int, int, int]]
+    loads: list[tuple[int, int, float, float, int]]
     reads: list[tuple[int, str, int]]
 
 
@@ -145,9 +145,15 @@
             digest,
             registry_offset,
             [
-                (engine_key(engine), engine.own.requests, engine.own.prompt_tokens)
+                (
+                    engine_key(engine),
+                    engine.own.requests,
+                    round(engine.own.reading_s, 4),
+                    round(engine.own_speed, 3),
+                    len(engine.speeds),
+                )
                 for engine in self.fleet.engines.values()
-                if engine.own.requests
+                if engine.own.requests or engine.speeds
             ],
             [
                 (engine_key(engine), part.part_id, part.tokens)
@@ -169,14 +175,15 @@
         if (news.started_ms, news.number) <= (peer.started_ms, peer.number):
             return False
         peer.started_ms, peer.number, peer.heard_at = news.started_ms, news.number, now
-        loads = {key: Load(requests, tokens) for key, requests, tokens in news.loads}
         by_key = {engine_key(engine): engine for engine in self.fleet.engines.values()}
-        for key, engine in by_key.items():
-            load = loads.get(key)
-            if load is not None:
-                engine.peers[news.node] = load
-            else:
-                engine.peers.pop(news.node, None)
+        for engine in by_key.values():
+            engine.peers.pop(news.node, None)
+            engine.peer_speeds.pop(news.node, None)
+        for key, requests, reading_s, speed, observations in news.loads:
+            engine = by_key.get(key)
+            if engine is not None:
+                engine.peers[news.node] = Load(requests, reading_s)
+                engine.peer_speeds[news.node] = (speed, observations)
         for key, part_id, tokens in news.reads:
             if key in by_key:
                 by_key[key].cache.add((PromptPart(part_id, tokens),))
@@ -192,4 +199,5 @@
                 self.peers[node] = Peer(peer.address, peer.started_ms)
                 for engine in self.fleet.engines.values():
                     engine.peers.pop(node, None)
+                    engine.peer_speeds.pop(node, None)
                 yield node
--- a/src/jasminewalk/gateway/placement.py
+++ b/src/jasminewalk/gateway/placement.py
@@ -9,10 +9,18 @@
 from jasminewalk.platform.headers import PromptPart
 from jasminewalk.platform.registry import DECODE, PREFILL
 
-__all__ = ["Estimate", "PlacementPolicy", "PromptWork"]
+__all__ = ["Estimate", "PlacementPolicy", "PromptWork", "reading_s"]
 
 # Seconds added for an engine in another failure domain: network and priced bytes.
 OTHER_DOMAIN_S = 0.004
+# Prompt tokens that an engine of speed 1 reads in a second in stage prefill, and the
+# share of it in stage decode (the users' sheets and the platform's protocol).
+READ_RATE = 61_200.0
+DECODE_READ_SHARE = 0.5
+# Seconds for each pair of a token and one before it (attention).
+PAIR_S = 0.324e-9
+# Seconds of a request besides its tokens, at an engine of speed 1.
+REQUEST_S = 0.008
 # Shortest read for which reading at a prefill engine pays, in tokens.
 SHORTEST_SPLIT_TOKENS = 1500
 # Seconds of the hand-over of a prompt between two engines.
@@ -20,7 +28,7 @@
 # Engine time weighs this much besides the caller's waiting time.
 ENGINE_TIME_WEIGHT = 1.0
 # Seconds that one running request adds to the first token of another.
-RUNNING_S = 0.0012
+RUNNING_S = 0.0005
 # Seconds of a plain request's wait per failure in a hundred.
 FAILURE_S = 0.02
 ACCEPTED_FAILURE_RATE = 0.2
@@ -50,12 +58,14 @@
     :param engine: the engine.
     :param wait_s: seconds until the engine starts on it.
     :param read_s: seconds that the engine reads its prompt.
+    :param work_s: seconds that an engine of speed 1 would read it.
     :param cached_tokens: tokens that need no reading.
     """
 
     engine: EngineState
     wait_s: float
     read_s: float
+    work_s: float
     cached_tokens: int
 
     @property
@@ -131,12 +141,13 @@
         :param work: the prompt.
         :param engine: the engine.
         """
-        cached = engine.cache.cached_tokens(work.parts)
-        rate = engine.read_rate
-        wait_s = engine.prompt_tokens / rate + RUNNING_S * engine.requests
+        cached = min(engine.cache.cached_tokens(work.parts), work.tokens - 1)
+        work_s = reading_s(work.tokens - cached, cached, engine.entry.stage)
+        speed = engine.speed
+        wait_s = engine.reading_s / speed + RUNNING_S * engine.requests
         if engine.entry.failure_domain != self.failure_domain:
             wait_s += OTHER_DOMAIN_S
-        return Estimate(engine, wait_s, (work.tokens - cached) / rate, cached)
+        return Estimate(engine, wait_s, work_s / speed, work_s, cached)
 
     def _cost(self, work: PromptWork, found: Estimate) -> tuple[float, int]:
         failing = max(0.0, found.engine.failure_rate - ACCEPTED_FAILURE_RATE)
@@ -159,3 +170,15 @@
 
 def _affinity(key: str, engine: EngineState) -> int:
     return xxhash.xxh32_intdigest(f"{key} {engine.entry.engine_id}".encode())
+
+
+def reading_s(unread: int, cached: int, stage: str) -> float:
+    """Return the seconds that an engine of speed 1 reads a prompt.
+
+    :param unread: tokens to read.
+    :param cached: tokens before them that need no reading.
+    :param stage: stage of the engine.
+    """
+    share = 1.0 if stage == PREFILL else DECODE_READ_SHARE
+    tokens_s = unread / READ_RATE + PAIR_S * unread * (cached + unread / 2)
+    return REQUEST_S + tokens_s / share
--- a/src/jasminewalk/gateway/run.py
+++ b/src/jasminewalk/gateway/run.py
@@ -132,15 +132,15 @@
         return allowed
 
     @contextmanager
-    def load(self, engine: EngineState, prompt_tokens: int = 0) -> Iterator["RunLoad"]:
+    def load(self, engine: EngineState, reading_s: float = 0.0) -> Iterator["RunLoad"]:
         """Count the request as work at an engine.
 
         :param engine: the engine.
-        :param prompt_tokens: tokens it has to read.
+        :param reading_s: seconds that an engine of speed 1 reads its prompt.
         """
-        counted = RunLoad(engine, prompt_tokens)
+        counted = RunLoad(engine, reading_s)
         engine.own.requests += 1
-        engine.own.prompt_tokens += prompt_tokens
+        engine.own.reading_s += reading_s
         try:
             yield counted
         finally:
@@ -180,13 +180,14 @@
         self.connection.answer(answer.status, relayed_headers(answer.headers), body)
         self.answered(answer.status)
 
-    def answered(self, status: int) -> None:
+    def answered(self, status: int, **fields: object) -> None:
         """Count and log an answer that was relayed whole.
 
         :param status: status code.
+        :param fields: more for the log.
         """
         self.parts.metrics.answered(self.route.name, status, self.age_s)
-        self.log("answered", status=status, late=self.age_s > self.route.objective_s)
+        self.log("answered", status=status, **fields)
 
     def log(self, event: str, **fields: object) -> None:
         """Write a line about this request.
@@ -219,13 +220,15 @@
     """Work that one request is counted as at an engine.
 
     :param engine: the engine.
-    :param prompt_tokens: tokens still counted as unread.
+    :param reading_s: seconds of reading still counted.
     """
 
     engine: EngineState
-    prompt_tokens: int
+    reading_s: float
 
     def prompt_was_read(self) -> None:
         """Count the prompt as read."""
-        self.engine.own.prompt_tokens -= self.prompt_tokens
-        self.prompt_tokens = 0
+        # Sums of floats drift; an idle engine has no work at all.
+        left_s = self.engine.own.reading_s - self.reading_s
+        self.engine.own.reading_s = left_s if left_s > 1e-6 else 0.0
+        self.reading_s = 0.0
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -144,6 +144,7 @@
             "tokens": self.work.tokens,
             "cached": best.cached_tokens,
             "speed": round(best.engine.speed, 2),
+            "engine_requests": best.engine.requests,
         }
         if isinstance(decision, Refused) and not self.started:
             self.log("not_admitted", **inputs)
@@ -189,10 +190,9 @@
 
     async def _read_prompt(self, estimate: Estimate, priority: int) -> bool:
         engine = estimate.engine
-        unread = max(1, self.work.tokens - estimate.cached_tokens)
         started = self.parts.clock()
-        with self.load(engine, unread):
-            alone = engine.prompt_tokens <= unread
+        alone = engine.reading_s == 0.0
+        with self.load(engine, estimate.work_s):
             self.parts.peers.note_read(started, engine, self.work.parts)
             try:
                 sent = await self._send(engine, priority, prefill_only=True)
@@ -214,15 +214,16 @@
             self._prompt_failed(engine, f"engine answered {answer.status}")
             return False
         taken_s = self.parts.clock() - started
-        if alone and unread > SHORTEST_SPLIT_TOKENS:
-            engine.observe_read(estimate.read_s, taken_s)
+        if alone and engine.reading_s == 0.0:
+            engine.observe_read(estimate.work_s, taken_s)
         self.prompt = ReadPrompt(engine, handle.handle_id)
         self.log(
             "prompt_read",
             engine=engine.entry.engine_id,
             taken_ms=round(taken_s * 1e3, 1),
             predicted_ms=round(estimate.total_s * 1e3, 1),
-            read_tokens=unread,
+            read_tokens=self.work.tokens - estimate.cached_tokens,
+            alone=alone,
         )
         return True
 
@@ -258,12 +259,10 @@
         self, engine: EngineState, estimate: Estimate, priority: int
     ) -> End:
         prompt = self.prompt
-        unread = 1
-        if prompt is None:
-            unread = max(1, self.work.tokens - estimate.cached_tokens)
-        with self.load(engine, unread) as load:
+        work_s = estimate.work_s if prompt is None else 0.0
+        alone = engine.reading_s == 0.0
+        with self.load(engine, work_s) as load:
             self.parts.peers.note_read(self.parts.clock(), engine, self.work.parts)
-            alone = engine.prompt_tokens <= unread
             started = self.parts.clock()
             try:
                 sent = await self._send(engine, priority)
@@ -290,8 +289,8 @@
         started: float,
     ) -> None:
         first_at = self.first_event_at
-        if prompt is None and alone and first_at and estimate.read_s > 0.02:
-            engine.observe_read(estimate.read_s, first_at - started)
+        if prompt is None and alone and first_at:
+            engine.observe_read(estimate.work_s, first_at - started)
 
     async def _send(
         self, engine: EngineState, priority: int, *, prefill_only: bool = False
@@ -393,7 +392,8 @@
             self.connection.start_stream(answer.status, relayed_headers(answer.headers))
             self.started = True
         self.connection.end_stream()
-        self.answered(answer.status)
+        first_ms = ((self.first_event_at or 0) - self.request.arrived_s) * 1e3
+        self.answered(answer.status, first_ms=round(first_ms, 1))
 
     def _finish(self, reason: str, status: int) -> None:
         if self.started:
