--- a/src/jasminewalk/gateway/admission.py
+++ b/src/jasminewalk/gateway/admission.py
@@ -45,14 +45,23 @@
     It answers bursts of prompts that the engines can't read in time: sending all of
     them would make each one late.
 
-    :param late_share: share of the time that is left within which a late answer is
-        still worth its engine time.
+    :param late_split_share: share of the time left within which an answer that is late
+        is still worth the time of an engine that only reads prompts.
+    :param late_direct_share: the same where an engine reads and answers; its reading
+        holds up the tokens of all others there.
     """
 
-    late_share: float = 0.45
+    late_split_share: float = 0.45
+    late_direct_share: float = 0.12
 
     def decide(
-        self, predicted_s: float, objective_left_s: float, left_s: float, rank: int
+        self,
+        predicted_s: float,
+        objective_left_s: float,
+        left_s: float,
+        rank: int,
+        *,
+        split: bool,
     ) -> Admission:
         """Decide on one generation.
 
@@ -60,12 +69,14 @@
         :param objective_left_s: seconds until its objective passes.
         :param left_s: seconds until its deadline.
         :param rank: urgency of its route, 0 is the most urgent.
+        :param split: whether one engine reads its prompt for another.
         """
         first_token_s = predicted_s + FIRST_TOKEN_S
         if first_token_s <= objective_left_s:
             priority = min(LEAST_URGENT_IN_TIME, MOST_URGENT + 2 * rank)
             return Admitted(priority, in_time=True)
-        if first_token_s <= self.late_share * left_s:
+        late_share = self.late_split_share if split else self.late_direct_share
+        if first_token_s <= late_share * left_s:
             return Admitted(LATE_PRIORITY, in_time=False)
         excess_s = first_token_s - max(0.0, objective_left_s)
         return Refused(min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, excess_s)))
--- a/src/jasminewalk/gateway/peers.py
+++ b/src/jasminewalk/gateway/peers.py
@@ -19,7 +19,7 @@
 # Shortest part of a prompt that is worth telling, in tokens.
 TOLD_PART_TOKENS = 1000
 MAX_DATAGRAM_BYTES = 1400
-MAX_TOLD_READS = 24
+MAX_TOLD_READS = 40
 
 
 class LoadNews(msgspec.Struct, array_like=True, frozen=True):
@@ -119,7 +119,7 @@
         :param prompt: parts of the prompt.
         """
         engine.cache.add(prompt)
-        for part in prompt[:-1]:
+        for part in prompt:
             if part.tokens >= TOLD_PART_TOKENS:
                 self.reads.append((now, engine, part))
 
--- a/src/jasminewalk/gateway/placement.py
+++ b/src/jasminewalk/gateway/placement.py
@@ -9,7 +9,7 @@
 from jasminewalk.platform.headers import PromptPart
 from jasminewalk.platform.registry import DECODE, PREFILL
 
-__all__ = ["Estimate", "PlacementPolicy", "PromptWork", "reading_s"]
+__all__ = ["Estimate", "Option", "PlacementPolicy", "PromptWork", "reading_s"]
 
 # Seconds added for an engine in another failure domain: network and priced bytes.
 OTHER_DOMAIN_S = 0.004
@@ -25,6 +25,8 @@
 SHORTEST_SPLIT_TOKENS = 1500
 # Seconds of the hand-over of a prompt between two engines.
 HAND_OVER_S = 0.04
+# Longest read of a prompt on an engine that also answers others, in seconds.
+LONGEST_DIRECT_READ_S = 0.2
 # Engine time weighs this much besides the caller's waiting time.
 ENGINE_TIME_WEIGHT = 1.0
 # Seconds that one running request adds to the first token of another.
@@ -74,6 +76,20 @@
         return self.wait_s + self.read_s
 
 
+@attrs.frozen
+class Option:
+    """One way to serve a generation.
+
+    :param estimate: what it can expect of the engine that reads its prompt.
+    :param split: whether that engine reads it for another one.
+    :param predicted_s: seconds until the answering engine has the prompt.
+    """
+
+    estimate: Estimate
+    split: bool
+    predicted_s: float
+
+
 @attrs.define
 class PlacementPolicy:
     """Chooses engines by predicted time.
@@ -94,33 +110,44 @@
         candidates = [e for e in engines if e.entry.engine_id not in excluded]
         return min(candidates, key=self._plain_cost, default=None)
 
-    def direct(
+    def options(
         self,
         work: PromptWork,
         engines: Sequence[EngineState],
         excluded: Collection[str] = (),
-    ) -> Estimate | None:
-        """Choose the engine that reads and answers a prompt by itself.
+        *,
+        may_split: bool = True,
+    ) -> list[Option]:
+        """Return the ways to serve a generation, the best first.
 
         :param work: the prompt.
         :param engines: engines that may get work.
         :param excluded: ids of engines that had the request before.
+        :param may_split: whether one engine may read the prompt for another.
         """
-        return self._best(work, in_stage(engines, DECODE), excluded)
+        direct = self._best(work, in_stage(engines, DECODE), excluded)
+        reader = None
+        if (may_split and work.tokens >= SHORTEST_SPLIT_TOKENS) or direct is None:
+            reader = self._best(work, in_stage(engines, PREFILL), excluded)
+        found = []
+        if reader is not None and in_stage(engines, DECODE):
+            found.append(Option(reader, True, reader.total_s + HAND_OVER_S))
+        if direct is not None and (not found or direct.read_s <= LONGEST_DIRECT_READ_S):
+            found.append(Option(direct, False, direct.total_s))
+        return sorted(
+            found, key=lambda option: option.predicted_s + option.estimate.read_s
+        )
 
-    def reader(
-        self,
-        work: PromptWork,
-        engines: Sequence[EngineState],
-        excluded: Collection[str] = (),
-    ) -> Estimate | None:
-        """Choose the engine that reads a prompt for another one.
+    def decoder(
+        self, engines: Sequence[EngineState], excluded: Collection[str] = ()
+    ) -> EngineState | None:
+        """Choose the engine that answers a prompt which another one read.
 
-        :param work: the prompt.
         :param engines: engines that may get work.
         :param excluded: ids of engines that had the request before.
         """
-        return self._best(work, in_stage(engines, PREFILL), excluded)
+        found = self._best(PromptWork((), 1), in_stage(engines, DECODE), excluded)
+        return found.engine if found else None
 
     def _best(
         self,
--- a/src/jasminewalk/gateway/prompt_cache.py
+++ b/src/jasminewalk/gateway/prompt_cache.py
@@ -10,7 +10,7 @@
 __all__ = ["PromptCache"]
 
 # Share of an engine's memory that parts of finished requests can fill.
-USABLE_SHARE = 0.85
+USABLE_SHARE = 0.95
 
 
 @attrs.define
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -6,16 +6,11 @@
 import attrs
 
 from jasminewalk.exceptions import BadMessageError
-from jasminewalk.gateway.admission import Refused
+from jasminewalk.gateway.admission import Admission, Admitted
 from jasminewalk.gateway.engine_clients import NotSentError, OpenExchange
 from jasminewalk.gateway.event_stream import EventSplitter, OutOfOrderError
 from jasminewalk.gateway.fleet import EngineState
-from jasminewalk.gateway.placement import (
-    HAND_OVER_S,
-    SHORTEST_SPLIT_TOKENS,
-    Estimate,
-    PromptWork,
-)
+from jasminewalk.gateway.placement import Estimate, Option, PromptWork
 from jasminewalk.gateway.run import (
     BAD_GATEWAY,
     ENGINE_FULL_RETRY_S,
@@ -36,6 +31,8 @@
 MAX_CONNECTS = 3
 SUCCESS = 200
 SHORTEST_SEND_S = 0.02
+# Urgency at the engine of a stream that goes on: its caller has part of it.
+RESUMED_PRIORITY = 0
 
 
 class End(Enum):
@@ -94,10 +91,11 @@
             chosen = self._place()
             if chosen is None:
                 return
-            estimate, split, priority = chosen
-            if split and not await self._read_prompt(estimate, priority):
+            option, priority = chosen
+            estimate = option.estimate
+            if option.split and not await self._read_prompt(estimate, priority):
                 continue
-            engine = self._decoder() if split else estimate.engine
+            engine = self._decoder() if option.split else estimate.engine
             if engine is None:
                 self._finish("no engine", BAD_GATEWAY)
                 return
@@ -122,69 +120,68 @@
 
     # Placing.
 
-    def _place(self) -> tuple[Estimate, bool, int] | None:
+    def _place(self) -> tuple[Option, int] | None:
         now = self.parts.clock()
-        engines = self.parts.fleet.usable(self.service, now)
-        best, split = self._best(engines)
-        if best is None:
+        options = self.parts.placement.options(
+            self.work,
+            self.parts.fleet.usable(self.service, now),
+            self.tried,
+            # A second call to read the prompt would count against the retry budget.
+            may_split=not self.prompts_failed,
+        )
+        if not options:
             self._finish("no engine", BAD_GATEWAY)
             return None
-        predicted_s = best.total_s + (HAND_OVER_S if split else 0.0)
-        decision = self.parts.admission.decide(
-            predicted_s,
-            self.route.objective_s - self.age_s,
-            self.left_s,
-            self.route.rank,
-        )
+        option, decision = self._admit(options)
+        estimate = option.estimate
         inputs = {
-            "engine": best.engine.entry.engine_id,
-            "split": split,
-            "predicted_ms": round(predicted_s * 1e3, 1),
-            "wait_ms": round(best.wait_s * 1e3, 1),
+            "engine": estimate.engine.entry.engine_id,
+            "split": option.split,
+            "predicted_ms": round(option.predicted_s * 1e3, 1),
+            "wait_ms": round(estimate.wait_s * 1e3, 1),
             "tokens": self.work.tokens,
-            "cached": best.cached_tokens,
-            "speed": round(best.engine.speed, 2),
-            "engine_requests": best.engine.requests,
+            "cached": estimate.cached_tokens,
+            "speed": round(estimate.engine.speed, 2),
+            "engine_requests": estimate.engine.requests,
         }
-        if isinstance(decision, Refused) and not self.started:
-            self.log("not_admitted", **inputs)
-            if self.may_have_run:
-                self._finish("too late to go on", BAD_GATEWAY)
-            else:
-                self.refuse("overloaded", decision.retry_after_s)
-            return None
-        priority = 0 if isinstance(decision, Refused) else decision.priority
-        self.log("placed", priority=priority, **inputs)
-        return best, split, priority
-
-    def _best(self, engines: list[EngineState]) -> tuple[Estimate | None, bool]:
-        placement = self.parts.placement
-        direct = placement.direct(self.work, engines, self.tried)
-        reader = None
-        # A second call to read the prompt would count against the retry budget.
-        long = self.work.tokens >= SHORTEST_SPLIT_TOKENS and not self.prompts_failed
-        if long or direct is None:
-            reader = placement.reader(self.work, engines, self.tried)
-        if reader is None:
-            return direct, False
-        if direct is None:
-            return (reader, True) if self._decoder() else (None, False)
-        split_s = reader.total_s + reader.read_s + HAND_OVER_S
-        return (
-            (direct, False)
-            if direct.total_s + direct.read_s < split_s
-            else (
-                reader,
-                True,
+        if isinstance(decision, Admitted):
+            self.log("placed", priority=decision.priority, **inputs)
+            return option, decision.priority
+        if self.started:
+            self.log("placed", priority=RESUMED_PRIORITY, **inputs)
+            return option, RESUMED_PRIORITY
+        self.log("not_admitted", **inputs)
+        if self.may_have_run:
+            self._finish("too late to go on", BAD_GATEWAY)
+        else:
+            self.refuse("overloaded", decision.retry_after_s)
+        return None
+
+    def _admit(self, options: list[Option]) -> tuple[Option, Admission]:
+        decided = [
+            (
+                option,
+                self.parts.admission.decide(
+                    option.predicted_s,
+                    self.route.objective_s - self.age_s,
+                    self.left_s,
+                    self.route.rank,
+                    split=option.split,
+                ),
             )
-        )
+            for option in options
+        ]
+        for option, decision in decided:
+            if isinstance(decision, Admitted) and decision.in_time:
+                return option, decision
+        for option, decision in decided:
+            if isinstance(decision, Admitted):
+                return option, decision
+        return decided[0]
 
     def _decoder(self) -> EngineState | None:
-        now = self.parts.clock()
-        engines = self.parts.fleet.usable(self.service, now)
-        done = PromptWork((), 1)
-        chosen = self.parts.placement.direct(done, engines, self.tried)
-        return chosen.engine if chosen else None
+        engines = self.parts.fleet.usable(self.service, self.parts.clock())
+        return self.parts.placement.decoder(engines, self.tried)
 
     # Reading the prompt at one engine for another.
 
@@ -293,7 +290,11 @@
             engine.observe_read(estimate.work_s, first_at - started)
 
     async def _send(
-        self, engine: EngineState, priority: int, *, prefill_only: bool = False
+        self,
+        engine: EngineState,
+        priority: int,
+        *,
+        prefill_only: bool = False,
     ) -> OpenExchange:
         resumed = self.started
         return await self.parts.clients.send(
