--- a/src/jasminewalk/gateway/daemon.py
+++ b/src/jasminewalk/gateway/daemon.py
@@ -130,6 +130,7 @@
             self.settings.name,
             self.store,
             self.fleet,
+            self.peers,
             self.clients,
             StagePlanner(),
             HolderLease(SESSION_S, self.settings.bounds.holder_gap_s),
--- a/src/jasminewalk/gateway/fleet.py
+++ b/src/jasminewalk/gateway/fleet.py
@@ -31,6 +31,8 @@
 # an engine look slower than it is, nothing makes it look faster.
 SPEEDS_KEPT = 9
 SPEED_QUANTILE = 0.7
+# Seconds that a stream holds a slot of an unknown engine.
+DEFAULT_HOLD_S = 0.15
 # Seconds that a plain request takes at an unknown engine.
 DEFAULT_LATENCY_S = 0.06
 
@@ -76,7 +78,8 @@
     :param suspect_until: instant up to which it is avoided.
     :param failures: failures in a row to reach it.
     :param gone_at: instant at which a missing entry counts as gone; None if listed.
-    :param progress_at: instant of the last bytes from it.
+    :param changing_until: instant up to which a change of its stage takes it away.
+    :param hold_s: smoothed seconds that a stream holds one of its slots.
     """
 
     entry: EngineEntry
@@ -90,7 +93,8 @@
     suspect_until: float = 0.0
     failures: int = 0
     gone_at: float | None = None
-    progress_at: float = 0.0
+    changing_until: float = 0.0
+    hold_s: float = DEFAULT_HOLD_S
 
     @property
     def requests(self) -> int:
@@ -135,6 +139,13 @@
         """
         self.latency_s += LATENCY_WEIGHT * (taken_s - self.latency_s)
 
+    def observe_hold(self, held_s: float) -> None:
+        """Learn how long a stream holds a slot.
+
+        :param held_s: seconds that a stream held one.
+        """
+        self.hold_s += LATENCY_WEIGHT * (held_s - self.hold_s)
+
     def observe_outcome(self, failed: bool) -> None:
         """Learn the failure rate.
 
@@ -165,7 +176,11 @@
             and not engine.entry.leaving
             and (engine.gone_at is None or now < engine.gone_at)
         ]
-        trusted = [engine for engine in listed if engine.suspect_until <= now]
+        trusted = [
+            engine
+            for engine in listed
+            if engine.suspect_until <= now and engine.changing_until <= now
+        ]
         return trusted or listed
 
     def may_get_work(self, engine: EngineState, now: float) -> bool:
@@ -278,6 +293,8 @@
             known.gone_at = None
             if known.entry != entry:
                 changed = f"stage={entry.stage or '-'} leaving={entry.leaving}"
+                if known.entry.stage != entry.stage:
+                    known.changing_until = 0.0
                 known.entry = entry
                 yield FleetEvent("engine_changed", entry.engine_id, changed)
             return
@@ -285,7 +302,6 @@
         self.engines[entry.engine_id] = EngineState(
             entry,
             PromptCache(traits.memory_tokens if traits else 0),
-            progress_at=now,
         )
         yield FleetEvent(
             "engine_listed",
--- a/src/jasminewalk/gateway/peers.py
+++ b/src/jasminewalk/gateway/peers.py
@@ -7,6 +7,7 @@
 import msgspec
 import xxhash
 
+from jasminewalk.gateway.demand import Demand, DemandMeter
 from jasminewalk.gateway.fleet import EngineState, Fleet, Load
 from jasminewalk.platform.headers import PromptPart
 
@@ -18,7 +19,8 @@
 READ_TOLD_S = 0.45
 # Shortest part of a prompt that is worth telling, in tokens.
 TOLD_PART_TOKENS = 1000
-MAX_DATAGRAM_BYTES = 1400
+# Longest time for which an engine is left alone because it changes its stage.
+LONGEST_CHANGE_S = 8.0
 MAX_TOLD_READS = 40
 
 
@@ -34,6 +36,9 @@
     registry_offset: int
     loads: list[tuple[int, int, float, float, int]]
     reads: list[tuple[int, str, int]]
+    reading: float
+    answering: float
+    changing: list[tuple[int, float]]
 
 
 def decode_news(data: bytes) -> LoadNews | None:
@@ -64,12 +69,14 @@
     :param started_ms: start of its process.
     :param number: number of its last message.
     :param heard_at: instant of its last message.
+    :param demand: work that its callers ask for.
     """
 
     address: str
     started_ms: int = 0
     number: int = -1
     heard_at: float = float("-inf")
+    demand: Demand = attrs.field(factory=Demand)
 
 
 class LoadExchange:
@@ -88,6 +95,7 @@
         self.fleet = fleet
         self.peers: dict[str, Peer] = {}
         self.number = 0
+        self.demand = DemandMeter()
         self.reads: deque[tuple[float, EngineState, PromptPart]] = deque()
 
     def learn_address(self, node: str, address: str) -> None:
@@ -109,6 +117,17 @@
         """
         return sum(now - peer.heard_at < PEER_TIMEOUT_S for peer in self.peers.values())
 
+    def total_demand(self, now: float) -> Demand:
+        """Return the work that callers of all gateways ask for.
+
+        :param now: current instant in seconds.
+        """
+        total = self.demand.rate(now)
+        for peer in self.peers.values():
+            if now - peer.heard_at < PEER_TIMEOUT_S:
+                total = total + peer.demand
+        return total
+
     def note_read(
         self, now: float, engine: EngineState, prompt: tuple[PromptPart, ...]
     ) -> None:
@@ -136,6 +155,7 @@
         while self.reads and now - self.reads[0][0] > READ_TOLD_S:
             self.reads.popleft()
         self.number += 1
+        demand = self.demand.rate(now)
         news = LoadNews(
             self.node,
             self.address,
@@ -159,6 +179,13 @@
                 (engine_key(engine), part.part_id, part.tokens)
                 for _, engine, part in list(self.reads)[-MAX_TOLD_READS:]
             ],
+            round(demand.reading, 4),
+            round(demand.answering, 4),
+            [
+                (engine_key(engine), round(engine.changing_until - now, 2))
+                for engine in self.fleet.engines.values()
+                if engine.changing_until > now
+            ],
         )
         return msgspec.msgpack.encode(news)
 
@@ -184,6 +211,11 @@
             if engine is not None:
                 engine.peers[news.node] = Load(requests, reading_s)
                 engine.peer_speeds[news.node] = (speed, observations)
+        peer.demand = Demand(news.reading, news.answering)
+        for key, left_s in news.changing:
+            # The first word counts: others repeat it, a little later each time.
+            if key in by_key and by_key[key].changing_until <= now and left_s > 0.5:
+                by_key[key].changing_until = now + min(left_s, LONGEST_CHANGE_S)
         for key, part_id, tokens in news.reads:
             if key in by_key:
                 by_key[key].cache.add((PromptPart(part_id, tokens),))
--- a/src/jasminewalk/gateway/placement.py
+++ b/src/jasminewalk/gateway/placement.py
@@ -23,6 +23,8 @@
 REQUEST_S = 0.008
 # Shortest read for which reading at a prefill engine pays, in tokens.
 SHORTEST_SPLIT_TOKENS = 1500
+# Seconds that the answer to a long prompt takes of an engine, its slots shared.
+ANSWER_S = 0.03
 # Seconds of the hand-over of a prompt between two engines.
 HAND_OVER_S = 0.04
 # Longest read of a prompt on an engine that also answers others, in seconds.
@@ -138,6 +140,22 @@
             found, key=lambda option: option.predicted_s + option.estimate.read_s
         )
 
+    def demand(
+        self, work: PromptWork, engines: Sequence[EngineState]
+    ) -> tuple[float, float]:
+        """Return the engine seconds a generation asks for, reading and answering.
+
+        Both are for engines of speed 1; long prompts are best read in stage prefill.
+
+        :param work: the prompt.
+        :param engines: engines that may get work.
+        """
+        if work.tokens < SHORTEST_SPLIT_TOKENS:
+            return 0.0, reading_s(work.tokens, 0, DECODE)
+        kept = (engine.cache.cached_tokens(work.parts) for engine in engines)
+        cached = min(max(kept, default=0), work.tokens - 1)
+        return reading_s(work.tokens - cached, cached, PREFILL), ANSWER_S
+
     def decoder(
         self, engines: Sequence[EngineState], excluded: Collection[str] = ()
     ) -> EngineState | None:
@@ -172,6 +190,9 @@
         work_s = reading_s(work.tokens - cached, cached, engine.entry.stage)
         speed = engine.speed
         wait_s = engine.reading_s / speed + RUNNING_S * engine.requests
+        excess = engine.requests + 1 - engine.entry.slots
+        if excess > 0:
+            wait_s += excess * engine.hold_s / engine.entry.slots
         if engine.entry.failure_domain != self.failure_domain:
             wait_s += OTHER_DOMAIN_S
         return Estimate(engine, wait_s, work_s / speed, work_s, cached)
--- a/src/jasminewalk/gateway/stage_keeper.py
+++ b/src/jasminewalk/gateway/stage_keeper.py
@@ -9,9 +9,11 @@
 from jasminewalk.gateway.decision_log import DecisionLog
 from jasminewalk.gateway.engine_clients import EngineClients, NotSentError
 from jasminewalk.gateway.fleet import Fleet
+from jasminewalk.gateway.peers import LoadExchange
 from jasminewalk.gateway.stage_holder import HolderLease
 from jasminewalk.gateway.stage_planner import StageChange, StagePlanner
 from jasminewalk.http1.client import ExchangeBrokenError
+from jasminewalk.platform.configuration import Service
 from jasminewalk.platform.engines import (
     ACCEPTED,
     REPORT_PATH,
@@ -31,6 +33,8 @@
 RENEWAL_S = 0.7
 # Seconds that a call to an engine may take.
 CALL_TIMEOUT_S = 0.4
+# Seconds that the registry takes to show a changed stage.
+CHANGE_MARGIN_S = 1.5
 
 
 def suspended_clock() -> float:
@@ -45,6 +49,7 @@
     :param node: name of the instance, told to engines as the holder.
     :param store: the metadata store.
     :param fleet: the engines.
+    :param peers: tells what work callers ask for.
     :param clients: connections to the engines.
     :param planner: decides on changes.
     :param lease: decides whether an order may be sent.
@@ -58,6 +63,7 @@
         node: str,
         store: StoreClient,
         fleet: Fleet,
+        peers: LoadExchange,
         clients: EngineClients,
         planner: StagePlanner,
         lease: HolderLease,
@@ -68,6 +74,7 @@
         self.node = node
         self.store = store
         self.fleet = fleet
+        self.peers = peers
         self.clients = clients
         self.planner = planner
         self.lease = lease
@@ -114,12 +121,13 @@
                 continue
             now = self.clock()
             engines = self.fleet.usable(service.name, now)
-            change = self.planner.plan(now, service.name, engines)
+            demand = self.peers.total_demand(now)
+            change = self.planner.plan(now, service.name, engines, demand)
             if change is not None:
-                await self._order(service.name, change)
+                await self._order(service, change)
                 return
 
-    async def _order(self, service: str, change: StageChange) -> None:
+    async def _order(self, service: Service, change: StageChange) -> None:
         engine_id = change.engine.entry.engine_id
         try:
             _, body = await self.clients.call(
@@ -127,12 +135,14 @@
             )
             report = decode_report(body)
             if report.ordering or report.stage == change.stage:
-                self.planner.changed(self.clock(), service)
+                self.planner.changed(self.clock(), service.name)
                 return
             if not self.lease.may_order(suspended_clock()):
                 return
-            self.planner.changed(self.clock(), service)
+            self.planner.changed(self.clock(), service.name)
             fence = self.lease.generation
+            away_s = service.engine.stage_change_s if service.engine else 0.0
+            change.engine.changing_until = self.clock() + away_s + CHANGE_MARGIN_S
             headers = engine_headers((), engine_id=engine_id, deadline_s=CALL_TIMEOUT_S)
             status, _ = await self.clients.call(
                 change.engine,
@@ -148,7 +158,7 @@
             NotSentError,
             TimeoutError,
         ) as error:
-            self.planner.changed(self.clock(), service)
+            self.planner.changed(self.clock(), service.name)
             self.log.warning(
                 "order_unanswered",
                 engine=engine_id,
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -77,6 +77,7 @@
         self.prompt: ReadPrompt | None = None
         self.prompts_failed = 0
         self.first_event_at: float | None = None
+        self._count_demand()
         try:
             async with asyncio.timeout(max(0.0, self.left_s)):
                 await self._run()
@@ -118,6 +119,12 @@
             return False
         return self.left_s > SHORTEST_SEND_S and self.may_repeat()
 
+    def _count_demand(self) -> None:
+        now = self.parts.clock()
+        engines = self.parts.fleet.usable(self.service, now)
+        reading_s, answering_s = self.parts.placement.demand(self.work, engines)
+        self.parts.peers.demand.count(now, reading_s=reading_s, answering_s=answering_s)
+
     # Placing.
 
     def _place(self) -> tuple[Option, int] | None:
@@ -272,6 +279,8 @@
                 end = await self._relay(sent, engine, load)
             finally:
                 sent.close()
+        if end is End.DONE:
+            engine.observe_hold(self.parts.clock() - started)
         if end is not End.NOT_RUN:
             engine.observe_outcome(end is End.BROKEN)
         self._learn_read(engine, estimate, prompt, alone, started)
