--- a/src/jasminewalk/platform/store.py
+++ b/src/jasminewalk/platform/store.py
@@ -239,7 +239,7 @@
         value = item.get("value")
         return KeyedRecord(
             key=str(item["key"]),
-            value=None if value is None else base64.b64decode(value),
+            value=None if value is None else base64.b64decode(value, validate=True),
         )
     except (AttributeError, KeyError, TypeError, binascii.Error) as error:
         raise LogUnavailableError(f"store's record: {error!r}") from error
--- /dev/null
+++ b/tests/gateway_fakes.py
@@ -0,0 +1,32 @@
+"""Engines and prompts for tests of the gateway's decisions."""
+
+from jasminewalk.gateway.fleet import EngineState
+from jasminewalk.gateway.placement import PromptWork
+from jasminewalk.gateway.prompt_cache import PromptCache
+from jasminewalk.platform.headers import PromptPart
+from jasminewalk.platform.registry import EngineEntry
+
+
+def engine_of(engine_id, stage="decode", *, speed=None, zone="north", **changes):
+    fields = {
+        "engine_id": engine_id,
+        "service": "llm",
+        "address": f"10.0.0.1:{8000 + sum(engine_id.encode())}",
+        "failure_domain": zone,
+        "slots": 16,
+        "leaving": False,
+        "stage": stage,
+        "started_ms": 1,
+    }
+    engine = EngineState(EngineEntry(**(fields | changes)), PromptCache(400_000))
+    if speed is not None:
+        engine.speeds.append(speed)
+    return engine
+
+
+def prompt_of(*tokens, shared="handbook", own="notes"):
+    names = [f"{shared}-{number}" for number in range(len(tokens) - 1)] + [own]
+    parts = tuple(
+        PromptPart(name, size) for name, size in zip(names, tokens, strict=True)
+    )
+    return PromptWork(parts, sum(tokens))
--- /dev/null
+++ b/tests/test_platform_documents.py
@@ -0,0 +1,113 @@
+"""Configuration, registry entries and engines' answers, decoded."""
+
+import json
+import math
+
+import pytest
+from platform_fakes import configuration
+
+from jasminewalk.exceptions import BadConfigurationError, BadMessageError
+from jasminewalk.platform.configuration import decode_configuration
+from jasminewalk.platform.engines import (
+    decode_prompt_handle,
+    decode_report,
+    stage_order,
+)
+from jasminewalk.platform.registry import decode_engine_entry
+
+ENTRY = {
+    "service": "llm",
+    "address": "10.1.0.9:8080",
+    "zone": "north",
+    "slots": 16,
+    "state": "ready",
+    "stage": "decode",
+    "born": 12,
+}
+
+
+def decoded(**changes):
+    return decode_configuration(json.dumps(configuration() | changes).encode())
+
+
+def test_routes_carry_seconds_and_what_may_be_repeated():
+    routes = {route.name: route for route in decoded().routes}
+
+    assert routes["booking"].timeout_s == 0.9
+    assert not routes["booking"].repeatable
+    assert routes["lookup"].repeatable
+    assert routes["lookup"].pause_s == math.inf
+    assert routes["verdict"].resumable and routes["verdict"].repeatable
+    assert routes["helper"].streaming and not routes["helper"].repeatable
+
+
+def test_split_routes_name_all_services():
+    route = configuration()["routes"][0]
+    del route["service"]
+    route["traffic_split"] = [
+        {"service": "app", "weight": 90},
+        {"service": "new", "weight": 10},
+    ]
+    split = decoded(routes=[route]).routes[0].split
+    assert [(side.service, side.weight) for side in split] == [("app", 90), ("new", 10)]
+    route["service"] = "app"
+
+
+@pytest.mark.parametrize(
+    "text", [b"", b"[]", b"{}", b'{"version":1,"routes":[{}],"services":[]}', b"\xff"]
+)
+def test_unreadable_configuration_is_an_error(text):
+    with pytest.raises(BadConfigurationError):
+        decode_configuration(text)
+
+
+def test_registry_entry_is_decoded():
+    entry = decode_engine_entry("i-1", json.dumps(ENTRY).encode())
+    assert (entry.engine_id, entry.leaving, entry.started_ms) == ("i-1", False, 12)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"service": 7},
+        {"service": None},
+        {"address": "no port"},
+        {"address": ["10.1.0.9", 8080]},
+        {"state": "sleeping"},
+        {"slots": "many"},
+        {"slots": True},
+        {"zone": None},
+        {"stage": "both"},
+    ],
+)
+def test_entry_of_another_writer_is_an_error(changes):
+    with pytest.raises(BadMessageError):
+        decode_engine_entry("i-1", json.dumps(ENTRY | changes).encode())
+
+
+@pytest.mark.parametrize("text", [b"", b"\x00\x01", b"[1]", b'"ready"'])
+def test_entry_that_is_no_object_is_an_error(text):
+    with pytest.raises(BadMessageError):
+        decode_engine_entry("i-1", text)
+
+
+@pytest.mark.parametrize("text", [b"", b"[]", b'{"tokens":3}', b'{"kv_handle":7}'])
+def test_prompt_without_a_handle_is_an_error(text):
+    with pytest.raises(BadMessageError):
+        decode_prompt_handle(text)
+
+
+@pytest.mark.parametrize("text", [b"{}", b"x", b'{"stage":"decode","sequence":"x"}'])
+def test_unreadable_report_is_an_error(text):
+    with pytest.raises(BadMessageError):
+        decode_report(text)
+
+
+def test_order_states_holder_fence_and_expected_orders():
+    assert json.loads(stage_order("prefill", "front-1", 9, 4)) == {
+        "op": "stage",
+        "stage": "prefill",
+        "holder": "front-1",
+        "fence": 9,
+        "expected": 4,
+    }
--- /dev/null
+++ b/tests/test_platform_headers.py
@@ -0,0 +1,103 @@
+"""Headers of requests and answers."""
+
+import pytest
+
+from jasminewalk.platform.headers import (
+    PromptPart,
+    decode_answer_head,
+    decode_request_head,
+    engine_headers,
+    relayed_headers,
+)
+
+
+def test_request_head_is_decoded():
+    head = decode_request_head(
+        [
+            (b"x-jasminewalk-request-id", b"9c41"),
+            (b"x-jasminewalk-deadline-ms", b"1500"),
+            (b"x-jasminewalk-token-usage", b"1460,80"),
+            (b"x-jasminewalk-prompt-prefix", b"5c1e:800, 91bd:410,e440:250"),
+            (b"last-event-id", b"12"),
+        ]
+    )
+    assert head.request_id == "9c41"
+    assert head.deadline_s == 1.5
+    assert (head.prompt_tokens, head.output_tokens) == (1460, 80)
+    assert head.prompt[1] == PromptPart("91bd", 410)
+    assert head.last_event_id == "12"
+
+
+@pytest.mark.parametrize(
+    ("name", "value", "field", "expected"),
+    [
+        (b"x-jasminewalk-deadline-ms", b"soon", "deadline_s", None),
+        (b"x-jasminewalk-deadline-ms", b"-5", "deadline_s", None),
+        (b"x-jasminewalk-deadline-ms", b"nan", "deadline_s", None),
+        (b"x-jasminewalk-token-usage", b"many,few", "prompt_tokens", 0),
+        (b"x-jasminewalk-prompt-prefix", b"a:b,,c", "prompt_tokens", 0),
+    ],
+)
+def test_bad_values_are_passed_over(name, value, field, expected):
+    assert getattr(decode_request_head([(name, value)]), field) == expected
+
+
+def test_headers_of_the_system_are_its_own():
+    sent = [
+        (b"host", b"bar.example"),
+        (b"x-jasminewalk-kv-source", b"10.0.0.1:1/stolen"),
+        (b"x-jasminewalk-kv-hold", b"h"),
+        (b"x-jasminewalk-pin-ms", b"4000"),
+        (b"x-jasminewalk-kv-backup", b"10.0.0.1:1"),
+        (b"x-jasminewalk-stage", b"prefill"),
+        (b"x-jasminewalk-request-priority", b"0"),
+        (b"x-jasminewalk-expect-instance", b"i-9"),
+        (b"x-jasminewalk-deadline-ms", b"99999"),
+        (b"x-jasminewalk-model", b"m"),
+    ]
+    built = engine_headers(sent, engine_id="i-1", deadline_s=1.2345)
+    assert built == [
+        (b"host", b"bar.example"),
+        (b"x-jasminewalk-model", b"m"),
+        (b"x-jasminewalk-deadline-ms", b"1234"),
+        (b"x-jasminewalk-expect-instance", b"i-1"),
+    ]
+
+
+def test_headers_of_one_connection_stay_there():
+    sent = [
+        (b"connection", b"keep-alive, x-hop, x-jasminewalk-request-id"),
+        (b"keep-alive", b"timeout=5"),
+        (b"x-hop", b"1"),
+        (b"transfer-encoding", b"chunked"),
+        (b"content-length", b"5"),
+        (b"x-jasminewalk-request-id", b"7"),
+        (b"accept", b"*/*"),
+    ]
+    names = [name for name, _ in engine_headers(sent, engine_id="i", deadline_s=1)]
+    assert names[:2] == [b"x-jasminewalk-request-id", b"accept"]
+    relayed = [name for name, _ in relayed_headers(sent)]
+    assert relayed == [b"x-jasminewalk-request-id", b"accept"]
+
+
+def test_resumed_stream_names_the_callers_last_event():
+    sent = [(b"last-event-id", b"2")]
+    built = engine_headers(sent, engine_id="i", deadline_s=1, last_event_id="5")
+    assert [value for name, value in built if name == b"last-event-id"] == [b"5"]
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "field", "expected"),
+    [
+        (503, [(b"x-jasminewalk-not-executed", b"1")], "not_executed", True),
+        (421, [], "not_executed", True),
+        (503, [], "not_executed", False),
+        (200, [(b"content-encoding", b"gzip")], "encoded", True),
+        (200, [(b"content-encoding", b"identity")], "encoded", False),
+        (200, [(b"connection", b"Close")], "closing", True),
+        (200, [(b"keep-alive", b"max=5, timeout=4")], "idle_timeout_s", 4.0),
+        (200, [(b"keep-alive", b"timeout=soon")], "idle_timeout_s", None),
+    ],
+)
+def test_answer_head_is_decoded(status, headers, field, expected):
+    assert getattr(decode_answer_head(status, headers), field) == expected
