--- a/src/jasminewalk/gateway/demand.py
+++ b/src/jasminewalk/gateway/demand.py
@@ -32,9 +32,9 @@
     """Averages the demand that one gateway sees, with exponential weights.
 
     >>> meter = DemandMeter()
-    >>> for step in range(2000):
+    >>> for step in range(10_000):
     ...     meter.count(step / 100, reading_s=0.01, answering_s=0.02)
-    >>> round(meter.rate(20.0).reading, 1), round(meter.rate(20.0).answering, 1)
+    >>> round(meter.rate(100.0).reading, 1), round(meter.rate(100.0).answering, 1)
     (1.0, 2.0)
     """
 
--- a/src/jasminewalk/gateway/stage_planner.py
+++ b/src/jasminewalk/gateway/stage_planner.py
@@ -10,8 +10,8 @@
 
 __all__ = ["StageChange", "StagePlanner"]
 
-# Engine seconds in a second below which no change pays.
-IDLE_DEMAND = 0.3
+# Share of an engine's time that can be used without queueing.
+USABLE_SHARE = 0.8
 
 
 @attrs.frozen
@@ -32,16 +32,19 @@
 class StagePlanner:
     """Divides a service's engines between reading prompts and answering.
 
-    It answers the swing between long prompts and short questions: it chooses the number
-    of reading engines at which the busier side is least busy, and changes one engine at
-    a time, only for a gain that is worth an engine's absence.
+    It answers the swing between long prompts and short questions. A change must save
+    more work than the engine's absence costs, over the time for which the mix holds.
 
     :param settle_s: seconds between two changes of a service.
-    :param least_gain: share by which a change must lower the busier side's load.
+    :param horizon_s: seconds for which the mix is expected to hold.
+    :param away_s: seconds that a change takes an engine away.
+    :param change_cost: weight of the work that is lost meanwhile.
     """
 
     settle_s: float = 6.0
-    least_gain: float = 0.45
+    horizon_s: float = 10.0
+    away_s: float = 4.0
+    change_cost: float = 2.5
     changed_at: dict[str, float] = attrs.field(factory=dict)
 
     def plan(
@@ -66,31 +69,44 @@
         others = in_stage(engines, DECODE)
         if not readers or not others:
             return self._missing_stage(readers, others)
-        if demand.reading + demand.answering < IDLE_DEMAND:
-            return None
-        present = _busier_side(readers, others, demand)
-        best: tuple[float, EngineState, str] | None = None
+        changes = []
         if len(others) > 1:
-            engine = min(others, key=_speed)
-            load = _busier_side(
-                [*readers, engine], [e for e in others if e is not engine], demand
-            )
-            best = (load, engine, PREFILL)
+            changes.append((min(others, key=_speed), PREFILL))
         if len(readers) > 1:
-            engine = max(readers, key=_speed)
-            load = _busier_side(
-                [e for e in readers if e is not engine], [*others, engine], demand
-            )
-            if best is None or load < best[0]:
-                best = (load, engine, DECODE)
-        if best is None or best[0] > (1.0 - self.least_gain) * present:
+            changes.append((max(readers, key=_speed), DECODE))
+        if not changes:
+            return None
+        gains = [
+            (self._gain_s(readers, others, engine, stage, demand), engine, stage)
+            for engine, stage in changes
+        ]
+        gain_s, engine, stage = max(gains, key=lambda found: found[0])
+        if gain_s <= 0:
             return None
         reason = (
-            f"{len(readers)} of {len(engines)} engines read prompts; reading "
-            f"{demand.reading:.2f}, answering {demand.answering:.2f}; busier side "
-            f"{present:.2f}, expected {best[0]:.2f}"
+            f"{len(readers)} of {len(engines)} engines read prompts; asked for are "
+            f"{demand.reading:.2f} of reading and {demand.answering:.2f} of answering; "
+            f"a change saves {gain_s:.1f} engine seconds"
         )
-        return StageChange(best[1], best[2], reason)
+        return StageChange(engine, stage, reason)
+
+    def _gain_s(
+        self,
+        readers: Sequence[EngineState],
+        others: Sequence[EngineState],
+        engine: EngineState,
+        stage: str,
+        demand: Demand,
+    ) -> float:
+        present = _unserved(readers, others, demand)
+        if stage == PREFILL:
+            left = [other for other in others if other is not engine]
+            after = _unserved([*readers, engine], left, demand)
+        else:
+            left = [reader for reader in readers if reader is not engine]
+            after = _unserved(left, [*others, engine], demand)
+        cost_s = self.change_cost * self.away_s * engine.speed
+        return (present - after) * self.horizon_s - cost_s
 
     def changed(self, now: float, service: str) -> None:
         """Note that a change of a service was ordered.
@@ -113,9 +129,9 @@
     return engine.speed, engine.entry.engine_id
 
 
-def _busier_side(
+def _unserved(
     readers: Sequence[EngineState], others: Sequence[EngineState], demand: Demand
 ) -> float:
-    reading = demand.reading / sum(engine.speed for engine in readers)
-    answering = demand.answering / sum(engine.speed for engine in others)
-    return max(reading, answering)
+    reading = demand.reading - USABLE_SHARE * sum(e.speed for e in readers)
+    answering = demand.answering - USABLE_SHARE * sum(e.speed for e in others)
+    return max(0.0, reading) + max(0.0, answering)
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -132,9 +132,9 @@
         if start < self.first.get(topic, 0):
             connection.answer(410, (), b'{"first":0}')
             return
-        ends_at = asyncio.get_running_loop().time() + float(
-            query.get("wait_ms", 0)
-        ) / 1e3
+        ends_at = (
+            asyncio.get_running_loop().time() + float(query.get("wait_ms", 0)) / 1e3
+        )
         while (
             len(self.topics.get(topic, ())) <= start
             and asyncio.get_running_loop().time() < ends_at
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -177,7 +177,9 @@
 
 
 def test_urgent_routes_go_first_at_the_engine():
-    ranks = [AdmissionPolicy().decide(0.1, 0.5, 5, rank, split=True) for rank in (0, 1, 9)]
+    ranks = [
+        AdmissionPolicy().decide(0.1, 0.5, 5, rank, split=True) for rank in (0, 1, 9)
+    ]
     priorities = [decision.priority for decision in ranks]
     assert priorities == sorted(priorities)
     assert max(priorities) < 8
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -18,6 +18,8 @@
 
 HEAD = b"HTTP/1.1 200 OK\r\nx-jasminewalk-request-id: a\r\n"
 OTHER = b"HTTP/1.1 200 OK\r\nx-jasminewalk-request-id: b\r\n"
+LATE = OTHER + b"content-length: 4\r\n\r\nlate"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 def now():
@@ -65,11 +67,10 @@
         (HEAD + b"transfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", b"whole"),
         (HEAD + b"\r\nuntil the end", b"until the end"),
         (HEAD + b"content-length: 0\r\n\r\n", b""),
-        (OTHER + b"content-length: 4\r\n\r\nlate" + HEAD + b"content-length: 2\r\n\r\nme",
-         b"me"),
-        (b"HTTP/1.1 100 Continue\r\n\r\n" + HEAD + b"content-length: 2\r\n\r\nme", b"me"),
+        (LATE + HEAD + b"content-length: 2\r\n\r\nme", b"me"),
+        (CONTINUE + HEAD + b"content-length: 2\r\n\r\nme", b"me"),
     ],
-)  # fmt: skip
+)
 async def test_whole_answers_are_taken(peer, answer, body):
     status, found, _ = await peer(answer)
     assert (status, found) == (200, body)
@@ -167,7 +168,8 @@
         (b"nonsense\r\n\r\n", b"400"),
         (
             b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n"
-            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\n\r\n",
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+            b"GET /smuggled HTTP/1.1\r\n\r\n",
             b"400",
         ),
         (b"GET / HTTP/1.1\r\nHost: x\r\nBig: " + b"x" * 2000 + b"\r\n\r\n", b"431"),
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -4,7 +4,6 @@
 import math
 
 import pytest
-from platform_fakes import configuration
 
 from jasminewalk.exceptions import BadConfigurationError, BadMessageError
 from jasminewalk.platform.configuration import decode_configuration
@@ -14,6 +13,7 @@
     stage_order,
 )
 from jasminewalk.platform.registry import decode_engine_entry
+from platform_fakes import configuration
 
 ENTRY = {
     "service": "llm",
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -84,7 +84,8 @@
 
 @pytest.mark.anyio
 @pytest.mark.parametrize(
-    "body", [b"", b"[]", b"{}", b'{"items":[7]}', b'{"items":[{"key":"a","value":"*"}]}']
+    "body",
+    [b"", b"[]", b"{}", b'{"items":[7]}', b'{"items":[{"key":"a","value":"*"}]}'],
 )
 async def test_bad_newest_answers_are_an_outage(store, body):
     store.answers = [(200, body)]
