--- a/src/jasminewalk/gateway/stage_planner.py
+++ b/src/jasminewalk/gateway/stage_planner.py
@@ -41,10 +41,10 @@
     :param change_cost: weight of the work that is lost meanwhile.
     """
 
-    settle_s: float = 6.0
+    settle_s: float = 10.0
     horizon_s: float = 10.0
     away_s: float = 4.0
-    change_cost: float = 2.5
+    change_cost: float = 1.8
     changed_at: dict[str, float] = attrs.field(factory=dict)
 
     def plan(
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -3,10 +3,9 @@
 import json
 
 import pytest
-from gateway_fakes import engine_of, prompt_of
 from hypothesis import given, strategies as st
-from platform_fakes import configuration
 
+from gateway_fakes import engine_of, prompt_of
 from jasminewalk.gateway.admission import AdmissionPolicy, Admitted, Refused
 from jasminewalk.gateway.event_stream import EventSplitter, OutOfOrderError
 from jasminewalk.gateway.placement import PlacementPolicy
@@ -19,6 +18,7 @@
     decode_configuration,
 )
 from jasminewalk.platform.headers import PromptPart
+from platform_fakes import configuration
 
 
 def route_of(name, prefix, split=(("app", 1.0),)):
