--- a/src/jasminewalk/gateway/daemon.py
+++ b/src/jasminewalk/gateway/daemon.py
@@ -61,9 +61,11 @@
 # Seconds between two messages to the other gateways, and what each gateway beyond
 # the first few adds, so that large fleets do not spend their time on them.
 NEWS_S = 0.1
-FEW_GATEWAYS = 6
-# Seconds between two reads of the list of gateways.
-GATEWAYS_PERIOD_S = 6.0
+FEW_GATEWAYS = 12
+# Seconds between two reads of the list of gateways; a new one makes itself known.
+GATEWAYS_PERIOD_S = 20.0
+# Seconds after the start at which those that started together are listed.
+GATEWAYS_SETTLED_S = 2.0
 SETTINGS_PERIOD_S = 1.0
 # Seconds after SIGTERM during which new connections are still taken, until the
 # balancer has seen two refusals of readiness.
@@ -71,6 +73,8 @@
 # Seconds kept back at the end of the grace time.
 GRACE_MARGIN_S = 0.7
 STORE_CONNECT_S = 0.5
+# Seconds after which a task that failed is started again.
+TASK_RESTART_S = 0.5
 STORE_IDLE_S = 2.0
 
 
@@ -121,8 +125,9 @@
         )
         self.registry = RegistryFollower(self.store, self.log, self.clock, self.fleet)
         self.registry.on_return = lambda: self.fleet.store_returned(self.clock())
+        self.configuration.on_read = self.registry.on_read = self._tell
         self.gateways = _GatewaysFollower(
-            GATEWAYS_TOPIC, self.store, self.log, self.clock, 0.0, GATEWAYS_PERIOD_S
+            GATEWAYS_TOPIC, self.store, self.log, self.clock, GATEWAYS_PERIOD_S
         )
         self.gateways.peers = self.peers
         self.keeper = StageKeeper(
@@ -151,16 +156,16 @@
         await self.callers.listen(self.settings.callers_address)
         await self._open_peers()
         for work in (
-            self.log.flush_forever(),
-            self.callers.sweep_forever(),
-            self.control.sweep_forever(),
-            self.clients.sweep_forever(),
-            self.configuration.run(),
-            self.registry.run(),
-            self._join_gateways(),
-            self._tell_peers(),
-            self._watch_settings(),
-            self.keeper.run(),
+            self.log.flush_forever,
+            self.callers.sweep_forever,
+            self.control.sweep_forever,
+            self.clients.sweep_forever,
+            self.configuration.run,
+            self.registry.run,
+            self._join_gateways,
+            self._tell_peers,
+            self._watch_settings,
+            self.keeper.run,
         ):
             self._spawn(work)
         await self.stopping.wait()
@@ -331,27 +336,36 @@
             except (LogUnavailableError, OSError) as error:
                 self.log.warning("gateway_not_listed", reason=repr(error))
                 await asyncio.sleep(STARTING_RETRY_S)
+        await asyncio.sleep(GATEWAYS_SETTLED_S)
         await self.gateways.run()
 
     async def _tell_peers(self) -> None:
         while True:
-            now = self.clock()
-            data = self.peers.message(now, self.configuration.offset or 0, 0, 0)
-            for peer in list(self.peers.peers.values()):
-                host, _, port = peer.address.rpartition(":")
-                if self.udp is not None:
-                    self.udp.sendto(data, (host, int(port)))
-            for node in self.peers.forget_silent(now):
+            self._tell()
+            for node in self.peers.forget_silent(self.clock()):
                 self.log.info("peer_silent", peer=node)
             count = 1 + len(self.peers.peers)
             await asyncio.sleep(NEWS_S * max(1.0, count / FEW_GATEWAYS))
 
+    def _tell(self) -> None:
+        now = self.clock()
+        data = self.peers.message(
+            now, self.configuration.news(now), self.registry.news(now)
+        )
+        for peer in list(self.peers.peers.values()):
+            host, _, port = peer.address.rpartition(":")
+            if self.udp is not None:
+                self.udp.sendto(data, (host, int(port)))
+
     def _heard(self, data: bytes) -> None:
         news = decode_news(data)
         if news is None:
             self.log.warning("peer_unreadable", size=len(data))
             return
-        self.peers.take(self.clock(), news)
+        now = self.clock()
+        if self.peers.take(now, news):
+            self.configuration.hear(now, news.configuration)
+            self.registry.hear(now, news.registry)
 
     # The end.
 
@@ -359,7 +373,7 @@
         grace_s = self.parts.settings.bounds.grace_s
         ends_at = self.clock() + grace_s - GRACE_MARGIN_S
         self.log.info("stopping", active=self.callers.active)
-        self._spawn(self.keeper.leave())
+        self._spawn(self.keeper.leave)
         self.callers.draining = True
         await asyncio.sleep(LINGER_S)
         self.callers.stop_listening()
@@ -373,16 +387,18 @@
             task.cancel()
         self.log.flush()
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        task.add_done_callback(self._task_ended)
+    def _spawn(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        task = asyncio.get_running_loop().create_task(self._supervise(work))
         self.tasks.append(task)
 
-    def _task_ended(self, task: asyncio.Task[None]) -> None:
-        if not task.cancelled() and task.exception() is not None:
-            error = task.exception()
-            self.log.warning("task_failed", error=repr(error), at=_where(error))
-            self.stopping.set()
+    async def _supervise(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        while True:
+            try:
+                await work()
+                return
+            except Exception as error:  # a fault of one task must not end the process
+                self.log.warning("task_failed", error=repr(error), at=_where(error))
+                await asyncio.sleep(TASK_RESTART_S)
 
 
 class _PeerProtocol(asyncio.DatagramProtocol):
@@ -399,10 +415,10 @@
 class _GatewaysFollower(TopicFollower):
     peers: LoadExchange
 
-    def take_newest(self, page: RecordsPage) -> None:
-        self.take_changes(page)
+    def take_newest(self, page: RecordsPage) -> bool:
+        return self.take_changes(page)
 
-    def take_changes(self, page: RecordsPage) -> None:
+    def take_changes(self, page: RecordsPage) -> bool:
         for record in page.records:
             if record.value is None:
                 continue
@@ -415,6 +431,7 @@
                 self.log.warning("gateway_unreadable", key=record.key, reason=repr(e))
                 continue
             self.peers.learn_address(record.key, address)
+        return bool(page.records)
 
 
 def _where(error: BaseException | None) -> str:
--- a/src/jasminewalk/gateway/peers.py
+++ b/src/jasminewalk/gateway/peers.py
@@ -11,12 +11,14 @@
 from jasminewalk.gateway.fleet import EngineState, Fleet, Load
 from jasminewalk.platform.headers import PromptPart
 
-__all__ = ["LoadExchange", "LoadNews", "decode_news", "engine_key"]
+__all__ = ["LoadExchange", "LoadNews", "TopicNews", "decode_news", "engine_key"]
 
 # Seconds after which the load of a silent gateway is forgotten.
 PEER_TIMEOUT_S = 1.5
-# Seconds during which a read prompt is told with each message.
-READ_TOLD_S = 0.45
+# Messages in which a read prompt is told, as single datagrams are lost at times.
+READ_TOLD_TIMES = 2
+# Messages between two that tell the learned speeds, which change slowly.
+SPEEDS_TOLD_EACH = 5
 # Shortest part of a prompt that is worth telling, in tokens.
 TOLD_PART_TOKENS = 1000
 # Longest time for which an engine is left alone because it changes its stage.
@@ -24,21 +26,38 @@
 MAX_TOLD_READS = 40
 
 
+class TopicNews(msgspec.Struct, array_like=True, frozen=True):
+    """How far a gateway has read a topic of the store.
+
+    :param read_ms_ago: milliseconds since its last read; negative if it never read.
+    :param changed_offset: offset after the last record that changed anything.
+    """
+
+    read_ms_ago: int = -1
+    changed_offset: int = 0
+
+
 class LoadNews(msgspec.Struct, array_like=True, frozen=True):
-    """One gateway's message to all others."""
+    """One gateway's message to all others.
+
+    :param loads: engine, requests, and milliseconds of reading at an engine of speed 1.
+    :param speeds: engine, speed in hundredths, and number of observations.
+    :param reads: engine, part of a prompt, and its tokens.
+    :param changing: engine, and milliseconds for which a change of stage takes it away.
+    """
 
     node: str
     address: str
     started_ms: int
     number: int
-    configuration_offset: int
-    registry_digest: int
-    registry_offset: int
-    loads: list[tuple[int, int, float, float, int]]
+    configuration: TopicNews
+    registry: TopicNews
+    reading_ms: int
+    answering_ms: int
+    loads: list[tuple[int, int, int]]
+    speeds: list[tuple[int, int, int]]
     reads: list[tuple[int, str, int]]
-    reading: float
-    answering: float
-    changing: list[tuple[int, float]]
+    changing: list[tuple[int, int]]
 
 
 def decode_news(data: bytes) -> LoadNews | None:
@@ -61,6 +80,13 @@
     return xxhash.xxh32_intdigest(f"{entry.engine_id} {entry.started_ms}".encode())
 
 
+@attrs.define
+class _ToldRead:
+    engine: EngineState
+    part: PromptPart
+    times: int = 0
+
+
 @attrs.define
 class Peer:
     """What is known of another gateway.
@@ -96,7 +122,7 @@
         self.peers: dict[str, Peer] = {}
         self.number = 0
         self.demand = DemandMeter()
-        self.reads: deque[tuple[float, EngineState, PromptPart]] = deque()
+        self.reads: deque[_ToldRead] = deque()
 
     def learn_address(self, node: str, address: str) -> None:
         """Take the address of another gateway.
@@ -117,6 +143,16 @@
         """
         return sum(now - peer.heard_at < PEER_TIMEOUT_S for peer in self.peers.values())
 
+    def rank(self, now: float) -> int:
+        """Return this gateway's place among the live ones, by name.
+
+        :param now: current instant in seconds.
+        """
+        return sum(
+            node < self.node and now - peer.heard_at < PEER_TIMEOUT_S
+            for node, peer in self.peers.items()
+        )
+
     def total_demand(self, now: float) -> Demand:
         """Return the work that callers of all gateways ask for.
 
@@ -128,67 +164,77 @@
                 total = total + peer.demand
         return total
 
-    def note_read(
-        self, now: float, engine: EngineState, prompt: tuple[PromptPart, ...]
-    ) -> None:
+    def note_read(self, engine: EngineState, prompt: tuple[PromptPart, ...]) -> None:
         """Remember that an engine reads a prompt, to tell others.
 
-        :param now: current instant in seconds.
         :param engine: the engine.
         :param prompt: parts of the prompt.
         """
         engine.cache.add(prompt)
         for part in prompt:
             if part.tokens >= TOLD_PART_TOKENS:
-                self.reads.append((now, engine, part))
+                self.reads.append(_ToldRead(engine, part))
 
     def message(
-        self, now: float, configuration_offset: int, registry_offset: int, digest: int
+        self, now: float, configuration: TopicNews, registry: TopicNews
     ) -> bytes:
         """Build the next message.
 
         :param now: current instant in seconds.
-        :param configuration_offset: offset up to which the configuration was read.
-        :param registry_offset: offset up to which the registry was read.
-        :param digest: digest of the registry as this gateway sees it.
+        :param configuration: how far the configuration was read.
+        :param registry: how far the registry was read.
         """
-        while self.reads and now - self.reads[0][0] > READ_TOLD_S:
-            self.reads.popleft()
         self.number += 1
         demand = self.demand.rate(now)
+        engines = self.fleet.engines.values()
         news = LoadNews(
-            self.node,
-            self.address,
-            self.started_ms,
-            self.number,
-            configuration_offset,
-            digest,
-            registry_offset,
-            [
+            node=self.node,
+            address=self.address,
+            started_ms=self.started_ms,
+            number=self.number,
+            configuration=configuration,
+            registry=registry,
+            reading_ms=round(demand.reading * 1e3),
+            answering_ms=round(demand.answering * 1e3),
+            loads=[
                 (
                     engine_key(engine),
                     engine.own.requests,
-                    round(engine.own.reading_s, 4),
-                    round(engine.own_speed, 3),
-                    len(engine.speeds),
+                    round(engine.own.reading_s * 1e3),
                 )
-                for engine in self.fleet.engines.values()
-                if engine.own.requests or engine.speeds
+                for engine in engines
+                if engine.own.requests
             ],
-            [
-                (engine_key(engine), part.part_id, part.tokens)
-                for _, engine, part in list(self.reads)[-MAX_TOLD_READS:]
-            ],
-            round(demand.reading, 4),
-            round(demand.answering, 4),
-            [
-                (engine_key(engine), round(engine.changing_until - now, 2))
-                for engine in self.fleet.engines.values()
+            speeds=self._told_speeds(),
+            reads=self._told_reads(),
+            changing=[
+                (engine_key(engine), round((engine.changing_until - now) * 1e3))
+                for engine in engines
                 if engine.changing_until > now
             ],
         )
         return msgspec.msgpack.encode(news)
 
+    def _told_speeds(self) -> list[tuple[int, int, int]]:
+        if self.number % SPEEDS_TOLD_EACH:
+            return []
+        return [
+            (engine_key(engine), round(engine.own_speed * 100), len(engine.speeds))
+            for engine in self.fleet.engines.values()
+            if engine.speeds
+        ]
+
+    def _told_reads(self) -> list[tuple[int, str, int]]:
+        told = list(self.reads)[:MAX_TOLD_READS]
+        for read in told:
+            read.times += 1
+        while self.reads and self.reads[0].times >= READ_TOLD_TIMES:
+            self.reads.popleft()
+        return [
+            (engine_key(read.engine), read.part.part_id, read.part.tokens)
+            for read in told
+        ]
+
     def take(self, now: float, news: LoadNews) -> bool:
         """Take a message of another gateway; False if it is old or our own.
 
@@ -205,17 +251,18 @@
         by_key = {engine_key(engine): engine for engine in self.fleet.engines.values()}
         for engine in by_key.values():
             engine.peers.pop(news.node, None)
-            engine.peer_speeds.pop(news.node, None)
-        for key, requests, reading_s, speed, observations in news.loads:
-            engine = by_key.get(key)
-            if engine is not None:
-                engine.peers[news.node] = Load(requests, reading_s)
-                engine.peer_speeds[news.node] = (speed, observations)
-        peer.demand = Demand(news.reading, news.answering)
-        for key, left_s in news.changing:
+        for key, requests, reading_ms in news.loads:
+            if key in by_key:
+                by_key[key].peers[news.node] = Load(requests, reading_ms / 1e3)
+        for key, speed, observations in news.speeds:
+            if key in by_key:
+                by_key[key].peer_speeds[news.node] = (speed / 100, observations)
+        peer.demand = Demand(news.reading_ms / 1e3, news.answering_ms / 1e3)
+        for key, left_ms in news.changing:
             # The first word counts: others repeat it, a little later each time.
-            if key in by_key and by_key[key].changing_until <= now and left_s > 0.5:
-                by_key[key].changing_until = now + min(left_s, LONGEST_CHANGE_S)
+            if key in by_key and by_key[key].changing_until <= now and left_ms > 500:
+                left_s = min(left_ms / 1e3, LONGEST_CHANGE_S)
+                by_key[key].changing_until = now + left_s
         for key, part_id, tokens in news.reads:
             if key in by_key:
                 by_key[key].cache.add((PromptPart(part_id, tokens),))
--- a/src/jasminewalk/gateway/placement.py
+++ b/src/jasminewalk/gateway/placement.py
@@ -1,6 +1,7 @@
 """Choice of the engine, or engines, of a request."""
 
 from collections.abc import Collection, Sequence
+from random import Random
 
 import attrs
 import xxhash
@@ -31,6 +32,9 @@
 LONGEST_DIRECT_READ_S = 0.2
 # Engine time weighs this much besides the caller's waiting time.
 ENGINE_TIME_WEIGHT = 1.0
+# Engines that a short question is compared on; gateways that all took the best of the
+# whole fleet by the same old news would overrun it.
+SAMPLED_ENGINES = 4
 # Seconds that one running request adds to the first token of another.
 RUNNING_S = 0.0005
 # Seconds of a plain request's wait per failure in a hundred.
@@ -97,9 +101,11 @@
     """Chooses engines by predicted time.
 
     :param failure_domain: zone of the gateway.
+    :param random: source of the engines that short questions are compared on.
     """
 
     failure_domain: str
+    random: Random = attrs.field(factory=Random)
 
     def plain(
         self, engines: Sequence[EngineState], excluded: Collection[str]
@@ -127,7 +133,10 @@
         :param excluded: ids of engines that had the request before.
         :param may_split: whether one engine may read the prompt for another.
         """
-        direct = self._best(work, in_stage(engines, DECODE), excluded)
+        answering = in_stage(engines, DECODE)
+        if work.tokens < SHORTEST_SPLIT_TOKENS:
+            answering = self._sample(answering)
+        direct = self._best(work, answering, excluded)
         reader = None
         if (may_split and work.tokens >= SHORTEST_SPLIT_TOKENS) or direct is None:
             reader = self._best(work, in_stage(engines, PREFILL), excluded)
@@ -164,9 +173,15 @@
         :param engines: engines that may get work.
         :param excluded: ids of engines that had the request before.
         """
-        found = self._best(PromptWork((), 1), in_stage(engines, DECODE), excluded)
+        answering = self._sample(in_stage(engines, DECODE))
+        found = self._best(PromptWork((), 1), answering, excluded)
         return found.engine if found else None
 
+    def _sample(self, engines: list[EngineState]) -> list[EngineState]:
+        if len(engines) <= SAMPLED_ENGINES:
+            return engines
+        return self.random.sample(engines, SAMPLED_ENGINES)
+
     def _best(
         self,
         work: PromptWork,
--- a/src/jasminewalk/gateway/stage_keeper.py
+++ b/src/jasminewalk/gateway/stage_keeper.py
@@ -31,6 +31,8 @@
 SESSION_S = 3.0
 # Seconds between two renewals.
 RENEWAL_S = 0.7
+# Gateways, the first by name, that are members of the group; the others save the calls.
+CANDIDATES = 3
 # Seconds that a call to an engine may take.
 CALL_TIMEOUT_S = 0.4
 # Seconds that the registry takes to show a changed stage.
@@ -84,7 +86,8 @@
     async def run(self) -> None:
         """Renew and order forever."""
         while True:
-            await self._renew()
+            if self.peers.rank(self.clock()) < CANDIDATES:
+                await self._renew()
             if self.lease.may_order(suspended_clock()):
                 await self._order_next()
             await asyncio.sleep(RENEWAL_S * random.uniform(0.9, 1.1))
--- a/src/jasminewalk/gateway/store_follower.py
+++ b/src/jasminewalk/gateway/store_follower.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import random
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Iterable
 
 from jasminewalk.exceptions import BadConfigurationError, LogUnavailableError
 from jasminewalk.gateway.decision_log import DecisionLog
-from jasminewalk.gateway.fleet import Fleet
+from jasminewalk.gateway.fleet import Fleet, FleetEvent
+from jasminewalk.gateway.peers import TopicNews
 from jasminewalk.platform.configuration import (
     ServingConfiguration,
     decode_configuration,
@@ -25,10 +25,15 @@
 
 # Seconds between calls while the store does not answer well, doubled up to the longest.
 RETRY_S, LONGEST_RETRY_S = 0.1, 0.4
-# Seconds a read of the configuration waits for a change at the store.
-CONFIGURATION_WAIT_S = 1.0
-# Seconds between two reads of the registry; engines may get no work 2 s after leaving.
-REGISTRY_PERIOD_S = 0.6
+# Seconds for which the last read of any gateway will do; a change must be in force
+# everywhere, and an engine that leaves be left alone, within 2 s.
+CONFIGURATION_PERIOD_S = 0.6
+REGISTRY_PERIOD_S = 0.5
+# Seconds over which gateways spread their next read, so that one of them reads and the
+# others hear of it.
+SPREAD_S = 0.4
+# Seconds between two looks whether a read is due.
+LOOK_S = 0.05
 
 
 class TopicFollower:
@@ -38,8 +43,7 @@
     :param store: the metadata store.
     :param log: decision log.
     :param clock: returns the current instant in seconds.
-    :param wait_s: seconds a read waits at the store for a change.
-    :param period_s: seconds between two reads.
+    :param period_s: seconds for which a read will do, of this or another gateway.
     """
 
     def __init__(
@@ -48,20 +52,21 @@
         store: StoreClient,
         log: DecisionLog,
         clock: Callable[[], float],
-        wait_s: float,
         period_s: float,
     ) -> None:
         self.topic = topic
         self.store = store
         self.log = log
         self.clock = clock
-        self.wait_s = wait_s
         self.period_s = period_s
         self.offset: int | None = None
         self.failing_since: float | None = None
-        self.wanted = asyncio.Event()
         self.on_return: Callable[[], None] = lambda: None
         self.read_at = float("-inf")
+        self.heard_read_at = float("-inf")
+        self.changed_offset = 0
+        self.wanted_offset = 0
+        self.on_read: Callable[[], None] = lambda: None
 
     async def run(self) -> None:
         """Read forever."""
@@ -75,8 +80,8 @@
                 retry_s = min(LONGEST_RETRY_S, 2 * retry_s)
                 continue
             retry_s = RETRY_S
-            if self.period_s > 0:
-                await self._pause()
+            self.on_read()
+            await self._until_due()
 
     async def read_once(self) -> None:
         """Read once and take what was read.
@@ -86,30 +91,51 @@
         if self.offset is None:
             page = await self.store.read_newest(self.topic)
             self._succeeded()
-            self.take_newest(page)
+            changed = self.take_newest(page)
         else:
             try:
-                page = await self.store.read_from(self.topic, self.offset, self.wait_s)
+                page = await self.store.read_from(self.topic, self.offset)
             except RecordsGoneError:
                 self.log.info("records_gone", topic=self.topic, offset=self.offset)
                 self.offset = None
                 await self.read_once()
                 return
             self._succeeded()
-            self.take_changes(page)
+            changed = self.take_changes(page)
         self.offset = page.next_offset
+        if changed:
+            self.changed_offset = page.next_offset
         for detail in page.unreadable:
             self.log.warning("record_unreadable", topic=self.topic, detail=detail)
 
-    def take_newest(self, page: RecordsPage) -> None:
-        """Take the newest record of each key.
+    def hear(self, now: float, news: TopicNews) -> None:
+        """Take how far another gateway has read the topic.
+
+        :param now: current instant in seconds.
+        :param news: what it says.
+        """
+        if news.read_ms_ago >= 0:
+            self.heard_read_at = max(self.heard_read_at, now - news.read_ms_ago / 1e3)
+        self.wanted_offset = max(self.wanted_offset, news.changed_offset)
+
+    def news(self, now: float) -> TopicNews:
+        """Return how far this gateway has read the topic.
+
+        :param now: current instant in seconds.
+        """
+        if self.offset is None or self.failing_since is not None:
+            return TopicNews()
+        return TopicNews(int((now - self.read_at) * 1e3), self.changed_offset)
+
+    def take_newest(self, page: RecordsPage) -> bool:
+        """Take the newest record of each key; returns whether anything changed.
 
         :param page: the records.
         """
         raise NotImplementedError
 
-    def take_changes(self, page: RecordsPage) -> None:
-        """Take records in the order of the topic.
+    def take_changes(self, page: RecordsPage) -> bool:
+        """Take records in the order of the topic; returns whether anything changed.
 
         :param page: the records.
         """
@@ -130,13 +156,16 @@
             )
             self.on_return()
 
-    async def _pause(self) -> None:
-        try:
-            async with asyncio.timeout(self.period_s):
-                await self.wanted.wait()
-        except TimeoutError:
-            pass  # the period has passed
-        self.wanted.clear()
+    async def _until_due(self) -> None:
+        spread_s = random.uniform(0.0, SPREAD_S)
+        while not self._due(spread_s):
+            await asyncio.sleep(LOOK_S)
+
+    def _due(self, spread_s: float) -> bool:
+        if self.offset is None or self.wanted_offset > self.offset:
+            return True
+        freshest = max(self.read_at, self.heard_read_at)
+        return self.clock() - freshest >= self.period_s + spread_s
 
 
 class ConfigurationFollower(TopicFollower):
@@ -152,22 +181,21 @@
         clock: Callable[[], float],
         apply: Callable[[ServingConfiguration], None],
     ) -> None:
-        super().__init__(
-            CONFIGURATION_TOPIC, store, log, clock, CONFIGURATION_WAIT_S, 0.0
-        )
+        super().__init__(CONFIGURATION_TOPIC, store, log, clock, CONFIGURATION_PERIOD_S)
         self.apply = apply
         self.version = -1
 
-    def take_newest(self, page: RecordsPage) -> None:
+    def take_newest(self, page: RecordsPage) -> bool:
         """Take the newest configuration."""
-        self.take_changes(page)
+        return self.take_changes(page)
 
-    def take_changes(self, page: RecordsPage) -> None:
+    def take_changes(self, page: RecordsPage) -> bool:
         """Take the last configuration among the records."""
         for record in reversed(page.records):
             if record.key == CONFIGURATION_KEY and record.value is not None:
                 self._take(record.value)
-                return
+                return True
+        return False
 
     def _take(self, text: bytes) -> None:
         try:
@@ -194,18 +222,21 @@
         clock: Callable[[], float],
         fleet: Fleet,
     ) -> None:
-        super().__init__(REGISTRY_TOPIC, store, log, clock, 0.0, REGISTRY_PERIOD_S)
+        super().__init__(REGISTRY_TOPIC, store, log, clock, REGISTRY_PERIOD_S)
         self.fleet = fleet
 
-    def take_newest(self, page: RecordsPage) -> None:
+    def take_newest(self, page: RecordsPage) -> bool:
         """Take the newest entry of each engine."""
-        self._log(self.fleet.replace(self.clock(), page.records))
+        return self._log(self.fleet.replace(self.clock(), page.records))
 
-    def take_changes(self, page: RecordsPage) -> None:
+    def take_changes(self, page: RecordsPage) -> bool:
         """Take changes of the registry."""
-        self._log(self.fleet.update(self.clock(), page.records))
-        self._log(self.fleet.expire(self.clock()))
+        changed = self._log(self.fleet.update(self.clock(), page.records))
+        return self._log(self.fleet.expire(self.clock())) or changed
 
-    def _log(self, events: Any) -> None:
+    def _log(self, events: Iterable[FleetEvent]) -> bool:
+        logged = False
         for event in events:
+            logged = True
             self.log.info(event.event, engine=event.engine, detail=event.detail)
+        return logged
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -9,7 +9,12 @@
 from jasminewalk.gateway.decision_log import HELD_LINES, LINES_PER_S, DecisionLog
 from jasminewalk.gateway.demand import Demand
 from jasminewalk.gateway.fleet import Fleet
-from jasminewalk.gateway.peers import PEER_TIMEOUT_S, LoadExchange, decode_news
+from jasminewalk.gateway.peers import (
+    PEER_TIMEOUT_S,
+    LoadExchange,
+    TopicNews,
+    decode_news,
+)
 from jasminewalk.gateway.stage_holder import HolderLease
 from jasminewalk.gateway.stage_planner import StagePlanner
 from jasminewalk.platform.configuration import decode_configuration
@@ -132,8 +137,14 @@
     return made("1"), made("2")
 
 
+def message_of(sender, now):
+    return sender.message(now, TopicNews(), TopicNews())
+
+
 def tell(sender, receiver, now):
-    return receiver.take(now, decode_news(sender.message(now, 0, 0, 0)))
+    return receiver.take(
+        now, decode_news(sender.message(now, TopicNews(), TopicNews()))
+    )
 
 
 def test_gateways_count_each_others_work_and_reads(gateways):
@@ -141,7 +152,7 @@
     work = prompt_of(13_000, 4000)
     there = one.fleet.engines["i-1"]
     there.own.requests, there.own.reading_s = 3, 0.5
-    one.note_read(1.0, there, work.parts)
+    one.note_read(there, work.parts)
     assert tell(one, two, 1.1)
     seen = two.fleet.engines["i-1"]
     assert (seen.requests, seen.reading_s) == (3, 0.5)
@@ -165,7 +176,9 @@
 
 def test_old_own_and_unreadable_messages_are_passed_over(gateways):
     one, two = gateways
-    first, second = (decode_news(one.message(1.0, 0, 0, 0)) for _ in range(2))
+    first, second = (
+        decode_news(one.message(1.0, TopicNews(), TopicNews())) for _ in range(2)
+    )
     assert two.take(1.0, second)
     assert not two.take(1.0, first)
     assert not one.take(1.0, first)
--- /dev/null
+++ b/tests/test_gateway_store_follower.py
@@ -0,0 +1,178 @@
+"""Following of the store's topics, with and without news of other gateways."""
+
+import json
+
+import pytest
+
+from jasminewalk.exceptions import LogUnavailableError
+from jasminewalk.gateway.decision_log import DecisionLog
+from jasminewalk.gateway.fleet import Fleet
+from jasminewalk.gateway.peers import TopicNews
+from jasminewalk.gateway.store_follower import (
+    CONFIGURATION_PERIOD_S,
+    SPREAD_S,
+    ConfigurationFollower,
+    RegistryFollower,
+)
+from jasminewalk.platform.store import KeyedRecord, RecordsGoneError, RecordsPage
+from platform_fakes import configuration
+
+
+class ScriptedStore:
+    def __init__(self):
+        self.newest = RecordsPage((), 0)
+        self.changes = []
+        self.failure = None
+        self.calls = []
+
+    async def read_newest(self, topic):
+        self.calls.append("newest")
+        if self.failure:
+            raise self.failure
+        return self.newest
+
+    async def read_from(self, topic, offset):
+        self.calls.append(offset)
+        if self.failure:
+            raise self.failure
+        found = self.changes.pop(0)
+        if isinstance(found, Exception):
+            raise found
+        return found
+
+
+def version(number, **changes):
+    text = json.dumps(configuration(number) | changes).encode()
+    return KeyedRecord("config", text)
+
+
+@pytest.fixture
+def store():
+    return ScriptedStore()
+
+
+@pytest.fixture
+def applied():
+    return []
+
+
+@pytest.fixture
+def written():
+    return []
+
+
+@pytest.fixture
+def log(clock, written):
+    return DecisionLog(
+        "front-1", clock.monotonic, lambda data: written.append(data) or len(data)
+    )
+
+
+@pytest.fixture
+def follower(store, log, clock, applied):
+    def apply(found):
+        applied.append(found.version)
+
+    return ConfigurationFollower(store, log, clock.monotonic, apply)
+
+
+@pytest.mark.anyio
+async def test_newest_configuration_then_changes_are_applied(follower, store, applied):
+    store.newest = RecordsPage((version(3),), 4)
+    store.changes = [RecordsPage((version(5), version(8)), 6)]
+    await follower.read_once()
+    await follower.read_once()
+    assert applied == [3, 8]
+    assert store.calls == ["newest", 4]
+    assert follower.offset == 6
+
+
+@pytest.mark.anyio
+async def test_configuration_never_goes_back(follower, store, applied):
+    store.newest = RecordsPage((version(7),), 4)
+    store.changes = [RecordsPage((version(6),), 5)]
+    await follower.read_once()
+    await follower.read_once()
+    assert applied == [7]
+
+
+@pytest.mark.anyio
+async def test_unreadable_configuration_leaves_the_one_in_force(
+    follower, store, applied, log, written
+):
+    store.newest = RecordsPage((version(7),), 4)
+    store.changes = [RecordsPage((KeyedRecord("config", b"\xff"),), 5)]
+    await follower.read_once()
+    await follower.read_once()
+    log.flush()
+    assert applied == [7]
+    assert b"configuration_unreadable" in b"".join(written)
+
+
+@pytest.mark.anyio
+async def test_deleted_records_are_read_anew(follower, store, applied):
+    store.newest = RecordsPage((version(3),), 4)
+    await follower.read_once()
+    store.newest = RecordsPage((version(9),), 40)
+    store.changes = [RecordsGoneError("keyed.op")]
+    await follower.read_once()
+    assert applied == [3, 9]
+    assert follower.offset == 40
+
+
+@pytest.mark.anyio
+async def test_read_of_another_gateway_spares_the_own(follower, store, clock):
+    await follower.read_once()
+    clock.advance(CONFIGURATION_PERIOD_S + SPREAD_S)
+    assert follower._due(SPREAD_S)
+    follower.hear(clock.monotonic(), TopicNews(100, 0))
+    assert not follower._due(0.0)
+    clock.advance(CONFIGURATION_PERIOD_S)
+    assert follower._due(0.0)
+
+
+@pytest.mark.anyio
+async def test_change_that_another_gateway_saw_is_read_at_once(follower, store, clock):
+    store.newest = RecordsPage((version(3),), 4)
+    await follower.read_once()
+    follower.hear(clock.monotonic(), TopicNews(10, 4))
+    assert not follower._due(0.0)
+    follower.hear(clock.monotonic(), TopicNews(10, 5))
+    assert follower._due(SPREAD_S)
+
+
+@pytest.mark.anyio
+async def test_gateway_that_cannot_read_tells_no_news(follower, store, clock):
+    assert follower.news(clock.monotonic()) == TopicNews()
+    store.newest = RecordsPage((version(3),), 4)
+    await follower.read_once()
+    clock.advance(0.25)
+    assert follower.news(clock.monotonic()) == TopicNews(250, 4)
+    follower._failed(LogUnavailableError("down"))
+    assert follower.news(clock.monotonic()) == TopicNews()
+
+
+@pytest.mark.anyio
+async def test_heartbeats_change_nothing(store, log, clock):
+    entry = {
+        "service": "llm",
+        "address": "10.1.0.9:8080",
+        "zone": "north",
+        "slots": 16,
+        "state": "ready",
+        "born": 12,
+        "sequence": 1,
+    }
+
+    def beat(sequence, **changes):
+        text = json.dumps(entry | {"sequence": sequence} | changes).encode()
+        return RecordsPage((KeyedRecord("i-1", text),), sequence)
+
+    follower = RegistryFollower(store, log, clock.monotonic, Fleet())
+    store.newest = beat(1)
+    store.changes = [beat(2), beat(3, state="draining")]
+    await follower.read_once()
+    await follower.read_once()
+    assert follower.changed_offset == 1
+    await follower.read_once()
+    assert follower.changed_offset == 3
