--- a/src/jasminewalk/gateway/admission.py
+++ b/src/jasminewalk/gateway/admission.py
@@ -45,38 +45,49 @@
     It answers bursts of prompts that the engines can't read in time: sending all of
     them would make each one late.
 
+    :param busy_wait_s: longest wait at the engine for an answer that will be late, in
+        seconds, while more is asked for than the engines can read; they read in the
+        order of arrival, so late work would pile up before work that can be in time.
+    :param calm_wait_s: the same while the engines keep up on average.
     :param late_split_share: share of the time left within which an answer that is late
         is still worth the time of an engine that only reads prompts.
     :param late_direct_share: the same where an engine reads and answers; its reading
         holds up the tokens of all others there.
     """
 
+    busy_wait_s: float = 0.3
+    calm_wait_s: float = 1.2
     late_split_share: float = 0.45
     late_direct_share: float = 0.12
 
     def decide(
         self,
         predicted_s: float,
+        wait_s: float,
         objective_left_s: float,
         left_s: float,
         rank: int,
         *,
         split: bool,
+        busy: bool,
     ) -> Admission:
         """Decide on one generation.
 
         :param predicted_s: seconds until its prompt is read.
+        :param wait_s: part of it until an engine starts on the prompt.
         :param objective_left_s: seconds until its objective passes.
         :param left_s: seconds until its deadline.
         :param rank: urgency of its route, 0 is the most urgent.
         :param split: whether one engine reads its prompt for another.
+        :param busy: whether more reading is asked for than the engines can do.
         """
         first_token_s = predicted_s + FIRST_TOKEN_S
         if first_token_s <= objective_left_s:
             priority = min(LEAST_URGENT_IN_TIME, MOST_URGENT + 2 * rank)
             return Admitted(priority, in_time=True)
         late_share = self.late_split_share if split else self.late_direct_share
-        if first_token_s <= late_share * left_s:
+        longest_wait_s = self.busy_wait_s if busy else self.calm_wait_s
+        if wait_s <= longest_wait_s and first_token_s <= late_share * left_s:
             return Admitted(LATE_PRIORITY, in_time=False)
         excess_s = first_token_s - max(0.0, objective_left_s)
         return Refused(min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, excess_s)))
--- a/src/jasminewalk/gateway/daemon.py
+++ b/src/jasminewalk/gateway/daemon.py
@@ -61,7 +61,7 @@
 # Seconds between two messages to the other gateways, and what each gateway beyond
 # the first few adds, so that large fleets do not spend their time on them.
 NEWS_S = 0.1
-FEW_GATEWAYS = 12
+FEW_GATEWAYS = 30
 # Seconds between two reads of the list of gateways; a new one makes itself known.
 GATEWAYS_PERIOD_S = 20.0
 # Seconds after the start at which those that started together are listed.
--- a/src/jasminewalk/gateway/placement.py
+++ b/src/jasminewalk/gateway/placement.py
@@ -6,6 +6,7 @@
 import attrs
 import xxhash
 
+from jasminewalk.gateway.demand import Demand
 from jasminewalk.gateway.fleet import EngineState, in_stage
 from jasminewalk.platform.headers import PromptPart
 from jasminewalk.platform.registry import DECODE, PREFILL
@@ -34,7 +35,9 @@
 ENGINE_TIME_WEIGHT = 1.0
 # Engines that a short question is compared on; gateways that all took the best of the
 # whole fleet by the same old news would overrun it.
-SAMPLED_ENGINES = 4
+SAMPLED_ENGINES = 3
+# Share of the reading engines' time that is asked for when they count as busy.
+BUSY_SHARE = 0.8
 # Seconds that one running request adds to the first token of another.
 RUNNING_S = 0.0005
 # Seconds of a plain request's wait per failure in a hundred.
@@ -165,6 +168,15 @@
         cached = min(max(kept, default=0), work.tokens - 1)
         return reading_s(work.tokens - cached, cached, PREFILL), ANSWER_S
 
+    def busy(self, demand: Demand, engines: Sequence[EngineState]) -> bool:
+        """Return whether more reading is asked for than the reading engines can do.
+
+        :param demand: work that callers of all gateways ask for.
+        :param engines: engines that may get work.
+        """
+        readers = in_stage(engines, PREFILL) or engines
+        return demand.reading > BUSY_SHARE * sum(engine.speed for engine in readers)
+
     def decoder(
         self, engines: Sequence[EngineState], excluded: Collection[str] = ()
     ) -> EngineState | None:
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -129,9 +129,10 @@
 
     def _place(self) -> tuple[Option, int] | None:
         now = self.parts.clock()
+        engines = self.parts.fleet.usable(self.service, now)
         options = self.parts.placement.options(
             self.work,
-            self.parts.fleet.usable(self.service, now),
+            engines,
             self.tried,
             # A second call to read the prompt would count against the retry budget.
             may_split=not self.prompts_failed,
@@ -139,7 +140,9 @@
         if not options:
             self._finish("no engine", BAD_GATEWAY)
             return None
-        option, decision = self._admit(options)
+        demand = self.parts.peers.total_demand(now)
+        busy = self.parts.placement.busy(demand, engines)
+        option, decision = self._admit(options, busy=busy)
         estimate = option.estimate
         inputs = {
             "engine": estimate.engine.entry.engine_id,
@@ -150,6 +153,7 @@
             "cached": estimate.cached_tokens,
             "speed": round(estimate.engine.speed, 2),
             "engine_requests": estimate.engine.requests,
+            "busy": busy,
         }
         if isinstance(decision, Admitted):
             self.log("placed", priority=decision.priority, **inputs)
@@ -164,16 +168,18 @@
             self.refuse("overloaded", decision.retry_after_s)
         return None
 
-    def _admit(self, options: list[Option]) -> tuple[Option, Admission]:
+    def _admit(self, options: list[Option], *, busy: bool) -> tuple[Option, Admission]:
         decided = [
             (
                 option,
                 self.parts.admission.decide(
                     option.predicted_s,
+                    option.estimate.wait_s,
                     self.route.objective_s - self.age_s,
                     self.left_s,
                     self.route.rank,
                     split=option.split,
+                    busy=busy,
                 ),
             )
             for option in options
