--- a/src/jasminewalk/gateway/store_follower.py
+++ b/src/jasminewalk/gateway/store_follower.py
@@ -190,23 +190,26 @@
         return self.take_changes(page)
 
     def take_changes(self, page: RecordsPage) -> bool:
-        """Take the last configuration among the records."""
-        for record in reversed(page.records):
-            if record.key == CONFIGURATION_KEY and record.value is not None:
-                self._take(record.value)
-                return True
-        return False
-
-    def _take(self, text: bytes) -> None:
+        """Take the newest configuration among the records."""
+        found = [
+            self._decode(record.value)
+            for record in page.records
+            if record.key == CONFIGURATION_KEY and record.value is not None
+        ]
+        # Operators race: the last record need not be the newest version.
+        newest = max(filter(None, found), key=lambda c: c.version, default=None)
+        if newest is None or newest.version <= self.version:
+            return False
+        self.version = newest.version
+        self.apply(newest)
+        return True
+
+    def _decode(self, text: bytes) -> ServingConfiguration | None:
         try:
-            configuration = decode_configuration(text)
+            return decode_configuration(text)
         except BadConfigurationError as error:
             self.log.warning("configuration_unreadable", detail=str(error))
-            return
-        if configuration.version <= self.version:
-            return
-        self.version = configuration.version
-        self.apply(configuration)
+            return None
 
 
 class RegistryFollower(TopicFollower):
--- /dev/null
+++ b/tests/test_gateway_daemon.py
@@ -0,0 +1,425 @@
+"""The gateway between callers, engines and the store, on loopback."""
+
+import asyncio
+import json
+import socket
+from contextlib import asynccontextmanager
+
+import pytest
+
+from jasminewalk.gateway.daemon import GatewayDaemon
+from platform_fakes import FakeEngine, FakeStore, configuration
+
+SETTINGS = """
+node_name = "front-1"
+zone = "north"
+ip = "127.0.0.1"
+internal_ports = [{peer}, {peer}]
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+[bounds]
+lease_ms = 100
+grace_s = 5
+[platform]
+address = "{store}"
+"""
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class System:
+    """A gateway with its store and engines."""
+
+    def __init__(self, tmp_path):
+        self.path = tmp_path / "local.toml"
+        self.store = FakeStore()
+        self.engines = {}
+        self.numbers = 0
+        self.lines = []
+
+    async def start(self, *engines):
+        await self.store.start(free_port())
+        self.store.put("keyed.op", "config", configuration())
+        for engine in engines:
+            await engine.start(free_port())
+            self.engines[engine.engine_id] = engine
+            self.store.put("keyed.servers", engine.engine_id, engine.entry())
+        self.front, self.ready = free_port(), free_port()
+        self.write_settings()
+        self.daemon = GatewayDaemon(self.path)
+        self.daemon.log.buffer.write = lambda data: self.lines.append(data) or len(data)
+        self.task = asyncio.create_task(self.daemon.run())
+        async with asyncio.timeout(5):
+            while not self.daemon.ready:
+                await asyncio.sleep(0.01)
+
+    def write_settings(self, **changes):
+        text = SETTINGS.format(
+            peer=free_port(),
+            front=self.front,
+            ready=self.ready,
+            store=changes.get("store", self.store.address),
+        )
+        self.path.write_text(changes.get("text", text), encoding="utf-8")
+
+    def request(self, path, body=b"", **headers):
+        self.numbers += 1
+        fields = {
+            "host": "bar.example",
+            "x-jasminewalk-request-id": f"r{self.numbers}",
+            "x-jasminewalk-deadline-ms": "2000",
+            "content-length": str(len(body)),
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+        return f"POST {path} HTTP/1.1\r\n{lines}\r\n".encode() + body
+
+    async def ask(self, path, body=b"", timeout_s=4.0, **headers):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.front)
+        writer.write(self.request(path, body, connection="close", **headers))
+        async with asyncio.timeout(timeout_s):
+            answer = await reader.read()
+        writer.close()
+        head, _, rest = answer.partition(b"\r\n\r\n")
+        status = int(head.split()[1]) if head else 0
+        return status, head.decode().lower(), rest
+
+    def logged(self, event):
+        self.daemon.log.flush()
+        lines = [json.loads(line) for line in b"".join(self.lines).splitlines()]
+        return [line for line in lines if line["event"] == event]
+
+
+@pytest.fixture
+async def system(tmp_path):
+    made = System(tmp_path)
+    yield made
+    if hasattr(made, "task"):
+        made.daemon.stopping.set()
+        made.task.cancel()
+        for task in made.daemon.tasks:
+            task.cancel()
+
+
+def apps(count=2):
+    return [FakeEngine(f"app-{number}") for number in range(count)]
+
+
+def llms():
+    return [
+        FakeEngine("reader", "llm", "prefill"),
+        FakeEngine("decoder-1", "llm", "decode"),
+        FakeEngine("decoder-2", "llm", "decode"),
+    ]
+
+
+LONG = {
+    "x_jasminewalk_token_usage": "17000,10",
+    "x_jasminewalk_prompt_prefix": "aa:13000,bb:4000",
+}
+
+
+MIDDLING = {
+    "x_jasminewalk_token_usage": "3000,10",
+    "x_jasminewalk_prompt_prefix": "aa:2000,bb:1000",
+}
+
+
+def runs(system):
+    return sum(len(engine.requests) for engine in system.engines.values())
+
+
+@pytest.mark.anyio
+async def test_plain_request_is_answered_as_the_engine_answered(system):
+    await system.start(*apps())
+    status, head, body = await system.ask("/book/seat?x=1", b"two seats")
+    assert (status, body) == (200, b"served by two seats")
+    assert "x-jasminewalk-response-signature: app-" in head
+    (request, headers) = next(
+        e.requests[0] for e in system.engines.values() if e.requests
+    )
+    assert request.target == b"/book/seat?x=1"
+    assert headers[b"x-jasminewalk-expect-instance"].startswith(b"app-")
+    assert 1 <= int(headers[b"x-jasminewalk-deadline-ms"]) <= 900
+
+
+@pytest.mark.anyio
+async def test_request_without_a_route_is_404(system):
+    await system.start(*apps())
+    assert (await system.ask("/nowhere/"))[0] == 404
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("behaviour", "status"),
+    [
+        ("error", 500),
+        ("full", 503),
+        ("reset", 502),
+        ("hang", 504),
+        ("unsigned", 502),
+        ("encoded", 502),
+        ("overloaded_without_promise", 502),
+    ],
+)
+async def test_unsafe_request_is_sent_once_whatever_happens(system, behaviour, status):
+    await system.start(*apps())
+    for engine in system.engines.values():
+        engine.behaviour = behaviour
+    found, head, _ = await system.ask("/book/seat")
+    assert found == status
+    assert runs(system) == 1
+    assert ("retry-after" in head) == (status == 503)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("behaviour", ["error", "full", "reset", "unsigned", "encoded"])
+async def test_safe_request_is_sent_to_a_second_engine(system, behaviour):
+    await system.start(*apps())
+    for _ in range(10):
+        system.engines["app-0"].behaviour = behaviour
+        status, _, _ = await system.ask("/look/seats")
+        assert status == 200
+
+
+@pytest.mark.anyio
+async def test_safe_request_is_sent_to_two_engines_at_most(system):
+    await system.start(*apps(3))
+    for engine in system.engines.values():
+        engine.behaviour = "error"
+    status, head, _ = await system.ask("/look/seats")
+    assert status == 500
+    assert "x-jasminewalk-response-signature" in head
+    assert runs(system) == 2
+
+
+@pytest.mark.anyio
+async def test_engine_that_cannot_be_reached_costs_no_attempt(system):
+    await system.start(*apps())
+    gone = system.engines["app-0"].entry(address=f"127.0.0.1:{free_port()}", born=2)
+    system.store.put("keyed.servers", "app-0", gone)
+    await asyncio.sleep(1.2)
+    system.daemon.fleet.engines["app-1"].latency_s = 0.2  # so that app-0 is tried first
+    for _ in range(6):
+        assert (await system.ask("/book/seat"))[0] == 200
+    assert system.logged("engine_suspected")
+
+
+@pytest.mark.anyio
+async def test_no_engine_at_all_is_refused_at_once(system):
+    await system.start(*llms())
+    status, head, _ = await system.ask("/book/seat", timeout_s=0.5)
+    assert status == 503
+    assert "retry-after" in head
+
+
+@pytest.mark.anyio
+async def test_short_question_goes_straight_to_an_answering_engine(system):
+    await system.start(*llms())
+    status, _, body = await system.ask(
+        "/help/",
+        x_jasminewalk_token_usage="380,40",
+        x_jasminewalk_prompt_prefix="a:380",
+    )
+    assert status == 200
+    assert body.count(b"data: token") == 3
+    assert body.endswith(b"0\r\n\r\n")
+    assert not system.engines["reader"].requests
+
+
+@pytest.mark.anyio
+async def test_long_prompt_is_read_by_one_engine_for_another(system):
+    await system.start(*llms())
+    status, _, body = await system.ask("/verdict/", b"notes", **LONG)
+    assert status == 200
+    assert body.count(b"data: token") == 3
+    reader = system.engines["reader"]
+    assert reader.requests[0][1][b"x-jasminewalk-stage"] == b"prefill"
+    taken = [e for e in system.engines.values() if e is not reader and e.requests]
+    source = taken[0].requests[0][1][b"x-jasminewalk-kv-source"].decode()
+    assert source == f"{reader.address}/h-1"
+    assert not reader.freed
+
+
+@pytest.mark.anyio
+async def test_prompt_that_cannot_be_read_apart_is_read_by_the_answering_engine(system):
+    await system.start(*llms())
+    reader = system.engines["reader"]
+    reader.behaviour = "full"
+    system.daemon.fleet.engines["reader"].speeds.append(3.0)  # so that it is tried
+    status, _, body = await system.ask("/verdict/", b"notes", **MIDDLING)
+    assert (status, body.count(b"data: token")) == (200, 3)
+    assert len(system.engines["reader"].requests) == 1
+
+
+@pytest.mark.anyio
+async def test_broken_stream_goes_on_at_another_engine(system):
+    await system.start(*llms()[1:])
+    first, second = system.engines.values()
+    first.behaviour = second.behaviour = "break_stream"
+
+    original = FakeEngine.break_stream
+
+    async def break_once(engine, connection, request, headers):
+        for other in system.engines.values():
+            other.behaviour = "answer"
+        await original(engine, connection, request, headers)
+
+    first.break_stream = lambda *args: break_once(first, *args)
+    second.break_stream = lambda *args: break_once(second, *args)
+    status, head, body = await system.ask("/verdict/", b"notes", **MIDDLING)
+    assert status == 200
+    for number in (1, 2, 3):
+        assert body.count(b"id: %d\ndata: token %d\n\n" % (number, number)) == 1
+    assert body.endswith(b"0\r\n\r\n")
+    assert runs(system) == 2
+    ran_first = next(
+        e for e in (first, second) if b"last-event-id" not in e.requests[0][1]
+    )
+    assert f"signature: {ran_first.engine_id}" in head
+
+
+@pytest.mark.anyio
+async def test_broken_stream_that_may_not_go_on_does_not_look_complete(system):
+    await system.start(*llms()[1:])
+    for engine in system.engines.values():
+        engine.behaviour = "break_stream"
+    with pytest.raises((ConnectionResetError, AssertionError)):
+        _, _, body = await system.ask("/help/", x_jasminewalk_token_usage="380,40")
+        assert body.endswith(b"0\r\n\r\n")
+    assert runs(system) == 1
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("path", ["/look/seats", "/verdict/"])
+async def test_work_for_a_caller_that_left_is_stopped(system, path):
+    await system.start(*apps(1), *llms())
+    for engine in system.engines.values():
+        engine.behaviour = "hang"
+    with pytest.raises(TimeoutError):
+        await system.ask(path, b"", timeout_s=0.1, **LONG)
+    await asyncio.sleep(0.2)
+    assert sum(len(engine.cancelled) for engine in system.engines.values()) == 1
+
+
+@pytest.mark.anyio
+async def test_order_of_a_caller_that_left_is_carried_out(system):
+    await system.start(*apps(1))
+    system.engines["app-0"].delay_s = 0.3
+    with pytest.raises(TimeoutError):
+        await system.ask("/book/seat", timeout_s=0.1)
+    await asyncio.sleep(0.4)
+    assert not system.engines["app-0"].cancelled
+
+
+@pytest.mark.anyio
+async def test_prompt_read_in_vain_is_freed(system):
+    await system.start(*llms())
+    for name in ("decoder-1", "decoder-2"):
+        system.engines[name].behaviour = "hang"
+    with pytest.raises(TimeoutError):
+        await system.ask("/verdict/", b"", timeout_s=0.3, **LONG)
+    await asyncio.sleep(0.2)
+    assert system.engines["reader"].freed == ["/-/kv-handle/h-1"]
+
+
+@pytest.mark.anyio
+async def test_configuration_is_in_force_within_two_seconds_and_never_goes_back(system):
+    await system.start(*apps())
+    routes = [route for route in configuration()["routes"] if route["name"] != "lookup"]
+    system.store.put("keyed.op", "config", configuration(9, routes))
+    system.store.put("keyed.op", "config", configuration(4))
+    async with asyncio.timeout(2):
+        while (await system.ask("/look/seats"))[0] != 404:
+            await asyncio.sleep(0.05)
+    await asyncio.sleep(1.2)
+    assert (await system.ask("/look/seats"))[0] == 404
+
+
+@pytest.mark.anyio
+async def test_leaving_engine_gets_nothing_after_two_seconds(system):
+    await system.start(*apps())
+    leaving = system.engines["app-0"]
+    system.store.put("keyed.servers", "app-0", leaving.entry("draining"))
+    await asyncio.sleep(1.5)
+    before = len(leaving.requests)
+    for _ in range(6):
+        await system.ask("/look/seats")
+    assert len(leaving.requests) == before
+
+
+@pytest.mark.anyio
+async def test_serving_goes_on_while_the_store_is_down(system):
+    await system.start(*apps())
+    system.store.down = True
+    await asyncio.sleep(1.5)
+    assert (await system.ask("/book/seat"))[0] == 200
+    assert system.logged("store_lost")
+    system.store.down = False
+    await asyncio.sleep(1.5)
+    assert system.logged("store_regained")
+
+
+@pytest.mark.anyio
+async def test_bad_settings_change_nothing_and_good_ones_are_taken(system):
+    await system.start(*apps())
+    system.write_settings(text="not = toml = at all")
+    system.daemon.reload()
+    assert system.logged("settings_unreadable")
+    assert (await system.ask("/book/seat"))[0] == 200
+    system.write_settings(store="127.0.0.1:1")
+    system.daemon.reload()
+    assert system.daemon.store_pool.address == "127.0.0.1:1"
+
+
+@asynccontextmanager
+async def slow_request(system):
+    for engine in system.engines.values():
+        engine.delay_s = 0.5
+    task = asyncio.create_task(system.ask("/book/seat", b"x"))
+    await asyncio.sleep(0.1)
+    yield task
+
+
+@pytest.mark.anyio
+async def test_shutdown_finishes_what_runs_and_refuses_readiness(system):
+    await system.start(*apps())
+    async with slow_request(system) as task:
+        system.daemon.stopping.set()
+        assert (await task)[0] == 200
+    async with asyncio.timeout(5):
+        await system.task
+    assert not system.daemon.ready
+    assert system.logged("stopped")[0]["active"] == 0
+
+
+@pytest.mark.anyio
+async def test_metrics_and_readiness_are_served(system):
+    await system.start(*apps())
+    await system.ask("/book/seat")
+    system.front, front = system.ready, system.front
+    status, _, text = await system.ask("/metrics")
+    assert status == 200
+    assert b'jasminewalk_answers_total{route="booking",status="200"} 1.0' in text
+    assert (await system.ask("/-/readiness"))[0] == 200
+    system.front = front
+
+
+@pytest.mark.anyio
+async def test_single_holder_orders_the_missing_stage(system):
+    await system.start(*llms()[1:])
+    async with asyncio.timeout(4):
+        while not any(engine.orders for engine in system.engines.values()):
+            await asyncio.sleep(0.05)
+    (order,) = [order for engine in system.engines.values() for order in engine.orders]
+    assert (order["op"], order["stage"], order["holder"]) == (
+        "stage",
+        "prefill",
+        "front-1",
+    )
+    assert order["expected"] == 0
