--- a/benchmarks/_bare_relay.py
+++ b/benchmarks/_bare_relay.py
@@ -5,7 +5,7 @@
 import anyio
 import httpcore
 
-from jasminewalk._http import HttpServer, http_client, read_body
+from jasminewalk.transport._http import HttpServer, http_client, read_body
 
 MAX_BODY_BYTES = 1 << 20
 
--- a/benchmarks/_fleet_data.py
+++ b/benchmarks/_fleet_data.py
@@ -3,11 +3,11 @@
 import json
 from collections.abc import Iterator
 
-from jasminewalk.codec import encode_record
 from jasminewalk.generated_messages import LoadReport
 from jasminewalk.generated_records import ConfigurationRecord
 from jasminewalk.generated_requests import Instance
 from jasminewalk.generated_settings import EntrySettings, LogSettings, PeerSettings
+from jasminewalk.transport.codec import encode_record
 from jasminewalk.types import RequestProfile
 
 __all__ = [
--- a/benchmarks/_listeners.py
+++ b/benchmarks/_listeners.py
@@ -9,8 +9,8 @@
 import anyio
 from _fleet_data import KEY, reports
 
-from jasminewalk.channel import MessageHandler, PeerListener
 from jasminewalk.generated_settings import PeerSettings
+from jasminewalk.transport.channel import MessageHandler, PeerListener
 
 FIRST_PORT = 12000
 LAST_PORT = 20000
--- a/benchmarks/_steady_engine.py
+++ b/benchmarks/_steady_engine.py
@@ -5,10 +5,10 @@
 import anyio
 import msgspec
 
-from jasminewalk._http import HttpServer, read_body, send_json
-from jasminewalk.engine_model import token_text
 from jasminewalk.generated_requests import EngineState, Frame, GenerateRequest
 from jasminewalk.interfaces import CachePage
+from jasminewalk.standins.engine_model import token_text
+from jasminewalk.transport._http import HttpServer, read_body, send_json
 
 MAX_BODY_BYTES = 1 << 20
 MAX_BATCH = 8192
--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -5,12 +5,16 @@
 
 from _bench import Slope, save, show, slope
 
-from jasminewalk.at_most_once import ClaimController, ClaimSettings, RunRequest
-from jasminewalk.codec import encode_record
-from jasminewalk.fold import LogFold
+from jasminewalk.agreement.at_most_once import (
+    ClaimController,
+    ClaimSettings,
+    RunRequest,
+)
+from jasminewalk.agreement.fold import LogFold
+from jasminewalk.agreement.log_writer import AppendRecord
 from jasminewalk.generated_records import RegistrationRecord
 from jasminewalk.interfaces import LogEntry
-from jasminewalk.log_writer import AppendRecord
+from jasminewalk.transport.codec import encode_record
 
 RATES = (0.5, 2, 8)
 RUN_S = 120.0
--- a/benchmarks/control_channel.py
+++ b/benchmarks/control_channel.py
@@ -12,10 +12,10 @@
 from _bench import Slope, busy_s, save, show, slope
 from _fleet_data import KEY, instances, reports
 
-from jasminewalk.channel import MessageHandler, PeerDialer
-from jasminewalk.codec import MessageCodec
 from jasminewalk.generated_messages import CacheEvents, EntryHello, PoolDemand
 from jasminewalk.generated_settings import PeerSettings
+from jasminewalk.transport.channel import MessageHandler, PeerDialer
+from jasminewalk.transport.codec import MessageCodec
 
 SIDECARS = (16, 64, 128)
 PERIOD_S = 0.25
--- a/benchmarks/entry_state.py
+++ b/benchmarks/entry_state.py
@@ -5,13 +5,13 @@
 from _bench import Slope, memory_bytes, save, show, slope
 from _fleet_data import SETTINGS, instances, organisation_records, reports
 
-from jasminewalk.configuration import ConfigurationView
-from jasminewalk.fold import LogFold
-from jasminewalk.fold_events import SubjectChanged
+from jasminewalk.agreement.fold import LogFold
+from jasminewalk.agreement.fold_events import SubjectChanged
 from jasminewalk.interfaces import LogEntry
-from jasminewalk.membership import Membership
-from jasminewalk.prefixes import PrefixIndex
-from jasminewalk.routing import Router, RoutingSettings
+from jasminewalk.operators.configuration import ConfigurationView
+from jasminewalk.scheduling.membership import Membership
+from jasminewalk.scheduling.prefixes import PrefixIndex
+from jasminewalk.scheduling.routing import Router, RoutingSettings
 
 ENDPOINTS = (100, 1000, 6300)
 ORGANISATIONS = (1000, 10_000, 50_000)
--- a/benchmarks/log_fold.py
+++ b/benchmarks/log_fold.py
@@ -7,12 +7,12 @@
 from _bench import Slope, busy_s, save, show, slope
 from _fleet_data import organisation_document, organisation_records, record
 
-from jasminewalk.codec import encode_record
-from jasminewalk.configuration import ConfigurationView
-from jasminewalk.fold import LogFold
-from jasminewalk.fold_events import SubjectChanged
+from jasminewalk.agreement.fold import LogFold
+from jasminewalk.agreement.fold_events import SubjectChanged
+from jasminewalk.agreement.snapshots import cut_into_chunks
 from jasminewalk.interfaces import LogEntry
-from jasminewalk.snapshots import cut_into_chunks
+from jasminewalk.operators.configuration import ConfigurationView
+from jasminewalk.transport.codec import encode_record
 
 ORGANISATIONS = (1000, 10_000, 50_000)
 CHUNK_BYTES = 256 << 10
--- a/benchmarks/log_reading.py
+++ b/benchmarks/log_reading.py
@@ -9,8 +9,8 @@
 from _fleet_data import organisation_records
 from _path import PathFleet, fleet
 
-from jasminewalk._http import http_client
-from jasminewalk.log_client import HttpLog
+from jasminewalk.agreement.log_client import HttpLog
+from jasminewalk.transport._http import http_client
 
 RECORDS = (1, 10, 100, 1000)
 READS = 100
--- a/benchmarks/routing_time.py
+++ b/benchmarks/routing_time.py
@@ -7,8 +7,8 @@
 from _bench import Slope, busy_s, save, show, slope
 from _fleet_data import SETTINGS, instances, profile, reports
 
-from jasminewalk.membership import Membership
-from jasminewalk.routing import Router, RoutingSettings
+from jasminewalk.scheduling.membership import Membership
+from jasminewalk.scheduling.routing import Router, RoutingSettings
 from jasminewalk.types import Route
 
 POOL_SIZES = (10, 100, 1000, 6300)
--- a/src/jasminewalk/__init__.py
+++ b/src/jasminewalk/__init__.py
@@ -8,18 +8,18 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
+    from jasminewalk.agreement.fold import LogFold
     from jasminewalk.clock import Clock, ManualClock, SystemClock
-    from jasminewalk.configuration import ConfigurationView
-    from jasminewalk.entry import EntryDaemon
     from jasminewalk.exceptions import JasminewalkError, RefusedError
-    from jasminewalk.fold import LogFold
     from jasminewalk.generated_codes import RESULTS, Code
     from jasminewalk.generated_settings import EntrySettings, SidecarSettings
+    from jasminewalk.ingress.entry import EntryDaemon
     from jasminewalk.interfaces import Engine, InstanceList, Log, Service, WeightStore
-    from jasminewalk.queueing import EndpointQueue, QueueSettings
-    from jasminewalk.roles import RolePlanner, RoleSettings
-    from jasminewalk.routing import Router, RoutingSettings
-    from jasminewalk.sidecar import SidecarDaemon
+    from jasminewalk.operators.configuration import ConfigurationView
+    from jasminewalk.scheduling.queueing import EndpointQueue, QueueSettings
+    from jasminewalk.scheduling.roles import RolePlanner, RoleSettings
+    from jasminewalk.scheduling.routing import Router, RoutingSettings
+    from jasminewalk.sidecars.sidecar import SidecarDaemon
     from jasminewalk.types import Candidate, Refusal, RequestProfile, Route
 
 __all__ = [
@@ -55,17 +55,17 @@
 
 _NAMES_BY_MODULE = {
     "clock": ("Clock", "ManualClock", "SystemClock"),
-    "configuration": ("ConfigurationView",),
-    "entry": ("EntryDaemon",),
+    "operators.configuration": ("ConfigurationView",),
+    "ingress.entry": ("EntryDaemon",),
     "exceptions": ("JasminewalkError", "RefusedError"),
-    "fold": ("LogFold",),
+    "agreement.fold": ("LogFold",),
     "generated_codes": ("RESULTS", "Code"),
     "generated_settings": ("EntrySettings", "SidecarSettings"),
     "interfaces": ("Engine", "InstanceList", "Log", "Service", "WeightStore"),
-    "queueing": ("EndpointQueue", "QueueSettings"),
-    "roles": ("RolePlanner", "RoleSettings"),
-    "routing": ("Router", "RoutingSettings"),
-    "sidecar": ("SidecarDaemon",),
+    "scheduling.queueing": ("EndpointQueue", "QueueSettings"),
+    "scheduling.roles": ("RolePlanner", "RoleSettings"),
+    "scheduling.routing": ("Router", "RoutingSettings"),
+    "sidecars.sidecar": ("SidecarDaemon",),
     "types": ("Candidate", "Refusal", "RequestProfile", "Route"),
 }
 
--- a/src/jasminewalk/_cli_daemons.py
+++ b/src/jasminewalk/_cli_daemons.py
@@ -52,7 +52,7 @@
         :param verbosity: 1 logs more, -1 logs warnings only.
         """
         from jasminewalk.generated_standins import StandinEngineSettings
-        from jasminewalk.standin_engine import StandinEngine
+        from jasminewalk.standins.standin_engine import StandinEngine
 
         return Action(
             lambda: serve(StandinEngine, StandinEngineSettings, settings, verbosity)
@@ -66,7 +66,7 @@
         :param verbosity: 1 logs more, -1 logs warnings only.
         """
         from jasminewalk.generated_standins import StandinServiceSettings
-        from jasminewalk.standin_service import StandinService
+        from jasminewalk.standins.standin_service import StandinService
 
         return Action(
             lambda: serve(StandinService, StandinServiceSettings, settings, verbosity)
@@ -80,7 +80,7 @@
         :param verbosity: 1 logs more, -1 logs warnings only.
         """
         from jasminewalk.generated_standins import StandinLogSettings
-        from jasminewalk.standin_log import StandinLog
+        from jasminewalk.standins.standin_log import StandinLog
 
         return Action(
             lambda: serve(StandinLog, StandinLogSettings, settings, verbosity)
@@ -94,7 +94,7 @@
         :param verbosity: 1 logs more, -1 logs warnings only.
         """
         from jasminewalk.generated_standins import StandinInstancesSettings
-        from jasminewalk.standin_instances import StandinInstances
+        from jasminewalk.standins.standin_instances import StandinInstances
 
         return Action(
             lambda: serve(
@@ -110,7 +110,7 @@
         :param verbosity: 1 logs more, -1 logs warnings only.
         """
         from jasminewalk.generated_standins import StandinWeightsSettings
-        from jasminewalk.standin_weights import StandinWeights
+        from jasminewalk.standins.standin_weights import StandinWeights
 
         return Action(
             lambda: serve(StandinWeights, StandinWeightsSettings, settings, verbosity)
--- /dev/null
+++ b/src/jasminewalk/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""What processes agree on through the log: configuration, orders, claims."""
--- a/src/jasminewalk/_claim_rules.py
+++ b/src/jasminewalk/agreement/_claim_rules.py
@@ -1,14 +1,18 @@
 """Decides what becomes of a request from the state of its key."""
 
-from jasminewalk._claim_state import (
+from jasminewalk.agreement._claim_state import (
     ClaimRequest,
     KeyState,
     refusal_of,
     refuse,
     replay,
 )
-from jasminewalk.claim_actions import ClaimSettings, RefuseRequest, ReplyToRequest
-from jasminewalk.fold import LogFold
+from jasminewalk.agreement.claim_actions import (
+    ClaimSettings,
+    RefuseRequest,
+    ReplyToRequest,
+)
+from jasminewalk.agreement.fold import LogFold
 from jasminewalk.generated_codes import Code
 from jasminewalk.types import Refusal
 
--- a/src/jasminewalk/_claim_state.py
+++ b/src/jasminewalk/agreement/_claim_state.py
@@ -5,13 +5,14 @@
 
 import attrs
 
-from jasminewalk.claim_actions import (
+from jasminewalk.agreement.claim_actions import (
     ClaimAction,
     ClaimSettings,
     RefuseRequest,
     ReplyToRequest,
 )
-from jasminewalk.fold import LogFold
+from jasminewalk.agreement.fold import LogFold
+from jasminewalk.agreement.log_writer import AppendRecord, GroupCommit, new_record_id
 from jasminewalk.generated_codes import RESULTS, Code, Ran
 from jasminewalk.generated_records import (
     Claim,
@@ -20,7 +21,6 @@
     ClaimOutcome,
     OutcomeBatchRecord,
 )
-from jasminewalk.log_writer import AppendRecord, GroupCommit, new_record_id
 from jasminewalk.types import Refusal
 
 __all__ = [
--- a/src/jasminewalk/_fold_claims.py
+++ b/src/jasminewalk/agreement/_fold_claims.py
@@ -5,7 +5,7 @@
 import attrs
 import xxhash
 
-from jasminewalk.fold_events import (
+from jasminewalk.agreement.fold_events import (
     ClaimAccepted,
     ClaimDuplicate,
     ClaimEnded,
--- a/src/jasminewalk/_fold_grants.py
+++ b/src/jasminewalk/agreement/_fold_grants.py
@@ -5,7 +5,7 @@
 import attrs
 import msgspec
 
-from jasminewalk.fold_events import (
+from jasminewalk.agreement.fold_events import (
     FoldEvent,
     GrantAccepted,
     GrantEnded,
--- a/src/jasminewalk/_fold_subjects.py
+++ b/src/jasminewalk/agreement/_fold_subjects.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from jasminewalk.fold_events import FoldEvent, SubjectChanged, SubjectRejected
+from jasminewalk.agreement.fold_events import FoldEvent, SubjectChanged, SubjectRejected
 from jasminewalk.generated_records import ConfigurationRecord, SnapshotEntry
 
 __all__ = ["SubjectTable"]
--- a/src/jasminewalk/_order_change.py
+++ b/src/jasminewalk/agreement/_order_change.py
@@ -5,10 +5,10 @@
 
 import attrs
 
+from jasminewalk.agreement.log_writer import AppendRecord, new_record_id
+from jasminewalk.agreement.order_actions import OrderSettings, Role, WantedState
 from jasminewalk.generated_records import EndpointEntry, GrantOutcomeRecord, GrantRecord
 from jasminewalk.generated_requests import EngineOrder, EngineState
-from jasminewalk.log_writer import AppendRecord, new_record_id
-from jasminewalk.order_actions import OrderSettings, Role, WantedState
 
 __all__ = [
     "Change",
--- a/src/jasminewalk/at_most_once.py
+++ b/src/jasminewalk/agreement/at_most_once.py
@@ -3,23 +3,23 @@
 import random
 from typing import Any, Literal
 
-from jasminewalk._claim_rules import ClaimRules
-from jasminewalk._claim_state import (
+from jasminewalk.agreement._claim_rules import ClaimRules
+from jasminewalk.agreement._claim_state import (
     ClaimBatches,
     ClaimRequest,
     KeyTable,
     refusal_of,
     refuse,
 )
-from jasminewalk.claim_actions import (
+from jasminewalk.agreement.claim_actions import (
     ClaimAction,
     ClaimSettings,
     RefuseRequest,
     ReplyToRequest,
     RunRequest,
 )
-from jasminewalk.fold import LogFold
-from jasminewalk.fold_events import (
+from jasminewalk.agreement.fold import LogFold
+from jasminewalk.agreement.fold_events import (
     ClaimAccepted,
     ClaimDuplicate,
     ClaimEnded,
--- a/src/jasminewalk/authority.py
+++ b/src/jasminewalk/agreement/authority.py
@@ -3,7 +3,7 @@
 import random
 from typing import Literal
 
-from jasminewalk._order_change import (
+from jasminewalk.agreement._order_change import (
     Change,
     OlderGrant,
     grant_record,
@@ -13,18 +13,16 @@
     missing_artifacts,
     outcome_append,
 )
-from jasminewalk.fold import LogFold
-from jasminewalk.fold_events import (
+from jasminewalk.agreement.fold import LogFold
+from jasminewalk.agreement.fold_events import (
     FoldEvent,
     GrantAccepted,
     GrantEnded,
     GrantRejected,
     StateReplaced,
 )
-from jasminewalk.generated_records import EndpointEntry
-from jasminewalk.generated_requests import EngineState
-from jasminewalk.log_writer import AppendRecord
-from jasminewalk.order_actions import (
+from jasminewalk.agreement.log_writer import AppendRecord
+from jasminewalk.agreement.order_actions import (
     ChangeEnded,
     OrderAction,
     OrderSettings,
@@ -36,6 +34,8 @@
     StartDrain,
     WantedState,
 )
+from jasminewalk.generated_records import EndpointEntry
+from jasminewalk.generated_requests import EngineState
 
 __all__ = ["OrderController"]
 
--- a/src/jasminewalk/claim_actions.py
+++ b/src/jasminewalk/agreement/claim_actions.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from jasminewalk.log_writer import AppendRecord
+from jasminewalk.agreement.log_writer import AppendRecord
 from jasminewalk.types import Refusal
 
 __all__ = [
--- a/src/jasminewalk/fold.py
+++ b/src/jasminewalk/agreement/fold.py
@@ -4,19 +4,18 @@
 
 from absl import logging
 
-from jasminewalk._fold_claims import ClaimTable
-from jasminewalk._fold_grants import FLEET_SUBJECT, EndpointTable
-from jasminewalk._fold_rebuild import SnapshotAssembler, SnapshotState
-from jasminewalk._fold_subjects import SubjectTable
-from jasminewalk.codec import decode_record
-from jasminewalk.exceptions import BadMessageError
-from jasminewalk.fold_events import (
+from jasminewalk.agreement._fold_claims import ClaimTable
+from jasminewalk.agreement._fold_grants import FLEET_SUBJECT, EndpointTable
+from jasminewalk.agreement._fold_rebuild import SnapshotAssembler, SnapshotState
+from jasminewalk.agreement._fold_subjects import SubjectTable
+from jasminewalk.agreement.fold_events import (
     FoldEvent,
     RecordIgnored,
     SnapshotCompleted,
     StateReplaced,
     SubjectChanged,
 )
+from jasminewalk.exceptions import BadMessageError
 from jasminewalk.generated_records import (
     ClaimBatchRecord,
     ClaimEntry,
@@ -30,6 +29,7 @@
     SnapshotRecord,
 )
 from jasminewalk.interfaces import LogEntry
+from jasminewalk.transport.codec import decode_record
 
 __all__ = ["LogFold"]
 
--- a/src/jasminewalk/log_appender.py
+++ b/src/jasminewalk/agreement/log_appender.py
@@ -6,12 +6,9 @@
 from absl import logging
 from anyio.abc import TaskGroup
 
-from jasminewalk.clock import Clock
-from jasminewalk.exceptions import LogUnavailableError
-from jasminewalk.fold_events import FoldEvent
-from jasminewalk.interfaces import Log
-from jasminewalk.log_follower import LogFollower
-from jasminewalk.log_writer import (
+from jasminewalk.agreement.fold_events import FoldEvent
+from jasminewalk.agreement.log_follower import LogFollower
+from jasminewalk.agreement.log_writer import (
     AppendGivenUp,
     AppendRecord,
     LogWriter,
@@ -19,6 +16,9 @@
     SendAppend,
     WriterAction,
 )
+from jasminewalk.clock import Clock
+from jasminewalk.exceptions import LogUnavailableError
+from jasminewalk.interfaces import Log
 
 __all__ = ["LogAppender"]
 
--- a/src/jasminewalk/log_client.py
+++ b/src/jasminewalk/agreement/log_client.py
@@ -5,10 +5,10 @@
 import httpcore
 import msgspec
 
-from jasminewalk._http_call import HttpAnswer, call, raise_for_status
 from jasminewalk.exceptions import LogUnavailableError
 from jasminewalk.generated_standins import AppendResult
 from jasminewalk.interfaces import Log, LogEntry, LogPage
+from jasminewalk.transport._http_call import HttpAnswer, call, raise_for_status
 
 __all__ = ["MAIN_STREAM", "HttpLog", "claims_stream"]
 
--- a/src/jasminewalk/log_follower.py
+++ b/src/jasminewalk/agreement/log_follower.py
@@ -6,10 +6,10 @@
 import anyio
 from absl import logging
 
+from jasminewalk.agreement.fold import LogFold
+from jasminewalk.agreement.fold_events import FoldEvent
 from jasminewalk.clock import Clock
 from jasminewalk.exceptions import LogUnavailableError
-from jasminewalk.fold import LogFold
-from jasminewalk.fold_events import FoldEvent
 from jasminewalk.generated_settings import LogSettings
 from jasminewalk.interfaces import Log, LogEntry, LogPage
 
--- a/src/jasminewalk/log_reader.py
+++ b/src/jasminewalk/agreement/log_reader.py
@@ -6,11 +6,11 @@
 import anyio
 import attrs
 
-from jasminewalk.codec import decode_record
+from jasminewalk.agreement.fold import LogFold
+from jasminewalk.agreement.fold_events import FoldEvent
 from jasminewalk.exceptions import BadMessageError, LogUnavailableError
-from jasminewalk.fold import LogFold
-from jasminewalk.fold_events import FoldEvent
 from jasminewalk.interfaces import Log, LogEntry
+from jasminewalk.transport.codec import decode_record
 
 __all__ = ["FoldedRecord", "LogReader"]
 
--- a/src/jasminewalk/log_writer.py
+++ b/src/jasminewalk/agreement/log_writer.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from jasminewalk.codec import encode_record
+from jasminewalk.transport.codec import encode_record
 
 __all__ = [
     "AppendGivenUp",
--- a/src/jasminewalk/order_actions.py
+++ b/src/jasminewalk/agreement/order_actions.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from jasminewalk.fold_events import GrantRejection
+from jasminewalk.agreement.fold_events import GrantRejection
+from jasminewalk.agreement.log_writer import AppendRecord
 from jasminewalk.generated_requests import EngineOrder
-from jasminewalk.log_writer import AppendRecord
 
 __all__ = [
     "ChangeEnded",
--- a/src/jasminewalk/recent_changes.py
+++ b/src/jasminewalk/agreement/recent_changes.py
@@ -4,14 +4,14 @@
 
 import attrs
 
-from jasminewalk.fold_events import (
+from jasminewalk.agreement.fold_events import (
     GrantAccepted,
     GrantEnded,
     RegistrationAccepted,
     SubjectChanged,
 )
+from jasminewalk.agreement.log_reader import FoldedRecord
 from jasminewalk.generated_records import GrantRecord
-from jasminewalk.log_reader import FoldedRecord
 
 __all__ = ["RecentChange", "recent_changes"]
 
--- a/src/jasminewalk/registration.py
+++ b/src/jasminewalk/agreement/registration.py
@@ -2,10 +2,14 @@
 
 import random
 
-from jasminewalk.fold import LogFold
-from jasminewalk.fold_events import FoldEvent, RegistrationRejected, StateReplaced
+from jasminewalk.agreement.fold import LogFold
+from jasminewalk.agreement.fold_events import (
+    FoldEvent,
+    RegistrationRejected,
+    StateReplaced,
+)
+from jasminewalk.agreement.log_writer import AppendRecord, new_record_id
 from jasminewalk.generated_records import RegistrationRecord
-from jasminewalk.log_writer import AppendRecord, new_record_id
 
 __all__ = ["Registrar"]
 
--- a/src/jasminewalk/snapshot_task.py
+++ b/src/jasminewalk/agreement/snapshot_task.py
@@ -5,14 +5,14 @@
 import anyio
 from absl import logging
 
+from jasminewalk.agreement.fold import LogFold
+from jasminewalk.agreement.snapshots import SnapshotPlanner, SnapshotSettings
 from jasminewalk.clock import Clock
-from jasminewalk.codec import encode_record
 from jasminewalk.exceptions import LogUnavailableError
-from jasminewalk.fold import LogFold
 from jasminewalk.generated_records import SnapshotRecord
 from jasminewalk.generated_settings import LogSettings
 from jasminewalk.interfaces import Log
-from jasminewalk.snapshots import SnapshotPlanner, SnapshotSettings
+from jasminewalk.transport.codec import encode_record
 
 __all__ = ["SnapshotTask"]
 
--- a/src/jasminewalk/snapshots.py
+++ b/src/jasminewalk/agreement/snapshots.py
@@ -7,10 +7,10 @@
 import attrs
 import msgspec
 
-from jasminewalk._fold_rebuild import SnapshotState
-from jasminewalk.fold import LogFold
+from jasminewalk.agreement._fold_rebuild import SnapshotState
+from jasminewalk.agreement.fold import LogFold
+from jasminewalk.agreement.log_writer import new_record_id
 from jasminewalk.generated_records import SnapshotRecord
-from jasminewalk.log_writer import new_record_id
 
 __all__ = ["SnapshotPlanner", "SnapshotSettings", "cut_into_chunks"]
 
--- a/src/jasminewalk/cli.py
+++ b/src/jasminewalk/cli.py
@@ -3,6 +3,7 @@
 import os
 import sys
 import traceback
+from datetime import datetime
 from typing import Any
 
 import fire
@@ -11,7 +12,11 @@
 
 from jasminewalk._cli_daemons import Action, Standins, run, serve, single
 from jasminewalk._cli_text import text_arguments
-from jasminewalk.exceptions import JasminewalkError
+from jasminewalk.exceptions import (
+    BadSettingsError,
+    JasminewalkError,
+    UnknownRequestError,
+)
 from jasminewalk.generated_codes import Code
 from jasminewalk.logs import configure_logging
 
@@ -41,8 +46,8 @@
         :param settings: YAML file with the settings (EntrySettings).
         :param verbosity: 1 logs more, -1 logs warnings only.
         """
-        from jasminewalk.entry import EntryDaemon
         from jasminewalk.generated_settings import EntrySettings
+        from jasminewalk.ingress.entry import EntryDaemon
 
         return Action(lambda: serve(EntryDaemon, EntrySettings, settings, verbosity))
 
@@ -54,7 +59,7 @@
         :param verbosity: 1 logs more, -1 logs warnings only.
         """
         from jasminewalk.generated_settings import SidecarSettings
-        from jasminewalk.sidecar import SidecarDaemon
+        from jasminewalk.sidecars.sidecar import SidecarDaemon
 
         return Action(
             lambda: serve(SidecarDaemon, SidecarSettings, settings, verbosity)
@@ -70,7 +75,7 @@
         """
 
         def do() -> None:
-            from jasminewalk.embedded import run_demo
+            from jasminewalk.demo.embedded import run_demo
 
             configure_logging(verbosity)
             sys.exit(run_demo(stay))
@@ -83,7 +88,7 @@
 
         :param file: YAML file, or directory of configuration files.
         """
-        from jasminewalk.file_checks import check_file
+        from jasminewalk.operators.file_checks import check_file
 
         return Action(lambda: print(check_file(file)))
 
@@ -110,7 +115,7 @@
         :param wait: wait until it is in force on all live instances.
         :param settings: YAML file with the settings (OperatorSettings).
         """
-        from jasminewalk.publish import PublishOptions, publish_file
+        from jasminewalk.operators.publish import PublishOptions, publish_file
 
         options = PublishOptions(
             file=file, dry_run=dry_run, base=base, reason=reason, wait=wait
@@ -131,8 +136,8 @@
         :param changes: how many recent changes to show.
         :param settings: YAML file with the settings (OperatorSettings).
         """
-        from jasminewalk.inspection import read_status
-        from jasminewalk.status_text import status_lines
+        from jasminewalk.operators.inspection import read_status
+        from jasminewalk.operators.status_text import status_lines
 
         def do() -> None:
             status = run(lambda: read_status(_operator_settings(settings), changes))
@@ -140,18 +145,33 @@
 
         return Action(do)
 
-    @text_arguments("request_id", "settings")
+    @text_arguments("request_id", "settings", "logs", "engine", "since", "until")
     def explain(
-        self, request_id: str, json: bool = False, settings: str = ""
+        self,
+        request_id: str = "",
+        json: bool = False,
+        settings: str = "",
+        logs: str = "",
+        engine: str = "",
+        since: str = "",
+        until: str = "",
     ) -> Action:
         """Show what became of a request: attempts, endpoints weighed, times.
 
+        Entries are asked for a request; for gateways, give their logs.
+
         :param request_id: identifier from the answer's Request-Id header.
         :param json: print JSON instead of text.
         :param settings: YAML file with the settings (OperatorSettings).
+        :param logs: file with log lines of gateways, - for standard input.
+        :param engine: with logs, only lines about this engine.
+        :param since: with logs, first instant in ISO 8601.
+        :param until: with logs, last instant in ISO 8601.
         """
-        from jasminewalk.inspection import explain_request
-        from jasminewalk.status_text import trace_lines
+        if logs:
+            return Action(lambda: _tell_story(logs, request_id, engine, since, until))
+        from jasminewalk.operators.inspection import explain_request
+        from jasminewalk.operators.status_text import trace_lines
 
         def do() -> None:
             operator = _operator_settings(settings)
@@ -167,7 +187,7 @@
         :param file: YAML file with the plan (LoadPlan).
         :param out: directory for result.json and report.html.
         """
-        from jasminewalk.load import run_load
+        from jasminewalk.loads.load import run_load
 
         return Action(lambda: run(lambda: run_load(file, out, print)))
 
@@ -190,7 +210,11 @@
         :param json: file for the figures of every run.
         :param plot: file for a plot.
         """
-        from jasminewalk.measure import DEFAULT_POLICIES, DEFAULT_SEEDS, run_measure
+        from jasminewalk.measuring.measure import (
+            DEFAULT_POLICIES,
+            DEFAULT_SEEDS,
+            run_measure,
+        )
 
         return Action(
             lambda: run_measure(
@@ -216,6 +240,35 @@
         print("\n".join(lines))
 
 
+def _tell_story(
+    logs: str, request_id: str, engine: str, since: str, until: str
+) -> None:
+    from jasminewalk.gateway.story import (
+        Selection,
+        parse_lines,
+        select_lines,
+        story_lines,
+    )
+
+    try:
+        selection = Selection(
+            request_id,
+            engine,
+            datetime.fromisoformat(since) if since else None,
+            datetime.fromisoformat(until) if until else None,
+        )
+        if logs == "-":
+            found = select_lines(parse_lines(sys.stdin), selection)
+        else:
+            with open(logs, encoding="utf-8", errors="replace") as lines:
+                found = select_lines(parse_lines(lines), selection)
+    except (OSError, ValueError, TypeError) as error:
+        raise BadSettingsError(str(error)) from error
+    if not found:
+        raise UnknownRequestError(f"no line of {logs} matches")
+    print("\n".join(story_lines(found)))
+
+
 def _operator_settings(file: str) -> Any:
     from jasminewalk.generated_settings import OperatorSettings
     from jasminewalk.settings import load_settings
--- /dev/null
+++ b/src/jasminewalk/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The whole system as tasks of one process."""
--- a/src/jasminewalk/deployment.py
+++ b/src/jasminewalk/demo/deployment.py
@@ -9,7 +9,6 @@
 import attrs
 from anyio.abc import TaskGroup
 
-from jasminewalk.entry import EntryDaemon
 from jasminewalk.generated_requests import Instance
 from jasminewalk.generated_settings import (
     EntrySettings,
@@ -25,12 +24,13 @@
     StandinServiceSettings,
     StandinWeightsSettings,
 )
-from jasminewalk.sidecar import SidecarDaemon
-from jasminewalk.standin_engine import StandinEngine
-from jasminewalk.standin_instances import StandinInstances
-from jasminewalk.standin_log import StandinLog
-from jasminewalk.standin_service import StandinService
-from jasminewalk.standin_weights import StandinWeights
+from jasminewalk.ingress.entry import EntryDaemon
+from jasminewalk.sidecars.sidecar import SidecarDaemon
+from jasminewalk.standins.standin_engine import StandinEngine
+from jasminewalk.standins.standin_instances import StandinInstances
+from jasminewalk.standins.standin_log import StandinLog
+from jasminewalk.standins.standin_service import StandinService
+from jasminewalk.standins.standin_weights import StandinWeights
 
 __all__ = [
     "Deployment",
--- a/src/jasminewalk/embedded.py
+++ b/src/jasminewalk/demo/embedded.py
@@ -8,16 +8,16 @@
 import httpcore
 import msgspec
 
-from jasminewalk._http import http_client, url_of
-from jasminewalk.deployment import Deployment, embedded_deployment, escuela_plan
-from jasminewalk.entry import EntryDaemon
+from jasminewalk.demo.deployment import Deployment, embedded_deployment, escuela_plan
 from jasminewalk.generated_settings import OperatorSettings
-from jasminewalk.publish import PublishOptions, publish_file
-from jasminewalk.traces import RequestTrace
+from jasminewalk.ingress.entry import EntryDaemon
+from jasminewalk.ingress.traces import RequestTrace
+from jasminewalk.operators.publish import PublishOptions, publish_file
+from jasminewalk.transport._http import http_client, url_of
 
 __all__ = ["run_demo"]
 
-EXAMPLE = Path(__file__).resolve().parents[2] / "examples/escuela/configuration.yaml"
+EXAMPLE = Path(__file__).resolve().parents[3] / "examples/escuela/configuration.yaml"
 ORGANISATION = "asturias"
 BOOKING_KEY = "cafe-luna-2026-12-04"
 HANDBOOK_PARAGRAPH = (
--- a/src/jasminewalk/gateway/fleet.py
+++ b/src/jasminewalk/gateway/fleet.py
@@ -22,6 +22,10 @@
 # Seconds that an engine is avoided after its first failure; doubled with each more.
 FIRST_SUSPICION_S = 0.5
 LONGEST_SUSPICION_S = 4.0
+# Seconds that an engine which has no room is left alone.
+FULL_PAUSE_S = 0.15
+# Status by which an engine says that a request was meant for another one.
+MISDIRECTED = 421
 # Weight of the newest outcome in an engine's failure rate.
 FAILURE_WEIGHT = 0.08
 # Weight of the newest observation in an engine's latency.
@@ -276,6 +280,21 @@
             f"{reason}; avoided for {avoided_s:.1f} s",
         )
 
+    def rejected(
+        self, now: float, engine: EngineState, status: int
+    ) -> FleetEvent | None:
+        """Avoid an engine that refused a request without running it.
+
+        :param now: current instant in seconds.
+        :param engine: the engine.
+        :param status: status of its refusal.
+        """
+        if status == MISDIRECTED:
+            reason = "it is another engine or in another stage than listed"
+            return self.suspect(now, engine, reason)
+        engine.suspect_until = max(engine.suspect_until, now + FULL_PAUSE_S)
+        return None
+
     def trust(self, engine: EngineState) -> FleetEvent | None:
         """Trust an engine that answered.
 
--- a/src/jasminewalk/gateway/plain_run.py
+++ b/src/jasminewalk/gateway/plain_run.py
@@ -148,6 +148,8 @@
 
     def _learn(self, engine: EngineState, outcome: Outcome, taken_s: float) -> None:
         if outcome.not_run:
+            if outcome.answer is not None:
+                self.rejected(engine, outcome.answer.status)
             return
         engine.observe_outcome(outcome.answer is None)
         if outcome.answer is not None:
--- a/src/jasminewalk/gateway/run.py
+++ b/src/jasminewalk/gateway/run.py
@@ -147,6 +147,16 @@
             counted.prompt_was_read()
             engine.own.requests -= 1
 
+    def rejected(self, engine: EngineState, status: int) -> None:
+        """Take an engine's refusal to run the request.
+
+        :param engine: the engine.
+        :param status: status of its refusal.
+        """
+        event = self.parts.fleet.rejected(self.parts.clock(), engine, status)
+        if event is not None:
+            self.warn(event.event, engine=event.engine, detail=event.detail)
+
     def refuse(self, reason: str, retry_after_s: float) -> None:
         """Answer that the request did not run.
 
--- /dev/null
+++ b/src/jasminewalk/gateway/story.py
@@ -0,0 +1,123 @@
+"""The story of a request, an engine or a span of time, from gateways' log lines."""
+
+from collections.abc import Iterable, Iterator
+from datetime import datetime, timedelta
+from typing import Any
+
+import attrs
+import msgspec
+
+__all__ = ["LogLine", "Selection", "parse_lines", "select_lines", "story_lines"]
+
+# Time before and after a request within which changes of belief belong to its story.
+AROUND = timedelta(seconds=2)
+SHOWN_APART = ("time", "severity", "event", "node")
+
+
+@attrs.frozen
+class LogLine:
+    """One line of a gateway's log.
+
+    :param time: when it was written, by the clock of its instance.
+    :param node: instance that wrote it.
+    :param event: what was decided or believed.
+    :param fields: inputs and outcome.
+    """
+
+    time: datetime
+    node: str
+    event: str
+    fields: dict[str, Any]
+
+
+@attrs.frozen
+class Selection:
+    """Which lines belong to a story.
+
+    :param request: id of a request; empty for none.
+    :param engine: id of an engine; empty for none.
+    :param since: first instant, if any.
+    :param until: last instant, if any.
+    """
+
+    request: str = ""
+    engine: str = ""
+    since: datetime | None = None
+    until: datetime | None = None
+
+
+def parse_lines(text: Iterable[str]) -> Iterator[LogLine]:
+    """Read log lines; what is no line of a gateway is passed over.
+
+    :param text: lines, with whatever a collector wrote before each.
+    """
+    for line in text:
+        start = line.find("{")
+        if start < 0:
+            continue
+        try:
+            document = msgspec.json.decode(line[start:].encode())
+            yield LogLine(
+                datetime.fromisoformat(document["time"]),
+                str(document["node"]),
+                str(document["event"]),
+                {k: v for k, v in document.items() if k not in SHOWN_APART},
+            )
+        except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+            continue
+
+
+def select_lines(lines: Iterable[LogLine], selection: Selection) -> list[LogLine]:
+    """Return the lines of a story in the order of time.
+
+    Around a request, they include what its gateway came to believe of the engines that
+    the request met.
+
+    :param lines: lines of any gateways.
+    :param selection: which lines belong to the story.
+    """
+    ordered = sorted(lines, key=lambda line: line.time)
+    if selection.request:
+        ordered = _around_request(ordered, selection.request)
+    return [line for line in ordered if _matches(line, selection)]
+
+
+def story_lines(lines: Iterable[LogLine]) -> Iterator[str]:
+    """Write lines for people, with the milliseconds since the first.
+
+    :param lines: lines in the order of time.
+    """
+    start = None
+    for line in lines:
+        start = start or line.time
+        elapsed_ms = (line.time - start) / timedelta(milliseconds=1)
+        fields = " ".join(f"{name}={value}" for name, value in line.fields.items())
+        yield f"{elapsed_ms:9.1f} ms  {line.node}  {line.event}  {fields}"
+
+
+def _around_request(lines: list[LogLine], request: str) -> list[LogLine]:
+    own = [line for line in lines if line.fields.get("request") == request]
+    if not own:
+        return []
+    nodes = {line.node for line in own}
+    engines = {line.fields.get("engine") for line in own} - {None}
+    first, last = own[0].time - AROUND, own[-1].time + AROUND
+    return [
+        line
+        for line in lines
+        if line.fields.get("request") == request
+        or (
+            "request" not in line.fields
+            and line.node in nodes
+            and first <= line.time <= last
+            and line.fields.get("engine") in engines | {None}
+        )
+    ]
+
+
+def _matches(line: LogLine, selection: Selection) -> bool:
+    if selection.engine and line.fields.get("engine") != selection.engine:
+        return False
+    if selection.since is not None and line.time < selection.since:
+        return False
+    return selection.until is None or line.time <= selection.until
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -221,7 +221,11 @@
             finally:
                 sent.close()
         if handle is None:
-            self._prompt_failed(engine, f"engine answered {answer.status}")
+            if answer.head.not_executed:
+                self.rejected(engine, answer.status)
+            refused = answer.head.not_executed
+            reason = f"engine answered {answer.status}"
+            self._prompt_failed(engine, reason, failed=not refused)
             return False
         taken_s = self.parts.clock() - started
         if alone and engine.reading_s == 0.0:
@@ -237,8 +241,11 @@
         )
         return True
 
-    def _prompt_failed(self, engine: EngineState, reason: str) -> None:
-        engine.observe_outcome(True)
+    def _prompt_failed(
+        self, engine: EngineState, reason: str, *, failed: bool = True
+    ) -> None:
+        if failed:
+            engine.observe_outcome(True)
         self.tried.append(engine.entry.engine_id)
         self.reason = reason
         self.prompts_failed += 1
@@ -375,6 +382,7 @@
         body = await sent.exchange.body()
         if answer.head.not_executed:
             self.reason = f"engine refused with {answer.status}"
+            self.rejected(engine, answer.status)
             self.log("not_executed", engine=engine.entry.engine_id, reason=self.reason)
             return End.NOT_RUN
         self.may_have_run = True
--- /dev/null
+++ b/src/jasminewalk/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: callers' interface, attempts and resumption."""
--- a/src/jasminewalk/_api_exchange.py
+++ b/src/jasminewalk/ingress/_api_exchange.py
@@ -4,10 +4,10 @@
 
 import anyio
 
-from jasminewalk._api_openai import OpenAiFormat
-from jasminewalk._http import Receive, Scope, Send, send_json
 from jasminewalk.exceptions import JasminewalkError
-from jasminewalk.jobs import TokenSink
+from jasminewalk.ingress._api_openai import OpenAiFormat
+from jasminewalk.ingress.jobs import TokenSink
+from jasminewalk.transport._http import Receive, Scope, Send, send_json
 
 __all__ = [
     "CallerGoneError",
--- a/src/jasminewalk/_api_requests.py
+++ b/src/jasminewalk/ingress/_api_requests.py
@@ -4,10 +4,7 @@
 
 import attrs
 
-from jasminewalk._api_openai import OpenAiRequest
-from jasminewalk._http import Scope
 from jasminewalk.clock import Clock
-from jasminewalk.configuration import ConfigurationView
 from jasminewalk.exceptions import BadRequestError, JasminewalkError
 from jasminewalk.generated_codes import Code
 from jasminewalk.generated_configuration import (
@@ -15,8 +12,11 @@
     RequestClass,
     ServiceRule,
 )
-from jasminewalk.jobs import CallJob, GenerationJob
-from jasminewalk.tokens import Tokenizer
+from jasminewalk.ingress._api_openai import OpenAiRequest
+from jasminewalk.ingress.jobs import CallJob, GenerationJob
+from jasminewalk.operators.configuration import ConfigurationView
+from jasminewalk.scheduling.tokens import Tokenizer
+from jasminewalk.transport._http import Scope
 from jasminewalk.types import RequestProfile
 
 __all__ = ["CallerRequest", "JobBuilder", "is_repeatable"]
--- a/src/jasminewalk/_pool_endpoints.py
+++ b/src/jasminewalk/ingress/_pool_endpoints.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Collection
 
-from jasminewalk.attempts import Endpoints
-from jasminewalk.jobs import Job
-from jasminewalk.membership import Membership
-from jasminewalk.routing import Router
+from jasminewalk.ingress.jobs import Job
+from jasminewalk.scheduling.attempts import Endpoints
+from jasminewalk.scheduling.membership import Membership
+from jasminewalk.scheduling.routing import Router
 from jasminewalk.types import Refusal, RequestProfile, Route
 
 __all__ = ["PoolEndpoints"]
--- a/src/jasminewalk/_run.py
+++ b/src/jasminewalk/ingress/_run.py
@@ -8,34 +8,34 @@
 import msgspec
 from absl import logging
 
-from jasminewalk._http import ATTEMPT_HEADER
-from jasminewalk._pool_endpoints import PoolEndpoints
-from jasminewalk.attempts import (
-    Action,
-    Finish,
-    GiveUp,
-    RequestMachine,
-    Send,
-    Wait,
-)
 from jasminewalk.clock import Clock
-from jasminewalk.connections import (
+from jasminewalk.exceptions import RefusedError
+from jasminewalk.generated_requests import RefusalBody
+from jasminewalk.ingress._pool_endpoints import PoolEndpoints
+from jasminewalk.ingress.connections import (
     TRANSPORT_ERRORS,
     UNSENT_ERRORS,
     SidecarConnections,
 )
-from jasminewalk.exceptions import RefusedError
-from jasminewalk.generated_requests import RefusalBody
-from jasminewalk.jobs import Job
-from jasminewalk.membership import Membership
-from jasminewalk.metrics import Metrics
-from jasminewalk.routing import Router
-from jasminewalk.traces import (
+from jasminewalk.ingress.jobs import Job
+from jasminewalk.ingress.traces import (
     MAX_CANDIDATES,
     AttemptTrace,
     RequestTrace,
     TraceStore,
 )
+from jasminewalk.metrics import Metrics
+from jasminewalk.scheduling.attempts import (
+    Action,
+    Finish,
+    GiveUp,
+    RequestMachine,
+    Send,
+    Wait,
+)
+from jasminewalk.scheduling.membership import Membership
+from jasminewalk.scheduling.routing import Router
+from jasminewalk.transport._http import ATTEMPT_HEADER
 from jasminewalk.types import Refusal
 
 __all__ = ["RequestServices", "Run", "read_limited"]
--- a/src/jasminewalk/_run_call.py
+++ b/src/jasminewalk/ingress/_run_call.py
@@ -2,10 +2,10 @@
 
 import msgspec
 
-from jasminewalk._run import RequestServices, Run, read_limited
-from jasminewalk.attempts import Action, Send
 from jasminewalk.generated_requests import ServiceCall, ServiceReply
-from jasminewalk.jobs import CallJob
+from jasminewalk.ingress._run import RequestServices, Run, read_limited
+from jasminewalk.ingress.jobs import CallJob
+from jasminewalk.scheduling.attempts import Action, Send
 
 __all__ = ["CallRun"]
 
--- a/src/jasminewalk/_run_generation.py
+++ b/src/jasminewalk/ingress/_run_generation.py
@@ -5,10 +5,10 @@
 import httpcore
 import msgspec
 
-from jasminewalk._run import RequestServices, Run
-from jasminewalk.attempts import Action, Send
 from jasminewalk.generated_requests import GenerateRequest
-from jasminewalk.jobs import GenerationJob, TokenSink
+from jasminewalk.ingress._run import RequestServices, Run
+from jasminewalk.ingress.jobs import GenerationJob, TokenSink
+from jasminewalk.scheduling.attempts import Action, Send
 from jasminewalk.types import RequestProfile
 
 __all__ = ["GenerationRun"]
--- a/src/jasminewalk/api.py
+++ b/src/jasminewalk/ingress/api.py
@@ -8,15 +8,17 @@
 import msgspec
 from absl import logging
 
-from jasminewalk._api_errors import error_document, error_headers
-from jasminewalk._api_exchange import (
+from jasminewalk.exceptions import BadRequestError, JasminewalkError, RefusedError
+from jasminewalk.generated_codes import Code
+from jasminewalk.ingress._api_errors import error_document, error_headers
+from jasminewalk.ingress._api_exchange import (
     CallerGoneError,
     Exchange,
     StreamSink,
     WholeSink,
     while_connected,
 )
-from jasminewalk._api_openai import (
+from jasminewalk.ingress._api_openai import (
     ChatFormat,
     ChatRequest,
     CompletionFormat,
@@ -25,18 +27,16 @@
     OpenAiRequest,
     decode_request,
 )
-from jasminewalk._api_requests import (
+from jasminewalk.ingress._api_requests import (
     HOP_HEADERS,
     CallerRequest,
     JobBuilder,
     raise_if_unready,
 )
-from jasminewalk._http import Receive, Scope, Send, read_body
-from jasminewalk.attempts import AnswerAssembler
-from jasminewalk.dispatch import Dispatcher
-from jasminewalk.exceptions import BadRequestError, JasminewalkError, RefusedError
-from jasminewalk.generated_codes import Code
-from jasminewalk.jobs import GenerationJob
+from jasminewalk.ingress.dispatch import Dispatcher
+from jasminewalk.ingress.jobs import GenerationJob
+from jasminewalk.scheduling.attempts import AnswerAssembler
+from jasminewalk.transport._http import Receive, Scope, Send, read_body
 
 __all__ = ["CallersApi", "ReadinessSource"]
 
--- a/src/jasminewalk/connections.py
+++ b/src/jasminewalk/ingress/connections.py
@@ -7,10 +7,10 @@
 import anyio
 import httpcore
 
-from jasminewalk._http import split_address
 from jasminewalk.clock import Clock
-from jasminewalk.network import NetworkBackend, ReadWatch
-from jasminewalk.peer_auth import AUTH_HEADER, PeerAuthenticator
+from jasminewalk.transport._http import split_address
+from jasminewalk.transport.network import NetworkBackend, ReadWatch
+from jasminewalk.transport.peer_auth import AUTH_HEADER, PeerAuthenticator
 
 __all__ = ["Connections", "SidecarConnections", "TRANSPORT_ERRORS", "UNSENT_ERRORS"]
 
--- a/src/jasminewalk/dispatch.py
+++ b/src/jasminewalk/ingress/dispatch.py
@@ -1,13 +1,13 @@
 """Runs requests of callers against sidecars, attempt by attempt."""
 
-from jasminewalk._run import RequestServices
-from jasminewalk._run_call import CallRun
-from jasminewalk._run_generation import GenerationRun
-from jasminewalk.attempts import AnswerAssembler
 from jasminewalk.exceptions import RefusedError
 from jasminewalk.generated_codes import RESULTS, Code
 from jasminewalk.generated_requests import ServiceReply
-from jasminewalk.jobs import CallJob, GenerationJob, TokenSink
+from jasminewalk.ingress._run import RequestServices
+from jasminewalk.ingress._run_call import CallRun
+from jasminewalk.ingress._run_generation import GenerationRun
+from jasminewalk.ingress.jobs import CallJob, GenerationJob, TokenSink
+from jasminewalk.scheduling.attempts import AnswerAssembler
 from jasminewalk.types import Refusal
 
 __all__ = ["Dispatcher"]
--- a/src/jasminewalk/entry.py
+++ b/src/jasminewalk/ingress/entry.py
@@ -8,34 +8,34 @@
 from absl import logging
 from anyio.abc import TaskGroup
 
-from jasminewalk._api_requests import JobBuilder
-from jasminewalk._http import HttpServer, http_client
-from jasminewalk.api import CallersApi, ReadinessSource
-from jasminewalk.channel import MessageHandler, new_incarnation
+from jasminewalk.agreement.fold import LogFold
+from jasminewalk.agreement.fold_events import FoldEvent, SubjectChanged
+from jasminewalk.agreement.log_client import HttpLog
+from jasminewalk.agreement.log_follower import FoldListener, LogFollower
+from jasminewalk.agreement.snapshot_task import SnapshotTask
 from jasminewalk.clock import Clock, SystemClock
-from jasminewalk.codec import Envelope
-from jasminewalk.configuration import ConfigurationView
-from jasminewalk.connections import SidecarConnections
-from jasminewalk.dispatch import Dispatcher
-from jasminewalk.entry_peers import PeerLinks
-from jasminewalk.entry_status import EntryStatus, endpoint_statuses
-from jasminewalk.fold import LogFold
-from jasminewalk.fold_events import FoldEvent, SubjectChanged
 from jasminewalk.generated_messages import CacheEvents, Leaving, LoadReport
 from jasminewalk.generated_records import SnapshotEntry
 from jasminewalk.generated_settings import EntrySettings
-from jasminewalk.instances_client import HttpInstanceList
+from jasminewalk.ingress._api_requests import JobBuilder
+from jasminewalk.ingress.api import CallersApi, ReadinessSource
+from jasminewalk.ingress.connections import SidecarConnections
+from jasminewalk.ingress.dispatch import Dispatcher
+from jasminewalk.ingress.entry_peers import PeerLinks
+from jasminewalk.ingress.entry_status import EntryStatus, endpoint_statuses
+from jasminewalk.ingress.traces import RequestTrace, TraceStore
 from jasminewalk.interfaces import InstanceList, Log, LogEntry
-from jasminewalk.log_client import HttpLog
-from jasminewalk.log_follower import FoldListener, LogFollower
-from jasminewalk.membership import Membership
 from jasminewalk.metrics import Metrics
-from jasminewalk.operators_http import OperatorsApp, StatusSource
-from jasminewalk.peer_auth import PeerAuthenticator
-from jasminewalk.routing import Router, RoutingSettings
-from jasminewalk.snapshot_task import SnapshotTask
-from jasminewalk.tokens import CharacterTokenizer
-from jasminewalk.traces import RequestTrace, TraceStore
+from jasminewalk.operators.configuration import ConfigurationView
+from jasminewalk.operators.operators_http import OperatorsApp, StatusSource
+from jasminewalk.scheduling.membership import Membership
+from jasminewalk.scheduling.routing import Router, RoutingSettings
+from jasminewalk.scheduling.tokens import CharacterTokenizer
+from jasminewalk.transport._http import HttpServer, http_client
+from jasminewalk.transport.channel import MessageHandler, new_incarnation
+from jasminewalk.transport.codec import Envelope
+from jasminewalk.transport.instances_client import HttpInstanceList
+from jasminewalk.transport.peer_auth import PeerAuthenticator
 
 __all__ = ["EntryDaemon"]
 
--- a/src/jasminewalk/entry_peers.py
+++ b/src/jasminewalk/ingress/entry_peers.py
@@ -8,12 +8,12 @@
 from absl import logging
 from anyio.abc import TaskGroup
 
-from jasminewalk.channel import MessageHandler, PeerDialer
 from jasminewalk.clock import Clock
 from jasminewalk.generated_messages import EntryHello, PoolDemand, RecordFeed
 from jasminewalk.generated_settings import EntrySettings
 from jasminewalk.interfaces import LogEntry
-from jasminewalk.membership import Membership
+from jasminewalk.scheduling.membership import Membership
+from jasminewalk.transport.channel import MessageHandler, PeerDialer
 
 __all__ = ["PeerLink", "PeerLinks", "RecordBuffer"]
 
--- a/src/jasminewalk/entry_status.py
+++ b/src/jasminewalk/ingress/entry_status.py
@@ -3,7 +3,7 @@
 import attrs
 
 from jasminewalk.generated_messages import LoadReport
-from jasminewalk.membership import Membership
+from jasminewalk.scheduling.membership import Membership
 
 __all__ = ["EndpointStatus", "EntryStatus", "endpoint_statuses"]
 
--- /dev/null
+++ b/src/jasminewalk/loads/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop load and its reports."""
--- a/src/jasminewalk/load.py
+++ b/src/jasminewalk/loads/load.py
@@ -8,13 +8,13 @@
 import httpcore
 import msgspec
 
-from jasminewalk._http import http_client, url_of
 from jasminewalk.generated_load import LoadPlan, LoadResult
 from jasminewalk.generated_requests import RefusalBody
-from jasminewalk.load_schedule import DueRequest, LoadSchedule, check_plan
-from jasminewalk.load_tally import Answer, LoadTally
-from jasminewalk.reports import result_lines, write_report
+from jasminewalk.loads.load_schedule import DueRequest, LoadSchedule, check_plan
+from jasminewalk.loads.load_tally import Answer, LoadTally
+from jasminewalk.loads.reports import result_lines, write_report
 from jasminewalk.settings import load_settings
+from jasminewalk.transport._http import http_client, url_of
 
 __all__ = ["LoadDriver", "run_load"]
 
--- a/src/jasminewalk/load_tally.py
+++ b/src/jasminewalk/loads/load_tally.py
@@ -13,7 +13,7 @@
     LoadResult,
     SecondResult,
 )
-from jasminewalk.load_schedule import DueRequest
+from jasminewalk.loads.load_schedule import DueRequest
 
 __all__ = ["Answer", "LoadTally"]
 
--- a/src/jasminewalk/reports.py
+++ b/src/jasminewalk/loads/reports.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from jasminewalk.generated_load import KindResult, LoadResult
-from jasminewalk.text_tables import table
+from jasminewalk.operators.text_tables import table
 
 __all__ = ["result_lines", "write_report"]
 
--- /dev/null
+++ b/src/jasminewalk/measuring/__init__.py
@@ -0,0 +1,1 @@
+"""Measuring policies on a model of the fleet."""
--- a/src/jasminewalk/_measure_bound.py
+++ b/src/jasminewalk/measuring/_measure_bound.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from jasminewalk._measure_workload import MeasuredRequest
 from jasminewalk.generated_measure import Workload
+from jasminewalk.measuring._measure_workload import MeasuredRequest
 
 __all__ = ["Bound", "bound_of"]
 
--- a/src/jasminewalk/_measure_driver.py
+++ b/src/jasminewalk/measuring/_measure_driver.py
@@ -8,20 +8,20 @@
 
 import attrs
 
-from jasminewalk._measure_endpoint import POOL, MeasuredEndpoint
-from jasminewalk._measure_faults import DETECT_S, schedule_faults
-from jasminewalk._measure_workload import (
+from jasminewalk.generated_codes import Code
+from jasminewalk.generated_measure import Workload
+from jasminewalk.generated_messages import LoadReport
+from jasminewalk.generated_requests import RefusalBody
+from jasminewalk.measuring._measure_endpoint import POOL, MeasuredEndpoint
+from jasminewalk.measuring._measure_faults import DETECT_S, schedule_faults
+from jasminewalk.measuring._measure_workload import (
     MeasuredRequest,
     deadline_of,
     generation_of,
     profile_of,
 )
-from jasminewalk.baselines import Policy
-from jasminewalk.engine_model import FrameOut
-from jasminewalk.generated_codes import Code
-from jasminewalk.generated_measure import Workload
-from jasminewalk.generated_messages import LoadReport
-from jasminewalk.generated_requests import RefusalBody
+from jasminewalk.measuring.baselines import Policy
+from jasminewalk.standins.engine_model import FrameOut
 from jasminewalk.types import Refusal, RequestProfile
 
 __all__ = ["Driver", "RoleChange"]
--- a/src/jasminewalk/_measure_endpoint.py
+++ b/src/jasminewalk/measuring/_measure_endpoint.py
@@ -2,13 +2,13 @@
 
 import random
 
-from jasminewalk._measure_workload import engine_settings
-from jasminewalk.baselines import Policy
-from jasminewalk.engine_model import EngineModel
 from jasminewalk.generated_configuration import Pool
 from jasminewalk.generated_measure import Workload
 from jasminewalk.generated_messages import CacheEvents, LoadReport
 from jasminewalk.generated_requests import EngineOrder
+from jasminewalk.measuring._measure_workload import engine_settings
+from jasminewalk.measuring.baselines import Policy
+from jasminewalk.standins.engine_model import EngineModel
 
 __all__ = ["POOL", "MeasuredEndpoint"]
 
--- a/src/jasminewalk/_measure_faults.py
+++ b/src/jasminewalk/measuring/_measure_faults.py
@@ -2,11 +2,11 @@
 
 from typing import TYPE_CHECKING
 
-from jasminewalk._measure_endpoint import MeasuredEndpoint
 from jasminewalk.generated_measure import MeasureFault
+from jasminewalk.measuring._measure_endpoint import MeasuredEndpoint
 
 if TYPE_CHECKING:
-    from jasminewalk._measure_driver import Driver
+    from jasminewalk.measuring._measure_driver import Driver
 
 __all__ = ["DETECT_S", "schedule_faults"]
 
--- a/src/jasminewalk/_measure_plot.py
+++ b/src/jasminewalk/measuring/_measure_plot.py
@@ -3,9 +3,9 @@
 from collections.abc import Mapping, Sequence
 from pathlib import Path
 
-from jasminewalk._measure_driver import RoleChange
-from jasminewalk._measure_workload import MeasuredRequest, Traffic
 from jasminewalk.generated_measure import Workload
+from jasminewalk.measuring._measure_driver import RoleChange
+from jasminewalk.measuring._measure_workload import MeasuredRequest, Traffic
 
 __all__ = ["draw"]
 
--- a/src/jasminewalk/_measure_results.py
+++ b/src/jasminewalk/measuring/_measure_results.py
@@ -5,10 +5,10 @@
 
 import attrs
 
-from jasminewalk._measure_bound import Bound
-from jasminewalk._measure_driver import Driver
-from jasminewalk._measure_workload import MeasuredRequest
 from jasminewalk.generated_measure import Workload
+from jasminewalk.measuring._measure_bound import Bound
+from jasminewalk.measuring._measure_driver import Driver
+from jasminewalk.measuring._measure_workload import MeasuredRequest
 
 __all__ = ["ClassFigures", "RunFigures", "figures_of", "table_of"]
 
--- a/src/jasminewalk/measure.py
+++ b/src/jasminewalk/measuring/measure.py
@@ -6,18 +6,18 @@
 import msgspec
 from absl import logging
 
-from jasminewalk._measure_bound import bound_of
-from jasminewalk._measure_driver import Driver, RoleChange
-from jasminewalk._measure_plot import draw
-from jasminewalk._measure_results import RunFigures, figures_of, table_of
-from jasminewalk._measure_workload import (
+from jasminewalk.exceptions import BadSettingsError
+from jasminewalk.measuring._measure_bound import bound_of
+from jasminewalk.measuring._measure_driver import Driver, RoleChange
+from jasminewalk.measuring._measure_plot import draw
+from jasminewalk.measuring._measure_results import RunFigures, figures_of, table_of
+from jasminewalk.measuring._measure_workload import (
     MeasuredRequest,
     Traffic,
     load_workload,
     variant,
 )
-from jasminewalk.baselines import POLICIES
-from jasminewalk.exceptions import BadSettingsError
+from jasminewalk.measuring.baselines import POLICIES
 
 __all__ = ["DEFAULT_POLICIES", "DEFAULT_SEEDS", "run_measure"]
 
--- /dev/null
+++ b/src/jasminewalk/operators/__init__.py
@@ -0,0 +1,1 @@
+"""What operators use: configuration, publication, status."""
--- a/src/jasminewalk/configuration.py
+++ b/src/jasminewalk/operators/configuration.py
@@ -14,8 +14,8 @@
     Pool,
     Template,
 )
-from jasminewalk.templates import render_organisation, template_problems
-from jasminewalk.yaml_files import path_text
+from jasminewalk.operators.templates import render_organisation, template_problems
+from jasminewalk.operators.yaml_files import path_text
 
 __all__ = ["FLEET_SUBJECT", "ConfigurationView", "split_subject"]
 
--- a/src/jasminewalk/configuration_checks.py
+++ b/src/jasminewalk/operators/configuration_checks.py
@@ -2,8 +2,6 @@
 
 import msgspec
 
-from jasminewalk.configuration import ConfigurationView
-from jasminewalk.configuration_files import ConfigurationDocument
 from jasminewalk.exceptions import BadConfigurationError
 from jasminewalk.generated_configuration import (
     Organisation,
@@ -11,13 +9,15 @@
     Pool,
     Template,
 )
-from jasminewalk.templates import (
+from jasminewalk.operators.configuration import ConfigurationView
+from jasminewalk.operators.configuration_files import ConfigurationDocument
+from jasminewalk.operators.templates import (
     find_version,
     parameter_problems,
     render_organisation,
     template_problems,
 )
-from jasminewalk.yaml_files import Problem, ValuePath, path_text
+from jasminewalk.operators.yaml_files import Problem, ValuePath, path_text
 
 __all__ = ["check_documents"]
 
--- a/src/jasminewalk/configuration_files.py
+++ b/src/jasminewalk/operators/configuration_files.py
@@ -8,12 +8,12 @@
 import msgspec
 
 from jasminewalk.exceptions import BadConfigurationError
-from jasminewalk.schemas import definition, document_problems
-from jasminewalk.yaml_files import (
+from jasminewalk.operators.yaml_files import (
     Problem,
     YamlDocument,
     read_documents,
 )
+from jasminewalk.schemas import definition, document_problems
 
 __all__ = [
     "ConfigurationDocument",
--- a/src/jasminewalk/file_checks.py
+++ b/src/jasminewalk/operators/file_checks.py
@@ -2,12 +2,15 @@
 
 from pathlib import Path
 
-from jasminewalk.configuration import ConfigurationView
-from jasminewalk.configuration_checks import check_documents
-from jasminewalk.configuration_files import is_configuration, read_configuration
 from jasminewalk.exceptions import BadConfigurationError, BadSettingsError
+from jasminewalk.operators.configuration import ConfigurationView
+from jasminewalk.operators.configuration_checks import check_documents
+from jasminewalk.operators.configuration_files import (
+    is_configuration,
+    read_configuration,
+)
+from jasminewalk.operators.yaml_files import read_documents
 from jasminewalk.settings import guess_kind, settings_problems
-from jasminewalk.yaml_files import read_documents
 
 __all__ = ["check_file"]
 
--- a/src/jasminewalk/inspection.py
+++ b/src/jasminewalk/operators/inspection.py
@@ -5,22 +5,22 @@
 import anyio
 import msgspec
 
-from jasminewalk._http import http_client
+from jasminewalk.agreement.fold import LogFold
+from jasminewalk.agreement.log_client import HttpLog
+from jasminewalk.agreement.log_reader import LogReader
+from jasminewalk.agreement.recent_changes import RecentChange, recent_changes
 from jasminewalk.exceptions import (
     LogUnavailableError,
     UnknownRequestError,
     UnreachableError,
 )
-from jasminewalk.fold import LogFold
 from jasminewalk.generated_requests import Instance
 from jasminewalk.generated_settings import OperatorSettings
-from jasminewalk.instances_client import HttpInstanceList
-from jasminewalk.log_client import HttpLog
-from jasminewalk.log_reader import LogReader
-from jasminewalk.publication import view_of
-from jasminewalk.recent_changes import RecentChange, recent_changes
-from jasminewalk.status import FleetStatus, StatusReader, fleet_status
-from jasminewalk.traces import RequestTrace
+from jasminewalk.ingress.traces import RequestTrace
+from jasminewalk.operators.publication import view_of
+from jasminewalk.operators.status import FleetStatus, StatusReader, fleet_status
+from jasminewalk.transport._http import http_client
+from jasminewalk.transport.instances_client import HttpInstanceList
 
 __all__ = ["explain_request", "read_status"]
 
--- a/src/jasminewalk/operators_http.py
+++ b/src/jasminewalk/operators/operators_http.py
@@ -3,10 +3,10 @@
 from abc import ABC, abstractmethod
 from typing import Any
 
-from jasminewalk._http import Receive, Scope, Send, send_json
 from jasminewalk.exceptions import JasminewalkError
 from jasminewalk.generated_codes import Code
 from jasminewalk.generated_records import SnapshotEntry
+from jasminewalk.transport._http import Receive, Scope, Send, send_json
 
 __all__ = ["OperatorsApp", "StatusSource"]
 
--- a/src/jasminewalk/publication.py
+++ b/src/jasminewalk/operators/publication.py
@@ -8,18 +8,18 @@
 import msgspec
 import yaml
 
-from jasminewalk.configuration import ConfigurationView, split_subject
-from jasminewalk.configuration_files import ConfigurationDocument
-from jasminewalk.exceptions import ConfigurationConflictError
-from jasminewalk.fold import LogFold
-from jasminewalk.fold_events import (
+from jasminewalk.agreement.fold import LogFold
+from jasminewalk.agreement.fold_events import (
     FoldEvent,
     StateReplaced,
     SubjectChanged,
     SubjectRejected,
 )
+from jasminewalk.agreement.log_writer import new_record_id
+from jasminewalk.exceptions import ConfigurationConflictError
 from jasminewalk.generated_records import ConfigurationRecord
-from jasminewalk.log_writer import new_record_id
+from jasminewalk.operators.configuration import ConfigurationView, split_subject
+from jasminewalk.operators.configuration_files import ConfigurationDocument
 
 __all__ = ["Change", "Conflict", "Publication", "plan_changes", "view_of"]
 
--- a/src/jasminewalk/publish.py
+++ b/src/jasminewalk/operators/publish.py
@@ -9,26 +9,26 @@
 import attrs
 from anyio.abc import TaskGroup
 
-from jasminewalk._http import http_client
+from jasminewalk.agreement.log_client import HttpLog
+from jasminewalk.agreement.log_reader import LogReader
+from jasminewalk.agreement.log_writer import LogWriter, LogWriterSettings, SendAppend
 from jasminewalk.clock import Clock, SystemClock
-from jasminewalk.configuration_checks import check_documents
-from jasminewalk.configuration_files import read_configuration
 from jasminewalk.exceptions import LogUnavailableError, NotInForceError
 from jasminewalk.generated_settings import OperatorSettings
-from jasminewalk.instances_client import HttpInstanceList
 from jasminewalk.interfaces import Log
-from jasminewalk.log_client import HttpLog
-from jasminewalk.log_reader import LogReader
-from jasminewalk.log_writer import LogWriter, LogWriterSettings, SendAppend
-from jasminewalk.publication import (
+from jasminewalk.operators.configuration_checks import check_documents
+from jasminewalk.operators.configuration_files import read_configuration
+from jasminewalk.operators.publication import (
     Change,
     Publication,
     plan_changes,
     raise_conflicts,
     view_of,
 )
-from jasminewalk.status import FleetStatus, StatusReader, fleet_status
-from jasminewalk.text_tables import number_of
+from jasminewalk.operators.status import FleetStatus, StatusReader, fleet_status
+from jasminewalk.operators.text_tables import number_of
+from jasminewalk.transport._http import http_client
+from jasminewalk.transport.instances_client import HttpInstanceList
 
 __all__ = ["PublishOptions", "Publisher", "publish_file"]
 
--- a/src/jasminewalk/status.py
+++ b/src/jasminewalk/operators/status.py
@@ -7,11 +7,11 @@
 import httpcore
 import msgspec
 
-from jasminewalk._http_call import call
-from jasminewalk.entry_status import EndpointStatus, EntryStatus
+from jasminewalk.agreement.recent_changes import RecentChange
 from jasminewalk.generated_requests import Instance
+from jasminewalk.ingress.entry_status import EndpointStatus, EntryStatus
 from jasminewalk.interfaces import InstanceList
-from jasminewalk.recent_changes import RecentChange
+from jasminewalk.transport._http_call import call
 
 __all__ = [
     "EndpointRow",
--- a/src/jasminewalk/status_text.py
+++ b/src/jasminewalk/operators/status_text.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Sequence
 
-from jasminewalk.status import EndpointRow, EntryRow, FleetStatus
-from jasminewalk.text_tables import count_text, seconds_text, table
-from jasminewalk.traces import AttemptTrace, RequestTrace
+from jasminewalk.ingress.traces import AttemptTrace, RequestTrace
+from jasminewalk.operators.status import EndpointRow, EntryRow, FleetStatus
+from jasminewalk.operators.text_tables import count_text, seconds_text, table
 from jasminewalk.types import Candidate
 
 __all__ = ["status_lines", "trace_lines"]
--- a/src/jasminewalk/templates.py
+++ b/src/jasminewalk/operators/templates.py
@@ -16,7 +16,7 @@
     TemplateParameter,
     TemplateVersion,
 )
-from jasminewalk.yaml_files import Problem, ValuePath, path_text
+from jasminewalk.operators.yaml_files import Problem, ValuePath, path_text
 
 __all__ = [
     "fill_parameters",
--- /dev/null
+++ b/src/jasminewalk/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Where requests go and when: routing, queueing, admission, roles."""
--- a/src/jasminewalk/_demand.py
+++ b/src/jasminewalk/scheduling/_demand.py
@@ -5,7 +5,7 @@
 import attrs
 
 from jasminewalk.generated_messages import PoolDemand
-from jasminewalk.speeds import EndpointView
+from jasminewalk.scheduling.speeds import EndpointView
 from jasminewalk.types import RequestProfile
 
 __all__ = ["DemandCounts"]
--- a/src/jasminewalk/attempts.py
+++ b/src/jasminewalk/scheduling/attempts.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from jasminewalk._answer_assembler import AnswerAssembler
 from jasminewalk.generated_codes import RESULTS, Code, Ran
 from jasminewalk.generated_requests import RefusalBody
+from jasminewalk.scheduling._answer_assembler import AnswerAssembler
 from jasminewalk.types import Refusal, RequestProfile, Route
 
 __all__ = [
--- a/src/jasminewalk/queueing.py
+++ b/src/jasminewalk/scheduling/queueing.py
@@ -1,11 +1,11 @@
 """Final admission and order of the requests that wait for one endpoint."""
 
-from jasminewalk._queue_items import Expired, QueueSettings, Running, Waiting
-from jasminewalk._queue_speeds import QueueSpeeds
 from jasminewalk.generated_codes import Code
 from jasminewalk.generated_messages import CacheEvents, QueueLevel
 from jasminewalk.generated_requests import EngineState
-from jasminewalk.prefixes import PrefixIndex
+from jasminewalk.scheduling._queue_items import Expired, QueueSettings, Running, Waiting
+from jasminewalk.scheduling._queue_speeds import QueueSpeeds
+from jasminewalk.scheduling.prefixes import PrefixIndex
 from jasminewalk.types import Refusal, RequestProfile
 
 __all__ = ["EndpointQueue", "Expired", "QueueSettings"]
--- a/src/jasminewalk/routing.py
+++ b/src/jasminewalk/scheduling/routing.py
@@ -4,14 +4,14 @@
 import random
 from collections.abc import Collection
 
-from jasminewalk._demand import DemandCounts
-from jasminewalk.admission import FairShares, RetryBudget
 from jasminewalk.generated_codes import Code
 from jasminewalk.generated_messages import CacheEvents, LoadReport, PoolDemand
 from jasminewalk.generated_requests import RefusalBody
-from jasminewalk.speeds import Flight
+from jasminewalk.scheduling._demand import DemandCounts
+from jasminewalk.scheduling.admission import FairShares, RetryBudget
+from jasminewalk.scheduling.speeds import Flight
+from jasminewalk.scheduling.weighing import Option, Query, RoutingSettings, Weigher
 from jasminewalk.types import Candidate, Refusal, RequestProfile, Route
-from jasminewalk.weighing import Option, Query, RoutingSettings, Weigher
 
 __all__ = ["Router", "RoutingSettings"]
 
--- a/src/jasminewalk/weighing.py
+++ b/src/jasminewalk/scheduling/weighing.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from jasminewalk.admission import ShareSettings
-from jasminewalk.prefixes import PrefixIndex
-from jasminewalk.speeds import EndpointView, Prediction, SpeedSettings
+from jasminewalk.scheduling.admission import ShareSettings
+from jasminewalk.scheduling.prefixes import PrefixIndex
+from jasminewalk.scheduling.speeds import EndpointView, Prediction, SpeedSettings
 from jasminewalk.types import RequestProfile
 
 __all__ = ["Option", "Query", "RoutingSettings", "Weigher"]
--- a/src/jasminewalk/schemas.py
+++ b/src/jasminewalk/schemas.py
@@ -10,7 +10,7 @@
 from jsonschema import Draft202012Validator
 from jsonschema.exceptions import ValidationError
 
-from jasminewalk.yaml_files import Problem, YamlDocument
+from jasminewalk.operators.yaml_files import Problem, YamlDocument
 
 __all__ = ["definition", "document_problems", "load_schema", "strict_schema"]
 
--- a/src/jasminewalk/settings.py
+++ b/src/jasminewalk/settings.py
@@ -20,8 +20,8 @@
     StandinServiceSettings,
     StandinWeightsSettings,
 )
+from jasminewalk.operators.yaml_files import Problem, YamlDocument, read_documents
 from jasminewalk.schemas import definition, document_problems, load_schema
-from jasminewalk.yaml_files import Problem, YamlDocument, read_documents
 
 __all__ = ["KINDS", "SettingsKind", "guess_kind", "load_settings", "settings_problems"]
 
--- /dev/null
+++ b/src/jasminewalk/sidecars/__init__.py
@@ -0,0 +1,1 @@
+"""The process beside each endpoint: final admission, orders, claims."""
--- a/src/jasminewalk/engine_client.py
+++ b/src/jasminewalk/sidecars/engine_client.py
@@ -6,7 +6,13 @@
 import httpcore
 import msgspec
 
-from jasminewalk._http_call import (
+from jasminewalk.clock import SystemClock
+from jasminewalk.exceptions import OrderRefusedError, StaleFencingNumberError
+from jasminewalk.generated_codes import Code
+from jasminewalk.generated_requests import EngineOrder, EngineState, GenerateRequest
+from jasminewalk.ingress.connections import Connections
+from jasminewalk.interfaces import CachePage, Engine
+from jasminewalk.transport._http_call import (
     HTTP_ERRORS,
     HTTP_OK,
     HttpAnswer,
@@ -15,12 +21,6 @@
     os_error,
     raise_for_status,
 )
-from jasminewalk.clock import SystemClock
-from jasminewalk.connections import Connections
-from jasminewalk.exceptions import OrderRefusedError, StaleFencingNumberError
-from jasminewalk.generated_codes import Code
-from jasminewalk.generated_requests import EngineOrder, EngineState, GenerateRequest
-from jasminewalk.interfaces import CachePage, Engine
 
 __all__ = ["HttpEngine"]
 
--- a/src/jasminewalk/generation_stream.py
+++ b/src/jasminewalk/sidecars/generation_stream.py
@@ -5,8 +5,8 @@
 import anyio
 import attrs
 
-from jasminewalk._http import Send
 from jasminewalk.generated_requests import GenerateRequest
+from jasminewalk.transport._http import Send
 from jasminewalk.types import Refusal, RequestProfile
 
 __all__ = ["GenerationStream", "profile_of"]
--- a/src/jasminewalk/service_client.py
+++ b/src/jasminewalk/sidecars/service_client.py
@@ -2,8 +2,8 @@
 
 import httpcore
 
-from jasminewalk._http_call import call
 from jasminewalk.interfaces import Service, ServiceAnswer, ServiceRequest
+from jasminewalk.transport._http_call import call
 
 __all__ = ["HttpService"]
 
--- a/src/jasminewalk/sidecar.py
+++ b/src/jasminewalk/sidecars/sidecar.py
@@ -8,12 +8,11 @@
 import attrs
 from absl import logging
 
-from jasminewalk._http import HttpServer, http_client
-from jasminewalk.channel import MessageHandler, PeerListener, new_incarnation
+from jasminewalk.agreement.fold import LogFold
+from jasminewalk.agreement.fold_events import FoldEvent
+from jasminewalk.agreement.log_client import MAIN_STREAM, HttpLog, claims_stream
+from jasminewalk.agreement.log_follower import FoldListener, LogFollower
 from jasminewalk.clock import Clock, SystemClock
-from jasminewalk.codec import Envelope
-from jasminewalk.fold import LogFold
-from jasminewalk.fold_events import FoldEvent
 from jasminewalk.generated_messages import (
     CacheEvents,
     EntryHello,
@@ -25,15 +24,16 @@
 from jasminewalk.generated_records import SnapshotEntry
 from jasminewalk.generated_settings import SidecarSettings
 from jasminewalk.interfaces import LogEntry
-from jasminewalk.log_client import MAIN_STREAM, HttpLog, claims_stream
-from jasminewalk.log_follower import FoldListener, LogFollower
 from jasminewalk.metrics import Metrics
-from jasminewalk.operators_http import OperatorsApp, StatusSource
-from jasminewalk.peer_auth import PeerAuthenticator
-from jasminewalk.sidecar_engine import EnginePart
-from jasminewalk.sidecar_http import SidecarApp
-from jasminewalk.sidecar_parts import EndpointPart, PartContext
-from jasminewalk.sidecar_service import ServicePart
+from jasminewalk.operators.operators_http import OperatorsApp, StatusSource
+from jasminewalk.sidecars.sidecar_engine import EnginePart
+from jasminewalk.sidecars.sidecar_http import SidecarApp
+from jasminewalk.sidecars.sidecar_parts import EndpointPart, PartContext
+from jasminewalk.sidecars.sidecar_service import ServicePart
+from jasminewalk.transport._http import HttpServer, http_client
+from jasminewalk.transport.channel import MessageHandler, PeerListener, new_incarnation
+from jasminewalk.transport.codec import Envelope
+from jasminewalk.transport.peer_auth import PeerAuthenticator
 
 __all__ = ["SidecarDaemon", "SidecarStatus"]
 
--- a/src/jasminewalk/sidecar_engine.py
+++ b/src/jasminewalk/sidecars/sidecar_engine.py
@@ -7,15 +7,15 @@
 import msgspec
 from absl import logging
 
-from jasminewalk.engine_client import HttpEngine
+from jasminewalk.agreement.fold_events import FoldEvent
 from jasminewalk.exceptions import JasminewalkError
-from jasminewalk.fold_events import FoldEvent
 from jasminewalk.generated_messages import CacheEvents, LoadReport, PoolDemand
 from jasminewalk.generated_requests import EngineState
-from jasminewalk.queueing import EndpointQueue, QueueSettings
-from jasminewalk.sidecar_orders import OrderDesk
-from jasminewalk.sidecar_parts import EndpointPart, EndpointState, PartContext
-from jasminewalk.sidecar_streams import GenerationRunner
+from jasminewalk.scheduling.queueing import EndpointQueue, QueueSettings
+from jasminewalk.sidecars.engine_client import HttpEngine
+from jasminewalk.sidecars.sidecar_orders import OrderDesk
+from jasminewalk.sidecars.sidecar_parts import EndpointPart, EndpointState, PartContext
+from jasminewalk.sidecars.sidecar_streams import GenerationRunner
 
 __all__ = ["EnginePart"]
 
--- a/src/jasminewalk/sidecar_http.py
+++ b/src/jasminewalk/sidecars/sidecar_http.py
@@ -5,7 +5,6 @@
 import msgspec
 from absl import logging
 
-from jasminewalk._http import Receive, Scope, Send, read_body, send_json
 from jasminewalk.exceptions import BadMessageError, JasminewalkError
 from jasminewalk.generated_codes import Code
 from jasminewalk.generated_requests import (
@@ -14,7 +13,8 @@
     ServiceCall,
 )
 from jasminewalk.metrics import Metrics
-from jasminewalk.peer_auth import AUTH_HEADER, PeerAuthenticator
+from jasminewalk.transport._http import Receive, Scope, Send, read_body, send_json
+from jasminewalk.transport.peer_auth import AUTH_HEADER, PeerAuthenticator
 from jasminewalk.types import Refusal
 
 __all__ = ["Calls", "Generations", "SidecarApp", "error_body", "refusal_body"]
--- a/src/jasminewalk/sidecar_orders.py
+++ b/src/jasminewalk/sidecars/sidecar_orders.py
@@ -6,16 +6,10 @@
 from absl import logging
 from anyio.abc import TaskGroup
 
-from jasminewalk.authority import OrderController
-from jasminewalk.configuration import ConfigurationView
-from jasminewalk.exceptions import JasminewalkError, StaleFencingNumberError
-from jasminewalk.fold_events import FoldEvent, SubjectChanged
-from jasminewalk.generated_configuration import Pool
-from jasminewalk.generated_messages import PoolDemand
-from jasminewalk.generated_requests import EngineState
-from jasminewalk.interfaces import Engine, WeightStore
-from jasminewalk.log_writer import AppendRecord
-from jasminewalk.order_actions import (
+from jasminewalk.agreement.authority import OrderController
+from jasminewalk.agreement.fold_events import FoldEvent, SubjectChanged
+from jasminewalk.agreement.log_writer import AppendRecord
+from jasminewalk.agreement.order_actions import (
     ChangeEnded,
     OrderAction,
     OrderSettings,
@@ -27,9 +21,15 @@
     StartDrain,
     WantedState,
 )
-from jasminewalk.roles import RolePlanner
-from jasminewalk.sidecar_parts import PartContext
-from jasminewalk.weights_client import HttpWeightStore
+from jasminewalk.exceptions import JasminewalkError, StaleFencingNumberError
+from jasminewalk.generated_configuration import Pool
+from jasminewalk.generated_messages import PoolDemand
+from jasminewalk.generated_requests import EngineState
+from jasminewalk.interfaces import Engine, WeightStore
+from jasminewalk.operators.configuration import ConfigurationView
+from jasminewalk.scheduling.roles import RolePlanner
+from jasminewalk.sidecars.sidecar_parts import PartContext
+from jasminewalk.sidecars.weights_client import HttpWeightStore
 
 __all__ = ["EngineWork", "OrderDesk"]
 
--- a/src/jasminewalk/sidecar_parts.py
+++ b/src/jasminewalk/sidecars/sidecar_parts.py
@@ -9,17 +9,17 @@
 import attrs
 import httpcore
 
+from jasminewalk.agreement.fold import LogFold
+from jasminewalk.agreement.fold_events import FoldEvent
+from jasminewalk.agreement.log_appender import LogAppender
+from jasminewalk.agreement.log_follower import LogFollower
+from jasminewalk.agreement.registration import Registrar
 from jasminewalk.clock import Clock
-from jasminewalk.fold import LogFold
-from jasminewalk.fold_events import FoldEvent
 from jasminewalk.generated_messages import LoadReport, PoolDemand
 from jasminewalk.generated_settings import SidecarSettings
 from jasminewalk.interfaces import Log
-from jasminewalk.log_appender import LogAppender
-from jasminewalk.log_follower import LogFollower
 from jasminewalk.metrics import Metrics
-from jasminewalk.registration import Registrar
-from jasminewalk.sidecar_http import Calls, Generations
+from jasminewalk.sidecars.sidecar_http import Calls, Generations
 
 __all__ = ["EndpointPart", "EndpointState", "PartContext"]
 
--- a/src/jasminewalk/sidecar_service.py
+++ b/src/jasminewalk/sidecars/sidecar_service.py
@@ -7,25 +7,25 @@
 from absl import logging
 from anyio.abc import TaskGroup
 
-from jasminewalk._http import ATTEMPT_HEADER, Receive, Send, send_json
-from jasminewalk.at_most_once import ClaimController
-from jasminewalk.claim_actions import (
+from jasminewalk.agreement.at_most_once import ClaimController
+from jasminewalk.agreement.claim_actions import (
     ClaimAction,
     ClaimSettings,
     RefuseRequest,
     ReplyToRequest,
     RunRequest,
 )
-from jasminewalk.fold_events import FoldEvent
+from jasminewalk.agreement.fold_events import FoldEvent
+from jasminewalk.agreement.log_writer import AppendRecord
+from jasminewalk.agreement.snapshot_task import SnapshotTask
 from jasminewalk.generated_codes import RESULTS, Code
 from jasminewalk.generated_messages import LoadReport, PoolDemand
 from jasminewalk.generated_requests import ServiceCall, ServiceReply
 from jasminewalk.interfaces import ServiceAnswer, ServiceRequest
-from jasminewalk.log_writer import AppendRecord
-from jasminewalk.service_client import HttpService
-from jasminewalk.sidecar_http import refusal_body
-from jasminewalk.sidecar_parts import EndpointPart, EndpointState, PartContext
-from jasminewalk.snapshot_task import SnapshotTask
+from jasminewalk.sidecars.service_client import HttpService
+from jasminewalk.sidecars.sidecar_http import refusal_body
+from jasminewalk.sidecars.sidecar_parts import EndpointPart, EndpointState, PartContext
+from jasminewalk.transport._http import ATTEMPT_HEADER, Receive, Send, send_json
 from jasminewalk.types import Refusal
 
 __all__ = ["ServicePart", "claim_key", "fingerprint_of"]
--- a/src/jasminewalk/sidecar_streams.py
+++ b/src/jasminewalk/sidecars/sidecar_streams.py
@@ -8,15 +8,15 @@
 import msgspec
 from absl import logging
 
-from jasminewalk._http import ATTEMPT_HEADER, Receive, Send, send_json
 from jasminewalk.clock import Clock
 from jasminewalk.generated_codes import RESULTS, Code
 from jasminewalk.generated_requests import Frame, GenerateRequest
-from jasminewalk.generation_stream import GenerationStream, profile_of
 from jasminewalk.interfaces import Engine
 from jasminewalk.metrics import Metrics
-from jasminewalk.queueing import EndpointQueue
-from jasminewalk.sidecar_http import refusal_body
+from jasminewalk.scheduling.queueing import EndpointQueue
+from jasminewalk.sidecars.generation_stream import GenerationStream, profile_of
+from jasminewalk.sidecars.sidecar_http import refusal_body
+from jasminewalk.transport._http import ATTEMPT_HEADER, Receive, Send, send_json
 from jasminewalk.types import Refusal
 
 __all__ = ["GenerationRunner"]
--- a/src/jasminewalk/weights_client.py
+++ b/src/jasminewalk/sidecars/weights_client.py
@@ -3,9 +3,9 @@
 import httpcore
 import msgspec
 
-from jasminewalk._http_call import call, raise_for_status
 from jasminewalk.generated_standins import WeightReservation, WeightTurn
 from jasminewalk.interfaces import WeightStore
+from jasminewalk.transport._http_call import call, raise_for_status
 
 __all__ = ["HttpWeightStore"]
 
--- /dev/null
+++ b/src/jasminewalk/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and the back ends."""
--- a/src/jasminewalk/_engine_batch.py
+++ b/src/jasminewalk/standins/_engine_batch.py
@@ -5,13 +5,13 @@
 
 import attrs
 
-from jasminewalk._engine_cache import PrefixCache
-from jasminewalk._engine_kv import KvImports
-from jasminewalk._engine_speeds import EngineSpeeds
-from jasminewalk._engine_steps import Gaps, Run, StepLog, Stream, StreamKey
-from jasminewalk._engine_text import token_of
 from jasminewalk.generated_requests import Frame, GenerateRequest
 from jasminewalk.generated_standins import EngineModelSettings
+from jasminewalk.standins._engine_cache import PrefixCache
+from jasminewalk.standins._engine_kv import KvImports
+from jasminewalk.standins._engine_speeds import EngineSpeeds
+from jasminewalk.standins._engine_steps import Gaps, Run, StepLog, Stream, StreamKey
+from jasminewalk.standins._engine_text import token_of
 
 __all__ = ["Batch", "FrameOut"]
 
--- a/src/jasminewalk/_engine_kv.py
+++ b/src/jasminewalk/standins/_engine_kv.py
@@ -5,8 +5,8 @@
 import attrs
 import msgspec
 
-from jasminewalk._engine_steps import Stream
 from jasminewalk.exceptions import BadRequestError
+from jasminewalk.standins._engine_steps import Stream
 
 __all__ = ["KvImports", "kv_handle"]
 
--- a/src/jasminewalk/_engine_load.py
+++ b/src/jasminewalk/standins/_engine_load.py
@@ -4,10 +4,10 @@
 
 import attrs
 
-from jasminewalk._engine_batch import Batch
-from jasminewalk._engine_steps import Stream
 from jasminewalk.generated_requests import EngineState
 from jasminewalk.generated_standins import EngineModelSettings
+from jasminewalk.standins._engine_batch import Batch
+from jasminewalk.standins._engine_steps import Stream
 
 __all__ = ["LoadLog", "LoadSample"]
 
--- a/src/jasminewalk/_standin.py
+++ b/src/jasminewalk/standins/_standin.py
@@ -10,10 +10,17 @@
 import msgspec
 from absl import logging
 
-from jasminewalk._http import HttpServer, Receive, Scope, Send, read_body, send_json
 from jasminewalk.exceptions import BadRequestError, JasminewalkError
 from jasminewalk.generated_codes import Code
 from jasminewalk.generated_requests import RefusalBody
+from jasminewalk.transport._http import (
+    HttpServer,
+    Receive,
+    Scope,
+    Send,
+    read_body,
+    send_json,
+)
 
 __all__ = ["HeldError", "Standin", "StandinRequest"]
 
--- a/src/jasminewalk/engine_model.py
+++ b/src/jasminewalk/standins/engine_model.py
@@ -9,13 +9,6 @@
 
 import attrs
 
-from jasminewalk._engine_batch import Batch, FrameOut
-from jasminewalk._engine_cache import PrefixCache
-from jasminewalk._engine_kv import kv_handle
-from jasminewalk._engine_load import LoadLog
-from jasminewalk._engine_speeds import EngineSpeeds
-from jasminewalk._engine_steps import Stream
-from jasminewalk._engine_text import output_length, prompt_digest, token_text
 from jasminewalk.exceptions import (
     BadRequestError,
     OrderRefusedError,
@@ -30,6 +23,13 @@
 )
 from jasminewalk.generated_standins import EngineModelSettings
 from jasminewalk.interfaces import CachePage
+from jasminewalk.standins._engine_batch import Batch, FrameOut
+from jasminewalk.standins._engine_cache import PrefixCache
+from jasminewalk.standins._engine_kv import kv_handle
+from jasminewalk.standins._engine_load import LoadLog
+from jasminewalk.standins._engine_speeds import EngineSpeeds
+from jasminewalk.standins._engine_steps import Stream
+from jasminewalk.standins._engine_text import output_length, prompt_digest, token_text
 
 __all__ = [
     "EngineModel",
--- a/src/jasminewalk/standin_engine.py
+++ b/src/jasminewalk/standins/standin_engine.py
@@ -6,13 +6,13 @@
 import anyio
 import msgspec
 
-from jasminewalk._http import send_json
-from jasminewalk._standin import HeldError, Standin, StandinRequest
 from jasminewalk.clock import Clock, SystemClock
-from jasminewalk.engine_model import EngineModel, FrameOut
 from jasminewalk.exceptions import BadRequestError
 from jasminewalk.generated_requests import EngineOrder, GenerateRequest
 from jasminewalk.generated_standins import EngineFaults, StandinEngineSettings
+from jasminewalk.standins._standin import HeldError, Standin, StandinRequest
+from jasminewalk.standins.engine_model import EngineModel, FrameOut
+from jasminewalk.transport._http import send_json
 
 __all__ = ["StandinEngine"]
 
--- a/src/jasminewalk/standin_instances.py
+++ b/src/jasminewalk/standins/standin_instances.py
@@ -5,13 +5,13 @@
 
 import attrs
 
-from jasminewalk._http import send_json
-from jasminewalk._standin import Standin, StandinRequest
 from jasminewalk.clock import Clock, SystemClock
 from jasminewalk.exceptions import BadRequestError, JasminewalkError
 from jasminewalk.generated_codes import Code
 from jasminewalk.generated_requests import Instance
 from jasminewalk.generated_standins import InstancesFaults, StandinInstancesSettings
+from jasminewalk.standins._standin import Standin, StandinRequest
+from jasminewalk.transport._http import send_json
 
 __all__ = ["StandinInstances"]
 
--- a/src/jasminewalk/standin_log.py
+++ b/src/jasminewalk/standins/standin_log.py
@@ -8,13 +8,13 @@
 import attrs
 import msgspec
 
-from jasminewalk._http import send_json
-from jasminewalk._standin import Standin, StandinRequest
+from jasminewalk.agreement.log_client import MAIN_STREAM
 from jasminewalk.clock import Clock, SystemClock
 from jasminewalk.exceptions import BadRequestError, JasminewalkError
 from jasminewalk.generated_codes import Code
 from jasminewalk.generated_standins import AppendResult, LogFaults, StandinLogSettings
-from jasminewalk.log_client import MAIN_STREAM
+from jasminewalk.standins._standin import Standin, StandinRequest
+from jasminewalk.transport._http import send_json
 
 __all__ = ["LogStream", "StandinLog", "StoredRecord"]
 
--- a/src/jasminewalk/standin_service.py
+++ b/src/jasminewalk/standins/standin_service.py
@@ -5,13 +5,13 @@
 import anyio
 import attrs
 
-from jasminewalk._http import send_json
-from jasminewalk._standin import HeldError, Standin, StandinRequest
 from jasminewalk.generated_standins import (
     ServiceEcho,
     ServiceFaults,
     StandinServiceSettings,
 )
+from jasminewalk.standins._standin import HeldError, Standin, StandinRequest
+from jasminewalk.transport._http import send_json
 
 __all__ = ["StandinService"]
 
--- a/src/jasminewalk/standin_weights.py
+++ b/src/jasminewalk/standins/standin_weights.py
@@ -2,8 +2,6 @@
 
 from typing import Any
 
-from jasminewalk._http import send_json
-from jasminewalk._standin import Standin, StandinRequest
 from jasminewalk.clock import Clock, SystemClock
 from jasminewalk.exceptions import JasminewalkError
 from jasminewalk.generated_codes import Code
@@ -13,6 +11,8 @@
     WeightsFaults,
     WeightTurn,
 )
+from jasminewalk.standins._standin import Standin, StandinRequest
+from jasminewalk.transport._http import send_json
 
 __all__ = ["StandinWeights"]
 
--- /dev/null
+++ b/src/jasminewalk/transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP and control messages between processes."""
--- a/src/jasminewalk/_http.py
+++ b/src/jasminewalk/transport/_http.py
@@ -12,7 +12,7 @@
 
 from jasminewalk.exceptions import BadRequestError, JasminewalkError
 from jasminewalk.generated_codes import Code
-from jasminewalk.network import NetworkBackend
+from jasminewalk.transport.network import NetworkBackend
 
 __all__ = [
     "ATTEMPT_HEADER",
--- a/src/jasminewalk/_http_call.py
+++ b/src/jasminewalk/transport/_http_call.py
@@ -8,10 +8,10 @@
 import httpcore
 import msgspec
 
-from jasminewalk._http import split_address, url_of
 from jasminewalk.exceptions import JasminewalkError
 from jasminewalk.generated_codes import RESULTS, Code
 from jasminewalk.generated_requests import RefusalBody
+from jasminewalk.transport._http import split_address, url_of
 
 __all__ = [
     "HttpAnswer",
--- a/src/jasminewalk/channel.py
+++ b/src/jasminewalk/transport/channel.py
@@ -11,9 +11,9 @@
 import pynng
 from absl import logging
 
-from jasminewalk.codec import Envelope, MessageCodec
 from jasminewalk.exceptions import BadMessageError, UnauthenticatedPeerError
 from jasminewalk.generated_settings import PeerSettings
+from jasminewalk.transport.codec import Envelope, MessageCodec
 
 __all__ = ["MessageHandler", "PeerDialer", "PeerListener", "new_incarnation"]
 
--- a/tests/entry_bench.py
+++ b/tests/entry_bench.py
@@ -6,10 +6,7 @@
 import anyio
 import msgspec
 
-from jasminewalk._http import ATTEMPT_HEADER, HttpServer, read_body, send_json
 from jasminewalk.clock import SystemClock
-from jasminewalk.connections import SidecarConnections
-from jasminewalk.dispatch import Dispatcher
 from jasminewalk.generated_messages import LoadReport
 from jasminewalk.generated_requests import (
     Frame,
@@ -19,12 +16,15 @@
     ServiceReply,
 )
 from jasminewalk.generated_settings import EntrySettings, LogSettings, PeerSettings
-from jasminewalk.jobs import CallJob, GenerationJob, TokenSink
-from jasminewalk.membership import Membership
+from jasminewalk.ingress.connections import SidecarConnections
+from jasminewalk.ingress.dispatch import Dispatcher
+from jasminewalk.ingress.jobs import CallJob, GenerationJob, TokenSink
+from jasminewalk.ingress.traces import TraceStore
 from jasminewalk.metrics import Metrics
-from jasminewalk.peer_auth import PeerAuthenticator
-from jasminewalk.routing import Router, RoutingSettings
-from jasminewalk.traces import TraceStore
+from jasminewalk.scheduling.membership import Membership
+from jasminewalk.scheduling.routing import Router, RoutingSettings
+from jasminewalk.transport._http import ATTEMPT_HEADER, HttpServer, read_body, send_json
+from jasminewalk.transport.peer_auth import PeerAuthenticator
 from jasminewalk.types import RequestProfile
 
 KEY = "0123456789abcdef"
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -13,8 +13,8 @@
 import httpcore
 import yaml
 
-from jasminewalk.codec import encode_record
 from jasminewalk.generated_records import ConfigurationRecord
+from jasminewalk.transport.codec import encode_record
 from relay import Relay
 
 BOUND_S = 60.0
--- a/tests/observers.py
+++ b/tests/observers.py
@@ -5,10 +5,14 @@
 
 import attrs
 
-from jasminewalk.fold_events import StateReplaced, SubjectChanged, SubjectRejected
+from jasminewalk.agreement.fold_events import (
+    StateReplaced,
+    SubjectChanged,
+    SubjectRejected,
+)
+from jasminewalk.agreement.log_writer import AppendRecord, new_record_id
 from jasminewalk.generated_records import ConfigurationRecord
 from jasminewalk.generated_requests import EngineState
-from jasminewalk.log_writer import AppendRecord, new_record_id
 from schedules import Node, World
 
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -3,9 +3,9 @@
 import attrs
 import msgspec
 
-from jasminewalk.codec import encode_record
+from jasminewalk.agreement.order_actions import WantedState
 from jasminewalk.generated_records import ConfigurationRecord
-from jasminewalk.order_actions import WantedState
+from jasminewalk.transport.codec import encode_record
 from observers import Engine, Operator, Service, promise
 from schedules import FAULTS_S, HEAL_S, EngineSidecar, ServiceSidecar, World
 
--- a/tests/schedules.py
+++ b/tests/schedules.py
@@ -5,21 +5,21 @@
 
 import attrs
 
-from jasminewalk import at_most_once, order_actions
-from jasminewalk.at_most_once import ClaimController, ClaimSettings
-from jasminewalk.authority import OrderController
-from jasminewalk.clock import ManualClock
-from jasminewalk.fold import LogFold
-from jasminewalk.interfaces import LogEntry
-from jasminewalk.log_writer import (
+from jasminewalk.agreement import at_most_once, order_actions
+from jasminewalk.agreement.at_most_once import ClaimController, ClaimSettings
+from jasminewalk.agreement.authority import OrderController
+from jasminewalk.agreement.fold import LogFold
+from jasminewalk.agreement.log_writer import (
     AppendRecord,
     LogWriter,
     LogWriterSettings,
     SendAppend,
 )
-from jasminewalk.order_actions import OrderSettings
-from jasminewalk.registration import Registrar
-from jasminewalk.snapshots import SnapshotPlanner, SnapshotSettings
+from jasminewalk.agreement.order_actions import OrderSettings
+from jasminewalk.agreement.registration import Registrar
+from jasminewalk.agreement.snapshots import SnapshotPlanner, SnapshotSettings
+from jasminewalk.clock import ManualClock
+from jasminewalk.interfaces import LogEntry
 
 FLIGHT_S = 0.8
 MARGIN_S = 1.0
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -4,27 +4,16 @@
 
 import pytest
 
-from jasminewalk.at_most_once import (
+from jasminewalk.agreement.at_most_once import (
     ClaimController,
     ClaimSettings,
     RefuseRequest,
     ReplyToRequest,
     RunRequest,
 )
-from jasminewalk.authority import OrderController
-from jasminewalk.codec import encode_record
-from jasminewalk.fold import LogFold
-from jasminewalk.generated_codes import Code
-from jasminewalk.generated_records import (
-    Claim,
-    ClaimBatchRecord,
-    ConfigurationRecord,
-    GrantRecord,
-    RegistrationRecord,
-)
-from jasminewalk.generated_requests import EngineState
-from jasminewalk.interfaces import LogEntry
-from jasminewalk.log_writer import (
+from jasminewalk.agreement.authority import OrderController
+from jasminewalk.agreement.fold import LogFold
+from jasminewalk.agreement.log_writer import (
     AppendGivenUp,
     AppendRecord,
     GroupCommit,
@@ -32,13 +21,28 @@
     LogWriterSettings,
     SendAppend,
 )
-from jasminewalk.order_actions import (
+from jasminewalk.agreement.order_actions import (
     OrderSettings,
     ReserveWeights,
     SendOrder,
     WantedState,
 )
-from jasminewalk.snapshots import SnapshotPlanner, SnapshotSettings, cut_into_chunks
+from jasminewalk.agreement.snapshots import (
+    SnapshotPlanner,
+    SnapshotSettings,
+    cut_into_chunks,
+)
+from jasminewalk.generated_codes import Code
+from jasminewalk.generated_records import (
+    Claim,
+    ClaimBatchRecord,
+    ConfigurationRecord,
+    GrantRecord,
+    RegistrationRecord,
+)
+from jasminewalk.generated_requests import EngineState
+from jasminewalk.interfaces import LogEntry
+from jasminewalk.transport.codec import encode_record
 from jasminewalk.types import Refusal
 
 LIFETIME_S = 10.0
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -4,16 +4,16 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from jasminewalk._api_requests import JobBuilder, is_repeatable
-from jasminewalk.api import CallersApi, ReadinessSource
-from jasminewalk.attempts import AnswerAssembler
 from jasminewalk.clock import ManualClock
-from jasminewalk.configuration import ConfigurationView
 from jasminewalk.exceptions import JasminewalkError, RefusedError
 from jasminewalk.generated_codes import Code
 from jasminewalk.generated_configuration import ServiceRule
 from jasminewalk.generated_requests import ServiceReply
-from jasminewalk.tokens import CharacterTokenizer
+from jasminewalk.ingress._api_requests import JobBuilder, is_repeatable
+from jasminewalk.ingress.api import CallersApi, ReadinessSource
+from jasminewalk.operators.configuration import ConfigurationView
+from jasminewalk.scheduling.attempts import AnswerAssembler
+from jasminewalk.scheduling.tokens import CharacterTokenizer
 
 pytestmark = pytest.mark.anyio
 
@@ -207,7 +207,7 @@
 
 
 async def test_error_for_a_caller_who_does_not_read_is_dropped(dispatcher, monkeypatch):
-    monkeypatch.setattr("jasminewalk.api.LAST_SEND_TIMEOUT_S", 0.01)
+    monkeypatch.setattr("jasminewalk.ingress.api.LAST_SEND_TIMEOUT_S", 0.01)
     dispatcher.error = RefusedError("late", code=Code.DEADLINE_PASSED, ran="ran")
     caller = Caller(make_app(dispatcher), blocked_by=b'"error"')
     answer = await caller.post(CHAT, chat(stream=True))
@@ -266,7 +266,7 @@
 
 
 async def test_bodies_of_open_requests_are_bounded(caller, dispatcher, monkeypatch):
-    monkeypatch.setattr("jasminewalk.api.MAX_HELD_BYTES", 2500)
+    monkeypatch.setattr("jasminewalk.ingress.api.MAX_HELD_BYTES", 2500)
     assert (await caller.post(CHAT, chat())).status == 200
     assert caller.app.held_bytes == 0
     caller.app.held_bytes = 1000
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -4,7 +4,9 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from jasminewalk.attempts import (
+from jasminewalk.generated_codes import RESULTS, Code
+from jasminewalk.generated_requests import Frame, RefusalBody
+from jasminewalk.scheduling.attempts import (
     AnswerAssembler,
     Endpoints,
     Finish,
@@ -13,8 +15,6 @@
     Send,
     Wait,
 )
-from jasminewalk.generated_codes import RESULTS, Code
-from jasminewalk.generated_requests import Frame, RefusalBody
 from jasminewalk.types import Refusal, RequestProfile, Route
 
 TOKENS = ["a", "bc", "d", "e", "fg", "h"]
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -1,9 +1,9 @@
 import anyio
 import pytest
 
-from jasminewalk.channel import MessageHandler, PeerDialer, PeerListener
 from jasminewalk.generated_messages import EntryHello, Leaving
 from jasminewalk.generated_settings import PeerSettings
+from jasminewalk.transport.channel import MessageHandler, PeerDialer, PeerListener
 
 pytestmark = pytest.mark.anyio
 PEERS = PeerSettings(shared_key="0123456789abcdef")
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -5,16 +5,16 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from jasminewalk.codec import (
+from jasminewalk.exceptions import BadMessageError, UnauthenticatedPeerError
+from jasminewalk.generated_messages import TYPE_BY_NUMBER, EntryHello
+from jasminewalk.generated_records import GrantOutcomeRecord
+from jasminewalk.transport.codec import (
     TAG_BYTES,
     MessageCodec,
     PositionalCodec,
     decode_record,
     encode_record,
 )
-from jasminewalk.exceptions import BadMessageError, UnauthenticatedPeerError
-from jasminewalk.generated_messages import TYPE_BY_NUMBER, EntryHello
-from jasminewalk.generated_records import GrantOutcomeRecord
 
 KEY = "0123456789abcdef"
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -5,10 +5,10 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from jasminewalk.configuration import ConfigurationView
-from jasminewalk.configuration_checks import check_documents
-from jasminewalk.configuration_files import read_configuration
 from jasminewalk.exceptions import BadConfigurationError
+from jasminewalk.operators.configuration import ConfigurationView
+from jasminewalk.operators.configuration_checks import check_documents
+from jasminewalk.operators.configuration_files import read_configuration
 
 EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
 ORGANISATION = {"template": "band-fittings", "version": 1, "parameters": {}}
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -8,7 +8,7 @@
 from jasminewalk.exceptions import RefusedError
 from jasminewalk.generated_codes import Code
 from jasminewalk.generated_requests import RefusalBody
-from jasminewalk.jobs import GenerationJob
+from jasminewalk.ingress.jobs import GenerationJob
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_engine_model.py
+++ b/tests/test_engine_model.py
@@ -3,18 +3,18 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from jasminewalk.engine_model import (
-    EngineModel,
-    EngineModelSettings,
-    output_length,
-    token_text,
-)
 from jasminewalk.exceptions import (
     BadRequestError,
     OrderRefusedError,
     StaleFencingNumberError,
 )
 from jasminewalk.generated_requests import EngineOrder, GenerateRequest
+from jasminewalk.standins.engine_model import (
+    EngineModel,
+    EngineModelSettings,
+    output_length,
+    token_text,
+)
 
 END_S = 1000.0
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -11,23 +11,23 @@
 from hypothesis import given, settings, strategies as st
 
 from fleet import FLEET, ORGANISATION, TEMPLATE
-from jasminewalk._http import http_client
-from jasminewalk.codec import MessageCodec, encode_record
-from jasminewalk.deployment import (
+from jasminewalk.agreement.log_client import HttpLog
+from jasminewalk.demo.deployment import (
     DeploymentPlan,
     EndpointPlan,
     EntryPlan,
     embedded_deployment,
 )
-from jasminewalk.entry import EntryDaemon
-from jasminewalk.entry_peers import RecordBuffer
 from jasminewalk.exceptions import BadMessageError, UnauthenticatedPeerError
 from jasminewalk.generated_messages import Leaving, LoadReport
 from jasminewalk.generated_records import ConfigurationRecord
 from jasminewalk.generated_settings import PeerSettings
 from jasminewalk.generated_standins import EngineModelSettings
+from jasminewalk.ingress.entry import EntryDaemon
+from jasminewalk.ingress.entry_peers import RecordBuffer
 from jasminewalk.interfaces import LogEntry
-from jasminewalk.log_client import HttpLog
+from jasminewalk.transport._http import http_client
+from jasminewalk.transport.codec import MessageCodec, encode_record
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_entry_guards.py
+++ b/tests/test_entry_guards.py
@@ -4,12 +4,12 @@
 import pytest
 
 from entry_bench import TOKENS, fail_first, open_bench
-from jasminewalk import membership as membership_module
-from jasminewalk.attempts import AnswerAssembler, RequestMachine
 from jasminewalk.exceptions import RefusedError
-from jasminewalk.jobs import GenerationJob
-from jasminewalk.membership import Membership
-from jasminewalk.network import ReadWatch
+from jasminewalk.ingress.jobs import GenerationJob
+from jasminewalk.scheduling import membership as membership_module
+from jasminewalk.scheduling.attempts import AnswerAssembler, RequestMachine
+from jasminewalk.scheduling.membership import Membership
+from jasminewalk.transport.network import ReadWatch
 from test_attempts import FakeEndpoints, lines, make_profile, refusal
 from test_membership import beat, leave, make_membership, row
 
@@ -110,7 +110,7 @@
 
 
 async def test_crossed_answer_reaches_the_caller_without_its_guard(bench, monkeypatch):
-    monkeypatch.setattr("jasminewalk._run.Run.check_own", lambda *args: None)
+    monkeypatch.setattr("jasminewalk.ingress._run.Run.check_own", lambda *args: None)
     fail_first(bench, attempt_header=b"r0/1")
     await bench.generate()
     assert bench.outcomes == ["ok"]
--- a/tests/test_entry_peers.py
+++ b/tests/test_entry_peers.py
@@ -1,11 +1,11 @@
 import pytest
 
-from jasminewalk.entry_peers import PeerLink, PeerLinks
 from jasminewalk.generated_messages import LoadReport, PoolDemand, RecordFeed
 from jasminewalk.generated_requests import Instance
 from jasminewalk.generated_settings import EntrySettings, LogSettings, PeerSettings
+from jasminewalk.ingress.entry_peers import PeerLink, PeerLinks
 from jasminewalk.interfaces import LogEntry
-from jasminewalk.membership import Membership
+from jasminewalk.scheduling.membership import Membership
 
 pytestmark = pytest.mark.anyio
 ENTRY = EntrySettings(
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -110,6 +110,17 @@
     assert fleet.trust(engine) is None
 
 
+@pytest.mark.parametrize(
+    ("status", "avoided_s", "event"),
+    [(421, 0.5, "engine_suspected"), (503, 0.15, None), (429, 0.15, None)],
+)
+def test_engine_that_refuses_is_avoided_for_a_while(fleet, status, avoided_s, event):
+    found = fleet.rejected(1.0, fleet.engines["i-1"], status)
+    assert (found.event if found else None) == event
+    assert usable(fleet, 1.0 + avoided_s - 0.01) == ["i-2"]
+    assert usable(fleet, 1.0 + avoided_s) == ["i-1", "i-2"]
+
+
 def test_engine_that_changes_its_stage_is_left_alone_until_it_is_listed(fleet):
     engine = fleet.engines["i-1"]
     engine.changing_until = 5.0
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -5,10 +5,10 @@
 
 from jasminewalk.exceptions import BadSettingsError
 from jasminewalk.generated_load import LoadKind, LoadPhase, LoadPlan, TokenRange
-from jasminewalk.load import is_token, note_error, note_tokens
-from jasminewalk.load_schedule import LoadSchedule, check_plan
-from jasminewalk.load_tally import Answer, LoadTally
-from jasminewalk.reports import result_lines, write_report
+from jasminewalk.loads.load import is_token, note_error, note_tokens
+from jasminewalk.loads.load_schedule import LoadSchedule, check_plan
+from jasminewalk.loads.load_tally import Answer, LoadTally
+from jasminewalk.loads.reports import result_lines, write_report
 
 PLAN = LoadPlan(
     entries=["127.0.0.1:1", "127.0.0.1:2"],
--- a/tests/test_log_follower.py
+++ b/tests/test_log_follower.py
@@ -1,11 +1,11 @@
 import anyio
 import pytest
 
+from jasminewalk.agreement.fold import LogFold
+from jasminewalk.agreement.log_follower import FoldListener, LogFollower
 from jasminewalk.clock import SystemClock
-from jasminewalk.fold import LogFold
 from jasminewalk.generated_settings import LogSettings
 from jasminewalk.interfaces import Log, LogPage
-from jasminewalk.log_follower import FoldListener, LogFollower
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -5,13 +5,13 @@
 import msgspec
 import pytest
 
-from jasminewalk._measure_bound import bound_of
-from jasminewalk._measure_driver import Driver
-from jasminewalk._measure_workload import Traffic, load_workload, variant
-from jasminewalk.baselines import POLICIES
 from jasminewalk.exceptions import BadSettingsError
 from jasminewalk.generated_measure import Workload
-from jasminewalk.measure import run_measure
+from jasminewalk.measuring._measure_bound import bound_of
+from jasminewalk.measuring._measure_driver import Driver
+from jasminewalk.measuring._measure_workload import Traffic, load_workload, variant
+from jasminewalk.measuring.baselines import POLICIES
+from jasminewalk.measuring.measure import run_measure
 
 EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
 FAULTS = ("crash", "drain", "withdrawn", "log-outage", "lost-events")
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,7 +5,7 @@
 from jasminewalk.generated_messages import Leaving, LoadReport
 from jasminewalk.generated_requests import Instance
 from jasminewalk.generated_settings import EntrySettings, LogSettings, PeerSettings
-from jasminewalk.membership import FORGET_S, LEAVING_HOLD_S, Membership
+from jasminewalk.scheduling.membership import FORGET_S, LEAVING_HOLD_S, Membership
 
 HEARTBEAT_S = 0.5
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -5,8 +5,7 @@
 import attrs
 import pytest
 
-from jasminewalk._http import http_client, url_of
-from jasminewalk.deployment import EntryPlan, embedded_deployment, escuela_plan
+from jasminewalk.demo.deployment import EntryPlan, embedded_deployment, escuela_plan
 from jasminewalk.exceptions import (
     LogUnavailableError,
     NotInForceError,
@@ -16,9 +15,10 @@
 from jasminewalk.generated_requests import Instance
 from jasminewalk.generated_settings import LogSettings, OperatorSettings
 from jasminewalk.generated_standins import LogFaults
-from jasminewalk.inspection import explain_request, read_status
-from jasminewalk.load import LoadDriver
-from jasminewalk.publish import PublishOptions, publish_file
+from jasminewalk.loads.load import LoadDriver
+from jasminewalk.operators.inspection import explain_request, read_status
+from jasminewalk.operators.publish import PublishOptions, publish_file
+from jasminewalk.transport._http import http_client, url_of
 
 EXAMPLE = Path(__file__).resolve().parent.parent / "examples/escuela/configuration.yaml"
 PLAN = attrs.evolve(
--- a/tests/test_publish.py
+++ b/tests/test_publish.py
@@ -3,15 +3,15 @@
 import anyio
 import pytest
 
-from jasminewalk.codec import decode_record, encode_record
-from jasminewalk.configuration_files import ConfigurationDocument
+from jasminewalk.agreement.log_reader import LogReader
 from jasminewalk.exceptions import ConfigurationConflictError, LogUnavailableError
 from jasminewalk.generated_records import ConfigurationRecord
 from jasminewalk.interfaces import Log, LogEntry, LogPage
-from jasminewalk.log_reader import LogReader
-from jasminewalk.publication import Publication, plan_changes, view_of
-from jasminewalk.publish import Publisher
-from jasminewalk.yaml_files import YamlDocument
+from jasminewalk.operators.configuration_files import ConfigurationDocument
+from jasminewalk.operators.publication import Publication, plan_changes, view_of
+from jasminewalk.operators.publish import Publisher
+from jasminewalk.operators.yaml_files import YamlDocument
+from jasminewalk.transport.codec import decode_record, encode_record
 
 SOURCE = YamlDocument(file="c.yaml", data={}, lines={})
 READ_S = 0.2
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -8,7 +8,7 @@
 from jasminewalk.generated_codes import Code
 from jasminewalk.generated_messages import CacheEvents
 from jasminewalk.generated_requests import EngineState
-from jasminewalk.queueing import EndpointQueue, QueueSettings
+from jasminewalk.scheduling.queueing import EndpointQueue, QueueSettings
 from jasminewalk.types import RequestProfile
 
 STATE = EngineState(
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -7,7 +7,7 @@
 
 from jasminewalk.generated_configuration import Pool
 from jasminewalk.generated_messages import PoolDemand
-from jasminewalk.roles import RolePlanner, RoleSettings
+from jasminewalk.scheduling.roles import RolePlanner, RoleSettings
 
 POOL = Pool(
     kind="engine", role_change_cost=8.0, horizon_s=120.0, min_prefill=2, min_decode=2
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -6,12 +6,12 @@
 import attrs
 import pytest
 
-from jasminewalk.admission import FairShares, RetryBudget, ShareSettings
 from jasminewalk.generated_codes import Code
 from jasminewalk.generated_messages import CacheEvents, LoadReport, QueueLevel
 from jasminewalk.generated_requests import RefusalBody
-from jasminewalk.prefixes import PrefixIndex
-from jasminewalk.routing import Router, RoutingSettings
+from jasminewalk.scheduling.admission import FairShares, RetryBudget, ShareSettings
+from jasminewalk.scheduling.prefixes import PrefixIndex
+from jasminewalk.scheduling.routing import Router, RoutingSettings
 from jasminewalk.types import Refusal, RequestProfile, Route
 
 NAMES = ["a", "b", "c"]
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -4,12 +4,12 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from jasminewalk._fold_claims import ClaimTable
-from jasminewalk._fold_grants import EndpointTable
-from jasminewalk._fold_subjects import SubjectTable
-from jasminewalk.at_most_once import ClaimController, RunRequest
-from jasminewalk.authority import OrderController
-from jasminewalk.fold import LogFold
+from jasminewalk.agreement._fold_claims import ClaimTable
+from jasminewalk.agreement._fold_grants import EndpointTable
+from jasminewalk.agreement._fold_subjects import SubjectTable
+from jasminewalk.agreement.at_most_once import ClaimController, RunRequest
+from jasminewalk.agreement.authority import OrderController
+from jasminewalk.agreement.fold import LogFold
 from observers import ViolationError
 from scenario import Scenario
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,8 +1,8 @@
 import pytest
 
 from jasminewalk.exceptions import BadSettingsError
-from jasminewalk.file_checks import check_file
 from jasminewalk.generated_settings import EntrySettings
+from jasminewalk.operators.file_checks import check_file
 from jasminewalk.settings import load_settings
 
 ENTRY = """\
--- a/tests/test_sidecar_streams.py
+++ b/tests/test_sidecar_streams.py
@@ -6,8 +6,8 @@
 from jasminewalk.generated_requests import Frame, GenerateRequest
 from jasminewalk.interfaces import Engine
 from jasminewalk.metrics import Metrics
-from jasminewalk.queueing import EndpointQueue, QueueSettings
-from jasminewalk.sidecar_streams import GenerationRunner
+from jasminewalk.scheduling.queueing import EndpointQueue, QueueSettings
+from jasminewalk.sidecars.sidecar_streams import GenerationRunner
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -7,10 +7,7 @@
 import msgspec
 import pytest
 
-from jasminewalk._http import http_client
-from jasminewalk._http_call import NotSentError, call
-from jasminewalk.engine_client import HttpEngine
-from jasminewalk.engine_model import EngineModelSettings, output_length, token_text
+from jasminewalk.agreement.log_client import HttpLog
 from jasminewalk.exceptions import (
     LogUnavailableError,
     OrderRefusedError,
@@ -29,16 +26,23 @@
     StandinServiceSettings,
     StandinWeightsSettings,
 )
-from jasminewalk.instances_client import HttpInstanceList
 from jasminewalk.interfaces import ServiceRequest
-from jasminewalk.log_client import HttpLog
-from jasminewalk.service_client import HttpService
-from jasminewalk.standin_engine import StandinEngine
-from jasminewalk.standin_instances import StandinInstances
-from jasminewalk.standin_log import StandinLog
-from jasminewalk.standin_service import StandinService
-from jasminewalk.standin_weights import StandinWeights
-from jasminewalk.weights_client import HttpWeightStore
+from jasminewalk.sidecars.engine_client import HttpEngine
+from jasminewalk.sidecars.service_client import HttpService
+from jasminewalk.sidecars.weights_client import HttpWeightStore
+from jasminewalk.standins.engine_model import (
+    EngineModelSettings,
+    output_length,
+    token_text,
+)
+from jasminewalk.standins.standin_engine import StandinEngine
+from jasminewalk.standins.standin_instances import StandinInstances
+from jasminewalk.standins.standin_log import StandinLog
+from jasminewalk.standins.standin_service import StandinService
+from jasminewalk.standins.standin_weights import StandinWeights
+from jasminewalk.transport._http import http_client
+from jasminewalk.transport._http_call import NotSentError, call
+from jasminewalk.transport.instances_client import HttpInstanceList
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -1,13 +1,13 @@
 import attrs
 import pytest
 
-from jasminewalk.entry_status import EndpointStatus, EntryStatus
 from jasminewalk.generated_messages import LoadReport
 from jasminewalk.generated_requests import Instance
-from jasminewalk.publish import behind, in_force_line
-from jasminewalk.status import fleet_status
-from jasminewalk.status_text import status_lines, trace_lines
-from jasminewalk.traces import AttemptTrace, RequestTrace
+from jasminewalk.ingress.entry_status import EndpointStatus, EntryStatus
+from jasminewalk.ingress.traces import AttemptTrace, RequestTrace
+from jasminewalk.operators.publish import behind, in_force_line
+from jasminewalk.operators.status import fleet_status
+from jasminewalk.operators.status_text import status_lines, trace_lines
 from jasminewalk.types import Candidate
 
 REPORT = LoadReport(
--- a/tests/test_templates.py
+++ b/tests/test_templates.py
@@ -7,7 +7,7 @@
     TemplateParameter,
     TemplateVersion,
 )
-from jasminewalk.templates import (
+from jasminewalk.operators.templates import (
     parameter_problem,
     render_organisation,
     template_problems,
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -1,6 +1,6 @@
 from hypothesis import given, settings, strategies as st
 
-from jasminewalk.tokens import CharacterTokenizer
+from jasminewalk.scheduling.tokens import CharacterTokenizer
 
 BLOCK = 256
 texts = st.text(max_size=40).map(lambda text: text * 40)
