--- a/src/jasminewalk/gateway/decision_log.py
+++ b/src/jasminewalk/gateway/decision_log.py
@@ -14,8 +14,11 @@
 
 __all__ = ["DecisionLog", "LineBuffer"]
 
-# Lines of ordinary decisions written in a second; failures may use as many again.
+# Lines written in a second: decisions on requests are suppressed first, then failures
+# of requests, and last what changes the beliefs of the process.
 LINES_PER_S = 300
+FAILURE_LINES_PER_S = 450
+BELIEF_LINES_PER_S = 600
 # Lines held while standard output takes none.
 HELD_LINES = 4000
 FLUSH_S = 0.1
@@ -109,16 +112,18 @@
         :param event: what was decided or believed.
         :param fields: inputs, their age, and the outcome.
         """
-        if self._allowed(LINES_PER_S):
+        limit = LINES_PER_S if "request" in fields else BELIEF_LINES_PER_S
+        if self._allowed(limit):
             self._write(standard_logging.INFO, event, fields)
 
     def warning(self, event: str, **fields: Any) -> None:
-        """Write a line for a failure; such lines are the last to be suppressed.
+        """Write a line for a failure, suppressed later than other lines.
 
         :param event: what failed.
         :param fields: inputs, their age, and the outcome.
         """
-        if self._allowed(2 * LINES_PER_S):
+        limit = FAILURE_LINES_PER_S if "request" in fields else BELIEF_LINES_PER_S
+        if self._allowed(limit):
             self._write(standard_logging.WARNING, event, fields)
 
     async def flush_forever(self) -> None:
@@ -141,8 +146,8 @@
         if second != self.second:
             self.second = second
             self.in_second = 0
-        self.in_second += 1
-        if self.in_second <= limit:
+        if self.in_second < limit:
+            self.in_second += 1
             return True
         self.suppressed += 1
         return False
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -6,7 +6,12 @@
 import pytest
 
 from gateway_fakes import engine_of, prompt_of
-from jasminewalk.gateway.decision_log import HELD_LINES, LINES_PER_S, DecisionLog
+from jasminewalk.gateway.decision_log import (
+    FAILURE_LINES_PER_S,
+    HELD_LINES,
+    LINES_PER_S,
+    DecisionLog,
+)
 from jasminewalk.gateway.demand import Demand
 from jasminewalk.gateway.fleet import Fleet
 from jasminewalk.gateway.peers import (
@@ -307,15 +312,19 @@
     assert line["severity"] == "INFO"
 
 
-def test_failures_are_the_last_to_be_suppressed_and_the_rest_is_counted(log, written):
+def test_beliefs_are_the_last_to_be_suppressed_and_the_rest_is_counted(log, written):
     for _ in range(LINES_PER_S + 50):
-        log.info("placed")
-    log.warning("failed")
+        log.info("placed", request="a")
+    log.warning("failed", request="a")
+    for _ in range(FAILURE_LINES_PER_S):
+        log.warning("failed", request="b")
+    log.info("store_regained", topic="t")
     log.flush()
     found = [line["event"] for line in lines(written)]
     assert found.count("placed") == LINES_PER_S
-    assert "failed" in found
-    assert lines(written)[-1]["count"] == 50
+    assert found.count("failed") == FAILURE_LINES_PER_S - LINES_PER_S
+    assert "store_regained" in found
+    assert lines(written)[-1]["count"] == 50 + 1 + LINES_PER_S
 
 
 def test_blocked_output_blocks_nobody(clock):
