--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 
 soak: env
 	$(BIN)/python tests/soak.py $(ARGS)
+	$(BIN)/python tests/gateway_soak.py $(ARGS)
 
 measure: env
 	$(BIN)/jasminewalk measure $(ARGS)
--- a/src/jasminewalk/gateway/placement.py
+++ b/src/jasminewalk/gateway/placement.py
@@ -30,7 +30,7 @@
 # Seconds of the hand-over of a prompt between two engines.
 HAND_OVER_S = 0.04
 # Longest read of a prompt on an engine that also answers others, in seconds.
-LONGEST_DIRECT_READ_S = 0.2
+LONGEST_DIRECT_READ_S = 0.35
 # Engine time weighs this much besides the caller's waiting time.
 ENGINE_TIME_WEIGHT = 1.0
 # Engines that a short question is compared on; gateways that all took the best of the
@@ -38,6 +38,9 @@
 SAMPLED_ENGINES = 3
 # Share of the reading engines' time that is asked for when they count as busy.
 BUSY_SHARE = 0.8
+# Weight of reading again what another engine keeps, besides the engine's time: a copy
+# pushes other parts out of its memory.
+REREAD_WEIGHT = 0.5
 # Seconds that one running request adds to the first token of another.
 RUNNING_S = 0.0005
 # Seconds of a plain request's wait per failure in a hundred.
@@ -139,17 +142,25 @@
         answering = in_stage(engines, DECODE)
         if work.tokens < SHORTEST_SPLIT_TOKENS:
             answering = self._sample(answering)
-        direct = self._best(work, answering, excluded)
+        held = max((e.cache.cached_tokens(work.parts) for e in engines), default=0)
+        direct = self._best(work, answering, excluded, held)
         reader = None
         if (may_split and work.tokens >= SHORTEST_SPLIT_TOKENS) or direct is None:
-            reader = self._best(work, in_stage(engines, PREFILL), excluded)
+            reader = self._best(work, in_stage(engines, PREFILL), excluded, held)
         found = []
         if reader is not None and in_stage(engines, DECODE):
             found.append(Option(reader, True, reader.total_s + HAND_OVER_S))
         if direct is not None and (not found or direct.read_s <= LONGEST_DIRECT_READ_S):
             found.append(Option(direct, False, direct.total_s))
         return sorted(
-            found, key=lambda option: option.predicted_s + option.estimate.read_s
+            found,
+            key=lambda option: (
+                option.predicted_s
+                + option.estimate.read_s
+                + REREAD_WEIGHT
+                * max(0, held - option.estimate.cached_tokens)
+                / READ_RATE
+            ),
         )
 
     def demand(
@@ -199,13 +210,16 @@
         work: PromptWork,
         engines: Sequence[EngineState],
         excluded: Collection[str],
+        held: int = 0,
     ) -> Estimate | None:
         estimates = [
             self.estimate(work, engine)
             for engine in engines
             if engine.entry.engine_id not in excluded
         ]
-        return min(estimates, key=lambda found: self._cost(work, found), default=None)
+        return min(
+            estimates, key=lambda found: self._cost(work, found, held), default=None
+        )
 
     def estimate(self, work: PromptWork, engine: EngineState) -> Estimate:
         """Predict what a prompt can expect of an engine.
@@ -224,11 +238,12 @@
             wait_s += OTHER_DOMAIN_S
         return Estimate(engine, wait_s, work_s / speed, work_s, cached)
 
-    def _cost(self, work: PromptWork, found: Estimate) -> tuple[float, int]:
+    def _cost(self, work: PromptWork, found: Estimate, held: int) -> tuple[float, int]:
         failing = max(0.0, found.engine.failure_rate - ACCEPTED_FAILURE_RATE)
         cost_s = (
             found.wait_s
             + (1.0 + ENGINE_TIME_WEIGHT) * found.read_s
+            + REREAD_WEIGHT * max(0, held - found.cached_tokens) / READ_RATE
             + 100 * FAILURE_S * failing
         )
         # Rounding lets prompts of one key meet again where all engines are alike.
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -358,7 +358,6 @@
                 for event in self.splitter.feed(chunk):
                     self._deliver(answer, event)
         except ExchangeBrokenError as error:
-            self.may_have_run = True
             return self._broken(engine, error.reason)
         except OutOfOrderError as error:
             return self._broken(engine, str(error))
@@ -385,12 +384,13 @@
             self.rejected(engine, answer.status)
             self.log("not_executed", engine=engine.entry.engine_id, reason=self.reason)
             return End.NOT_RUN
-        self.may_have_run = True
         self.failure = (answer, body)
         return self._broken(engine, f"engine answered {answer.status}")
 
     def _broken(self, engine: EngineState, reason: str) -> End:
         self.reason = reason
+        # Whatever broke it, the engine had the request and said nothing of not running.
+        self.may_have_run = True
         self.splitter.restart()
         self.warn(
             "stream_broken",
--- /dev/null
+++ b/tests/gateway_soak.py
@@ -0,0 +1,441 @@
+"""Fault soak: real gateways against stand-ins, with faults from outside.
+
+Gateways run as processes of their own; the store and the engines are stand-ins in this
+one. Faults are drawn from a seed: gateways are stopped, paused, killed and restarted,
+the store goes down, engines fail in the ways of ``platform_fakes`` or leave, and the
+configuration changes. What callers, engines and the store see is checked meanwhile.
+"""
+
+import asyncio
+import os
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import attrs
+import fire
+
+from platform_fakes import FakeEngine, FakeStore, configuration
+from test_gateway_daemon import SETTINGS, free_port
+
+SOURCE = Path(__file__).resolve().parent.parent / "src"
+GATEWAYS = 2
+CALLERS = 10
+# Seconds within which work for a caller that left must have ended.
+GONE_S = 0.8
+# Seconds after SIGTERM within which a gateway must have ended.
+GRACE_S = 6.0
+# Time for which an older version may still be seen after a newer one.
+ROLLBACK_SLACK_S = 0.5
+LEASE_S = 1.0
+RAN = ("answer", "error", "break_stream", "reset", "hang", "unsigned", "encoded")
+
+
+class ViolationError(Exception):
+    """A promise was broken."""
+
+
+@attrs.define(eq=False)
+class Gateway:
+    """One gateway process and what is known of its present life."""
+
+    name: str
+    ip: str
+    directory: Path
+    store: str
+    front: int = 0
+    process: subprocess.Popen | None = None
+    seen_version: int = 0
+    seen_at: float = 0.0
+    disturbed_at: float = 0.0
+    stopping: bool = False
+    pauses: int = 0
+
+    def start(self):
+        text = SETTINGS.format(
+            peer=7660, front=self.front, ready=self.front + 1, store=self.store
+        )
+        text = text.replace("127.0.0.1:", f"{self.ip}:").replace(
+            f'address = "{self.ip}:', 'address = "127.0.0.1:'
+        )
+        text = text.replace('ip = "127.0.0.1"', f'ip = "{self.ip}"')
+        text = text.replace("front-1", self.name).replace(
+            "lease_ms = 100", "lease_ms = 1000"
+        )
+        path = self.directory / f"{self.name}.toml"
+        path.write_text(text, encoding="utf-8")
+        environment = dict(os.environ, JASMINEWALK_CONFIG=str(path))
+        environment.setdefault("PYTHONPATH", str(SOURCE))
+        with (self.directory / f"{self.name}.log").open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "jasminewalk.gateway"],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+        self.seen_version, self.stopping = 0, False
+
+    def signal(self, number):
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+
+class Soak:
+    """One seeded run."""
+
+    def __init__(self, seed, directory):
+        self.random = random.Random(seed)
+        self.directory = directory
+        self.store = FakeStore()
+        self.engines = [FakeEngine(f"app-{n}") for n in range(3)]
+        self.engines += [FakeEngine("reader", "llm", "prefill")]
+        self.engines += [FakeEngine(f"decoder-{n}", "llm", "decode") for n in range(3)]
+        self.gateways = []
+        self.version = 1
+        self.numbers = 0
+        self.answers = 0
+        self.promised = set()
+        self.tasks = []
+
+    def now(self):
+        return asyncio.get_running_loop().time()
+
+    async def run(self, seconds):
+        await self.store.start(free_port())
+        self.put_configuration()
+        for engine in self.engines:
+            await engine.start(free_port())
+            self.store.put("keyed.servers", engine.engine_id, engine.entry())
+        for number in range(GATEWAYS):
+            gateway = Gateway(
+                f"front-{number}",
+                f"127.0.0.{number + 2}",
+                self.directory,
+                self.store.address,
+            )
+            gateway.front = free_port()
+            gateway.start()
+            self.gateways.append(gateway)
+        try:
+            async with asyncio.timeout(10):
+                while not await self.ready():
+                    await asyncio.sleep(0.05)
+            async with asyncio.TaskGroup() as group:
+                ends_at = self.now() + seconds
+                for number in range(CALLERS):
+                    group.create_task(self.call(number, ends_at))
+                group.create_task(self.disturb(ends_at))
+            await asyncio.sleep(0.3)
+            self.check_runs()
+            self.check_orders()
+        except* ViolationError as found:
+            raise found.exceptions[0] from None
+        finally:
+            for gateway in self.gateways:
+                gateway.signal(signal.SIGCONT)
+                gateway.signal(signal.SIGKILL)
+                gateway.process.wait()
+            for engine in self.engines:
+                engine.server.stop_listening()
+
+    async def ready(self):
+        return all([await self.probe(gateway) for gateway in self.gateways])
+
+    async def probe(self, gateway):
+        status, _ = await self.send(gateway, "/look/x", b"", 0.5)
+        return status == 200
+
+    def put_configuration(self):
+        marker = {
+            **configuration()["routes"][1],
+            "name": f"version-{self.version}",
+            "path_prefix": f"/version-{self.version}/",
+        }
+        routes = [*configuration()["routes"], marker]
+        self.store.put("keyed.op", "config", configuration(self.version, routes))
+
+    # Callers.
+
+    async def call(self, number, ends_at):
+        kinds = (
+            self.book, self.book, self.look, self.stream, self.stream, self.stream,
+            self.leave, self.ask_version,
+        )  # fmt: skip
+        while self.now() < ends_at:
+            gateway = self.random.choice(self.gateways)
+            await self.random.choice(kinds)(gateway)
+            await asyncio.sleep(self.random.uniform(0.0, 0.05))
+
+    def new_id(self):
+        self.numbers += 1
+        return f"q{self.numbers}"
+
+    async def send(self, gateway, path, body, timeout_s, request_id="", **headers):
+        request_id = request_id or self.new_id()
+        lines = [
+            f"POST {path} HTTP/1.1",
+            "Host: bar.example",
+            f"X-Jasminewalk-Request-Id: {request_id}",
+            "X-Jasminewalk-Deadline-Ms: 2000",
+            "Connection: close",
+            f"Content-Length: {len(body)}",
+            *(f"{name}: {value}" for name, value in headers.items()),
+        ]
+        data = ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+        writer = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                reader, writer = await asyncio.open_connection(
+                    gateway.ip, gateway.front
+                )
+                writer.write(data)
+                answer = await reader.read()
+        except (OSError, TimeoutError):
+            return 0, b""
+        finally:
+            if writer is not None:
+                writer.close()
+        head, _, rest = answer.partition(b"\r\n\r\n")
+        if not head:
+            return 0, b""
+        status = int(head.split()[1])
+        if status in (408, 421, 429, 503):
+            self.promised.add(request_id)
+        return status, rest
+
+    async def book(self, gateway):
+        body = self.new_id().encode()
+        disturbed_at, started = gateway.disturbed_at, self.now()
+        stopping = gateway.stopping
+        status, answer = await self.send(gateway, "/book/x", body, 3.0)
+        self.answers += status == 200
+        if status == 200 and answer != b"served by " + body:
+            raise ViolationError(f"booking {body!r} was answered {answer!r}")
+        calm = disturbed_at == gateway.disturbed_at and started - disturbed_at > 1.0
+        stopping = stopping or gateway.stopping or gateway.pauses
+        if status == 0 and calm and not stopping:
+            raise ViolationError(f"booking {body!r} had no answer from {gateway.name}")
+
+    async def look(self, gateway):
+        body = self.new_id().encode()
+        status, answer = await self.send(gateway, "/look/x", body, 3.0)
+        self.answers += status == 200
+        if status == 200 and answer != b"served by " + body:
+            raise ViolationError(f"lookup {body!r} was answered {answer!r}")
+
+    async def stream(self, gateway):
+        usage, prefix = self.random.choice(
+            (("380,40", "a:80,b:300"), ("9000,40", "c:8000,d:1000"))
+        )
+        status, answer = await self.send(
+            gateway,
+            self.random.choice(("/help/x", "/verdict/x")),
+            b"",
+            3.0,
+            **{
+                "X-Jasminewalk-Token-Usage": usage,
+                "X-Jasminewalk-Prompt-Prefix": prefix,
+            },
+        )
+        if status != 200:
+            return
+        self.answers += 1
+        found = [
+            int(line[4:]) for line in answer.split(b"\n") if line.startswith(b"id: ")
+        ]
+        if found != list(range(1, len(found) + 1)):
+            raise ViolationError(f"events came as {found}")
+        if answer.endswith(b"0\r\n\r\n") and len(found) != 3:
+            raise ViolationError(f"a stream of {found} looks complete")
+
+    async def leave(self, gateway):
+        request_id = self.new_id()
+        disturbed_at = gateway.disturbed_at
+        await self.send(gateway, "/look/slow", b"", 0.05, request_id)
+        await asyncio.sleep(GONE_S)
+        disturbed = disturbed_at != gateway.disturbed_at or gateway.pauses
+        if disturbed or gateway.stopping:
+            return
+        at_work = [e for e in self.engines if request_id in e.working]
+        if at_work:
+            raise ViolationError(
+                f"{at_work[0].engine_id} still works for a caller that left"
+            )
+
+    async def ask_version(self, gateway):
+        life, asked_at = gateway.process, self.now()
+        for version in range(self.version, max(0, self.version - 3), -1):
+            status, _ = await self.send(gateway, f"/version-{version}/", b"", 1.0)
+            if status in (0, 503):
+                return
+            if status == 404:
+                continue
+            if life is not gateway.process:
+                return
+            back = version < gateway.seen_version
+            if back and asked_at > gateway.seen_at + ROLLBACK_SLACK_S:
+                raise ViolationError(f"{gateway.name} went back to {version}")
+            if version > gateway.seen_version:
+                gateway.seen_version, gateway.seen_at = version, self.now()
+            return
+
+    # Faults.
+
+    async def disturb(self, ends_at):
+        faults = (
+            self.kill, self.pause, self.terminate, self.hang_up, self.store_outage,
+            self.engine_leaves, self.configure, self.lose_stage,
+            *(self.break_engine,) * 6,
+        )  # fmt: skip
+        while self.now() < ends_at:
+            await asyncio.sleep(self.random.uniform(0.05, 0.4))
+            self.later(self.random.choice(faults)())
+        await asyncio.gather(*self.tasks)
+
+    def later(self, work):
+        self.tasks.append(asyncio.create_task(work))
+
+    async def kill(self):
+        gateway = self.random.choice(self.gateways)
+        if gateway.stopping:
+            return
+        gateway.disturbed_at = self.now()
+        gateway.signal(signal.SIGCONT)
+        gateway.signal(signal.SIGKILL)
+        gateway.process.wait()
+        gateway.start()
+
+    async def pause(self):
+        gateway = self.random.choice(self.gateways)
+        gateway.disturbed_at = self.now()
+        gateway.pauses += 1
+        gateway.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(0.1, 4.0))
+        gateway.signal(signal.SIGCONT)
+        gateway.pauses -= 1
+        gateway.disturbed_at = self.now()
+
+    async def terminate(self):
+        gateway = self.random.choice(self.gateways)
+        if gateway.stopping or gateway.process.poll() is not None:
+            return
+        gateway.stopping = True
+        gateway.signal(signal.SIGTERM)
+        self.later(self.restarted(gateway, gateway.process))
+
+    async def restarted(self, gateway, life):
+        ends_at = self.now() + GRACE_S
+        while life.poll() is None and gateway.process is life:
+            paused = self.now() - gateway.disturbed_at < 4.5
+            if self.now() > ends_at and not paused:
+                raise ViolationError(f"{gateway.name} did not end after SIGTERM")
+            await asyncio.sleep(0.05)
+        if gateway.process is life:
+            # A process that has not installed its handlers yet ends by the signal.
+            if life.returncode not in (0, -signal.SIGKILL, -signal.SIGTERM):
+                raise ViolationError(f"{gateway.name} ended with {life.returncode}")
+            gateway.disturbed_at = self.now()
+            gateway.start()
+
+    async def hang_up(self):
+        gateway = self.random.choice(self.gateways)
+        gateway.signal(signal.SIGHUP)
+
+    async def break_engine(self):
+        engine = self.random.choice(self.engines)
+        engine.behaviour = self.random.choice((*RAN, "full"))
+        engine.delay_s = self.random.choice((0.0, 0.0, 0.2))
+        if engine.behaviour == "break_stream" and engine.service != "llm":
+            engine.behaviour = "answer"
+        await asyncio.sleep(self.random.uniform(0.2, 1.5))
+        engine.behaviour, engine.delay_s = "answer", 0.0
+
+    async def store_outage(self):
+        self.store.down = True
+        await asyncio.sleep(self.random.uniform(0.1, 1.5))
+        self.store.down = False
+
+    async def engine_leaves(self):
+        engine = self.random.choice(self.engines)
+        self.store.put("keyed.servers", engine.engine_id, engine.entry("draining"))
+        await asyncio.sleep(self.random.uniform(0.1, 1.0))
+        self.store.put("keyed.servers", engine.engine_id, engine.entry())
+
+    async def lose_stage(self):
+        reader = self.engines[3]
+        entry = reader.entry(stage="decode")
+        self.store.put("keyed.servers", reader.engine_id, entry)
+        await asyncio.sleep(self.random.uniform(2.0, 4.0))
+        self.store.put("keyed.servers", reader.engine_id, reader.entry())
+
+    async def configure(self):
+        self.version += self.random.choice((1, 1, 2))
+        self.put_configuration()
+
+    # What engines saw.
+
+    def check_runs(self):
+        runs = {}
+        for engine in self.engines:
+            for request_id, target, prefill in engine.ran:
+                if not prefill:
+                    runs.setdefault((request_id, target), []).append(engine.engine_id)
+        for (request_id, target), engines in runs.items():
+            if len(engines) > 1 and target.startswith((b"/book/", b"/help/")):
+                raise ViolationError(f"{request_id} ran at {engines}")
+            if request_id in self.promised and target.startswith(
+                (b"/book/", b"/help/")
+            ):
+                raise ViolationError(
+                    f"{request_id} was said not to have run: {engines}"
+                )
+
+    def check_orders(self):
+        for engine in self.engines:
+            for before, after in zip(engine.orders, engine.orders[1:], strict=False):
+                if after["fence"] < before["fence"]:
+                    raise ViolationError(f"fences went back at {engine.engine_id}")
+                if after["holder"] != before["holder"]:
+                    if after["fence"] == before["fence"]:
+                        raise ViolationError(
+                            f"two holders, one fence: {engine.engine_id}"
+                        )
+                    if after["at"] - before["at"] < LEASE_S * 0.7:
+                        raise ViolationError(
+                            f"holders took turns at {engine.engine_id}"
+                        )
+
+
+def play(seed, seconds):
+    """Play one seed; returns the number of whole answers."""
+    with tempfile.TemporaryDirectory() as directory:
+        made = Soak(seed, Path(directory))
+        asyncio.run(made.run(seconds))
+        return made.answers
+
+
+def soak(seconds=60, seed=1, length_s=8.0):
+    """Play seeds until the time is over.
+
+    :param seconds: how long to run.
+    :param seed: first seed; each run takes the next one.
+    :param length_s: seconds of each run.
+    """
+    failures, played = 0, 0
+    while played * (length_s + 3) < seconds:
+        try:
+            answers = play(seed, length_s)
+            print(f"seed={seed} answers={answers}", flush=True)
+        except ViolationError as violation:
+            failures += 1
+            print(f"seed={seed} violation={violation}", flush=True)
+        seed, played = seed + 1, played + 1
+    print(f"runs={played} violations={failures}")
+    return 1 if failures else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(fire.Fire(soak, serialize=lambda _: None))
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -155,9 +155,12 @@
 
     async def log_join(self, connection, query, body):
         asked = json.loads(body)
-        if asked["member"] not in self.joins:
+        now = asyncio.get_running_loop().time()
+        live = {m: until for m, until in self.joins.items() if until > now}
+        if live.keys() != self.joins.keys() or asked["member"] not in live:
             self.generation += 1
-            self.joins[asked["member"]] = True
+        self.joins = live
+        self.joins[asked["member"]] = now + asked["ttl_ms"] / 1e3
         holder = next(iter(self.joins))
         parts = [[asked["topics"][0], 0, 0]] if holder == asked["member"] else []
         answer = {"generation": self.generation, "ttl_ms": 3000, "parts": parts}
@@ -178,6 +181,8 @@
         self.zone = zone
         self.requests = []
         self.cancelled = []
+        self.ran = []
+        self.working = set()
         self.orders = []
         self.freed = []
         self.events = 3
@@ -214,11 +219,18 @@
             await self.own_call(connection, request)
             return
         self.requests.append((request, headers))
+        request_id = headers[b"x-jasminewalk-request-id"].decode()
+        if self.behaviour != "full":
+            prefill = b"x-jasminewalk-stage" in headers
+            self.ran.append((request_id, request.target, prefill))
+        self.working.add(request_id)
         try:
             await getattr(self, self.behaviour)(connection, request, headers)
         except asyncio.CancelledError:
-            self.cancelled.append(headers[b"x-jasminewalk-request-id"].decode())
+            self.cancelled.append(request_id)
             raise
+        finally:
+            self.working.discard(request_id)
 
     async def own_call(self, connection, request):
         if request.path == "/-/report":
@@ -231,7 +243,9 @@
             }
             connection.answer(200, (), json.dumps(report).encode())
         elif request.path == "/-/order":
-            self.orders.append(json.loads(request.body))
+            order = json.loads(request.body)
+            order["at"] = asyncio.get_running_loop().time()
+            self.orders.append(order)
             connection.answer(202, (), b"")
         else:
             self.freed.append(request.path)
@@ -244,7 +258,7 @@
         ]
 
     async def answer(self, connection, request, headers):
-        await asyncio.sleep(self.delay_s)
+        await asyncio.sleep(1.5 if request.path.endswith("/slow") else self.delay_s)
         if headers.get(b"x-jasminewalk-stage") == b"prefill":
             body = {"kv_handle": f"h-{len(self.requests)}", "tokens": 1, "version": 1}
             connection.answer(200, self.head(headers), json.dumps(body).encode())
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -179,6 +179,29 @@
     assert ("retry-after" in head) == (status == 503)
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("behaviour", "status"),
+    [
+        ("error", 500),
+        ("full", 503),
+        ("reset", 502),
+        ("unsigned", 502),
+        ("encoded", 502),
+        ("overloaded_without_promise", 502),
+        ("hang", 504),
+    ],
+)
+async def test_generation_that_may_have_run_is_not_said_not_to(
+    system, behaviour, status
+):
+    await system.start(*llms()[1:])
+    for engine in system.engines.values():
+        engine.behaviour = behaviour
+    usage = {"x_jasminewalk_token_usage": "380,40"}
+    assert (await system.ask("/help/", **usage))[0] == status
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("behaviour", ["error", "full", "reset", "unsigned", "encoded"])
 async def test_safe_request_is_sent_to_a_second_engine(system, behaviour):
