--- a/src/jasminewalk/gateway/daemon.py
+++ b/src/jasminewalk/gateway/daemon.py
@@ -1,23 +1,20 @@
 """The gateway's process: from its settings to its end."""
 
 import asyncio
-import json
 import signal
-import socket
 import time
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
-import msgspec
-
-from jasminewalk.exceptions import BadSettingsError, LogUnavailableError
+from jasminewalk.exceptions import BadSettingsError
 from jasminewalk.gateway.admission import AdmissionPolicy
 from jasminewalk.gateway.decision_log import DecisionLog
 from jasminewalk.gateway.engine_clients import EngineClients
 from jasminewalk.gateway.fleet import Fleet
 from jasminewalk.gateway.metrics import GatewayMetrics
-from jasminewalk.gateway.peers import LoadExchange, decode_news
+from jasminewalk.gateway.peer_link import GatewaysFollower, PeerLink
+from jasminewalk.gateway.peers import LoadExchange
 from jasminewalk.gateway.placement import PlacementPolicy
 from jasminewalk.gateway.plain_run import PlainRun
 from jasminewalk.gateway.routes import RouteTable
@@ -25,19 +22,12 @@
 from jasminewalk.gateway.stage_holder import HolderLease
 from jasminewalk.gateway.stage_keeper import SESSION_S, StageKeeper
 from jasminewalk.gateway.stage_planner import StagePlanner
+from jasminewalk.gateway.store_connections import StoreConnections
 from jasminewalk.gateway.store_follower import (
     ConfigurationFollower,
     RegistryFollower,
-    TopicFollower,
 )
 from jasminewalk.gateway.stream_run import StreamRun
-from jasminewalk.http1.client import (
-    ConnectionPool,
-    Exchange,
-    ExchangeBrokenError,
-    connect,
-    request_bytes,
-)
 from jasminewalk.http1.server import (
     CallerConnection,
     CallerRequest,
@@ -47,11 +37,7 @@
 from jasminewalk.platform.configuration import ServingConfiguration
 from jasminewalk.platform.headers import decode_request_head
 from jasminewalk.platform.settings import load_settings
-from jasminewalk.platform.store import (
-    GATEWAYS_TOPIC,
-    RecordsPage,
-    StoreClient,
-)
+from jasminewalk.platform.store import StoreClient
 
 __all__ = ["GatewayDaemon"]
 
@@ -60,24 +46,15 @@
 NOT_FOUND, UNAVAILABLE, OK, BAD_REQUEST = 404, 503, 200, 400
 # Advice to come back to a gateway that knows no configuration yet, in seconds.
 STARTING_RETRY_S = 0.5
-# Seconds between two messages to the other gateways, and what each gateway beyond
-# the first few adds, so that large fleets do not spend their time on them.
-NEWS_S = 0.1
-FEW_GATEWAYS = 30
-# Seconds between two reads of the list of gateways; a new one makes itself known.
-GATEWAYS_PERIOD_S = 20.0
-# Seconds after the start at which those that started together are listed.
-GATEWAYS_SETTLED_S = 2.0
+# Seconds between two looks whether the settings file has changed.
 SETTINGS_PERIOD_S = 1.0
 # Seconds after SIGTERM during which new connections are still taken, until the
 # balancer has seen two refusals of readiness.
 LINGER_S = 2.3
 # Seconds kept back at the end of the grace time.
 GRACE_MARGIN_S = 0.7
-STORE_CONNECT_S = 0.5
 # Seconds after which a task that failed is started again.
 TASK_RESTART_S = 0.5
-STORE_IDLE_S = 2.0
 
 
 class GatewayDaemon:
@@ -121,20 +98,20 @@
         self.metrics_server = CallersServer(
             self.handle_control, self.clock, self._handler_failed, self._unreadable
         )
-        self.store_pool = ConnectionPool(
-            self.settings.store_address, self.clock, STORE_IDLE_S
+        self.store_connections = StoreConnections(
+            self.settings.store_address, self.clock
         )
-        self.store = StoreClient(self._store_call)
+        self.store = StoreClient(self.store_connections.call)
         self.configuration = ConfigurationFollower(
             self.store, self.log, self.clock, self._apply
         )
         self.registry = RegistryFollower(self.store, self.log, self.clock, self.fleet)
         self.registry.on_return = lambda: self.fleet.store_returned(self.clock())
-        self.configuration.on_read = self.registry.on_read = self._tell
-        self.gateways = _GatewaysFollower(
-            GATEWAYS_TOPIC, self.store, self.log, self.clock, GATEWAYS_PERIOD_S
+        self.gateways = GatewaysFollower(self.store, self.log, self.clock, self.peers)
+        self.link = PeerLink(
+            self.peers, self.configuration, self.registry, self.log, self.clock
         )
-        self.gateways.peers = self.peers
+        self.configuration.on_read = self.registry.on_read = self.link.tell
         self.keeper = StageKeeper(
             f"{self.settings.name}/{self.started_ms}",
             self.settings.name,
@@ -143,11 +120,13 @@
             self.peers,
             self.clients,
             StagePlanner(),
-            HolderLease(SESSION_S, self.settings.bounds.holder_gap_s),
+            HolderLease(
+                max(SESSION_S, self.settings.store_session_s),
+                self.settings.bounds.holder_gap_s,
+            ),
             self.log,
             self.clock,
         )
-        self.udp: asyncio.DatagramTransport | None = None
         self.tasks: list[asyncio.Task[None]] = []
 
     async def run(self) -> None:
@@ -160,7 +139,7 @@
         await self.control.listen(self.settings.readiness_address)
         await self.callers.listen(self.settings.callers_address)
         await self._listen_for_metrics()
-        await self._open_peers()
+        await self.link.open()
         for work in (
             self.log.flush_forever,
             self.callers.sweep_forever,
@@ -169,8 +148,8 @@
             self.clients.sweep_forever,
             self.configuration.run,
             self.registry.run,
-            self._join_gateways,
-            self._tell_peers,
+            self.gateways.join_and_run,
+            self.link.run,
             self._watch_settings,
             self.keeper.run,
         ):
@@ -188,7 +167,7 @@
         if settings != self.parts.settings:
             self.parts.settings = settings
             self.parts.budgets.clear()
-            self.store_pool.address = settings.store_address
+            self.store_connections.use_address(settings.store_address)
             self.log.info("settings_reloaded")
 
     @property
@@ -293,38 +272,6 @@
             return None
         return status.st_mtime_ns, status.st_size
 
-    # The store.
-
-    async def _store_call(
-        self, method: bytes, target: str, body: bytes, timeout_s: float
-    ) -> tuple[int, bytes]:
-        address = self.store_pool.address
-        headers = [(b"host", address.encode())]
-        try:
-            async with asyncio.timeout(timeout_s):
-                connection = self.store_pool.take_idle(STORE_IDLE_S)
-                if connection is None:
-                    connection = await connect(address, STORE_CONNECT_S, self.clock)
-                exchange = Exchange()
-                try:
-                    connection.send(
-                        request_bytes(method, target.encode(), headers, body), exchange
-                    )
-                    answer = await exchange.head()
-                    content = await exchange.body()
-                finally:
-                    if exchange.complete:
-                        self.store_pool.put_back(connection)
-                    else:
-                        connection.abort()
-        except ExchangeBrokenError as error:
-            raise LogUnavailableError(f"store: {error.reason}") from error
-        except TimeoutError as error:
-            raise LogUnavailableError("store: no answer in time") from error
-        return answer.status, content
-
-    # Other gateways.
-
     async def _listen_for_metrics(self) -> None:
         try:
             await self.metrics_server.listen(f"{self.settings.ip}:{METRICS_PORT}")
@@ -332,55 +279,6 @@
             # The metrics are served beside readiness, too.
             self.log.warning("metrics_port_taken", port=METRICS_PORT, reason=str(error))
 
-    async def _open_peers(self) -> None:
-        loop = asyncio.get_running_loop()
-        udp, _ = await loop.create_datagram_endpoint(
-            lambda: _PeerProtocol(self._heard),
-            local_addr=(self.settings.ip, self.settings.peer_port),
-            family=socket.AF_INET,
-        )
-        self.udp = udp
-
-    async def _join_gateways(self) -> None:
-        value = json.dumps({"address": self.peers.address}).encode()
-        while True:
-            try:
-                await self.store.put(GATEWAYS_TOPIC, self.settings.name, value)
-                break
-            except (LogUnavailableError, OSError) as error:
-                self.log.warning("gateway_not_listed", reason=repr(error))
-                await asyncio.sleep(STARTING_RETRY_S)
-        await asyncio.sleep(GATEWAYS_SETTLED_S)
-        await self.gateways.run()
-
-    async def _tell_peers(self) -> None:
-        while True:
-            self._tell()
-            for node in self.peers.forget_silent(self.clock()):
-                self.log.info("peer_silent", peer=node)
-            count = 1 + len(self.peers.peers)
-            await asyncio.sleep(NEWS_S * max(1.0, count / FEW_GATEWAYS))
-
-    def _tell(self) -> None:
-        now = self.clock()
-        data = self.peers.message(
-            now, self.configuration.news(now), self.registry.news(now)
-        )
-        for peer in list(self.peers.peers.values()):
-            host, _, port = peer.address.rpartition(":")
-            if self.udp is not None:
-                self.udp.sendto(data, (host, int(port)))
-
-    def _heard(self, data: bytes) -> None:
-        news = decode_news(data)
-        if news is None:
-            self.log.warning("peer_unreadable", size=len(data))
-            return
-        now = self.clock()
-        if self.peers.take(now, news):
-            self.configuration.hear(now, news.configuration)
-            self.registry.hear(now, news.registry)
-
     # The end.
 
     async def _drain(self) -> None:
@@ -415,39 +313,6 @@
                 await asyncio.sleep(TASK_RESTART_S)
 
 
-class _PeerProtocol(asyncio.DatagramProtocol):
-    def __init__(self, heard: Callable[[bytes], None]) -> None:
-        self.heard = heard
-
-    def datagram_received(self, data: bytes, addr: Any) -> None:
-        self.heard(data)
-
-    def error_received(self, exc: Exception) -> None:
-        """Pass over unreachable peers; their silence is noticed."""
-
-
-class _GatewaysFollower(TopicFollower):
-    peers: LoadExchange
-
-    def take_newest(self, page: RecordsPage) -> bool:
-        return self.take_changes(page)
-
-    def take_changes(self, page: RecordsPage) -> bool:
-        for record in page.records:
-            if record.value is None:
-                continue
-            try:
-                address = msgspec.json.decode(record.value)["address"]
-                host, _, port = address.rpartition(":")
-                socket.inet_aton(host)
-                int(port)
-            except (msgspec.DecodeError, KeyError, TypeError, ValueError, OSError) as e:
-                self.log.warning("gateway_unreadable", key=record.key, reason=repr(e))
-                continue
-            self.peers.learn_address(record.key, address)
-        return bool(page.records)
-
-
 def _where(error: BaseException | None) -> str:
     trace = error.__traceback__ if error else None
     while trace is not None and trace.tb_next is not None:
--- /dev/null
+++ b/src/jasminewalk/gateway/peer_link.py
@@ -0,0 +1,172 @@
+"""UDP link between gateways, and the list by which they find one another."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from jasminewalk.exceptions import LogUnavailableError
+from jasminewalk.gateway.decision_log import DecisionLog
+from jasminewalk.gateway.peers import LoadExchange, decode_news
+from jasminewalk.gateway.store_follower import (
+    ConfigurationFollower,
+    RegistryFollower,
+    TopicFollower,
+)
+from jasminewalk.platform.store import GATEWAYS_TOPIC, RecordsPage, StoreClient
+
+__all__ = ["GatewaysFollower", "PeerLink"]
+
+# Seconds between two messages to the other gateways; larger fleets send less often, so
+# that they do not spend their time on it.
+NEWS_S = 0.1
+FEW_GATEWAYS = 30
+# Seconds between two reads of the list of gateways; a new one makes itself known.
+LIST_PERIOD_S = 20.0
+# Seconds after the start at which those that started together are listed.
+LIST_SETTLED_S = 2.0
+# Seconds between tries to be listed.
+LISTING_RETRY_S = 0.5
+
+
+class GatewaysFollower(TopicFollower):
+    """Lists this gateway at the store, and learns the addresses of the others.
+
+    :param store: the metadata store.
+    :param log: decision log.
+    :param clock: returns the current instant in seconds.
+    :param peers: takes the addresses.
+    """
+
+    def __init__(
+        self,
+        store: StoreClient,
+        log: DecisionLog,
+        clock: Callable[[], float],
+        peers: LoadExchange,
+    ) -> None:
+        super().__init__(GATEWAYS_TOPIC, store, log, clock, LIST_PERIOD_S)
+        self.peers = peers
+
+    async def join_and_run(self) -> None:
+        """List this gateway, then read the list forever."""
+        value = msgspec.json.encode({"address": self.peers.address})
+        while True:
+            try:
+                await self.store.put(GATEWAYS_TOPIC, self.peers.node, value)
+                break
+            except (LogUnavailableError, OSError) as error:
+                self.log.warning("gateway_not_listed", reason=repr(error))
+                await asyncio.sleep(LISTING_RETRY_S)
+        await asyncio.sleep(LIST_SETTLED_S)
+        await self.run()
+
+    def take_newest(self, page: RecordsPage) -> bool:
+        """Take the address of each gateway."""
+        return self.take_changes(page)
+
+    def take_changes(self, page: RecordsPage) -> bool:
+        """Take addresses in the order of the topic."""
+        for record in page.records:
+            if record.value is None:
+                continue
+            try:
+                address = msgspec.json.decode(record.value)["address"]
+                host, _, port = address.rpartition(":")
+                socket.inet_aton(host)
+                int(port)
+            except (
+                msgspec.DecodeError,
+                AttributeError,
+                KeyError,
+                TypeError,
+                ValueError,
+                OSError,
+            ) as error:
+                reason = repr(error)
+                self.log.warning("gateway_unreadable", key=record.key, reason=reason)
+                continue
+            self.peers.learn_address(record.key, address)
+        return bool(page.records)
+
+
+class PeerLink:
+    """Tells other gateways of this one's work, and hears of theirs.
+
+    :param peers: builds and takes the messages.
+    :param configuration: follower of the configuration.
+    :param registry: follower of the registry.
+    :param log: decision log.
+    :param clock: returns the current instant in seconds.
+    """
+
+    def __init__(
+        self,
+        peers: LoadExchange,
+        configuration: ConfigurationFollower,
+        registry: RegistryFollower,
+        log: DecisionLog,
+        clock: Callable[[], float],
+    ) -> None:
+        self.peers = peers
+        self.configuration = configuration
+        self.registry = registry
+        self.log = log
+        self.clock = clock
+        self.socket: asyncio.DatagramTransport | None = None
+
+    async def open(self) -> None:
+        """Open the socket."""
+        host, _, port = self.peers.address.rpartition(":")
+        self.socket, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: _Datagrams(self.hear),
+            local_addr=(host, int(port)),
+            family=socket.AF_INET,
+        )
+
+    async def run(self) -> None:
+        """Tell the other gateways forever."""
+        while True:
+            self.tell()
+            for node in self.peers.forget_silent(self.clock()):
+                self.log.info("peer_silent", peer=node)
+            count = 1 + len(self.peers.peers)
+            await asyncio.sleep(NEWS_S * max(1.0, count / FEW_GATEWAYS))
+
+    def tell(self) -> None:
+        """Tell the other gateways now."""
+        now = self.clock()
+        data = self.peers.message(
+            now, self.configuration.news(now), self.registry.news(now)
+        )
+        for peer in list(self.peers.peers.values()):
+            host, _, port = peer.address.rpartition(":")
+            if self.socket is not None:
+                self.socket.sendto(data, (host, int(port)))
+
+    def hear(self, data: bytes) -> None:
+        """Take a datagram.
+
+        :param data: the datagram.
+        """
+        news = decode_news(data)
+        if news is None:
+            self.log.warning("peer_unreadable", size=len(data))
+            return
+        now = self.clock()
+        if self.peers.take(now, news):
+            self.configuration.hear(now, news.configuration)
+            self.registry.hear(now, news.registry)
+
+
+class _Datagrams(asyncio.DatagramProtocol):
+    def __init__(self, heard: Callable[[bytes], None]) -> None:
+        self.heard = heard
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        self.heard(data)
+
+    def error_received(self, exc: Exception) -> None:
+        """Pass over unreachable peers; their silence is noticed."""
--- a/src/jasminewalk/gateway/run.py
+++ b/src/jasminewalk/gateway/run.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from enum import Enum, auto
 
 import attrs
 
@@ -19,7 +20,7 @@
 from jasminewalk.platform.headers import RequestHead, relayed_headers
 from jasminewalk.platform.settings import InstanceSettings
 
-__all__ = ["GatewayParts", "Run"]
+__all__ = ["End", "GatewayParts", "Run", "RunLoad"]
 
 # Seconds of a request's time kept back for the way to the caller.
 ANSWER_TRAVEL_S = 0.02
@@ -30,6 +31,15 @@
 ENGINE_FULL_RETRY_S = 0.15
 
 
+class End(Enum):
+    """How one attempt at a stream ended."""
+
+    DONE = auto()
+    NOT_RUN = auto()
+    BROKEN = auto()
+    NOT_SENT = auto()
+
+
 @attrs.define
 class GatewayParts:
     """Parts of a gateway that its runs use.
--- a/src/jasminewalk/gateway/stage_keeper.py
+++ b/src/jasminewalk/gateway/stage_keeper.py
@@ -105,7 +105,11 @@
         asked_at = suspended_clock()
         try:
             told = await self.store.join(
-                GROUP, self.member, GATEWAYS_TOPIC, SESSION_S, self.lease.generation
+                GROUP,
+                self.member,
+                GATEWAYS_TOPIC,
+                self.lease.session_s,
+                self.lease.generation,
             )
         except (LogUnavailableError, OSError, TimeoutError) as error:
             if self.lease.held_since is not None:
--- /dev/null
+++ b/src/jasminewalk/gateway/store_connections.py
@@ -0,0 +1,77 @@
+"""Connections to the platform's metadata store."""
+
+import asyncio
+from collections.abc import Callable
+
+from jasminewalk.exceptions import LogUnavailableError
+from jasminewalk.http1.client import (
+    ConnectionPool,
+    Exchange,
+    ExchangeBrokenError,
+    connect,
+    request_bytes,
+)
+
+__all__ = ["StoreConnections"]
+
+# Seconds that a new connection to the store may take.
+CONNECT_TIMEOUT_S = 0.5
+# Seconds after which an idle connection is not used again: it may be silent.
+IDLE_S = 2.0
+
+
+class StoreConnections:
+    """Sends calls to the store over kept connections.
+
+    :param address: ``host:port``.
+    :param clock: returns the current instant in seconds.
+    """
+
+    def __init__(self, address: str, clock: Callable[[], float]) -> None:
+        self.clock = clock
+        self.pool = ConnectionPool(address, clock, IDLE_S)
+
+    def use_address(self, address: str) -> None:
+        """Send later calls elsewhere.
+
+        :param address: ``host:port``.
+        """
+        if address != self.pool.address:
+            self.pool.close()
+            self.pool.address = address
+
+    async def call(
+        self, method: bytes, target: str, body: bytes, timeout_s: float
+    ) -> tuple[int, bytes]:
+        """Send one call and return status and body.
+
+        :param method: method.
+        :param target: path and query.
+        :param body: whole body.
+        :param timeout_s: seconds it may take.
+        :raises LogUnavailableError: if it isn't answered whole and in time.
+        """
+        headers = [(b"host", self.pool.address.encode())]
+        request = request_bytes(method, target.encode(), headers, body)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._exchange(request)
+        except ExchangeBrokenError as error:
+            raise LogUnavailableError(f"store: {error.reason}") from error
+        except TimeoutError as error:
+            raise LogUnavailableError("store: no answer in time") from error
+
+    async def _exchange(self, request: bytes) -> tuple[int, bytes]:
+        connection = self.pool.take_idle(IDLE_S)
+        if connection is None:
+            connection = await connect(self.pool.address, CONNECT_TIMEOUT_S, self.clock)
+        exchange = Exchange()
+        try:
+            connection.send(request, exchange)
+            answer = await exchange.head()
+            return answer.status, await exchange.body()
+        finally:
+            if exchange.complete:
+                self.pool.put_back(connection)
+            else:
+                connection.abort()
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -1,9 +1,6 @@
 """Generations: placed by prompt, relayed event by event, resumed where allowed."""
 
 import asyncio
-from enum import Enum, auto
-
-import attrs
 
 from jasminewalk.exceptions import BadMessageError
 from jasminewalk.gateway.admission import Admission, Admitted
@@ -11,23 +8,23 @@
 from jasminewalk.gateway.event_stream import EventSplitter, OutOfOrderError
 from jasminewalk.gateway.fleet import EngineState
 from jasminewalk.gateway.placement import Estimate, Option, PromptWork
+from jasminewalk.gateway.read_prompt import ReadPrompt, free_prompt
 from jasminewalk.gateway.run import (
     BAD_GATEWAY,
     ENGINE_FULL_RETRY_S,
     GATEWAY_TIMEOUT,
+    End,
     Run,
     RunLoad,
 )
 from jasminewalk.http1.client import Answer, ExchangeBrokenError
-from jasminewalk.platform.engines import decode_prompt_handle, release_path
+from jasminewalk.platform.engines import decode_prompt_handle
 from jasminewalk.platform.headers import engine_headers, relayed_headers
 
 __all__ = ["StreamRun"]
 
 # A stream without a byte for this long is taken for broken, in seconds.
 SILENCE_S = 1.2
-# Seconds that freeing a handle may take.
-RELEASE_TIMEOUT_S = 0.5
 MAX_CONNECTS = 3
 SUCCESS = 200
 SHORTEST_SEND_S = 0.02
@@ -35,34 +32,6 @@
 RESUMED_PRIORITY = 0
 
 
-class End(Enum):
-    """How one attempt at a stream ended."""
-
-    DONE = auto()
-    NOT_RUN = auto()
-    BROKEN = auto()
-    NOT_SENT = auto()
-
-
-@attrs.define
-class ReadPrompt:
-    """A prompt that an engine read for this request and keeps.
-
-    :param engine: the engine that keeps it.
-    :param handle_id: names it there.
-    :param taken: whether it was handed over.
-    """
-
-    engine: EngineState
-    handle_id: str
-    taken: bool = False
-
-    @property
-    def source(self) -> str:
-        """Address and handle for the engine that goes on."""
-        return f"{self.engine.entry.address}/{self.handle_id}"
-
-
 class StreamRun(Run):
     """Runs a generation, and resumes it at another engine where that is allowed."""
 
@@ -254,21 +223,9 @@
     def _free_prompt(self) -> None:
         prompt, self.prompt = self.prompt, None
         if prompt is not None and not prompt.taken:
-            asyncio.get_running_loop().create_task(self._release(prompt))
-
-    async def _release(self, prompt: ReadPrompt) -> None:
-        try:
-            await self.parts.clients.call(
-                prompt.engine,
-                b"DELETE",
-                release_path(prompt.handle_id),
-                (),
-                b"",
-                RELEASE_TIMEOUT_S,
+            asyncio.get_running_loop().create_task(
+                free_prompt(self.parts.clients, prompt, self.log)
             )
-        except (ExchangeBrokenError, NotSentError, TimeoutError) as error:
-            # The engine frees the handle by itself when it expires.
-            self.log("handle_not_freed", reason=repr(error))
 
     # The stream.
 
--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -31,6 +31,8 @@
 # Time for which an older version may still be seen after a newer one.
 ROLLBACK_SLACK_S = 0.5
 LEASE_S = 1.0
+# Half of the faults of an engine with streams break them midway.
+STREAM_FAULTS = ("full",) + ("break_stream",) * 6
 RAN = ("answer", "error", "break_stream", "reset", "hang", "unsigned", "encoded")
 
 
@@ -56,7 +58,7 @@
 
     def start(self):
         text = SETTINGS.format(
-            peer=7660, front=self.front, ready=self.front + 1, store=self.store
+            peer=free_port(), front=self.front, ready=self.front + 1, store=self.store
         )
         text = text.replace("127.0.0.1:", f"{self.ip}:").replace(
             f'address = "{self.ip}:', 'address = "127.0.0.1:'
@@ -346,7 +348,8 @@
 
     async def break_engine(self):
         engine = self.random.choice(self.engines)
-        engine.behaviour = self.random.choice((*RAN, "full"))
+        ways = (*RAN, "full") if engine.service == "app" else (*RAN, *STREAM_FAULTS)
+        engine.behaviour = self.random.choice(ways)
         engine.delay_s = self.random.choice((0.0, 0.0, 0.2))
         if engine.behaviour == "break_stream" and engine.service != "llm":
             engine.behaviour = "answer"
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -276,9 +276,10 @@
             await asyncio.sleep(0)
 
     async def break_stream(self, connection, request, headers):
-        """Break off in the middle of the second event."""
-        await self.stream(connection, headers, 1)
-        connection.send_chunk(b"id: 2\nda")
+        """Break off in the middle of the event after the next."""
+        first = int(headers.get(b"last-event-id", b"0")) + 1
+        await self.stream(connection, headers, first)
+        connection.send_chunk(b"id: %d\nda" % (first + 1))
         await asyncio.sleep(0.02)
         connection.abort()
 
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -399,7 +399,7 @@
     assert (await system.ask("/book/seat"))[0] == 200
     system.write_settings(store="127.0.0.1:1")
     system.daemon.reload()
-    assert system.daemon.store_pool.address == "127.0.0.1:1"
+    assert system.daemon.store_connections.pool.address == "127.0.0.1:1"
 
 
 @asynccontextmanager
