--- a/src/jasminewalk/gateway/daemon.py
+++ b/src/jasminewalk/gateway/daemon.py
@@ -211,7 +211,12 @@
         service = self.routes.service_of(route, head.request_id)
         self.parts.budget(service).count_request(self.clock())
         kind = StreamRun if route.streaming else PlainRun
-        await kind(self.parts, connection, request, head, route, service).run()
+        run = kind(self.parts, connection, request, head, route, service)
+        try:
+            await run.run()
+        except asyncio.CancelledError:
+            run.warn("caller_left", engines=run.tried)
+            raise
 
     async def handle_control(
         self, connection: CallerConnection, request: CallerRequest
--- a/src/jasminewalk/gateway/fleet.py
+++ b/src/jasminewalk/gateway/fleet.py
@@ -83,6 +83,7 @@
     :param failures: failures in a row to reach it.
     :param gone_at: instant at which a missing entry counts as gone; None if listed.
     :param changing_until: instant up to which a change of its stage takes it away.
+    :param progress_at: instant at which it last sent this gateway anything.
     :param hold_s: smoothed seconds that a stream holds one of its slots.
     """
 
@@ -98,6 +99,7 @@
     failures: int = 0
     gone_at: float | None = None
     changing_until: float = 0.0
+    progress_at: float = float("-inf")
     hold_s: float = DEFAULT_HOLD_S
 
     @property
--- a/src/jasminewalk/gateway/plain_run.py
+++ b/src/jasminewalk/gateway/plain_run.py
@@ -153,6 +153,7 @@
             return
         engine.observe_outcome(outcome.answer is None)
         if outcome.answer is not None:
+            engine.progress_at = self.parts.clock()
             engine.observe_latency(taken_s)
             event = self.parts.fleet.trust(engine)
         elif outcome.reason == NO_ANSWER:
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -1,6 +1,7 @@
 """Generations: placed by prompt, relayed event by event, resumed where allowed."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from jasminewalk.exceptions import BadMessageError
 from jasminewalk.gateway.admission import Admission, Admitted
@@ -25,6 +26,10 @@
 
 # A stream without a byte for this long is taken for broken, in seconds.
 SILENCE_S = 1.2
+# An engine that sends this gateway nothing for so many times the predicted seconds, and
+# for the shortest time at least, counts as silent.
+PREDICTED_TIMES = 3.0
+SHORTEST_PATIENCE_S = 1.5
 MAX_CONNECTS = 3
 SUCCESS = 200
 SHORTEST_SEND_S = 0.02
@@ -69,6 +74,8 @@
             if engine is None:
                 self._finish("no engine", BAD_GATEWAY)
                 return
+            if option.split:
+                self.log("handed_over", engine=engine.entry.engine_id)
             end = await self._attempt(engine, estimate, priority)
             if end is End.DONE:
                 return
@@ -147,7 +154,8 @@
                     self.route.objective_s - self.age_s,
                     self.left_s,
                     self.route.rank,
-                    split=option.split,
+                    # Who waited in vain for a reader is not refused for being late.
+                    split=option.split or self.prompts_failed > 0,
                     busy=busy,
                 ),
             )
@@ -179,7 +187,9 @@
                 self._suspect(engine, error.reason)
                 return False
             try:
-                answer = await sent.exchange.head()
+                answer = await self._patiently(
+                    sent.exchange.head, engine, estimate.total_s, give_up=True
+                )
                 body = await sent.exchange.body()
                 handle = (
                     decode_prompt_handle(body) if answer.status == SUCCESS else None
@@ -246,7 +256,8 @@
             self.attempts += 1
             self.tried.append(engine.entry.engine_id)
             try:
-                end = await self._relay(sent, engine, load)
+                predicted_s = estimate.total_s if prompt is None else 0.0
+                end = await self._relay(sent, engine, load, predicted_s)
             finally:
                 sent.close()
         if end is End.DONE:
@@ -296,10 +307,18 @@
         )
 
     async def _relay(
-        self, sent: OpenExchange, engine: EngineState, load: RunLoad
+        self,
+        sent: OpenExchange,
+        engine: EngineState,
+        load: RunLoad,
+        predicted_s: float,
     ) -> End:
+        # A generation that can't go on elsewhere may as well wait.
+        give_up = self.route.resumable and self.attempts < self.route.max_attempts
         try:
-            answer = await sent.exchange.head()
+            answer = await self._patiently(
+                sent.exchange.head, engine, predicted_s, give_up=give_up
+            )
             if answer.status != SUCCESS:
                 return await self._not_streamed(sent, answer, engine)
             if answer.head.encoded or not answer.head.signed:
@@ -311,6 +330,7 @@
                 chunk = await self._next_chunk(sent, engine)
                 if not chunk:
                     break
+                engine.progress_at = self.parts.clock()
                 load.prompt_was_read()
                 for event in self.splitter.feed(chunk):
                     self._deliver(answer, event)
@@ -323,6 +343,33 @@
         self._end_stream(answer, engine)
         return End.DONE
 
+    async def _patiently(
+        self,
+        wait: Callable[[], Awaitable[Answer]],
+        engine: EngineState,
+        predicted_s: float,
+        *,
+        give_up: bool,
+    ) -> Answer:
+        """Wait for an answer, and suspect an engine that sends nothing to anyone."""
+        patience_s = max(SHORTEST_PATIENCE_S, PREDICTED_TIMES * predicted_s)
+        while True:
+            try:
+                async with asyncio.timeout(patience_s):
+                    answer = await wait()
+            except TimeoutError:
+                now = self.parts.clock()
+                if now - engine.progress_at < patience_s:
+                    continue
+                reason = f"silent for {patience_s:.1f} s"
+                event = self.parts.fleet.suspect(now, engine, reason)
+                self.warn(event.event, engine=event.engine, detail=event.detail)
+                if give_up:
+                    raise ExchangeBrokenError(reason) from None
+                continue
+            engine.progress_at = self.parts.clock()
+            return answer
+
     async def _next_chunk(self, sent: OpenExchange, engine: EngineState) -> bytes:
         if not self.started:
             return await sent.exchange.next_chunk()
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -320,6 +320,23 @@
     assert runs(system) == 1
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("silent", ["reader", "decoder-1"])
+async def test_generation_goes_on_when_an_engine_falls_silent(system, silent):
+    await system.start(*llms())
+    routes = [route | {"timeout_ms": 5000} for route in configuration()["routes"]]
+    system.store.put("keyed.op", "config", configuration(2, routes))
+    await asyncio.sleep(1.2)
+    system.engines[silent].behaviour = "hang"
+    system.daemon.fleet.engines["reader"].speeds.append(3.0)  # so that it is tried
+    for _ in range(3):
+        status, _, body = await system.ask(
+            "/verdict/", b"notes", x_jasminewalk_deadline_ms="5000", **MIDDLING
+        )
+        assert (status, body.count(b"data: token")) == (200, 3)
+    assert len(system.engines[silent].requests) < 3
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("path", ["/look/seats", "/verdict/"])
 async def test_work_for_a_caller_that_left_is_stopped(system, path):
@@ -330,6 +347,7 @@
         await system.ask(path, b"", timeout_s=0.1, **LONG)
     await asyncio.sleep(0.2)
     assert sum(len(engine.cancelled) for engine in system.engines.values()) == 1
+    assert len(system.logged("caller_left")) == 1
 
 
 @pytest.mark.anyio
