--- a/src/jasminewalk/gateway/__main__.py
+++ b/src/jasminewalk/gateway/__main__.py
@@ -1,12 +1,18 @@
 """Starts a gateway with ``python -m jasminewalk.gateway``."""
 
-import asyncio
-import sys
-from pathlib import Path
+import signal
 
-from jasminewalk.exceptions import BadSettingsError
-from jasminewalk.gateway.daemon import GatewayDaemon
-from jasminewalk.platform.settings import settings_path
+# A changed settings file is read at the start anyway; the signal's default would end
+# the process while the rest is imported.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import asyncio  # noqa: E402
+import sys  # noqa: E402
+from pathlib import Path  # noqa: E402
+
+from jasminewalk.exceptions import BadSettingsError  # noqa: E402
+from jasminewalk.gateway.daemon import GatewayDaemon  # noqa: E402
+from jasminewalk.platform.settings import settings_path  # noqa: E402
 
 __all__ = ["serve"]
 
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 import socket
+import subprocess
+import sys
 import tomllib
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -478,3 +480,9 @@
     deploy = Path(__file__).resolve().parent.parent / "deploy" / "system.toml"
     role = tomllib.loads(deploy.read_text(encoding="utf-8"))["roles"]["gateway"]
     assert role["metrics"] == f"{METRICS_PORT}/metrics"
+
+
+def test_signal_for_changed_settings_does_not_end_a_starting_process(tmp_path):
+    script = "import os, jasminewalk.gateway.__main__; os.kill(os.getpid(), 1)"
+    done = subprocess.run([sys.executable, "-c", script], check=False, timeout=20)
+    assert done.returncode == 0
