--- a/src/jasminewalk/cli.py
+++ b/src/jasminewalk/cli.py
@@ -180,7 +180,9 @@
         :param until: with logs, last instant in ISO 8601.
         """
         if logs:
-            return Action(lambda: _tell_story(logs, request_id, engine, since, until))
+            return Action(
+                lambda: _print_log_trace(logs, request_id, engine, since, until)
+            )
         from jasminewalk.operators.inspection import explain_request
         from jasminewalk.operators.status_text import trace_lines
 
@@ -251,14 +253,14 @@
         print("\n".join(lines))
 
 
-def _tell_story(
+def _print_log_trace(
     logs: str, request_id: str, engine: str, since: str, until: str
 ) -> None:
-    from jasminewalk.gateway.story import (
+    from jasminewalk.gateway.log_trace import (
         Selection,
+        format_lines,
         parse_lines,
         select_lines,
-        story_lines,
     )
 
     try:
@@ -277,7 +279,7 @@
         raise BadSettingsError(str(error)) from error
     if not found:
         raise UnknownRequestError(f"no line of {logs} matches")
-    print("\n".join(story_lines(found)))
+    print("\n".join(format_lines(found)))
 
 
 def _operator_settings(file: str) -> Any:
--- a/src/jasminewalk/gateway/daemon.py
+++ b/src/jasminewalk/gateway/daemon.py
@@ -111,7 +111,7 @@
         self.link = PeerLink(
             self.peers, self.configuration, self.registry, self.log, self.clock
         )
-        self.configuration.on_read = self.registry.on_read = self.link.tell
+        self.configuration.on_read = self.registry.on_read = self.link.announce
         self.keeper = StageKeeper(
             f"{self.settings.name}/{self.started_ms}",
             self.settings.name,
--- a/src/jasminewalk/gateway/story.py
+++ b/src/jasminewalk/gateway/log_trace.py
@@ -1,4 +1,4 @@
-"""The story of a request, an engine or a span of time, from gateways' log lines."""
+"""Trace of a request, an engine or a span of time, from gateways' log lines."""
 
 from collections.abc import Iterable, Iterator
 from datetime import datetime, timedelta
@@ -7,9 +7,9 @@
 import attrs
 import msgspec
 
-__all__ = ["LogLine", "Selection", "parse_lines", "select_lines", "story_lines"]
+__all__ = ["LogLine", "Selection", "parse_lines", "select_lines", "format_lines"]
 
-# Time before and after a request within which changes of belief belong to its story.
+# Time before and after a request within which changes of belief belong to its trace.
 AROUND = timedelta(seconds=2)
 SHOWN_APART = ("time", "severity", "event", "node")
 
@@ -32,7 +32,7 @@
 
 @attrs.frozen
 class Selection:
-    """Which lines belong to a story.
+    """Which lines belong to a trace.
 
     :param request: id of a request; empty for none.
     :param engine: id of an engine; empty for none.
@@ -68,13 +68,13 @@
 
 
 def select_lines(lines: Iterable[LogLine], selection: Selection) -> list[LogLine]:
-    """Return the lines of a story in the order of time.
+    """Return the lines of a trace in the order of time.
 
     Around a request, they include what its gateway came to believe of the engines that
     the request met.
 
     :param lines: lines of any gateways.
-    :param selection: which lines belong to the story.
+    :param selection: which lines belong to the trace.
     """
     ordered = sorted(lines, key=lambda line: line.time)
     if selection.request:
@@ -82,7 +82,7 @@
     return [line for line in ordered if _matches(line, selection)]
 
 
-def story_lines(lines: Iterable[LogLine]) -> Iterator[str]:
+def format_lines(lines: Iterable[LogLine]) -> Iterator[str]:
     """Write lines for people, with the milliseconds since the first.
 
     :param lines: lines in the order of time.
--- a/src/jasminewalk/gateway/peer_link.py
+++ b/src/jasminewalk/gateway/peer_link.py
@@ -9,7 +9,7 @@
 
 from jasminewalk.exceptions import LogUnavailableError
 from jasminewalk.gateway.decision_log import DecisionLog
-from jasminewalk.gateway.peers import LoadExchange, decode_news
+from jasminewalk.gateway.peers import LoadExchange, decode_peer_message
 from jasminewalk.gateway.store_follower import (
     ConfigurationFollower,
     RegistryFollower,
@@ -21,7 +21,7 @@
 
 # Seconds between two messages to the other gateways; larger fleets send less often, so
 # that they do not spend their time on it.
-NEWS_S = 0.1
+ANNOUNCE_INTERVAL_S = 0.1
 FEW_GATEWAYS = 30
 # Seconds between two reads of the list of gateways; a new one makes itself known.
 LIST_PERIOD_S = 20.0
@@ -121,7 +121,7 @@
         """Open the socket."""
         host, _, port = self.peers.address.rpartition(":")
         self.socket, _ = await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: _Datagrams(self.hear),
+            lambda: _Datagrams(self.receive),
             local_addr=(host, int(port)),
             family=socket.AF_INET,
         )
@@ -129,44 +129,44 @@
     async def run(self) -> None:
         """Tell the other gateways forever."""
         while True:
-            self.tell()
+            self.announce()
             for node in self.peers.forget_silent(self.clock()):
                 self.log.info("peer_silent", peer=node)
             count = 1 + len(self.peers.peers)
-            await asyncio.sleep(NEWS_S * max(1.0, count / FEW_GATEWAYS))
+            await asyncio.sleep(ANNOUNCE_INTERVAL_S * max(1.0, count / FEW_GATEWAYS))
 
-    def tell(self) -> None:
+    def announce(self) -> None:
         """Tell the other gateways now."""
         now = self.clock()
         data = self.peers.message(
-            now, self.configuration.news(now), self.registry.news(now)
+            now, self.configuration.progress(now), self.registry.progress(now)
         )
         for peer in list(self.peers.peers.values()):
             host, _, port = peer.address.rpartition(":")
             if self.socket is not None:
                 self.socket.sendto(data, (host, int(port)))
 
-    def hear(self, data: bytes) -> None:
+    def receive(self, data: bytes) -> None:
         """Take a datagram.
 
         :param data: the datagram.
         """
-        news = decode_news(data)
-        if news is None:
+        message = decode_peer_message(data)
+        if message is None:
             self.log.warning("peer_unreadable", size=len(data))
             return
         now = self.clock()
-        if self.peers.take(now, news):
-            self.configuration.hear(now, news.configuration)
-            self.registry.hear(now, news.registry)
+        if self.peers.take(now, message):
+            self.configuration.note_peer_progress(now, message.configuration)
+            self.registry.note_peer_progress(now, message.registry)
 
 
 class _Datagrams(asyncio.DatagramProtocol):
-    def __init__(self, heard: Callable[[bytes], None]) -> None:
-        self.heard = heard
+    def __init__(self, on_datagram: Callable[[bytes], None]) -> None:
+        self.on_datagram = on_datagram
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
-        self.heard(data)
+        self.on_datagram(data)
 
     def error_received(self, exc: Exception) -> None:
         """Pass over unreachable peers; their silence is noticed."""
--- a/src/jasminewalk/gateway/peers.py
+++ b/src/jasminewalk/gateway/peers.py
@@ -1,4 +1,4 @@
-"""What gateways tell one another, unasked and without agreement, over UDP."""
+"""State that gateways announce to one another over UDP, without agreement."""
 
 from collections import deque
 from collections.abc import Iterator
@@ -11,22 +11,28 @@
 from jasminewalk.gateway.fleet import EngineState, Fleet, Load
 from jasminewalk.platform.headers import PromptPart
 
-__all__ = ["LoadExchange", "LoadNews", "TopicNews", "decode_news", "engine_key"]
+__all__ = [
+    "LoadExchange",
+    "PeerMessage",
+    "TopicProgress",
+    "decode_peer_message",
+    "engine_key",
+]
 
 # Seconds after which the load of a silent gateway is forgotten.
 PEER_TIMEOUT_S = 1.5
-# Messages in which a read prompt is told, as single datagrams are lost at times.
-READ_TOLD_TIMES = 2
-# Messages between two that tell the learned speeds, which change slowly.
-SPEEDS_TOLD_EACH = 5
-# Shortest part of a prompt that is worth telling, in tokens.
-TOLD_PART_TOKENS = 1000
+# Messages in which a read prompt is announced, as single datagrams are lost at times.
+READ_ANNOUNCEMENTS = 2
+# Messages between two that carry the learned speeds, which change slowly.
+MESSAGES_PER_SPEEDS = 5
+# Shortest part of a prompt that is worth announcing, in tokens.
+ANNOUNCED_PART_TOKENS = 1000
 # Longest time for which an engine is left alone because it changes its stage.
 LONGEST_CHANGE_S = 8.0
-MAX_TOLD_READS = 40
+MAX_ANNOUNCED_READS = 40
 
 
-class TopicNews(msgspec.Struct, array_like=True, frozen=True):
+class TopicProgress(msgspec.Struct, array_like=True, frozen=True):
     """How far a gateway has read a topic of the store.
 
     :param read_ms_ago: milliseconds since its last read; negative if it never read.
@@ -37,7 +43,7 @@
     changed_offset: int = 0
 
 
-class LoadNews(msgspec.Struct, array_like=True, frozen=True):
+class PeerMessage(msgspec.Struct, array_like=True, frozen=True):
     """One gateway's message to all others.
 
     :param loads: engine, requests, and milliseconds of reading at an engine of speed 1.
@@ -50,8 +56,8 @@
     address: str
     started_ms: int
     number: int
-    configuration: TopicNews
-    registry: TopicNews
+    configuration: TopicProgress
+    registry: TopicProgress
     reading_ms: int
     answering_ms: int
     loads: list[tuple[int, int, int]]
@@ -60,13 +66,13 @@
     changing: list[tuple[int, int]]
 
 
-def decode_news(data: bytes) -> LoadNews | None:
+def decode_peer_message(data: bytes) -> PeerMessage | None:
     """Decode a datagram; None if it is no message of a gateway.
 
     :param data: the datagram.
     """
     try:
-        return msgspec.msgpack.decode(data, type=LoadNews)
+        return msgspec.msgpack.decode(data, type=PeerMessage)
     except msgspec.DecodeError:
         return None
 
@@ -81,7 +87,7 @@
 
 
 @attrs.define
-class _ToldRead:
+class _AnnouncedRead:
     engine: EngineState
     part: PromptPart
     times: int = 0
@@ -94,14 +100,14 @@
     :param address: ``host:port`` of its UDP socket.
     :param started_ms: start of its process.
     :param number: number of its last message.
-    :param heard_at: instant of its last message.
+    :param received_at: instant of its last message.
     :param demand: work that its callers ask for.
     """
 
     address: str
     started_ms: int = 0
     number: int = -1
-    heard_at: float = float("-inf")
+    received_at: float = float("-inf")
     demand: Demand = attrs.field(factory=Demand)
 
 
@@ -122,7 +128,7 @@
         self.peers: dict[str, Peer] = {}
         self.number = 0
         self.demand = DemandMeter()
-        self.reads: deque[_ToldRead] = deque()
+        self.reads: deque[_AnnouncedRead] = deque()
 
     def learn_address(self, node: str, address: str) -> None:
         """Take the address of another gateway.
@@ -137,11 +143,13 @@
             self.peers[node] = Peer(address)
 
     def live_peers(self, now: float) -> int:
-        """Return how many other gateways were heard lately.
+        """Return how many other gateways sent a message lately.
 
         :param now: current instant in seconds.
         """
-        return sum(now - peer.heard_at < PEER_TIMEOUT_S for peer in self.peers.values())
+        return sum(
+            now - peer.received_at < PEER_TIMEOUT_S for peer in self.peers.values()
+        )
 
     def rank(self, now: float) -> int:
         """Return this gateway's place among the live ones, by name.
@@ -149,7 +157,7 @@
         :param now: current instant in seconds.
         """
         return sum(
-            node < self.node and now - peer.heard_at < PEER_TIMEOUT_S
+            node < self.node and now - peer.received_at < PEER_TIMEOUT_S
             for node, peer in self.peers.items()
         )
 
@@ -160,23 +168,23 @@
         """
         total = self.demand.rate(now)
         for peer in self.peers.values():
-            if now - peer.heard_at < PEER_TIMEOUT_S:
+            if now - peer.received_at < PEER_TIMEOUT_S:
                 total = total + peer.demand
         return total
 
-    def note_read(self, engine: EngineState, prompt: tuple[PromptPart, ...]) -> None:
-        """Remember that an engine reads a prompt, to tell others.
+    def record_read(self, engine: EngineState, prompt: tuple[PromptPart, ...]) -> None:
+        """Remember that an engine reads a prompt, to announce it.
 
         :param engine: the engine.
         :param prompt: parts of the prompt.
         """
         engine.cache.add(prompt)
         for part in prompt:
-            if part.tokens >= TOLD_PART_TOKENS:
-                self.reads.append(_ToldRead(engine, part))
+            if part.tokens >= ANNOUNCED_PART_TOKENS:
+                self.reads.append(_AnnouncedRead(engine, part))
 
     def message(
-        self, now: float, configuration: TopicNews, registry: TopicNews
+        self, now: float, configuration: TopicProgress, registry: TopicProgress
     ) -> bytes:
         """Build the next message.
 
@@ -187,7 +195,7 @@
         self.number += 1
         demand = self.demand.rate(now)
         engines = self.fleet.engines.values()
-        news = LoadNews(
+        message = PeerMessage(
             node=self.node,
             address=self.address,
             started_ms=self.started_ms,
@@ -205,18 +213,18 @@
                 for engine in engines
                 if engine.own.requests
             ],
-            speeds=self._told_speeds(),
-            reads=self._told_reads(),
+            speeds=self._announced_speeds(),
+            reads=self._announced_reads(),
             changing=[
                 (engine_key(engine), round((engine.changing_until - now) * 1e3))
                 for engine in engines
                 if engine.changing_until > now
             ],
         )
-        return msgspec.msgpack.encode(news)
+        return msgspec.msgpack.encode(message)
 
-    def _told_speeds(self) -> list[tuple[int, int, int]]:
-        if self.number % SPEEDS_TOLD_EACH:
+    def _announced_speeds(self) -> list[tuple[int, int, int]]:
+        if self.number % MESSAGES_PER_SPEEDS:
             return []
         return [
             (engine_key(engine), round(engine.own_speed * 100), len(engine.speeds))
@@ -224,46 +232,50 @@
             if engine.speeds
         ]
 
-    def _told_reads(self) -> list[tuple[int, str, int]]:
-        told = list(self.reads)[:MAX_TOLD_READS]
-        for read in told:
+    def _announced_reads(self) -> list[tuple[int, str, int]]:
+        announced = list(self.reads)[:MAX_ANNOUNCED_READS]
+        for read in announced:
             read.times += 1
-        while self.reads and self.reads[0].times >= READ_TOLD_TIMES:
+        while self.reads and self.reads[0].times >= READ_ANNOUNCEMENTS:
             self.reads.popleft()
         return [
             (engine_key(read.engine), read.part.part_id, read.part.tokens)
-            for read in told
+            for read in announced
         ]
 
-    def take(self, now: float, news: LoadNews) -> bool:
+    def take(self, now: float, message: PeerMessage) -> bool:
         """Take a message of another gateway; False if it is old or our own.
 
         :param now: current instant in seconds.
-        :param news: the message.
+        :param message: the message.
         """
-        if news.node == self.node:
+        if message.node == self.node:
             return False
-        self.learn_address(news.node, news.address)
-        peer = self.peers[news.node]
-        if (news.started_ms, news.number) <= (peer.started_ms, peer.number):
+        self.learn_address(message.node, message.address)
+        peer = self.peers[message.node]
+        if (message.started_ms, message.number) <= (peer.started_ms, peer.number):
             return False
-        peer.started_ms, peer.number, peer.heard_at = news.started_ms, news.number, now
+        peer.started_ms, peer.number, peer.received_at = (
+            message.started_ms,
+            message.number,
+            now,
+        )
         by_key = {engine_key(engine): engine for engine in self.fleet.engines.values()}
         for engine in by_key.values():
-            engine.peers.pop(news.node, None)
-        for key, requests, reading_ms in news.loads:
+            engine.peers.pop(message.node, None)
+        for key, requests, reading_ms in message.loads:
             if key in by_key:
-                by_key[key].peers[news.node] = Load(requests, reading_ms / 1e3)
-        for key, speed, observations in news.speeds:
+                by_key[key].peers[message.node] = Load(requests, reading_ms / 1e3)
+        for key, speed, observations in message.speeds:
             if key in by_key:
-                by_key[key].peer_speeds[news.node] = (speed / 100, observations)
-        peer.demand = Demand(news.reading_ms / 1e3, news.answering_ms / 1e3)
-        for key, left_ms in news.changing:
+                by_key[key].peer_speeds[message.node] = (speed / 100, observations)
+        peer.demand = Demand(message.reading_ms / 1e3, message.answering_ms / 1e3)
+        for key, left_ms in message.changing:
             # The first word counts: others repeat it, a little later each time.
             if key in by_key and by_key[key].changing_until <= now and left_ms > 500:
                 left_s = min(left_ms / 1e3, LONGEST_CHANGE_S)
                 by_key[key].changing_until = now + left_s
-        for key, part_id, tokens in news.reads:
+        for key, part_id, tokens in message.reads:
             if key in by_key:
                 by_key[key].cache.add((PromptPart(part_id, tokens),))
         return True
@@ -274,7 +286,7 @@
         :param now: current instant in seconds.
         """
         for node, peer in list(self.peers.items()):
-            if peer.number >= 0 and now - peer.heard_at >= PEER_TIMEOUT_S:
+            if peer.number >= 0 and now - peer.received_at >= PEER_TIMEOUT_S:
                 self.peers[node] = Peer(peer.address, peer.started_ms)
                 for engine in self.fleet.engines.values():
                     engine.peers.pop(node, None)
--- a/src/jasminewalk/gateway/placement.py
+++ b/src/jasminewalk/gateway/placement.py
@@ -34,7 +34,7 @@
 # Engine time weighs this much besides the caller's waiting time.
 ENGINE_TIME_WEIGHT = 1.0
 # Engines that a short question is compared on; gateways that all took the best of the
-# whole fleet by the same old news would overrun it.
+# whole fleet by the same old message would overrun it.
 SAMPLED_ENGINES = 3
 # Share of the reading engines' time that is asked for when they count as busy.
 BUSY_SHARE = 0.8
--- a/src/jasminewalk/gateway/stage_holder.py
+++ b/src/jasminewalk/gateway/stage_holder.py
@@ -16,9 +16,9 @@
 class HolderLease:
     """Decides whether this process may give orders now.
 
-    The store hands a partition to another member only after this one left, was told, or
-    was silent for its session. A new holder waits until orders of the one before are
-    old. Instants come from a clock that goes on while the machine is suspended.
+    The store hands a partition to another member only after this one left, learned of
+    it, or was silent for its session. A new holder waits until orders of the one before
+    are old. Instants come from a clock that goes on while the machine is suspended.
 
     :param session_s: seconds of silence after which the store drops a member.
     :param gap_s: seconds between orders of two holders.
@@ -30,18 +30,20 @@
     held_since: float | None = None
     valid_until: float = float("-inf")
 
-    def renewed(self, asked_at: float, answered_at: float, told: Membership) -> bool:
+    def renewed(
+        self, asked_at: float, answered_at: float, membership: Membership
+    ) -> bool:
         """Take the store's answer; returns whether holding changed.
 
         :param asked_at: instant before the call was sent.
         :param answered_at: instant of the answer.
-        :param told: what the store answered.
+        :param membership: what the store answered.
         """
         was_held = self.held_since is not None
         if answered_at > self.valid_until:
             self.held_since = None
-        self.generation = told.generation
-        if FIRST_PARTITION in told.partitions:
+        self.generation = membership.generation
+        if FIRST_PARTITION in membership.partitions:
             if self.held_since is None:
                 self.held_since = answered_at
             self.valid_until = asked_at + SAFE_SHARE * self.session_s
--- a/src/jasminewalk/gateway/stage_keeper.py
+++ b/src/jasminewalk/gateway/stage_keeper.py
@@ -48,7 +48,7 @@
     """Renews the right to give orders, and orders what the planner wants.
 
     :param member: name of this process in the group.
-    :param node: name of the instance, told to engines as the holder.
+    :param node: name of the instance, which engines know as the holder.
     :param store: the metadata store.
     :param fleet: the engines.
     :param peers: tells what work callers ask for.
@@ -104,7 +104,7 @@
     async def _renew(self) -> None:
         asked_at = suspended_clock()
         try:
-            told = await self.store.join(
+            membership = await self.store.join(
                 GROUP,
                 self.member,
                 GATEWAYS_TOPIC,
@@ -115,11 +115,11 @@
             if self.lease.held_since is not None:
                 self.log.warning("holder_not_renewed", reason=repr(error))
             return
-        if self.lease.renewed(asked_at, suspended_clock(), told):
+        if self.lease.renewed(asked_at, suspended_clock(), membership):
             self.log.info(
                 "holder_changed",
                 held=self.lease.held_since is not None,
-                generation=told.generation,
+                generation=membership.generation,
             )
 
     async def _order_next(self) -> None:
--- a/src/jasminewalk/gateway/store_follower.py
+++ b/src/jasminewalk/gateway/store_follower.py
@@ -7,7 +7,7 @@
 from jasminewalk.exceptions import BadConfigurationError, LogUnavailableError
 from jasminewalk.gateway.decision_log import DecisionLog
 from jasminewalk.gateway.fleet import Fleet, FleetEvent
-from jasminewalk.gateway.peers import TopicNews
+from jasminewalk.gateway.peers import TopicProgress
 from jasminewalk.platform.configuration import (
     ServingConfiguration,
     decode_configuration,
@@ -63,7 +63,7 @@
         self.failing_since: float | None = None
         self.on_return: Callable[[], None] = lambda: None
         self.read_at = float("-inf")
-        self.heard_read_at = float("-inf")
+        self.peer_read_at = float("-inf")
         self.changed_offset = 0
         self.wanted_offset = 0
         self.on_read: Callable[[], None] = lambda: None
@@ -108,24 +108,24 @@
         for detail in page.unreadable:
             self.log.warning("record_unreadable", topic=self.topic, detail=detail)
 
-    def hear(self, now: float, news: TopicNews) -> None:
+    def note_peer_progress(self, now: float, message: TopicProgress) -> None:
         """Take how far another gateway has read the topic.
 
         :param now: current instant in seconds.
-        :param news: what it says.
+        :param message: what it says.
         """
-        if news.read_ms_ago >= 0:
-            self.heard_read_at = max(self.heard_read_at, now - news.read_ms_ago / 1e3)
-        self.wanted_offset = max(self.wanted_offset, news.changed_offset)
+        if message.read_ms_ago >= 0:
+            self.peer_read_at = max(self.peer_read_at, now - message.read_ms_ago / 1e3)
+        self.wanted_offset = max(self.wanted_offset, message.changed_offset)
 
-    def news(self, now: float) -> TopicNews:
+    def progress(self, now: float) -> TopicProgress:
         """Return how far this gateway has read the topic.
 
         :param now: current instant in seconds.
         """
         if self.offset is None or self.failing_since is not None:
-            return TopicNews()
-        return TopicNews(int((now - self.read_at) * 1e3), self.changed_offset)
+            return TopicProgress()
+        return TopicProgress(int((now - self.read_at) * 1e3), self.changed_offset)
 
     def take_newest(self, page: RecordsPage) -> bool:
         """Take the newest record of each key; returns whether anything changed.
@@ -164,7 +164,7 @@
     def _due(self, spread_s: float) -> bool:
         if self.offset is None or self.wanted_offset > self.offset:
             return True
-        freshest = max(self.read_at, self.heard_read_at)
+        freshest = max(self.read_at, self.peer_read_at)
         return self.clock() - freshest >= self.period_s + spread_s
 
 
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -180,7 +180,7 @@
         started = self.parts.clock()
         alone = engine.reading_s == 0.0
         with self.load(engine, estimate.work_s):
-            self.parts.peers.note_read(engine, self.work.parts)
+            self.parts.peers.record_read(engine, self.work.parts)
             try:
                 sent = await self._send(engine, priority, prefill_only=True)
             except NotSentError as error:
@@ -246,7 +246,7 @@
         work_s = estimate.work_s if prompt is None else 0.0
         alone = engine.reading_s == 0.0
         with self.load(engine, work_s) as load:
-            self.parts.peers.note_read(engine, self.work.parts)
+            self.parts.peers.record_read(engine, self.work.parts)
             started = self.parts.clock()
             try:
                 sent = await self._send(engine, priority)
--- a/tests/test_gateway_story.py
+++ b/tests/test_gateway_log_trace.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from jasminewalk.gateway.story import (
+from jasminewalk.gateway.log_trace import (
     Selection,
+    format_lines,
     parse_lines,
     select_lines,
-    story_lines,
 )
 
 
@@ -62,7 +62,7 @@
 
 def test_text_has_milliseconds_and_fields():
     found = select_lines(parse_lines(RECORDED), Selection(request="b"))
-    text = list(story_lines(found))
+    text = list(format_lines(found))
     assert any("placed" in one and "engine=i-1" in one for one in text)
     assert text[0].startswith("      0.0 ms")
 
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -17,8 +17,8 @@
 from jasminewalk.gateway.peers import (
     PEER_TIMEOUT_S,
     LoadExchange,
-    TopicNews,
-    decode_news,
+    TopicProgress,
+    decode_peer_message,
 )
 from jasminewalk.gateway.stage_holder import HolderLease
 from jasminewalk.gateway.stage_planner import StagePlanner
@@ -154,12 +154,12 @@
 
 
 def message_of(sender, now):
-    return sender.message(now, TopicNews(), TopicNews())
+    return sender.message(now, TopicProgress(), TopicProgress())
 
 
 def tell(sender, receiver, now):
     return receiver.take(
-        now, decode_news(sender.message(now, TopicNews(), TopicNews()))
+        now, decode_peer_message(sender.message(now, TopicProgress(), TopicProgress()))
     )
 
 
@@ -168,7 +168,7 @@
     work = prompt_of(13_000, 4000)
     there = one.fleet.engines["i-1"]
     there.own.requests, there.own.reading_s = 3, 0.5
-    one.note_read(there, work.parts)
+    one.record_read(there, work.parts)
     assert tell(one, two, 1.1)
     seen = two.fleet.engines["i-1"]
     assert (seen.requests, seen.reading_s) == (3, 0.5)
@@ -193,13 +193,14 @@
 def test_old_own_and_unreadable_messages_are_passed_over(gateways):
     one, two = gateways
     first, second = (
-        decode_news(one.message(1.0, TopicNews(), TopicNews())) for _ in range(2)
+        decode_peer_message(one.message(1.0, TopicProgress(), TopicProgress()))
+        for _ in range(2)
     )
     assert two.take(1.0, second)
     assert not two.take(1.0, first)
     assert not one.take(1.0, first)
-    assert decode_news(b"\xffgarbage") is None
-    assert decode_news(msgspec.msgpack.encode({"node": 1})) is None
+    assert decode_peer_message(b"\xffgarbage") is None
+    assert decode_peer_message(msgspec.msgpack.encode({"node": 1})) is None
 
 
 def test_change_of_stage_is_told(gateways):
--- a/tests/test_gateway_store_follower.py
+++ b/tests/test_gateway_store_follower.py
@@ -1,4 +1,4 @@
-"""Following of the store's topics, with and without news of other gateways."""
+"""Following of the store's topics, with and without message of other gateways."""
 
 import json
 
@@ -7,7 +7,7 @@
 from jasminewalk.exceptions import LogUnavailableError
 from jasminewalk.gateway.decision_log import DecisionLog
 from jasminewalk.gateway.fleet import Fleet
-from jasminewalk.gateway.peers import TopicNews
+from jasminewalk.gateway.peers import TopicProgress
 from jasminewalk.gateway.store_follower import (
     CONFIGURATION_PERIOD_S,
     SPREAD_S,
@@ -125,7 +125,7 @@
     await follower.read_once()
     clock.advance(CONFIGURATION_PERIOD_S + SPREAD_S)
     assert follower._due(SPREAD_S)
-    follower.hear(clock.monotonic(), TopicNews(100, 0))
+    follower.note_peer_progress(clock.monotonic(), TopicProgress(100, 0))
     assert not follower._due(0.0)
     clock.advance(CONFIGURATION_PERIOD_S)
     assert follower._due(0.0)
@@ -135,21 +135,21 @@
 async def test_change_that_another_gateway_saw_is_read_at_once(follower, store, clock):
     store.newest = RecordsPage((version(3),), 4)
     await follower.read_once()
-    follower.hear(clock.monotonic(), TopicNews(10, 4))
+    follower.note_peer_progress(clock.monotonic(), TopicProgress(10, 4))
     assert not follower._due(0.0)
-    follower.hear(clock.monotonic(), TopicNews(10, 5))
+    follower.note_peer_progress(clock.monotonic(), TopicProgress(10, 5))
     assert follower._due(SPREAD_S)
 
 
 @pytest.mark.anyio
 async def test_gateway_that_cannot_read_tells_no_news(follower, store, clock):
-    assert follower.news(clock.monotonic()) == TopicNews()
+    assert follower.progress(clock.monotonic()) == TopicProgress()
     store.newest = RecordsPage((version(3),), 4)
     await follower.read_once()
     clock.advance(0.25)
-    assert follower.news(clock.monotonic()) == TopicNews(250, 4)
+    assert follower.progress(clock.monotonic()) == TopicProgress(250, 4)
     follower._failed(LogUnavailableError("down"))
-    assert follower.news(clock.monotonic()) == TopicNews()
+    assert follower.progress(clock.monotonic()) == TopicProgress()
 
 
 @pytest.mark.anyio
