--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -340,7 +340,8 @@
             await asyncio.sleep(0.05)
         if gateway.process is life:
             # A process that has not installed its handlers yet ends by the signal.
-            if life.returncode not in (0, -signal.SIGKILL, -signal.SIGTERM):
+            unserved = () if gateway.served else (-signal.SIGTERM,)
+            if life.returncode not in (0, -signal.SIGKILL, *unserved):
                 raise ViolationError(f"{gateway.name} ended with {life.returncode}")
             gateway.disturbed_at = self.now()
             gateway.start()
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -6,7 +6,7 @@
 import subprocess
 import sys
 import tomllib
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
 import pytest
@@ -152,6 +152,20 @@
     assert 1 <= int(headers[b"x-jasminewalk-deadline-ms"]) <= 900
 
 
+@pytest.mark.anyio
+async def test_starting_gateway_refuses_instead_of_denying_and_then_serves(system):
+    system.store.down = True
+    starting = asyncio.create_task(system.start(*apps()))
+    await asyncio.sleep(0.5)
+    status, head, _ = await system.ask("/nowhere/")
+    assert status == 503
+    assert "retry-after" in head
+    assert not system.daemon.ready
+    system.store.down = False
+    await starting
+    assert (await system.ask("/book/seat"))[0] == 200
+
+
 @pytest.mark.anyio
 async def test_request_without_a_route_is_404(system):
     await system.start(*apps())
@@ -316,9 +330,10 @@
     await system.start(*llms()[1:])
     for engine in system.engines.values():
         engine.behaviour = "break_stream"
-    with pytest.raises((ConnectionResetError, AssertionError)):
+    body = b""
+    with suppress(ConnectionResetError):
         _, _, body = await system.ask("/help/", x_jasminewalk_token_usage="380,40")
-        assert body.endswith(b"0\r\n\r\n")
+    assert not body.endswith(b"0\r\n\r\n")
     assert runs(system) == 1
 
 
