--- a/src/jasminewalk/gateway/daemon.py
+++ b/src/jasminewalk/gateway/daemon.py
@@ -28,12 +28,7 @@
     RegistryFollower,
 )
 from jasminewalk.gateway.stream_run import StreamRun
-from jasminewalk.http1.server import (
-    CallerConnection,
-    CallerRequest,
-    CallersServer,
-    ServerLimits,
-)
+from jasminewalk.http1.server import CallerConnection, CallerRequest, CallersServer
 from jasminewalk.platform.configuration import ServingConfiguration
 from jasminewalk.platform.headers import decode_request_head
 from jasminewalk.platform.settings import load_settings
@@ -247,13 +242,7 @@
     def _apply(self, configuration: ServingConfiguration) -> None:
         self.routes = RouteTable.of(configuration)
         self.fleet.use_services(configuration.services)
-        limits = configuration.limits
-        self.callers.limits = ServerLimits(
-            limits.header_bytes,
-            limits.body_bytes,
-            limits.header_timeout_s,
-            limits.idle_timeout_s,
-        )
+        self.callers.limits = configuration.limits
         self.log.info(
             "configuration_in_force",
             version=configuration.version,
--- a/src/jasminewalk/http1/__init__.py
+++ b/src/jasminewalk/http1/__init__.py
@@ -15,20 +15,20 @@
 )
 from jasminewalk.http1.server import (
     CallerConnection,
+    CallerLimits,
     CallerRequest,
     CallersServer,
-    ServerLimits,
 )
 
 __all__ = [
     "Answer",
     "CallerConnection",
+    "CallerLimits",
     "CallerRequest",
     "CallersServer",
     "Connection",
     "ConnectionPool",
     "Exchange",
     "ExchangeBrokenError",
-    "ServerLimits",
     "connect",
 ]
--- a/src/jasminewalk/http1/server.py
+++ b/src/jasminewalk/http1/server.py
@@ -10,7 +10,7 @@
 
 from jasminewalk.platform.headers import Header
 
-__all__ = ["CallerConnection", "CallerRequest", "CallersServer", "ServerLimits"]
+__all__ = ["CallerConnection", "CallerLimits", "CallerRequest", "CallersServer"]
 
 # Requests parsed ahead on one connection before reading pauses.
 MAX_PIPELINED = 8
@@ -25,9 +25,9 @@
 NO_BODY = (204, 304)
 
 
-@attrs.define
-class ServerLimits:
-    """Bounds on what a caller may send; see ``CallerLimits`` of the platform.
+@attrs.frozen
+class CallerLimits:
+    """Bounds on what a caller may send.
 
     :param header_bytes: largest request head in bytes.
     :param body_bytes: largest request body in bytes.
@@ -343,7 +343,7 @@
         self.clock = clock
         self.on_error = on_error
         self.on_refused = on_refused
-        self.limits = ServerLimits()
+        self.limits = CallerLimits()
         self.connections: set[CallerConnection] = set()
         self.active = 0
         self.draining = False
--- a/src/jasminewalk/platform/configuration.py
+++ b/src/jasminewalk/platform/configuration.py
@@ -7,9 +7,9 @@
 import msgspec
 
 from jasminewalk.exceptions import BadConfigurationError
+from jasminewalk.http1.server import CallerLimits
 
 __all__ = [
-    "CallerLimits",
     "EngineTraits",
     "Route",
     "Service",
@@ -20,6 +20,11 @@
 
 SAFE = "safe"
 STREAMING = "streaming"
+# When callers abandon a stream without an event, by the platform's protocol: after the
+# longest of these seconds, so many objectives, or so many declared pauses.
+SHORTEST_PATIENCE_S = 2.0
+OBJECTIVES_OF_PATIENCE = 4
+PAUSES_OF_PATIENCE = 8
 
 
 @attrs.frozen
@@ -49,7 +54,7 @@
     :param objective_s: latency within which an answer has its full value, in seconds.
     :param max_attempts: engines that one request may be sent to.
     :param rank: urgency, 0 is the most urgent.
-    :param pause_s: longest pause between events in seconds.
+    :param pause_s: longest pause between events in seconds; infinite if undeclared.
     """
 
     name: str
@@ -65,6 +70,16 @@
     rank: int
     pause_s: float
 
+    @property
+    def patience_s(self) -> float:
+        """Seconds without an event after which callers abandon a stream."""
+        declared_s = self.pause_s if math.isfinite(self.pause_s) else 0.0
+        return max(
+            SHORTEST_PATIENCE_S,
+            OBJECTIVES_OF_PATIENCE * self.objective_s,
+            PAUSES_OF_PATIENCE * declared_s,
+        )
+
 
 @attrs.frozen
 class EngineTraits:
@@ -98,22 +113,6 @@
     engine: EngineTraits | None
 
 
-@attrs.frozen
-class CallerLimits:
-    """Bounds on what a caller may send.
-
-    :param header_bytes: largest request head in bytes.
-    :param body_bytes: largest request body in bytes.
-    :param header_timeout_s: seconds a caller may take for a request head.
-    :param idle_timeout_s: seconds a connection may stay idle.
-    """
-
-    header_bytes: int = 16384
-    body_bytes: int = 4194304
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
-
-
 @attrs.frozen
 class ServingConfiguration:
     """One version of the configuration.
--- a/src/jasminewalk/sidecars/engine_client.py
+++ b/src/jasminewalk/sidecars/engine_client.py
@@ -1,7 +1,6 @@
 """Client of a model engine, as its sidecar uses it."""
 
 from collections.abc import AsyncIterator
-from typing import Any, TypeVar
 
 import httpcore
 import msgspec
@@ -13,10 +12,11 @@
 from jasminewalk.ingress.connections import Connections
 from jasminewalk.interfaces import CachePage, Engine
 from jasminewalk.transport._http_call import (
+    CALL_TIMEOUT_S,
     HTTP_ERRORS,
     HTTP_OK,
     HttpAnswer,
-    call,
+    HttpClient,
     error_of,
     os_error,
     raise_for_status,
@@ -24,17 +24,14 @@
 
 __all__ = ["HttpEngine"]
 
-TIMEOUT_S = 2.0
 HTTP_CONFLICT = 409
 
-Decoded = TypeVar("Decoded")
-
 _encode = msgspec.json.Encoder().encode
-_decode_state = msgspec.json.Decoder(EngineState)
-_decode_page = msgspec.json.Decoder(CachePage)
+_state = msgspec.json.Decoder(EngineState)
+_page = msgspec.json.Decoder(CachePage)
 
 
-class HttpEngine(Engine):
+class HttpEngine(HttpClient, Engine):
     """Model engine over HTTP.
 
     :param pool: pool of HTTP connections, for what is not a stream.
@@ -46,11 +43,9 @@
         self,
         pool: httpcore.AsyncConnectionPool,
         address: str,
-        timeout_s: float = TIMEOUT_S,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> None:
-        self.pool = pool
-        self.address = address
-        self.timeout_s = timeout_s
+        super().__init__(pool, address, timeout_s)
         self.streams = Connections(connect_timeout_s=timeout_s, clock=SystemClock())
 
     async def generate(self, request: GenerateRequest) -> AsyncIterator[bytes]:
@@ -85,7 +80,7 @@
 
         :raises OSError: if the engine did not answer.
         """
-        return decode(_decode_state, await self.call("GET", "/state"))
+        return await self.fetch(_state, "GET", "/state")
 
     async def order(self, order: EngineOrder) -> None:
         """Send an order that states the wanted state in full.
@@ -109,8 +104,7 @@
         :param sequence: first number wanted.
         :raises OSError: if the engine did not answer.
         """
-        answer = await self.call("GET", f"/events?sequence={sequence}")
-        return decode(_decode_page, answer)
+        return await self.fetch(_page, "GET", f"/events?sequence={sequence}")
 
     async def export_kv(self, request_id: str, attempt: int) -> bytes:
         """Return the KV cache of a running generation as one handle.
@@ -129,40 +123,3 @@
         :raises OSError: if the engine did not answer, or refuses the handle.
         """
         await self.call("POST", "/kv/import", handle)
-
-    async def call(self, method: str, path: str, body: bytes = b"") -> HttpAnswer:
-        """Send a request and return its answer if it is a success.
-
-        :param method: HTTP method.
-        :param path: path with query.
-        :param body: body of the request.
-        :raises OSError: if the engine did not answer with a success.
-        """
-        answer = await self.send(method, path, body)
-        raise_for_status(answer)
-        return answer
-
-    async def send(self, method: str, path: str, body: bytes) -> HttpAnswer:
-        """Send a request and return its answer.
-
-        :param method: HTTP method.
-        :param path: path with query.
-        :param body: body of the request.
-        :raises OSError: if the engine did not answer.
-        """
-        return await call(
-            self.pool, method, self.address, path, body=body, timeout_s=self.timeout_s
-        )
-
-
-def decode(decoder: msgspec.json.Decoder[Decoded], answer: HttpAnswer) -> Any:
-    """Return the object that an answer holds.
-
-    :param decoder: decoder of its class.
-    :param answer: the answer.
-    :raises OSError: if the answer holds something else.
-    """
-    try:
-        return decoder.decode(answer.body)
-    except msgspec.MsgspecError as error:
-        raise OSError(str(error)) from error
--- a/src/jasminewalk/transport/_http_call.py
+++ b/src/jasminewalk/transport/_http_call.py
@@ -1,7 +1,7 @@
 """Whole HTTP requests to the platform and the back ends, with timeouts."""
 
 from collections import deque
-from typing import Any
+from typing import Any, TypeVar
 
 import anyio
 import attrs
@@ -15,6 +15,7 @@
 
 __all__ = [
     "HttpAnswer",
+    "HttpClient",
     "NotSentError",
     "call",
     "error_of",
@@ -24,6 +25,8 @@
 ]
 
 HTTP_OK = 200
+# Seconds to wait for an answer of the platform or of an engine.
+CALL_TIMEOUT_S = 2.0
 CLOSE_TIMEOUT_S = 1.0
 
 NOT_SENT_ERRORS = (
@@ -41,6 +44,8 @@
     anyio.ClosedResourceError,
 )
 
+Decoded = TypeVar("Decoded")
+
 _decode_refusal = msgspec.json.Decoder(RefusalBody).decode
 
 
@@ -186,3 +191,67 @@
     """
     if answer.status != HTTP_OK:
         raise OSError(str(error_of(answer)))
+
+
+class HttpClient:
+    """Client of one HTTP service; its subclasses name the calls.
+
+    :param pool: pool of HTTP connections.
+    :param address: ``host:port`` of the service.
+    :param timeout_s: seconds to wait for a whole answer.
+    """
+
+    def __init__(
+        self,
+        pool: httpcore.AsyncConnectionPool,
+        address: str,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> None:
+        self.pool = pool
+        self.address = address
+        self.timeout_s = timeout_s
+
+    async def fetch(
+        self,
+        decoder: msgspec.json.Decoder[Decoded],
+        method: str,
+        path: str,
+        body: bytes = b"",
+    ) -> Decoded:
+        """Send a request and return the object that its answer holds.
+
+        :param decoder: decoder of the object's class.
+        :param method: HTTP method.
+        :param path: path with query.
+        :param body: body of the request.
+        :raises OSError: if the service did not answer with such an object.
+        """
+        answer = await self.call(method, path, body)
+        try:
+            return decoder.decode(answer.body)
+        except msgspec.MsgspecError as error:
+            raise OSError(str(error)) from error
+
+    async def call(self, method: str, path: str, body: bytes = b"") -> HttpAnswer:
+        """Send a request and return its answer if it is a success.
+
+        :param method: HTTP method.
+        :param path: path with query.
+        :param body: body of the request.
+        :raises OSError: if the service did not answer with a success.
+        """
+        answer = await self.send(method, path, body)
+        raise_for_status(answer)
+        return answer
+
+    async def send(self, method: str, path: str, body: bytes) -> HttpAnswer:
+        """Send a request and return its answer.
+
+        :param method: HTTP method.
+        :param path: path with query.
+        :param body: body of the request.
+        :raises OSError: if the service did not answer.
+        """
+        return await call(
+            self.pool, method, self.address, path, body=body, timeout_s=self.timeout_s
+        )
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -14,7 +14,7 @@
     connect,
 )
 from jasminewalk.http1.client import request_bytes
-from jasminewalk.http1.server import ServerLimits
+from jasminewalk.http1.server import CallerLimits
 
 HEAD = b"HTTP/1.1 200 OK\r\nx-jasminewalk-request-id: a\r\n"
 OTHER = b"HTTP/1.1 200 OK\r\nx-jasminewalk-request-id: b\r\n"
@@ -181,7 +181,7 @@
 async def test_unreadable_requests_are_refused_and_never_handled(
     server, free_address, data, status
 ):
-    server.limits = ServerLimits(1000, 500, 0.2, 5.0)
+    server.limits = CallerLimits(1000, 500, 0.2, 5.0)
     sweeping = asyncio.create_task(server.sweep_forever())
     answer = await talk(free_address, data)
     sweeping.cancel()
@@ -222,7 +222,7 @@
 
 @pytest.mark.anyio
 async def test_idle_connections_are_closed_and_the_time_is_told(server, free_address):
-    server.limits = ServerLimits(idle_timeout_s=1.2)
+    server.limits = CallerLimits(idle_timeout_s=1.2)
     sweeping = asyncio.create_task(server.sweep_forever())
     answer = await talk(free_address, b"GET / HTTP/1.1\r\n\r\n", timeout_s=3.0)
     sweeping.cancel()
