--- a/src/jasminewalk/gateway/admission.py
+++ b/src/jasminewalk/gateway/admission.py
@@ -66,6 +66,7 @@
         wait_s: float,
         objective_left_s: float,
         left_s: float,
+        patience_left_s: float,
         rank: int,
         *,
         split: bool,
@@ -77,6 +78,7 @@
         :param wait_s: part of it until an engine starts on the prompt.
         :param objective_left_s: seconds until its objective passes.
         :param left_s: seconds until its deadline.
+        :param patience_left_s: seconds until its caller abandons it without an event.
         :param rank: urgency of its route, 0 is the most urgent.
         :param split: whether one engine reads its prompt for another.
         :param busy: whether more reading is asked for than the engines can do.
@@ -87,7 +89,8 @@
             return Admitted(priority, in_time=True)
         late_share = self.late_split_share if split else self.late_direct_share
         longest_wait_s = self.busy_wait_s if busy else self.calm_wait_s
-        if wait_s <= longest_wait_s and first_token_s <= late_share * left_s:
+        latest_s = min(late_share * left_s, patience_left_s)
+        if wait_s <= longest_wait_s and first_token_s <= latest_s:
             return Admitted(LATE_PRIORITY, in_time=False)
         excess_s = first_token_s - max(0.0, objective_left_s)
         return Refused(min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, excess_s)))
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -22,7 +22,7 @@
 from jasminewalk.platform.engines import decode_prompt_handle
 from jasminewalk.platform.headers import engine_headers, relayed_headers
 
-__all__ = ["StreamRun"]
+__all__ = ["StreamRun", "engine_patience_s"]
 
 # A stream without a byte for this long is taken for broken, in seconds.
 SILENCE_S = 1.2
@@ -30,6 +30,9 @@
 # for the shortest time at least, counts as silent.
 PREDICTED_TIMES = 3.0
 SHORTEST_PATIENCE_S = 1.5
+# Share of its caller's patience after which a silent engine is given up, so that
+# another one can still begin.
+CALLER_PATIENCE_SHARE = 0.8
 MAX_CONNECTS = 3
 SUCCESS = 200
 SHORTEST_SEND_S = 0.02
@@ -153,6 +156,7 @@
                     option.estimate.wait_s,
                     self.route.objective_s - self.age_s,
                     self.left_s,
+                    self.route.patience_s - self.age_s,
                     self.route.rank,
                     # Who waited in vain for a reader is not refused for being late.
                     split=option.split or self.prompts_failed > 0,
@@ -352,7 +356,7 @@
         give_up: bool,
     ) -> Answer:
         """Wait for an answer, and suspect an engine that sends nothing to anyone."""
-        patience_s = max(SHORTEST_PATIENCE_S, PREDICTED_TIMES * predicted_s)
+        patience_s = engine_patience_s(predicted_s, self.route.patience_s)
         while True:
             try:
                 async with asyncio.timeout(patience_s):
@@ -445,3 +449,15 @@
 
     def _last_id(self) -> str:
         return self.splitter.last_id.decode("latin-1")
+
+
+def engine_patience_s(predicted_s: float, caller_patience_s: float) -> float:
+    """Return the seconds of silence after which an engine is suspected.
+
+    :param predicted_s: seconds that its answer was predicted to take.
+    :param caller_patience_s: seconds without an event after which the caller leaves.
+    """
+    return min(
+        max(SHORTEST_PATIENCE_S, PREDICTED_TIMES * predicted_s),
+        CALLER_PATIENCE_SHARE * caller_patience_s,
+    )
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -13,6 +13,7 @@
 from jasminewalk.gateway.prompt_cache import PromptCache
 from jasminewalk.gateway.retry_budget import RetryBudget
 from jasminewalk.gateway.routes import RouteTable
+from jasminewalk.gateway.stream_run import engine_patience_s
 from jasminewalk.platform.configuration import (
     Route,
     WeightedService,
@@ -171,7 +172,7 @@
 )
 def test_admission_by_predicted_time(predicted_s, split, expected):
     decision = AdmissionPolicy().decide(
-        predicted_s, 0.2, 0.5, 5.0, 0, split=split, busy=True
+        predicted_s, 0.2, 0.5, 5.0, 2.0, 0, split=split, busy=True
     )
     if isinstance(expected, Refused):
         assert decision.retry_after_s == pytest.approx(expected.retry_after_s)
@@ -181,10 +182,41 @@
 
 @pytest.mark.parametrize(("busy", "admitted"), [(True, False), (False, True)])
 def test_late_work_waits_at_engines_only_in_calm_times(busy, admitted):
-    decision = AdmissionPolicy().decide(0.9, 0.6, 0.5, 5.0, 0, split=True, busy=busy)
+    decision = AdmissionPolicy().decide(
+        0.9, 0.6, 0.5, 5.0, 2.0, 0, split=True, busy=busy
+    )
     assert isinstance(decision, Admitted) == admitted
 
 
+@pytest.mark.parametrize(
+    ("predicted_s", "patience_left_s", "admitted"),
+    [
+        (1.9, 2.0, True),
+        (2.0, 2.0, False),
+        (2.0, 2.65, True),
+        (1.0, 1.0, False),
+        (1.0, -0.2, False),
+    ],
+)
+def test_late_work_is_refused_that_its_caller_would_not_wait_for(
+    predicted_s, patience_left_s, admitted
+):
+    decision = AdmissionPolicy().decide(
+        predicted_s, 0.2, 0.5, 5.0, patience_left_s, 0, split=True, busy=False
+    )
+    assert isinstance(decision, Admitted) == admitted
+
+
+@pytest.mark.parametrize(
+    ("predicted_s", "caller_patience_s", "expected"),
+    [(0.0, 2.0, 1.5), (0.52, 2.0, 1.56), (0.99, 2.0, 1.6), (0.99, 2.65, 2.12)],
+)
+def test_silent_engine_is_given_up_before_its_caller_leaves(
+    predicted_s, caller_patience_s, expected
+):
+    assert engine_patience_s(predicted_s, caller_patience_s) == pytest.approx(expected)
+
+
 def test_readers_are_busy_by_what_is_asked_of_all_gateways(placement):
     engines = [engine_of("p1", "prefill", speed=1.6), engine_of("d1")]
     assert placement.busy(Demand(reading=1.5), engines)
@@ -193,7 +225,7 @@
 
 def test_urgent_routes_go_first_at_the_engine():
     ranks = [
-        AdmissionPolicy().decide(0.1, 0.0, 0.5, 5, rank, split=True, busy=True)
+        AdmissionPolicy().decide(0.1, 0.0, 0.5, 5, 2, rank, split=True, busy=True)
         for rank in (0, 1, 9)
     ]
     priorities = [decision.priority for decision in ranks]
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -18,6 +18,8 @@
 
 # Seconds that a stream of a short question holds a slot at an engine of speed 1.
 HOLD_S = 0.16
+# Seconds after which callers abandon a stream without an event, by the protocol.
+PATIENCE_S = 2.0
 SHORT = {"objective_s": 0.25, "deadline_s": 2.5, "rank": 0}
 LONG = {"objective_s": 0.5, "deadline_s": 5.0, "rank": 1}
 
@@ -36,6 +38,7 @@
         self.demand = DemandMeter()
         self.in_time = 0
         self.late = 0
+        self.abandoned = 0
         self.refused = 0
         self.retry_after = []
 
@@ -58,17 +61,18 @@
                 option.estimate.wait_s,
                 objective_s,
                 deadline_s,
+                PATIENCE_S,
                 rank,
                 split=option.split,
                 busy=busy,
             )
             if isinstance(decision, Admitted):
-                self.serve(now, work, option, objective_s, deadline_s)
+                self.serve(now, work, option, objective_s)
                 return
         self.refused += 1
         self.retry_after.append(decision.retry_after_s)
 
-    def serve(self, now, work, option, objective_s, deadline_s):
+    def serve(self, now, work, option, objective_s):
         estimate = option.estimate
         engine, name = estimate.engine, estimate.engine.entry.engine_id
         engine.cache.add(work.parts)
@@ -84,8 +88,10 @@
         first_at = read_at + (HAND_OVER_S if option.split else 0.0)
         if first_at - now <= objective_s:
             self.in_time += 1
-        elif first_at - now <= deadline_s:
+        elif first_at - now <= PATIENCE_S:
             self.late += 1
+        else:
+            self.abandoned += 1
 
         def was_read(_):
             engine.own.reading_s = max(0.0, engine.own.reading_s - estimate.work_s)
@@ -166,7 +172,9 @@
     before = play(fleet_of(3, 4), arrivals, placement=IgnoreSlots("north"))
     assert found.late <= 0.15 * len(arrivals)
     assert found.in_time > before.in_time
-    assert found.refused + found.late + found.in_time == len(arrivals)
+    answered = found.late + found.in_time
+    assert found.refused + found.abandoned + answered == len(arrivals)
+    assert found.abandoned == 0
     assert all(0.0 < wait <= 2.0 for wait in found.retry_after)
 
 
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -37,10 +37,25 @@
     assert not routes["booking"].repeatable
     assert routes["lookup"].repeatable
     assert routes["lookup"].pause_s == math.inf
+    assert routes["lookup"].patience_s == max(2.0, 4 * routes["lookup"].objective_s)
     assert routes["verdict"].resumable and routes["verdict"].repeatable
     assert routes["helper"].streaming and not routes["helper"].repeatable
 
 
+@pytest.mark.parametrize(
+    ("objective_ms", "pause_ms", "expected"),
+    [(250, 150, 2.0), (663, 150, 2.652), (250, 500, 4.0), (250, None, 2.0)],
+)
+def test_callers_patience_is_the_longest_of_three_bounds(
+    objective_ms, pause_ms, expected
+):
+    route = configuration()["routes"][0] | {"target_latency_ms": objective_ms}
+    route.pop("gap_aim_ms", None)
+    if pause_ms is not None:
+        route["gap_aim_ms"] = pause_ms
+    assert decoded(routes=[route]).routes[0].patience_s == pytest.approx(expected)
+
+
 def test_split_routes_name_all_services():
     route = configuration()["routes"][0]
     del route["service"]
