--- a/src/jasminewalk/gateway/stage_planner.py
+++ b/src/jasminewalk/gateway/stage_planner.py
@@ -34,6 +34,8 @@
 
     It answers the swing between long prompts and short questions. A change must save
     more work than the engine's absence costs, over the time for which the mix holds.
+    Fast engines read: in stage prefill an engine reads more than twice as fast, and the
+    largest prompts are in time only there.
 
     :param settle_s: seconds between two changes of a service.
     :param horizon_s: seconds for which the mix is expected to hold.
@@ -71,9 +73,9 @@
             return self._missing_stage(readers, others)
         changes = []
         if len(others) > 1:
-            changes.append((min(others, key=_speed), PREFILL))
+            changes.append((max(others, key=_speed), PREFILL))
         if len(readers) > 1:
-            changes.append((max(readers, key=_speed), DECODE))
+            changes.append((min(readers, key=_speed), DECODE))
         if not changes:
             return None
         gains = [
@@ -120,9 +122,9 @@
         self, readers: Sequence[EngineState], others: Sequence[EngineState]
     ) -> StageChange:
         if not others:
-            engine = max(readers, key=_speed)
+            engine = min(readers, key=_speed)
             return StageChange(engine, DECODE, "no engine answers")
-        return StageChange(min(others, key=_speed), PREFILL, "no engine reads prompts")
+        return StageChange(max(others, key=_speed), PREFILL, "no engine reads prompts")
 
 
 def _speed(engine: EngineState) -> tuple[float, str]:
