--- a/src/jasminewalk/gateway/fleet.py
+++ b/src/jasminewalk/gateway/fleet.py
@@ -152,6 +152,14 @@
         """
         self.hold_s += LATENCY_WEIGHT * (held_s - self.hold_s)
 
+    def inherit(self, former: "EngineState") -> None:
+        """Take over what a new incarnation has in common with the one before.
+
+        :param former: the incarnation before, on the same machine.
+        """
+        self.speeds, self.peer_speeds = former.speeds, former.peer_speeds
+        self.latency_s, self.hold_s = former.latency_s, former.hold_s
+
     def observe_outcome(self, failed: bool) -> None:
         """Learn the failure rate.
 
@@ -189,19 +197,6 @@
         ]
         return trusted or listed
 
-    def may_get_work(self, engine: EngineState, now: float) -> bool:
-        """Return whether an engine that was chosen before may still get work.
-
-        :param engine: the engine.
-        :param now: current instant in seconds.
-        """
-        current = self.engines.get(engine.entry.engine_id)
-        return (
-            current is engine
-            and not engine.entry.leaving
-            and (engine.gone_at is None or now < engine.gone_at)
-        )
-
     def use_services(self, services: dict[str, Service]) -> None:
         """Take the services of a new configuration.
 
@@ -320,10 +315,10 @@
                 yield FleetEvent("engine_changed", entry.engine_id, changed)
             return
         traits = self._traits(entry.service)
-        self.engines[entry.engine_id] = EngineState(
-            entry,
-            PromptCache(traits.memory_tokens if traits else 0),
-        )
+        state = EngineState(entry, PromptCache(traits.memory_tokens if traits else 0))
+        if known is not None:
+            state.inherit(known)
+        self.engines[entry.engine_id] = state
         yield FleetEvent(
             "engine_listed",
             entry.engine_id,
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -95,11 +95,14 @@
 def test_engine_reborn_under_its_id_starts_anew(fleet):
     before = fleet.engines["i-1"]
     before.cache.add(prompt_of(3000, 500).parts)
+    before.observe_read(0.1, 0.2)
     list(fleet.update(1.0, [record("i-1", born=99)]))
     after = fleet.engines["i-1"]
     assert after is not before
     assert after.cache.used_tokens == 0
-    assert not fleet.may_get_work(before, 1.0)
+    assert before not in fleet.usable("llm", 1.0)
+    # It runs on the same machine.
+    assert after.speed == pytest.approx(0.5)
 
 
 def test_suspected_engine_is_avoided_longer_each_time_and_used_if_alone(fleet):
