--- a/src/jasminewalk/gateway/decision_log.py
+++ b/src/jasminewalk/gateway/decision_log.py
@@ -133,7 +133,7 @@
             self.flush()
 
     def flush(self) -> None:
-        """Hand held lines to standard output, once, and tell of suppressed ones."""
+        """Write held lines to standard output, and how many were suppressed."""
         dropped = self.suppressed + self.buffer.suppressed
         if dropped and len(self.buffer.lines) < HELD_LINES:
             self.suppressed = self.buffer.suppressed = 0
--- a/src/jasminewalk/gateway/run.py
+++ b/src/jasminewalk/gateway/run.py
@@ -49,7 +49,7 @@
     :param clients: connections to the engines.
     :param placement: chooses engines.
     :param admission: admits or refuses.
-    :param peers: tells other gateways of this one's work.
+    :param peers: exchanges loads, speeds and cached parts with other gateways.
     :param log: decision log.
     :param metrics: counters and histograms.
     :param clock: returns the current instant in seconds.
--- a/src/jasminewalk/gateway/stage_keeper.py
+++ b/src/jasminewalk/gateway/stage_keeper.py
@@ -51,7 +51,7 @@
     :param node: name of the instance, which engines know as the holder.
     :param store: the metadata store.
     :param fleet: the engines.
-    :param peers: tells what work callers ask for.
+    :param peers: sums up the work that callers of all gateways ask for.
     :param clients: connections to the engines.
     :param planner: decides on changes.
     :param lease: decides whether an order may be sent.
--- a/src/jasminewalk/http1/server.py
+++ b/src/jasminewalk/http1/server.py
@@ -328,8 +328,8 @@
 
     :param handler: handles one request.
     :param clock: returns the current instant in seconds.
-    :param on_error: told of a request whose handler failed.
-    :param on_refused: told of a request that could not be read.
+    :param on_error: called with a request whose handler failed and the error.
+    :param on_refused: called with the status of a request that could not be read.
     """
 
     def __init__(
--- a/src/jasminewalk/platform/store.py
+++ b/src/jasminewalk/platform/store.py
@@ -169,7 +169,7 @@
         :param member: name of the member.
         :param topic: topic whose partitions the members share.
         :param session_s: seconds of silence after which the member is dropped.
-        :param generation: last generation that the member was told; 0 at first.
+        :param generation: last generation that the member received; 0 at first.
         :raises LogUnavailableError: if the store does not answer well.
         """
         body = msgspec.json.encode(
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -9,11 +9,11 @@
 from jasminewalk.gateway.admission import AdmissionPolicy, Admitted, Refused
 from jasminewalk.gateway.demand import Demand
 from jasminewalk.gateway.event_stream import EventSplitter, OutOfOrderError
+from jasminewalk.gateway.generation_run import engine_patience_s
 from jasminewalk.gateway.placement import PlacementPolicy, reading_s
 from jasminewalk.gateway.prompt_cache import PromptCache
 from jasminewalk.gateway.retry_budget import RetryBudget
 from jasminewalk.gateway.routes import RouteTable
-from jasminewalk.gateway.stream_run import engine_patience_s
 from jasminewalk.platform.configuration import (
     Route,
     WeightedService,
