--- a/src/jasminewalk/gateway/generation_run.py
+++ b/src/jasminewalk/gateway/generation_run.py
@@ -99,11 +99,11 @@
         if self.started:
             self.log("placed", priority=RESUMED_PRIORITY, **inputs)
             return option, RESUMED_PRIORITY
-        self.log("not_admitted", **inputs)
         if self.may_have_run:
+            self.warn("not_admitted", **inputs)
             self.finish("too late to go on", BAD_GATEWAY)
         else:
-            self.refuse("overloaded", decision.retry_after_s)
+            self.refuse("overloaded", decision.retry_after_s, **inputs)
         return None
 
     def _admit(self, options: list[Option], *, busy: bool) -> tuple[Option, Admission]:
--- a/src/jasminewalk/gateway/run.py
+++ b/src/jasminewalk/gateway/run.py
@@ -167,16 +167,20 @@
         if event is not None:
             self.warn(event.event, engine=event.engine, detail=event.detail)
 
-    def refuse(self, reason: str, retry_after_s: float) -> None:
+    def refuse(self, reason: str, retry_after_s: float, **inputs: object) -> None:
         """Answer that the request did not run.
 
         :param reason: why, for the log.
         :param retry_after_s: seconds after which to come back.
+        :param inputs: what decided it, for the log; lines of placing may be suppressed
+            under load, those of failures are the last to be.
         """
         headers = [(b"retry-after", b"%.2f" % retry_after_s)]
         self.connection.answer(NOT_RUN, headers, b"")
         self.parts.metrics.refused(self.route.name, reason)
-        self.warn("refused", reason=reason, retry_after_s=round(retry_after_s, 2))
+        self.warn(
+            "refused", reason=reason, retry_after_s=round(retry_after_s, 2), **inputs
+        )
 
     def fail(self, status: int, reason: str) -> None:
         """Answer that the request failed and may have run.
@@ -186,7 +190,7 @@
         """
         self.connection.answer(status, [], b"")
         self.parts.metrics.failed(self.route.name, reason)
-        self.warn("failed", status=status, reason=reason)
+        self.warn("failed", status=status, reason=reason, engines=self.tried)
 
     def relay(self, answer: Answer, body: bytes) -> None:
         """Answer as the engine did.
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -223,7 +223,12 @@
         """
         if self.started:
             self.parts.metrics.failed(self.route.name, reason)
-            self.warn("stream_cut", reason=reason, events=self.last_event_id)
+            self.warn(
+                "stream_cut",
+                reason=reason,
+                events=self.last_event_id,
+                engines=self.tried,
+            )
             self.connection.abort()
         elif (not self.may_have_run and not self.attempts) or (
             not self.may_have_run and status != GATEWAY_TIMEOUT
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -287,6 +287,22 @@
     assert not reader.freed
 
 
+@pytest.mark.anyio
+async def test_line_of_a_refusal_names_what_decided_it(system):
+    await system.start(*llms())
+    for name, engine in system.daemon.fleet.engines.items():
+        if name != "app":
+            engine.own.reading_s = 9.0
+    status, head, _ = await system.ask("/verdict/", b"notes", **LONG)
+    assert status == 503
+    assert "retry-after" in head
+    line = system.logged("refused")[0]
+    assert line["reason"] == "overloaded"
+    assert line["wait_ms"] >= 9000
+    assert (line["tokens"], line["cached"], line["engine"]) == (17_000, 0, "reader")
+    assert runs(system) == 0
+
+
 @pytest.mark.anyio
 async def test_prompt_that_cannot_be_read_apart_is_read_by_the_answering_engine(system):
     await system.start(*llms())
