--- a/src/jasminewalk/gateway/fleet.py
+++ b/src/jasminewalk/gateway/fleet.py
@@ -1,5 +1,6 @@
 """View that a gateway has of the engines: members, load, speed, health."""
 
+import math
 from collections import deque
 from collections.abc import Iterable, Iterator
 
@@ -15,7 +16,7 @@
 )
 from jasminewalk.platform.store import KeyedRecord
 
-__all__ = ["EngineState", "Fleet", "FleetEvent", "Load"]
+__all__ = ["EngineState", "Fleet", "FleetEvent", "Load", "Outcomes"]
 
 # Seconds after an outage of the store within which living engines are listed again.
 RELISTING_S = 2.0
@@ -28,6 +29,11 @@
 MISDIRECTED = 421
 # Weight of the newest outcome in an engine's failure rate.
 FAILURE_WEIGHT = 0.08
+# Seconds after which a failure rate without new outcomes fell to 1/e, so that an engine
+# that recovered gets work again.
+FAILURE_MEMORY_S = 4.0
+# Failure rate up to which an engine counts as sound.
+ACCEPTED_FAILURE_RATE = 0.1
 # Weight of the newest observation in an engine's latency.
 LATENCY_WEIGHT = 0.15
 SLOWEST, FASTEST = 0.1, 6.0
@@ -53,6 +59,18 @@
     reading_s: float = 0.0
 
 
+@attrs.define
+class Outcomes:
+    """Outcomes of requests at an engine.
+
+    :param ended: requests that ended.
+    :param failed: those of them that the engine failed.
+    """
+
+    ended: int = 0
+    failed: int = 0
+
+
 @attrs.frozen
 class FleetEvent:
     """A change of what a gateway believes of an engine, for its log.
@@ -78,7 +96,9 @@
     :param speeds: newest observations of its speed by this gateway.
     :param peer_speeds: speed and number of observations of other gateways.
     :param latency_s: smoothed seconds of a plain request.
-    :param failure_rate: smoothed share of failed requests.
+    :param failure_rate: smoothed share of failed requests of all gateways.
+    :param unannounced: outcomes at this gateway since its last message.
+    :param counted_failing: whether its failure rate was last logged as too high.
     :param suspect_until: instant up to which it is avoided.
     :param failures: failures in a row to reach it.
     :param gone_at: instant at which a missing entry counts as gone; None if listed.
@@ -95,6 +115,8 @@
     peer_speeds: dict[str, tuple[float, int]] = attrs.field(factory=dict)
     latency_s: float = DEFAULT_LATENCY_S
     failure_rate: float = 0.0
+    unannounced: Outcomes = attrs.field(factory=Outcomes)
+    counted_failing: bool = False
     suspect_until: float = 0.0
     failures: int = 0
     gone_at: float | None = None
@@ -165,7 +187,30 @@
 
         :param failed: whether the engine failed a request that it should have served.
         """
-        self.failure_rate += FAILURE_WEIGHT * (float(failed) - self.failure_rate)
+        self.unannounced.ended += 1
+        self.unannounced.failed += failed
+        self.learn_outcomes(Outcomes(1, int(failed)))
+
+    def learn_outcomes(self, outcomes: Outcomes) -> None:
+        """Learn the failure rate from outcomes at this gateway or another one.
+
+        :param outcomes: the outcomes, at least one.
+        """
+        weight = 1.0 - (1.0 - FAILURE_WEIGHT) ** outcomes.ended
+        share = outcomes.failed / outcomes.ended
+        self.failure_rate += weight * (share - self.failure_rate)
+
+    def forget_failures(self, elapsed_s: float) -> None:
+        """Let the failure rate fall with time.
+
+        :param elapsed_s: seconds since the last call.
+        """
+        self.failure_rate *= math.exp(-elapsed_s / FAILURE_MEMORY_S)
+
+    @property
+    def failing(self) -> float:
+        """Failure rate beyond the accepted one; 0 for a sound engine."""
+        return max(0.0, self.failure_rate - ACCEPTED_FAILURE_RATE)
 
 
 class Fleet:
@@ -303,6 +348,15 @@
         engine.suspect_until = 0.0
         return FleetEvent("engine_trusted", engine.entry.engine_id, "it answered")
 
+    def failing_changes(self) -> Iterator[FleetEvent]:
+        """Yield engines that began or ceased to fail too many requests."""
+        for engine_id, engine in self.engines.items():
+            if engine.counted_failing != (engine.failing > 0):
+                engine.counted_failing = not engine.counted_failing
+                event = "engine_failing" if engine.counted_failing else "engine_sound"
+                rate = f"failure rate {engine.failure_rate:.2f}"
+                yield FleetEvent(event, engine_id, rate)
+
     def _listed(self, now: float, entry: EngineEntry) -> Iterator[FleetEvent]:
         known = self.engines.get(entry.engine_id)
         if known is not None and known.entry.started_ms == entry.started_ms:
--- a/src/jasminewalk/gateway/peer_link.py
+++ b/src/jasminewalk/gateway/peer_link.py
@@ -127,16 +127,18 @@
         )
 
     async def run(self) -> None:
-        """Tell the other gateways forever."""
+        """Announce this gateway's state to the others forever."""
         while True:
             self.announce()
             for node in self.peers.forget_silent(self.clock()):
                 self.log.info("peer_silent", peer=node)
+            for event in self.peers.fleet.failing_changes():
+                self.log.info(event.event, engine=event.engine, detail=event.detail)
             count = 1 + len(self.peers.peers)
             await asyncio.sleep(ANNOUNCE_INTERVAL_S * max(1.0, count / FEW_GATEWAYS))
 
     def announce(self) -> None:
-        """Tell the other gateways now."""
+        """Announce this gateway's state to the others now."""
         now = self.clock()
         data = self.peers.message(
             now, self.configuration.progress(now), self.registry.progress(now)
--- a/src/jasminewalk/gateway/peers.py
+++ b/src/jasminewalk/gateway/peers.py
@@ -8,7 +8,7 @@
 import xxhash
 
 from jasminewalk.gateway.demand import Demand, DemandMeter
-from jasminewalk.gateway.fleet import EngineState, Fleet, Load
+from jasminewalk.gateway.fleet import EngineState, Fleet, Load, Outcomes
 from jasminewalk.platform.headers import PromptPart
 
 __all__ = [
@@ -50,6 +50,7 @@
     :param speeds: engine, speed in hundredths, and number of observations.
     :param reads: engine, part of a prompt, and its tokens.
     :param changing: engine, and milliseconds for which a change of stage takes it away.
+    :param outcomes: engine, requests ended and failed there since the message before.
     """
 
     node: str
@@ -64,6 +65,8 @@
     speeds: list[tuple[int, int, int]]
     reads: list[tuple[int, str, int]]
     changing: list[tuple[int, int]]
+    # Gateways of the version before send none.
+    outcomes: list[tuple[int, int, int]] = []
 
 
 def decode_peer_message(data: bytes) -> PeerMessage | None:
@@ -127,6 +130,7 @@
         self.fleet = fleet
         self.peers: dict[str, Peer] = {}
         self.number = 0
+        self.announced_at = 0.0
         self.demand = DemandMeter()
         self.reads: deque[_AnnouncedRead] = deque()
 
@@ -193,6 +197,7 @@
         :param registry: how far the registry was read.
         """
         self.number += 1
+        self._forget_failures(now)
         demand = self.demand.rate(now)
         engines = self.fleet.engines.values()
         message = PeerMessage(
@@ -220,9 +225,25 @@
                 for engine in engines
                 if engine.changing_until > now
             ],
+            outcomes=self._announced_outcomes(),
         )
         return msgspec.msgpack.encode(message)
 
+    def _forget_failures(self, now: float) -> None:
+        for engine in self.fleet.engines.values():
+            engine.forget_failures(now - self.announced_at)
+        self.announced_at = now
+
+    def _announced_outcomes(self) -> list[tuple[int, int, int]]:
+        announced = []
+        for engine in self.fleet.engines.values():
+            outcomes, engine.unannounced = engine.unannounced, Outcomes()
+            # Sound engines are most, and need no word.
+            if outcomes.ended and (outcomes.failed or engine.failing):
+                row = (engine_key(engine), outcomes.ended, outcomes.failed)
+                announced.append(row)
+        return announced
+
     def _announced_speeds(self) -> list[tuple[int, int, int]]:
         if self.number % MESSAGES_PER_SPEEDS:
             return []
@@ -275,6 +296,9 @@
             if key in by_key and by_key[key].changing_until <= now and left_ms > 500:
                 left_s = min(left_ms / 1e3, LONGEST_CHANGE_S)
                 by_key[key].changing_until = now + left_s
+        for key, ended, failed in message.outcomes:
+            if key in by_key and 0 <= failed <= ended and ended > 0:
+                by_key[key].learn_outcomes(Outcomes(ended, failed))
         for key, part_id, tokens in message.reads:
             if key in by_key:
                 by_key[key].cache.add((PromptPart(part_id, tokens),))
--- a/src/jasminewalk/gateway/placement.py
+++ b/src/jasminewalk/gateway/placement.py
@@ -45,9 +45,8 @@
 REREAD_WEIGHT = 0.5
 # Seconds that one running request adds to the first token of another.
 RUNNING_S = 0.0005
-# Seconds of a plain request's wait per failure in a hundred.
-FAILURE_S = 0.02
-ACCEPTED_FAILURE_RATE = 0.2
+# Seconds of waiting that a failed request counts as.
+FAILED_REQUEST_S = 1.0
 
 
 @attrs.frozen
@@ -241,20 +240,19 @@
         return Estimate(engine, wait_s, work_s / speed, work_s, cached)
 
     def _cost(self, work: PromptWork, found: Estimate, held: int) -> tuple[float, int]:
-        failing = max(0.0, found.engine.failure_rate - ACCEPTED_FAILURE_RATE)
         cost_s = (
             found.wait_s
             + (1.0 + ENGINE_TIME_WEIGHT) * found.read_s
             + REREAD_WEIGHT * max(0, held - found.cached_tokens) / READ_RATE
-            + 100 * FAILURE_S * failing
+            + FAILED_REQUEST_S * found.engine.failing
         )
         # Rounding lets prompts of one key meet again where all engines are alike.
         return round(cost_s, 2), _affinity(work.shared_key, found.engine)
 
     def _plain_cost(self, engine: EngineState) -> tuple[float, float]:
-        failing = max(0.0, engine.failure_rate - ACCEPTED_FAILURE_RATE)
         queue = engine.requests / engine.entry.slots
-        cost_s = engine.latency_s * (1.0 + 2.0 * queue) + 100 * FAILURE_S * failing
+        cost_s = engine.latency_s * (1.0 + 2.0 * queue)
+        cost_s += FAILED_REQUEST_S * engine.failing
         if engine.entry.failure_domain != self.failure_domain:
             cost_s += OTHER_DOMAIN_S
         return cost_s, engine.entry.started_ms
--- a/src/jasminewalk/gateway/plain_run.py
+++ b/src/jasminewalk/gateway/plain_run.py
@@ -151,7 +151,7 @@
             if outcome.answer is not None:
                 self.rejected(engine, outcome.answer.status)
             return
-        engine.observe_outcome(outcome.answer is None)
+        engine.observe_outcome(outcome.failed)
         if outcome.answer is not None:
             engine.progress_at = self.parts.clock()
             engine.observe_latency(taken_s)
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -8,11 +8,14 @@
 import itertools
 import random
 
+import msgspec
 import pytest
 
 from gateway_fakes import engine_of
 from jasminewalk.gateway.admission import AdmissionPolicy, Admitted
 from jasminewalk.gateway.demand import DemandMeter
+from jasminewalk.gateway.fleet import Fleet
+from jasminewalk.gateway.peers import LoadExchange, TopicProgress, decode_peer_message
 from jasminewalk.gateway.placement import HAND_OVER_S, PlacementPolicy, PromptWork
 from jasminewalk.platform.headers import PromptPart
 
@@ -229,3 +232,42 @@
     found = play(fleet_of(3, 4), sorted(arrivals, key=lambda a: a[0]))
     assert found.refused == 0
     assert found.in_time >= 0.97 * len(arrivals)
+
+
+class UnsharedExchange(LoadExchange):
+    """Earlier behaviour: each gateway learns from its own failures only."""
+
+    def take(self, now, message):
+        return super().take(now, msgspec.structs.replace(message, outcomes=[]))
+
+
+def failed_questions(seed, exchange):
+    """Count failures of questions to five engines, two of which fail half."""
+    generator = random.Random(seed)
+    gateways = []
+    for name in "12345":
+        fleet = Fleet()
+        fleet.engines = {f"d{n}": engine_of(f"d{n}") for n in range(5)}
+        gateways.append(exchange(name, f"10.0.0.{name}:7660", 1, fleet))
+    placement = PlacementPolicy("north", random.Random(seed))
+    failed, announced_at = 0, 0.0
+    for number, now in enumerate(poisson(generator, 118.0, 4.0)):
+        engines = list(gateways[number % 5].fleet.engines.values())
+        engine = placement.options(short_question(number), engines)[0].estimate.engine
+        broken = engine.entry.engine_id in ("d0", "d1") and generator.random() < 0.5
+        engine.observe_outcome(broken)
+        failed += broken
+        if now - announced_at >= 0.1:
+            announced_at = now
+            for sender in gateways:
+                data = sender.message(now, TopicProgress(), TopicProgress())
+                for receiver in gateways:
+                    receiver.take(now, decode_peer_message(data))
+    return failed
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_engines_that_fail_half_are_left_sooner_by_shared_outcomes(seed):
+    shared = failed_questions(seed, LoadExchange)
+    alone = failed_questions(seed, UnsharedExchange)
+    assert shared < 0.75 * alone
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -19,6 +19,7 @@
     LoadExchange,
     TopicProgress,
     decode_peer_message,
+    engine_key,
 )
 from jasminewalk.gateway.stage_holder import HolderLease
 from jasminewalk.gateway.stage_planner import StagePlanner
@@ -206,7 +207,46 @@
     assert decode_peer_message(msgspec.msgpack.encode({"node": 1})) is None
 
 
-def test_change_of_stage_is_told(gateways):
+def test_gateways_learn_of_each_others_failed_requests(gateways):
+    one, two = gateways
+    for failed in (True, False, True, True):
+        one.fleet.engines["i-1"].observe_outcome(failed)
+        one.fleet.engines["i-2"].observe_outcome(False)
+    tell(one, two, 1.0)
+    assert two.fleet.engines["i-1"].failing > 0
+    assert two.fleet.engines["i-2"].failure_rate == 0.0
+    rate = two.fleet.engines["i-1"].failure_rate
+    tell(one, two, 1.1)
+    assert two.fleet.engines["i-1"].failure_rate == rate
+
+
+def test_message_of_a_gateway_that_counts_no_outcomes_is_taken(gateways):
+    one, two = gateways
+    fields = msgspec.msgpack.decode(message_of(one, 1.0))
+    assert two.take(1.0, decode_peer_message(msgspec.msgpack.encode(fields[:-1])))
+
+
+@pytest.mark.parametrize(("ended", "failed"), [(0, 0), (1, 2), (3, -1)])
+def test_impossible_outcomes_are_passed_over(gateways, ended, failed):
+    one, two = gateways
+    fields = msgspec.msgpack.decode(message_of(one, 1.0))
+    engine = two.fleet.engines["i-1"]
+    fields[-1] = [[engine_key(engine), ended, failed]]
+    two.take(1.0, decode_peer_message(msgspec.msgpack.encode(fields)))
+    assert engine.failure_rate == 0.0
+
+
+def test_failing_engine_is_sound_again_after_a_while(fleet):
+    engine = fleet.engines["i-1"]
+    for _ in range(6):
+        engine.observe_outcome(True)
+    assert [event.event for event in fleet.failing_changes()] == ["engine_failing"]
+    assert list(fleet.failing_changes()) == []
+    engine.forget_failures(20.0)
+    assert [event.event for event in fleet.failing_changes()] == ["engine_sound"]
+
+
+def test_change_of_stage_is_announced(gateways):
     one, two = gateways
     one.fleet.engines["i-1"].changing_until = 4.0
     tell(one, two, 1.0)
