--- a/src/jasminewalk/gateway/generation_run.py
+++ b/src/jasminewalk/gateway/generation_run.py
@@ -2,7 +2,8 @@
 
 import asyncio
 from abc import abstractmethod
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 
 from jasminewalk.exceptions import BadMessageError
 from jasminewalk.gateway.admission import Admission, Admitted
@@ -10,7 +11,7 @@
 from jasminewalk.gateway.fleet import EngineState
 from jasminewalk.gateway.placement import Estimate, Option, PromptWork
 from jasminewalk.gateway.read_prompt import ReadPrompt, free_prompt
-from jasminewalk.gateway.run import BAD_GATEWAY, Run
+from jasminewalk.gateway.run import BAD_GATEWAY, Run, RunLoad
 from jasminewalk.http1.client import Answer, ExchangeBrokenError
 from jasminewalk.platform.engines import decode_prompt_handle
 from jasminewalk.platform.headers import engine_headers
@@ -137,6 +138,23 @@
         engines = self.parts.fleet.usable(self.service, self.parts.clock())
         return self.parts.placement.decoder(engines, self.tried)
 
+    @contextmanager
+    def prompt_load(self, engine: EngineState, reading_s: float) -> Iterator[RunLoad]:
+        """Count the request as work at an engine, and its prompt as kept there.
+
+        The prompt's own part counts as kept no longer if the engine did not read it.
+
+        :param engine: the engine.
+        :param reading_s: seconds that an engine of speed 1 reads the prompt.
+        """
+        with self.load(engine, reading_s) as load:
+            self.parts.peers.record_read(engine, self.work.parts)
+            try:
+                yield load
+            finally:
+                if not load.was_read:
+                    self.parts.peers.record_unread(engine, self.work.parts)
+
     async def read_prompt(self, estimate: Estimate, priority: int) -> bool:
         """Have an engine read the prompt for another, and return whether it did.
 
@@ -146,8 +164,7 @@
         engine = estimate.engine
         started = self.parts.clock()
         alone = engine.reading_s == 0.0
-        with self.load(engine, estimate.work_s):
-            self.parts.peers.record_read(engine, self.work.parts)
+        with self.prompt_load(engine, estimate.work_s) as load:
             try:
                 sent = await self.send(engine, priority, prefill_only=True)
             except NotSentError as error:
@@ -158,9 +175,10 @@
                     sent.exchange.head, engine, estimate.total_s, give_up=True
                 )
                 body = await sent.exchange.body()
-                handle = (
-                    decode_prompt_handle(body) if answer.status == SUCCESS else None
-                )
+                handle = None
+                if answer.status == SUCCESS:
+                    handle = decode_prompt_handle(body)
+                    load.prompt_was_read()
             except (ExchangeBrokenError, BadMessageError) as error:
                 self._prompt_failed(engine, str(error))
                 return False
--- a/src/jasminewalk/gateway/peers.py
+++ b/src/jasminewalk/gateway/peers.py
@@ -48,7 +48,7 @@
 
     :param loads: engine, requests, and milliseconds of reading at an engine of speed 1.
     :param speeds: engine, speed in hundredths, and number of observations.
-    :param reads: engine, part of a prompt, and its tokens.
+    :param reads: engine, part of a prompt, and its tokens; 0 if it was not read.
     :param changing: engine, and milliseconds for which a change of stage takes it away.
     :param outcomes: engine, requests ended and failed there since the message before.
     """
@@ -187,6 +187,21 @@
             if part.tokens >= ANNOUNCED_PART_TOKENS:
                 self.reads.append(_AnnouncedRead(engine, part))
 
+    def record_unread(
+        self, engine: EngineState, prompt: tuple[PromptPart, ...]
+    ) -> None:
+        """Remember that an engine did not read a prompt that it was sent.
+
+        Only the prompt's own part, the last, is forgotten: others may have had the
+        shared ones read there.
+
+        :param engine: the engine.
+        :param prompt: parts of the prompt.
+        """
+        if prompt:
+            engine.cache.forget(prompt[-1].part_id)
+            self.reads.append(_AnnouncedRead(engine, PromptPart(prompt[-1].part_id, 0)))
+
     def message(
         self, now: float, configuration: TopicProgress, registry: TopicProgress
     ) -> bytes:
@@ -300,8 +315,10 @@
             if key in by_key and 0 <= failed <= ended and ended > 0:
                 by_key[key].learn_outcomes(Outcomes(ended, failed))
         for key, part_id, tokens in message.reads:
-            if key in by_key:
+            if key in by_key and tokens:
                 by_key[key].cache.add((PromptPart(part_id, tokens),))
+            elif key in by_key:
+                by_key[key].cache.forget(part_id)
         return True
 
     def forget_silent(self, now: float) -> Iterator[str]:
--- a/src/jasminewalk/gateway/prompt_cache.py
+++ b/src/jasminewalk/gateway/prompt_cache.py
@@ -50,6 +50,13 @@
             _, tokens = self.parts.popitem(last=False)
             self.used_tokens -= tokens
 
+    def forget(self, part_id: str) -> None:
+        """Forget a part that was not read after all.
+
+        :param part_id: id of the part.
+        """
+        self.used_tokens -= self.parts.pop(part_id, 0)
+
     def clear(self) -> None:
         """Forget all parts."""
         self.parts.clear()
--- a/src/jasminewalk/gateway/run.py
+++ b/src/jasminewalk/gateway/run.py
@@ -154,7 +154,7 @@
         try:
             yield counted
         finally:
-            counted.prompt_was_read()
+            counted.drop_reading()
             engine.own.requests -= 1
 
     def rejected(self, engine: EngineState, status: int) -> None:
@@ -245,13 +245,20 @@
 
     :param engine: the engine.
     :param reading_s: seconds of reading still counted.
+    :param was_read: whether the engine has read its prompt.
     """
 
     engine: EngineState
     reading_s: float
+    was_read: bool = False
 
     def prompt_was_read(self) -> None:
         """Count the prompt as read."""
+        self.was_read = True
+        self.drop_reading()
+
+    def drop_reading(self) -> None:
+        """Count nothing more to read, read or not."""
         # Sums of floats drift; an idle engine has no work at all.
         left_s = self.engine.own.reading_s - self.reading_s
         self.engine.own.reading_s = left_s if left_s > 1e-6 else 0.0
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -91,8 +91,7 @@
         prompt = self.prompt
         work_s = estimate.work_s if prompt is None else 0.0
         alone = engine.reading_s == 0.0
-        with self.load(engine, work_s) as load:
-            self.parts.peers.record_read(engine, self.work.parts)
+        with self.prompt_load(engine, work_s) as load:
             started = self.parts.clock()
             try:
                 sent = await self.send(engine, priority)
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -383,6 +383,18 @@
     assert len(system.logged("caller_left")) == 1
 
 
+@pytest.mark.anyio
+async def test_prompt_that_was_not_read_counts_as_kept_no_longer(system):
+    await system.start(*llms())
+    for engine in system.engines.values():
+        engine.behaviour = "hang"
+    with pytest.raises(TimeoutError):
+        await system.ask("/verdict/", b"", timeout_s=0.1, **LONG)
+    await asyncio.sleep(0.2)
+    cache = system.daemon.fleet.engines["reader"].cache
+    assert list(cache.parts.values()) == [13_000]
+
+
 @pytest.mark.anyio
 async def test_order_of_a_caller_that_left_is_carried_out(system):
     await system.start(*apps(1))
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -182,6 +182,19 @@
     assert (seen.requests, seen.reading_s) == (0, 0.0)
 
 
+def test_own_part_of_a_prompt_that_was_not_read_is_forgotten_by_all(gateways):
+    one, two = gateways
+    work = prompt_of(13_000, 4000)
+    there, seen = one.fleet.engines["i-1"], two.fleet.engines["i-1"]
+    one.record_read(there, work.parts)
+    tell(one, two, 1.0)
+    one.record_unread(there, work.parts)
+    tell(one, two, 1.1)
+    for engine in (there, seen):
+        assert engine.cache.cached_tokens(work.parts) == 13_000
+        assert engine.cache.used_tokens == 13_000
+
+
 def test_silent_gateway_is_forgotten(gateways):
     one, two = gateways
     one.fleet.engines["i-1"].own.requests = 3
