--- a/src/jasminewalk/gateway/plain_run.py
+++ b/src/jasminewalk/gateway/plain_run.py
@@ -36,12 +36,14 @@
     :param body: body of the answer.
     :param reason: why there is none.
     :param not_run: whether the request certainly did not run.
+    :param repeat_granted: whether the budget already granted a repeat.
     """
 
     answer: Answer | None
     body: bytes = b""
     reason: str = ""
     not_run: bool = False
+    repeat_granted: bool = False
 
     @property
     def failed(self) -> bool:
@@ -82,7 +84,10 @@
                 self.may_have_run = True
                 last = outcome if outcome.answer or last is None else last
             repeatable = self.route.repeatable or outcome.not_run
-            if not outcome.failed or not repeatable or not self.may_repeat():
+            granted = outcome.repeat_granted or (
+                outcome.failed and repeatable and self.may_repeat()
+            )
+            if not granted:
                 self._finish(last, outcome.reason)
                 return
             self.log("retried", reason=outcome.reason, engine=engine.entry.engine_id)
@@ -93,13 +98,7 @@
         return self.parts.placement.plain(usable, self.tried)
 
     async def _attempt(self, engine: EngineState) -> Outcome:
-        repeats_left = self.route.repeatable and (
-            self.attempts + 1 < self.route.max_attempts
-        )
-        timeout_s = self.engine_left_s
-        if repeats_left:
-            patience_s = max(SHORTEST_PATIENCE_S, SLOW_LATENCIES * engine.latency_s)
-            timeout_s = min(timeout_s, patience_s)
+        patience_s = max(SHORTEST_PATIENCE_S, SLOW_LATENCIES * engine.latency_s)
         with self.load(engine):
             sent = await self.parts.clients.send(
                 engine,
@@ -124,13 +123,15 @@
                 latency_ms=round(engine.latency_s * 1e3, 1),
             )
             started = self.parts.clock()
-            outcome = await self._answer_of(sent, timeout_s)
+            outcome = await self._answer_of(sent, patience_s)
         self._learn(engine, outcome, self.parts.clock() - started)
         return outcome
 
-    async def _answer_of(self, sent: OpenExchange, timeout_s: float) -> Outcome:
+    async def _answer_of(self, sent: OpenExchange, patience_s: float) -> Outcome:
         try:
-            async with asyncio.timeout(max(timeout_s, 0)):
+            async with asyncio.timeout(max(self.engine_left_s, 0)):
+                if not await self._answers_within(sent, patience_s):
+                    return Outcome(None, reason=NO_ANSWER, repeat_granted=True)
                 answer = await sent.exchange.head()
                 body = await sent.exchange.body()
         except TimeoutError:
@@ -146,6 +147,21 @@
             return Outcome(None, reason="answer is not the engine's")
         return Outcome(answer, body, f"engine answered {answer.status}")
 
+    async def _answers_within(self, sent: OpenExchange, patience_s: float) -> bool:
+        """Return False if an answer is late and the request is granted a repeat.
+
+        Without a repeat, the engine's silence is no reason to give up.
+        """
+        if not self.route.repeatable:
+            return True
+        try:
+            async with asyncio.timeout(patience_s):
+                await sent.exchange.head()
+        except TimeoutError:
+            elsewhere = self.engine_left_s >= SHORTEST_SEND_S and self._choose()
+            return not (elsewhere and self.may_repeat())
+        return True
+
     def _learn(self, engine: EngineState, outcome: Outcome, taken_s: float) -> None:
         if outcome.not_run:
             if outcome.answer is not None:
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -12,6 +12,7 @@
 import pytest
 
 from jasminewalk.gateway.daemon import METRICS_PORT, GatewayDaemon
+from jasminewalk.gateway.retry_budget import RetryBudget
 from platform_fakes import FakeEngine, FakeStore, configuration
 
 SETTINGS = """
@@ -239,6 +240,26 @@
     assert runs(system) == 2
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(("count", "slack"), [(2, 0.0), (1, 50.0)])
+async def test_slow_answer_is_waited_for_where_no_repeat_is_left(system, count, slack):
+    await system.start(*apps(count))
+    system.daemon.parts.budgets["app"] = RetryBudget(0.0, 10.0, slack)
+    for engine in system.engines.values():
+        engine.delay_s = 0.6
+    status, _, body = await system.ask("/look/seats", b"x")
+    assert (status, body) == (200, b"served by x")
+    assert runs(system) == 1
+
+
+@pytest.mark.anyio
+async def test_slow_request_is_sent_to_a_second_engine(system):
+    await system.start(*apps())
+    system.engines["app-0"].delay_s = 1.9
+    for _ in range(3):
+        assert (await system.ask("/look/seats", timeout_s=1.0))[0] == 200
+
+
 @pytest.mark.anyio
 async def test_engine_that_cannot_be_reached_costs_no_attempt(system):
     await system.start(*apps())
