--- a/src/jasminewalk/scheduling/roles.py
+++ b/src/jasminewalk/scheduling/roles.py
@@ -8,7 +8,7 @@
 import attrs
 
 from jasminewalk.generated_configuration import Pool
-from jasminewalk.generated_messages import LoadReport, PoolDemand
+from jasminewalk.generated_messages import PoolDemand
 
 __all__ = ["RolePlanner", "RoleProposal", "RoleSettings"]
 
@@ -144,14 +144,6 @@
             self.fleet_decode = demand.decode_tokens_per_s
         self.note_mix(now_s)
 
-    def observe_peer(self, now_s: float, report: LoadReport) -> None:
-        """Take a load report of an engine of the pool.
-
-        :param now_s: current instant in seconds.
-        :param report: the report.
-        """
-        self.roles.setdefault(report.endpoint, report.role)
-
     def note_mix(self, now_s: float) -> None:
         """Learn how long a mix lasts before it swings back.
 
