--- a/src/jasminewalk/gateway/generation_run.py
+++ b/src/jasminewalk/gateway/generation_run.py
@@ -191,6 +191,7 @@
             reason = f"engine answered {answer.status}"
             self._prompt_failed(engine, reason, failed=not refused)
             return False
+        engine.observe_outcome(False)
         taken_s = self.parts.clock() - started
         if alone and engine.reading_s == 0.0:
             engine.observe_read(estimate.work_s, taken_s)
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -404,6 +404,19 @@
     assert len(system.logged("caller_left")) == 1
 
 
+@pytest.mark.anyio
+async def test_prompts_that_were_read_count_for_their_reader(system):
+    await system.start(*llms())
+    reader = system.daemon.fleet.engines["reader"]
+    reader.failure_rate = 0.5
+    for number in range(3):
+        prompt = LONG | {"x_jasminewalk_prompt_prefix": f"aa:13000,b{number}:4000"}
+        assert (await system.ask("/verdict/", b"notes", **prompt))[0] == 200
+    assert len(system.engines["reader"].requests) == 3
+    # Without outcomes it falls to 1/e in four seconds; here are some milliseconds.
+    assert reader.failure_rate < 0.4
+
+
 @pytest.mark.anyio
 async def test_prompt_that_was_not_read_counts_as_kept_no_longer(system):
     await system.start(*llms())
