--- a/src/jasminewalk/gateway/generation_run.py
+++ b/src/jasminewalk/gateway/generation_run.py
@@ -1,7 +1,7 @@
 """Generations before their answer: placed by prompt, and read for another engine."""
 
 import asyncio
-from abc import abstractmethod
+from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 
@@ -30,11 +30,11 @@
 RESUMED_PRIORITY = 0
 
 
-class GenerationRun(Run):
+class GenerationRun(Run, ABC):
     """Places a generation and has its prompt read; its subclass brings the answer."""
 
     def begin(self) -> None:
-        """Set up the state of a request that was not placed yet, and count it."""
+        """Set up the state of a request before it is placed, and count its demand."""
         self.work = PromptWork(self.head.prompt, self.head.prompt_tokens)
         self.started = False
         self.may_have_run = False
--- a/src/jasminewalk/gateway/peers.py
+++ b/src/jasminewalk/gateway/peers.py
@@ -253,7 +253,7 @@
         announced = []
         for engine in self.fleet.engines.values():
             outcomes, engine.unannounced = engine.unannounced, Outcomes()
-            # Sound engines are most, and need no word.
+            # Most engines are sound; their outcomes are not announced.
             if outcomes.ended and (outcomes.failed or engine.failing):
                 row = (engine_key(engine), outcomes.ended, outcomes.failed)
                 announced.append(row)
