--- a/src/jasminewalk/gateway/generation_run.py
+++ b/src/jasminewalk/gateway/generation_run.py
@@ -172,7 +172,7 @@
                 return False
             try:
                 answer = await self.patiently(
-                    sent.exchange.head, engine, estimate.total_s, give_up=True
+                    sent.exchange.head, engine, estimate.total_s, give_up=lambda: True
                 )
                 body = await sent.exchange.body()
                 handle = None
@@ -264,14 +264,14 @@
         engine: EngineState,
         predicted_s: float,
         *,
-        give_up: bool,
+        give_up: Callable[[], bool],
     ) -> Answer:
         """Wait for an answer, and suspect an engine that sends nothing to anyone.
 
         :param wait: waits for the head of the answer.
         :param engine: the engine.
         :param predicted_s: seconds that the answer was predicted to take.
-        :param give_up: whether the request may go to another engine instead.
+        :param give_up: returns whether the request may go to another engine instead.
         :raises ExchangeBrokenError: if the engine is silent and may be given up.
         """
         patience_s = engine_patience_s(predicted_s, self.route.patience_s)
@@ -286,7 +286,7 @@
                 reason = f"silent for {patience_s:.1f} s"
                 event = self.parts.fleet.suspect(now, engine, reason)
                 self.warn(event.event, engine=event.engine, detail=event.detail)
-                if give_up:
+                if give_up():
                     raise ExchangeBrokenError(reason) from None
                 continue
             engine.progress_at = self.parts.clock()
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -20,7 +20,7 @@
 
 __all__ = ["StreamRun"]
 
-# A stream without a byte for this long is taken for broken, in seconds.
+# A stream without a byte for this long goes on elsewhere if it may, in seconds.
 SILENCE_S = 1.2
 MAX_CONNECTS = 3
 SHORTEST_SEND_S = 0.02
@@ -34,6 +34,7 @@
         self.begin()
         self.splitter = EventSplitter(self.head.last_event_id.encode())
         self.failure: tuple[Answer, bytes] | None = None
+        self.move_granted = False
         self.first_event_at: float | None = None
         try:
             async with asyncio.timeout(max(0.0, self.left_s)):
@@ -81,7 +82,22 @@
     def _may_go_on(self, end: End) -> bool:
         if end is End.BROKEN and not self.route.resumable:
             return False
-        return self.left_s > SHORTEST_SEND_S and self.may_repeat()
+        granted, self.move_granted = self.move_granted, False
+        return granted or (self.left_s > SHORTEST_SEND_S and self.may_repeat())
+
+    def may_move(self) -> bool:
+        """Return whether a stream that runs may be given up for another engine.
+
+        A repeat is then taken from the budget.
+        """
+        if not self.move_granted:
+            self.move_granted = (
+                self.route.resumable
+                and self.left_s > SHORTEST_SEND_S
+                and self.decoder() is not None
+                and self.may_repeat()
+            )
+        return self.move_granted
 
     # The stream.
 
@@ -131,11 +147,9 @@
         load: RunLoad,
         predicted_s: float,
     ) -> End:
-        # A generation that can't go on elsewhere may as well wait.
-        give_up = self.route.resumable and self.attempts < self.route.max_attempts
         try:
             answer = await self.patiently(
-                sent.exchange.head, engine, predicted_s, give_up=give_up
+                sent.exchange.head, engine, predicted_s, give_up=self.may_move
             )
             if answer.status != SUCCESS:
                 return await self._not_streamed(sent, answer, engine)
@@ -145,7 +159,7 @@
             if self.prompt is not None:
                 self.prompt.taken = True
             while True:
-                chunk = await self._next_chunk(sent, engine)
+                chunk = await self._next_chunk(sent)
                 if not chunk:
                     break
                 engine.progress_at = self.parts.clock()
@@ -161,14 +175,18 @@
         self._end_stream(answer, engine)
         return End.DONE
 
-    async def _next_chunk(self, sent: OpenExchange, engine: EngineState) -> bytes:
+    async def _next_chunk(self, sent: OpenExchange) -> bytes:
         if not self.started:
             return await sent.exchange.next_chunk()
-        try:
-            async with asyncio.timeout(SILENCE_S):
-                return await sent.exchange.next_chunk()
-        except TimeoutError as error:
-            raise ExchangeBrokenError(f"silent for {SILENCE_S} s") from error
+        while True:
+            try:
+                async with asyncio.timeout(SILENCE_S):
+                    return await sent.exchange.next_chunk()
+            except TimeoutError:
+                # Silence is no reason to cut a stream that can't go on elsewhere.
+                if self.may_move():
+                    reason = f"silent for {SILENCE_S} s"
+                    raise ExchangeBrokenError(reason) from None
 
     async def _not_streamed(
         self, sent: OpenExchange, answer: Answer, engine: EngineState
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -283,6 +283,17 @@
         await asyncio.sleep(0.02)
         connection.abort()
 
+    async def pause_stream(self, connection, request, headers):
+        """Say nothing for a while after the first event of a stream, then go on."""
+        if b"x-jasminewalk-stage" in headers or b"last-event-id" in headers:
+            await self.answer(connection, request, headers)
+            return
+        await self.stream(connection, headers, 1)
+        await asyncio.sleep(1.5)
+        for number in range(2, self.events + 1):
+            connection.send_chunk(b"id: %d\ndata: token %d\n\n" % (number, number))
+        connection.end_stream()
+
     async def error(self, connection, request, headers):
         connection.answer(500, self.head(headers), b"engine failed")
 
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -362,6 +362,27 @@
     assert f"signature: {ran_first.engine_id}" in head
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("path", "decoders", "ran"),
+    [("/help/", 2, 1), ("/verdict/", 1, 1), ("/verdict/", 2, 2)],
+)
+async def test_silent_stream_is_cut_only_to_go_on_elsewhere(
+    system, path, decoders, ran
+):
+    await system.start(*llms()[: 1 + decoders])
+    for engine in system.engines.values():
+        engine.behaviour = "pause_stream"
+    fields = {
+        "x_jasminewalk_token_usage": "380,3",
+        "x_jasminewalk_prompt_prefix": "a:380",
+    }
+    status, _, body = await system.ask(path, b"x", **fields)
+    assert (status, body.count(b"data: token")) == (200, 3)
+    assert body.endswith(b"0\r\n\r\n")
+    assert runs(system) == ran
+
+
 @pytest.mark.anyio
 async def test_broken_stream_that_may_not_go_on_does_not_look_complete(system):
     await system.start(*llms()[1:])
