Log the handle of a prefill, who its response names, and bytes that are discarded

The log of the incident could not tell a response to another request from a handle that was used or given out twice. prompt_read has the handle, the request that the response names and whether the connection was reused, handed_over has the source, and bytes_discarded is written for a second response, a response to another request, and bytes without a request.

--- a/src/jasminewalk/gateway/engine_clients.py
+++ b/src/jasminewalk/gateway/engine_clients.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+from functools import partial
 
 import attrs
 
@@ -9,6 +10,7 @@
 from jasminewalk.http1.client import (
     Connection,
     ConnectionPool,
+    DiscardedBytes,
     Exchange,
     ExchangeBrokenError,
     Response,
@@ -48,11 +50,13 @@
     :param exchange: exchange that receives the response.
     :param connection: connection of the exchange.
     :param pool: pool to which the connection is returned.
+    :param reused: whether the connection carried other requests before.
     """
 
     exchange: Exchange
     connection: Connection
     pool: ConnectionPool
+    reused: bool
 
     def close(self) -> None:
         """Return the connection to its pool; abort it if the response is incomplete."""
@@ -128,8 +132,9 @@
         exchange.on_response = lambda response: self._record_limit(
             engine, response, sent_at
         )
+        reused = connection.exchange_count > 0
         connection.send(request, exchange)
-        return OpenExchange(exchange, connection, pool)
+        return OpenExchange(exchange, connection, pool, reused)
 
     async def call(
         self,
@@ -212,8 +217,20 @@
     async def _connect(self, engine: EngineState, timeout_s: float) -> Connection:
         self.connections_opened += 1
         try:
-            return await connect(
+            connection = await connect(
                 engine.entry.address, min(CONNECT_TIMEOUT_S, timeout_s), self.clock
             )
         except ExchangeBrokenError as error:
             raise NotSentError(error.reason) from error
+        connection.on_discarded = partial(
+            self._record_discarded, engine.entry.engine_id
+        )
+        return connection
+
+    def _record_discarded(self, engine_id: str, discarded: DiscardedBytes) -> None:
+        detail = (
+            f"{discarded.reason}; names {discarded.request_id or 'no request'}, "
+            f"expected {discarded.expected_id or 'no id'}, "
+            f"after {discarded.exchange_count} exchanges of the connection"
+        )
+        self.on_event(FleetEvent("bytes_discarded", engine_id, detail))
--- a/src/jasminewalk/gateway/generation_run.py
+++ b/src/jasminewalk/gateway/generation_run.py
@@ -217,6 +217,9 @@
         self.log(
             "prompt_read",
             engine=engine.entry.engine_id,
+            handle=handle.handle_id,
+            named=response.head.request_id,
+            reused=sent.reused,
             taken_ms=round(elapsed_s * 1e3, 1),
             predicted_ms=round(estimate.total_s * 1e3, 1),
             read_tokens=self.prompt_profile.tokens - estimate.cached_tokens,
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -69,7 +69,8 @@
                 self.finish_incomplete(self.explain_missing_engine(), BAD_GATEWAY)
                 return
             if option.disaggregated:
-                self.log("handed_over", engine=engine.entry.engine_id)
+                source = self.prefilled_prompt.source if self.prefilled_prompt else ""
+                self.log("handed_over", engine=engine.entry.engine_id, source=source)
             result = await self._attempt(engine, estimate, priority)
             if result is StreamAttemptResult.DONE:
                 return
--- a/src/jasminewalk/http1/__init__.py
+++ b/src/jasminewalk/http1/__init__.py
@@ -8,6 +8,7 @@
 from jasminewalk.http1.client import (
     Connection,
     ConnectionPool,
+    DiscardedBytes,
     Exchange,
     ExchangeBrokenError,
     Response,
@@ -28,6 +29,7 @@
     "CallerServer",
     "Connection",
     "ConnectionPool",
+    "DiscardedBytes",
     "Exchange",
     "ExchangeBrokenError",
     "connect",
--- a/src/jasminewalk/http1/client.py
+++ b/src/jasminewalk/http1/client.py
@@ -13,6 +13,7 @@
     "Response",
     "Connection",
     "ConnectionPool",
+    "DiscardedBytes",
     "Exchange",
     "ExchangeBrokenError",
     "connect",
@@ -50,6 +51,22 @@
     head: ResponseHead
 
 
+@attrs.frozen
+class DiscardedBytes:
+    """Received bytes that are not the response to the current request.
+
+    :param reason: why they were discarded.
+    :param request_id: id of the request that the response names; empty if none.
+    :param expected_id: id of the current request; empty if none.
+    :param exchange_count: exchanges that the connection had completed before.
+    """
+
+    reason: str
+    request_id: str
+    expected_id: str
+    exchange_count: int
+
+
 @attrs.define(eq=False)
 class Exchange:
     """One request on a connection and its response.
@@ -135,6 +152,7 @@
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self.clock = clock
+        self.on_discarded: Callable[[DiscardedBytes], None] = lambda discarded: None
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
         self.closed = False
@@ -164,6 +182,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; abort the connection if no request is outstanding."""
         if self.exchange is None:
+            self._discard("bytes without a request")
             self.abort("bytes without a request")
             return
         try:
@@ -185,17 +204,20 @@
         """Accept the response if it belongs to the current exchange, else skip it."""
         status = self.parser.get_status_code()
         exchange = self.exchange
+        head = decode_response_head(status, self.headers)
         if exchange is None or exchange.complete:
             self.reusable = False
             self.skipping_response = True
+            self._discard("second response", head.request_id)
             return
-        head = decode_response_head(status, self.headers)
         id_differs = exchange.request_id and head.request_id != exchange.request_id
         success_without_id = not head.request_id and status < 300
         if status < MIN_FINAL_STATUS or (
             id_differs and (head.request_id or success_without_id)
         ):
             self.skipping_response = True
+            if status >= MIN_FINAL_STATUS:
+                self._discard("response to another request", head.request_id)
             return
         names = dict(self.headers)
         self.ends_at_close = (
@@ -257,6 +279,12 @@
         self.exchange_count += 1
         self.idle_since = self.clock()
 
+    def _discard(self, reason: str, request_id: str = "") -> None:
+        expected_id = self.exchange.request_id if self.exchange else ""
+        self.on_discarded(
+            DiscardedBytes(reason, request_id, expected_id, self.exchange_count)
+        )
+
     def _complete(self) -> None:
         exchange = self.exchange
         if exchange is not None and not exchange.complete:
