Add a failing test: a stream continues from the handle of another request

The stand-in engine can repeat its last response when the next request arrives on the connection. Of four prefills one after the other, the second takes the first one's handle (fails with: assert b'r1' == b'r2').

--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -4,6 +4,7 @@
 import base64
 import json
 import struct
+from functools import partial
 from urllib.parse import parse_qs, urlsplit
 
 from jasminewalk.http1 import CallerServer
@@ -208,7 +209,9 @@
 class FakeEngine:
     """Engine that responds according to ``behaviour`` and records its requests.
 
-    ``behaviour`` is the name of the method that handles the requests of callers.
+    ``behaviour`` is the name of the method that handles the requests of callers. If it
+    ``repeats_responses``, the last response on a connection is sent again when the next
+    request arrives there, before the response to that one.
     """
 
     def __init__(self, engine_id, service="app", stage="", zone="north"):
@@ -227,6 +230,10 @@
         self.delay_s = 0.0
         self.request_limit = ""
         self.arrivals = []
+        self.handles = {}
+        self.repeats_responses = False
+        self.last_responses = {}
+        self.repeated_responses = 0
         self.address = ""
 
     async def start(self, free_port):
@@ -252,8 +259,24 @@
             fields["stage"] = self.stage
         return fields | changes
 
+    def repeat_last_response(self, connection):
+        """Send the last response on the connection again and record the next one."""
+        last = self.last_responses.get(connection)
+        if last is None:
+            connection._write = partial(self.write_recorded, connection)
+        elif last:
+            connection.transport.write(b"".join(last))
+            self.repeated_responses += 1
+        self.last_responses[connection] = []
+
+    def write_recorded(self, connection, data):
+        self.last_responses[connection].append(data)
+        type(connection)._write(connection, data)
+
     async def handle(self, connection, request):
         headers = dict(request.headers)
+        if self.repeats_responses:
+            self.repeat_last_response(connection)
         if request.path.startswith("/-/"):
             await self.handle_control_call(connection, request)
             return
@@ -306,7 +329,9 @@
     async def answer(self, connection, request, headers):
         await asyncio.sleep(1.5 if request.path.endswith("/slow") else self.delay_s)
         if headers.get(b"x-jasminewalk-stage") == b"prefill":
-            body = {"kv_handle": f"h-{len(self.requests)}", "tokens": 1, "version": 1}
+            handle = f"h-{len(self.requests)}"
+            self.handles[handle] = headers[b"x-jasminewalk-request-id"]
+            body = {"kv_handle": handle, "tokens": 1, "version": 1}
             connection.send_response(
                 200, self.build_headers(headers), json.dumps(body).encode()
             )
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -324,6 +324,30 @@
     assert not prefiller.released_paths
 
 
+@pytest.mark.anyio
+async def test_stream_never_continues_from_the_handle_of_another_request(harness):
+    await harness.start(*make_llm_engines())
+    prefiller = harness.engines["prefiller"]
+    prefiller.repeats_responses = True
+    for number in range(4):
+        prompt = {
+            "x_jasminewalk_token_usage": "17000,10",
+            "x_jasminewalk_prompt_prefix": f"a{number}:13000,b{number}:4000",
+        }
+        status, _, _ = await harness.send_request("/verdict/", b"notes", **prompt)
+        assert status == 200
+    used = [
+        (headers[b"x-jasminewalk-request-id"], headers[b"x-jasminewalk-kv-source"])
+        for engine in harness.engines.values()
+        for _, headers in engine.requests
+        if b"x-jasminewalk-kv-source" in headers
+    ]
+    assert prefiller.repeated_responses
+    assert len(used) == 4
+    for request_id, source in used:
+        assert prefiller.handles[source.decode().partition("/")[2]] == request_id
+
+
 @pytest.mark.anyio
 async def test_log_line_of_refusal_has_inputs_of_the_decision(harness):
     await harness.start(*make_llm_engines())
