Require the request's id in the response to a prefill

Cause: a prefill was sent with an exchange without an id, which accepts any response. On a reused connection the second, late response to an earlier prefill came first, and its handle was taken. Evidence: prompt_read request=r2 named=r1 reused=True handle=h-1, on loopback against a stand-in that repeats its responses. Ruled out: the gateway keeps no handle beyond its request (each was logged once); the stand-in never gives a handle out twice.

--- a/src/jasminewalk/gateway/generation_run.py
+++ b/src/jasminewalk/gateway/generation_run.py
@@ -274,7 +274,7 @@
                 last_event_id=self.last_event_id if resumed else None,
             ),
             self.request.body,
-            request_id="" if prefill_only else self.head.request_id,
+            request_id=self.head.request_id,
             repeatable=self.route.resumable or prefill_only,
             timeout_s=self.engine_remaining_s,
         )
