Fail an exchange whose response names no request, unless it is first

A caller could be refused with 503, which promises that its request has not run, because of a late second response without an id: Connection accepted any failure without an id for the current request, also on a connection that had carried others. On loopback, a 503 with not-executed and without an id, sent after the second request of a connection, was taken for the answer to that request (test_response_without_an_id_proves_nothing_on_a_reused_connection [503 Unavailable] failed with "DID NOT RAISE ExchangeBrokenError").

Any other response without an id fails the exchange, so the request counts as possibly run. A connection that carried a response to another request, or one without an id, is not reused. Callbacks of the parser after an abort no longer set the response of a failed exchange.

--- a/src/jasminewalk/http1/client.py
+++ b/src/jasminewalk/http1/client.py
@@ -23,6 +23,7 @@
 # memory.
 MAX_RESPONSE_BODY_BYTES = 64 * 1024 * 1024
 MIN_FINAL_STATUS = 200
+MIN_FAILURE_STATUS = 300
 STATUSES_WITHOUT_BODY = (204, 304)
 
 
@@ -72,8 +73,8 @@
     """One request on a connection and its response.
 
     A response with the id of another request is skipped, because an engine may send a
-    late or additional response before the expected one. A success
-    without an id is skipped too.
+    late or additional response before the expected one. One without an id fails the
+    exchange, unless it is a failure and the first response on the connection.
 
     :param request_id: id that the response must carry; empty accepts any response.
     :param response: status and headers of the response, once received.
@@ -160,6 +161,7 @@
         self.idle_since = 0.0
         self.idle_timeout_s: float | None = None
         self.exchange_count = 0
+        self.response_count = 0
         self.ends_at_close = False
         self.skipping_response = False
         self.headers: list[Header] = []
@@ -202,6 +204,9 @@
 
     def on_headers_complete(self) -> None:
         """Accept the response if it belongs to the current exchange, else skip it."""
+        if self.closed:
+            self.skipping_response = True
+            return
         status = self.parser.get_status_code()
         exchange = self.exchange
         head = decode_response_head(status, self.headers)
@@ -210,14 +215,10 @@
             self.skipping_response = True
             self._discard("second response", head.request_id)
             return
-        id_differs = exchange.request_id and head.request_id != exchange.request_id
-        success_without_id = not head.request_id and status < 300
-        if status < MIN_FINAL_STATUS or (
-            id_differs and (head.request_id or success_without_id)
+        if status < MIN_FINAL_STATUS or not self._belongs(
+            exchange, status, head.request_id
         ):
             self.skipping_response = True
-            if status >= MIN_FINAL_STATUS:
-                self._discard("response to another request", head.request_id)
             return
         names = dict(self.headers)
         self.ends_at_close = (
@@ -279,6 +280,21 @@
         self.exchange_count += 1
         self.idle_since = self.clock()
 
+    def _belongs(self, exchange: Exchange, status: int, request_id: str) -> bool:
+        """Return whether a response belongs to the exchange; discard it if not."""
+        self.response_count += 1
+        if not exchange.request_id or request_id == exchange.request_id:
+            return True
+        self.reusable = False
+        if request_id:
+            self._discard("response to another request", request_id)
+            return False
+        if self.response_count == 1 and status >= MIN_FAILURE_STATUS:
+            return True
+        self._discard("response without an id")
+        self.abort("response names no request")
+        return False
+
     def _discard(self, reason: str, request_id: str = "") -> None:
         expected_id = self.exchange.request_id if self.exchange else ""
         self.on_discarded(
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -107,6 +107,75 @@
     assert not connection.reusable
 
 
+@pytest.fixture
+async def reused_connection(free_address):
+    """Return a function that completes an exchange, then starts one on the connection.
+
+    The peer sends the given bytes after the second request.
+    """
+    servers = []
+
+    async def start_exchange(response, request_id="a"):
+        async def handle(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(OTHER_RESPONSE_HEAD + b"content-length: 4\r\n\r\nlate")
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(response)
+
+        host, _, port = free_address.rpartition(":")
+        servers.append(await asyncio.start_server(handle, host, int(port)))
+        connection = await connect(free_address, 1.0, get_time)
+        request = encode_request(b"GET", b"/", (), b"")
+        first_exchange = Exchange("b")
+        connection.send(request, first_exchange)
+        assert await first_exchange.body() == b"late"
+        connection.release()
+        exchange = Exchange(request_id)
+        connection.send(request, exchange)
+        return exchange, connection
+
+    yield start_exchange
+    for server in servers:
+        server.close()
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("status", [b"503 Unavailable", b"500 Failed", b"200 OK"])
+async def test_response_without_an_id_proves_nothing_on_a_reused_connection(
+    reused_connection, status
+):
+    head = b"HTTP/1.1 " + status + b"\r\nx-jasminewalk-not-executed: 1\r\n"
+    exchange, connection = await reused_connection(head + b"content-length: 0\r\n\r\n")
+    async with asyncio.timeout(1.0):
+        with pytest.raises(ExchangeBrokenError, match="names no request"):
+            await exchange.head()
+    assert connection.closed
+
+
+@pytest.mark.anyio
+async def test_response_without_an_id_after_one_to_another_request_proves_nothing(
+    peer,
+):
+    failure = b"HTTP/1.1 503 Unavailable\r\ncontent-length: 0\r\n\r\n"
+    with pytest.raises(ExchangeBrokenError, match="names no request"):
+        await peer(LATE_RESPONSE + failure)
+
+
+@pytest.mark.anyio
+async def test_first_failure_on_a_new_connection_may_have_no_id(peer):
+    failure = b"HTTP/1.1 503 Unavailable\r\ncontent-length: 4\r\n\r\nfull"
+    status, body, connection = await peer(failure)
+    assert (status, body) == (503, b"full")
+    assert not connection.reusable
+
+
+@pytest.mark.anyio
+async def test_connection_with_response_to_another_request_is_not_reusable(peer):
+    response = RESPONSE_HEAD + b"content-length: 2\r\n\r\nme"
+    _, _, connection = await peer(LATE_RESPONSE + response)
+    assert not connection.reusable
+
+
 @pytest.mark.anyio
 async def test_refused_connection_raises_exchange_broken(free_address):
     with pytest.raises(ExchangeBrokenError, match="connect failed"):
