Send each control call to an engine over a connection of its own

A late second response could become a belief or a confirmation: reports, stage orders and releases of handles shared pooled connections with requests and with each other and accepted any response, as theirs carry no id. A response to a request or to an earlier call was taken for a report (stage, orders accepted), an accepted order or a release, and the connection went back to the pool one response behind.

Evidence: with an engine that repeats its last response when the next request arrives, test_control_calls_never_take_responses_to_others_calls got "served by a" for a report (BadMessageError: engine response: JSON is malformed), and test_response_to_a_request_is_not_taken_for_that_to_a_call failed with "DID NOT RAISE ExchangeBrokenError".

Nothing else arrives on a new connection, so the response is that of the call. The connection is closed after the call, and a response that names a request fails it. The calls are rare: a stage change takes two, a prefilled prompt that is not used one.

--- a/src/jasminewalk/gateway/engine_clients.py
+++ b/src/jasminewalk/gateway/engine_clients.py
@@ -99,39 +99,19 @@
         :param target: path and query.
         :param headers: names and values.
         :param body: whole body.
-        :param request_id: id that the response must carry; empty accepts any.
+        :param request_id: id that the response must carry.
         :param repeatable: whether the request may run more than once.
         :param timeout_s: timeout for opening a connection, in seconds.
         :raises NotSentError: if no connection could be opened.
         """
         engine.record_sent(self.clock())
-        return await self._exchange(
-            engine,
-            encode_request(method, target, headers, body),
-            request_id=request_id,
-            repeatable=repeatable,
-            timeout_s=timeout_s,
-        )
-
-    async def _exchange(
-        self,
-        engine: EngineState,
-        request: bytes,
-        *,
-        request_id: str,
-        repeatable: bool,
-        timeout_s: float,
-    ) -> OpenExchange:
+        request = encode_request(method, target, headers, body)
         pool = self.get_pool(engine)
         max_idle_s = MAX_IDLE_REPEATABLE_S if repeatable else MAX_IDLE_ONCE_S
         connection = pool.take_idle(max_idle_s)
         if connection is None:
             connection = await self._connect(engine, timeout_s)
-        exchange = Exchange(request_id)
-        sent_at = self.clock()
-        exchange.on_response = lambda response: self._record_limit(
-            engine, response, sent_at
-        )
+        exchange = self._build_exchange(engine, request_id)
         reused = connection.exchange_count > 0
         connection.send(request, exchange)
         return OpenExchange(exchange, connection, pool, reused)
@@ -147,6 +127,8 @@
     ) -> tuple[int, bytes]:
         """Send a control request and return the status and body of the response.
 
+        The response does not name the call, so the call has a connection of its own.
+
         :param engine: the engine.
         :param method: HTTP method.
         :param target: path and query.
@@ -158,19 +140,20 @@
         :raises TimeoutError: if the timeout has passed.
         """
         async with asyncio.timeout(timeout_s):
-            all_headers = [(b"host", engine.entry.address.encode()), *headers]
-            sent = await self._exchange(
-                engine,
-                encode_request(method, target, all_headers, body),
-                request_id="",
-                repeatable=False,
-                timeout_s=timeout_s,
-            )
+            all_headers = [
+                (b"host", engine.entry.address.encode()),
+                (b"connection", b"close"),
+                *headers,
+            ]
+            request = encode_request(method, target, all_headers, body)
+            connection = await self._connect(engine, timeout_s)
+            exchange = self._build_exchange(engine, "")
             try:
-                response = await sent.exchange.head()
-                return response.status, await sent.exchange.body()
+                connection.send(request, exchange)
+                response = await exchange.head()
+                return response.status, await exchange.body()
             finally:
-                sent.close()
+                connection.abort()
 
     def get_pool(self, engine: EngineState) -> ConnectionPool:
         """Return the connection pool of an engine; create it if there is none.
@@ -195,6 +178,13 @@
                     pool.close()
                     del self.pools[engine]
 
+    def _build_exchange(self, engine: EngineState, request_id: str) -> Exchange:
+        sent_at = self.clock()
+        return Exchange(
+            request_id,
+            on_response=lambda response: self._record_limit(engine, response, sent_at),
+        )
+
     def _record_limit(
         self, engine: EngineState, response: Response, sent_at: float
     ) -> None:
--- a/src/jasminewalk/http1/client.py
+++ b/src/jasminewalk/http1/client.py
@@ -76,7 +76,8 @@
     late or additional response before the expected one. One without an id fails the
     exchange, unless it is a failure and the first response on the connection.
 
-    :param request_id: id that the response must carry; empty accepts any response.
+    :param request_id: id that the response must carry; empty accepts any response that
+        names no request.
     :param response: status and headers of the response, once received.
     :param complete: whether the whole response was received.
     :param failure: reason for the failure; empty if there is none.
@@ -283,9 +284,13 @@
     def _belongs(self, exchange: Exchange, status: int, request_id: str) -> bool:
         """Return whether a response belongs to the exchange; discard it if not."""
         self.response_count += 1
-        if not exchange.request_id or request_id == exchange.request_id:
+        if request_id == exchange.request_id:
             return True
         self.reusable = False
+        if not exchange.request_id:
+            self._discard("response to a request", request_id)
+            self.abort("response names a request")
+            return False
         if request_id:
             self._discard("response to another request", request_id)
             return False
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -13,6 +13,7 @@
 
 from jasminewalk.gateway.daemon import METRICS_PORT, GatewayDaemon
 from jasminewalk.gateway.retry_budget import RetryBudget
+from jasminewalk.platform.engines import decode_report
 from platform_fakes import ROUTES, FakeEngine, FakeStore, configuration
 
 SETTINGS = """
@@ -348,6 +349,25 @@
         assert prefiller.handles[source.decode().partition("/")[2]] == request_id
 
 
+@pytest.mark.anyio
+async def test_control_calls_never_take_responses_to_others_calls(harness):
+    await harness.start(*make_plain_engines(1))
+    engine = harness.engines["app-0"]
+    engine.repeats_responses = True
+    state = harness.daemon.fleet.engines["app-0"]
+    for _ in range(2):
+        assert (await harness.send_request("/book/seat", b"a"))[2] == b"served by a"
+        status, body = await harness.daemon.clients.call(
+            state, b"GET", b"/-/report", (), b"", 1.0
+        )
+        assert (status, decode_report(body).orders_accepted) == (200, 0)
+        status, body = await harness.daemon.clients.call(
+            state, b"DELETE", b"/-/kv-handle/h-1", (), b"", 1.0
+        )
+        assert (status, body) == (200, b"")
+    assert engine.released_paths == ["/-/kv-handle/h-1"] * 2
+
+
 @pytest.mark.anyio
 async def test_log_line_of_refusal_has_inputs_of_the_decision(harness):
     await harness.start(*make_llm_engines())
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -31,7 +31,7 @@
     """Yield a function that sends a request and serves raw bytes as its response."""
     servers = []
 
-    async def exchange(response, *, reset=False, timeout_s=1.0):
+    async def exchange(response, *, reset=False, timeout_s=1.0, request_id="a"):
         async def handle(reader, writer):
             await reader.read(100)
             writer.write(response)
@@ -48,7 +48,7 @@
         host, _, port = free_address.rpartition(":")
         servers.append(await asyncio.start_server(handle, host, int(port)))
         connection = await connect(free_address, timeout_s, get_time)
-        sent_exchange = Exchange("a")
+        sent_exchange = Exchange(request_id)
         connection.send(encode_request(b"GET", b"/", (), b""), sent_exchange)
         async with asyncio.timeout(timeout_s):
             head = await sent_exchange.head()
@@ -169,6 +169,13 @@
     assert not connection.reusable
 
 
+@pytest.mark.anyio
+async def test_response_to_a_request_is_not_taken_for_that_to_a_call(peer):
+    response = RESPONSE_HEAD + b"content-length: 2\r\n\r\nme"
+    with pytest.raises(ExchangeBrokenError, match="names a request"):
+        await peer(response, request_id="")
+
+
 @pytest.mark.anyio
 async def test_connection_with_response_to_another_request_is_not_reusable(peer):
     response = RESPONSE_HEAD + b"content-length: 2\r\n\r\nme"
