Use a new connection for each call of an endpoint or the platform

A log, engine, service, instance list or weight store that sends a second, late response to a request was believed: on a reused connection httpcore takes it for the response to the next request, and every later one is off by one. Callers of services without an idempotency key got the response to another call; a sidecar took a failed append for confirmed, at the offset of another record, so that the record was never sent again; it took an order that the engine had refused for accepted, and a KV handle of another request for its own.

Nothing in these responses names the request, and the peers are outside of this code, so no id can be required. `call` therefore sends `Connection: close` and uses each connection once. Calls of services with an idempotency key did so already; their separate pool is not needed any more, nor is closing idle connections after a timeout, because there are none.

Evidence: 10 of the 11 tests of tests/test_stuttering_endpoints.py failed before (the eleventh, calls with a key, passed), for instance test_append_is_confirmed_only_by_its_own_response: assert [1, 1, 2] == [1, 2, 3] test_failed_append_is_not_confirmed_by_the_response_to_another: DID NOT RAISE LogUnavailableError All pass now.

--- a/src/jasminewalk/sidecars/service_client.py
+++ b/src/jasminewalk/sidecars/service_client.py
@@ -30,11 +30,10 @@
 class HttpService(Service):
     """HTTP client of a plain service.
 
-    Each call with an idempotency key uses a new connection: a pooled connection may
-    be closed or dead, and a failure on it would leave the outcome unknown.
+    Each call uses a new connection. A connection that was idle may be closed or dead,
+    and a failure on it would leave the outcome unknown.
 
-    :param pool: pool of HTTP connections for calls without a key, which may
-        be retried.
+    :param pool: pool of HTTP connections.
     :param address: ``host:port`` of the service.
     :param timeout_s: maximum seconds for a whole call.
     """
@@ -56,21 +55,8 @@
         :raises ConnectionError: if nothing was sent.
         :raises OSError: if the call may have run.
         """
-        if not request.key:
-            return await self.send(self.pool, request)
-        async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
-            return await self.send(pool, request)
-
-    async def send(
-        self, pool: httpcore.AsyncConnectionPool, request: ServiceRequest
-    ) -> ServiceResponse:
-        """Send one call over a pool.
-
-        :param pool: pool of HTTP connections.
-        :param request: the call.
-        """
         response = await call(
-            pool,
+            self.pool,
             request.method,
             self.address,
             request.path,
--- a/src/jasminewalk/transport/_http_call.py
+++ b/src/jasminewalk/transport/_http_call.py
@@ -1,6 +1,5 @@
 """HTTP client for requests with complete responses, with timeouts."""
 
-from collections import deque
 from typing import Any, TypeVar
 
 import anyio
@@ -11,9 +10,10 @@
 from jasminewalk.exceptions import JasminewalkError
 from jasminewalk.generated_codes import RESULTS, Code
 from jasminewalk.generated_requests import RefusalBody
-from jasminewalk.transport._http import build_url, split_address
+from jasminewalk.transport._http import build_url
 
 __all__ = [
+    "CLOSE_HEADER",
     "HttpResponse",
     "HttpClient",
     "NotSentError",
@@ -26,7 +26,7 @@
 
 HTTP_OK = 200
 CALL_TIMEOUT_S = 2.0
-CLOSE_TIMEOUT_S = 1.0
+CLOSE_HEADER = ("connection", "close")
 
 NOT_SENT_ERRORS = (
     httpcore.ConnectError,
@@ -107,7 +107,10 @@
     timeout_s: float,
     max_duration_s: float | None = None,
 ) -> HttpResponse:
-    """Send a request and return the complete response.
+    """Send a request on a new connection and return the complete response.
+
+    The connection is not used again, because a response does not name its request: a
+    late second response to one request would be taken for the response to the next.
 
     :param pool: pool of HTTP connections.
     :param method: HTTP method.
@@ -125,16 +128,11 @@
             response = await pool.request(
                 method,
                 build_url(address, path),
-                headers=headers,
+                headers=[CLOSE_HEADER, *(headers or [])],
                 content=body,
                 extensions=build_timeouts(timeout_s, timeout_s),
             )
-    except TimeoutError:
-        await close_idle_connections(pool, address)
-        raise
     except HTTP_ERRORS as error:
-        if isinstance(error, httpcore.ReadTimeout):
-            await close_idle_connections(pool, address)
         raise to_os_error(error) from error
     return HttpResponse(
         response.status, decode_headers(response.headers), response.content
@@ -152,29 +150,6 @@
     ]
 
 
-async def close_idle_connections(
-    pool: httpcore.AsyncConnectionPool, address: str
-) -> None:
-    """Close the idle connections to an address.
-
-    After a timeout on one connection, other connections to the same address may
-    have stopped responding too.
-
-    :param pool: pool of HTTP connections.
-    :param address: ``host:port``.
-    """
-    host, port = split_address(address)
-    origin = httpcore.Origin(b"http", host.encode(), port)
-    idle = deque(
-        connection
-        for connection in pool.connections
-        if connection.can_handle_request(origin) and connection.is_idle()
-    )
-    with anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
-        while idle:
-            await idle.popleft().aclose()
-
-
 def decode_error(response: HttpResponse) -> JasminewalkError:
     """Decode the error in a response.
 
--- /dev/null
+++ b/tests/test_stuttering_endpoints.py
@@ -0,0 +1,165 @@
+"""Clients of a peer whose second response to a request follows the next request."""
+
+import msgspec
+import pytest
+
+from jasminewalk.agreement.log_client import HttpLog
+from jasminewalk.exceptions import LogUnavailableError, StaleFencingNumberError
+from jasminewalk.generated_codes import Code
+from jasminewalk.generated_requests import EngineOrder, EngineState, Instance
+from jasminewalk.generated_standins import AppendResult, WeightTurn
+from jasminewalk.interfaces import CachePage, ServiceRequest
+from jasminewalk.sidecars.engine_client import HttpEngine
+from jasminewalk.sidecars.service_client import HttpService
+from jasminewalk.sidecars.weights_client import HttpWeightStore
+from jasminewalk.transport._http import open_http_pool
+from jasminewalk.transport.instances_client import HttpInstanceList
+from raw_server import StutteringServer, build_response
+
+pytestmark = pytest.mark.anyio
+
+encode_json = msgspec.json.encode
+
+
+@pytest.fixture
+async def pool():
+    async with open_http_pool() as pool:
+        yield pool
+
+
+def count_up(build_body):
+    """Answer the n-th request, from 1, with the JSON of ``build_body(n)``."""
+    numbers = iter(range(1, 100))
+    return lambda request: build_response(encode_json(build_body(next(numbers))))
+
+
+async def test_append_is_confirmed_only_by_its_own_response(pool):
+    server = StutteringServer(count_up(lambda number: AppendResult(offset=number)))
+    async with server.serve():
+        log = HttpLog(pool, server.address, timeout_s=2.0)
+        assert [await log.append(b"a") for _ in range(3)] == [1, 2, 3]
+
+
+async def test_failed_append_is_not_confirmed_by_the_response_to_another(pool):
+    def answer(request):
+        if request.body == b"refused":
+            return build_response(b"{}", status=b"503 Unavailable")
+        return build_response(encode_json(AppendResult(offset=7)))
+
+    server = StutteringServer(answer)
+    async with server.serve():
+        log = HttpLog(pool, server.address, timeout_s=2.0)
+        assert await log.append(b"stored") == 7
+        with pytest.raises(LogUnavailableError):
+            await log.append(b"refused")
+
+
+async def test_page_of_the_log_is_the_response_to_its_own_read(pool):
+    def answer(request):
+        stream = request.line.split(b"/")[2]
+        return build_response(msgspec.msgpack.encode((1, 2, [(1, stream)])))
+
+    server = StutteringServer(answer)
+    async with server.serve():
+        for stream in ("main", "claims-a", "claims-b"):
+            log = HttpLog(pool, server.address, timeout_s=2.0, stream=stream)
+            page = await log.read(1, 10)
+            assert page.entries[0].data == stream.encode()
+
+
+async def test_service_response_without_a_key_belongs_to_its_own_call(pool):
+    server = StutteringServer(lambda request: build_response(request.body))
+    async with server.serve():
+        service = HttpService(pool, server.address)
+        for body in (b"anna", b"ben", b"cleo"):
+            call = ServiceRequest(method="POST", path="/", headers=[], body=body)
+            assert (await service.call(call)).body == body
+
+
+async def test_service_response_with_a_key_belongs_to_its_own_call(pool):
+    server = StutteringServer(lambda request: build_response(request.body))
+    async with server.serve():
+        service = HttpService(pool, server.address)
+        for body in (b"anna", b"ben", b"cleo"):
+            call = ServiceRequest(
+                method="POST", path="/", headers=[], body=body, key=body.decode()
+            )
+            assert (await service.call(call)).body == body
+
+
+async def test_refused_order_is_not_confirmed_by_the_response_to_another(pool):
+    def answer(request):
+        order = msgspec.json.decode(request.body, type=EngineOrder)
+        if order.fencing_number == 9:
+            return build_response(b"{}")
+        body = {
+            "code": Code.STALE_FENCING_NUMBER,
+            "name": "",
+            "message": "",
+            "ran": "not_run",
+        }
+        return build_response(encode_json(body), status=b"409 Conflict")
+
+    server = StutteringServer(answer)
+    async with server.serve():
+        engine = HttpEngine(pool, server.address)
+        await engine.order(EngineOrder(fencing_number=9, role="mixed", models=[]))
+        with pytest.raises(StaleFencingNumberError):
+            await engine.order(EngineOrder(fencing_number=8, role="mixed", models=[]))
+
+
+async def test_exported_handle_belongs_to_its_own_request(pool):
+    server = StutteringServer(
+        lambda request: build_response(request.line.split(b"/")[3])
+    )
+    async with server.serve():
+        engine = HttpEngine(pool, server.address)
+        for request_id in ("r1", "r2", "r3"):
+            assert await engine.export_kv(request_id, 1) == request_id.encode()
+
+
+async def test_state_of_an_engine_is_the_response_to_its_own_poll(pool):
+    server = StutteringServer(
+        count_up(
+            lambda number: EngineState(role="mixed", models=[], fencing_number=number)
+        )
+    )
+    async with server.serve():
+        engine = HttpEngine(pool, server.address)
+        numbers = [(await engine.state()).fencing_number for _ in range(3)]
+        assert numbers == [1, 2, 3]
+
+
+async def test_cache_page_is_the_response_to_its_own_request(pool):
+    server = StutteringServer(
+        count_up(
+            lambda number: CachePage(
+                first_sequence=number, next_sequence=number + 1, added=[], removed=[]
+            )
+        )
+    )
+    async with server.serve():
+        engine = HttpEngine(pool, server.address)
+        pages = [await engine.cache_events(number) for number in (1, 2, 3)]
+        assert [page.first_sequence for page in pages] == [1, 2, 3]
+
+
+async def test_instance_list_is_the_response_to_its_own_read(pool):
+    server = StutteringServer(
+        count_up(
+            lambda number: [
+                Instance(name=f"e{number}", kind="entry", address="x:1", state="live")
+            ]
+        )
+    )
+    async with server.serve():
+        instances = HttpInstanceList(pool, server.address)
+        names = [(await instances.instances())[0].name for _ in range(3)]
+        assert names == ["e1", "e2", "e3"]
+
+
+async def test_weight_reservation_is_the_response_to_its_own_request(pool):
+    server = StutteringServer(count_up(lambda number: WeightTurn(wait_s=number)))
+    async with server.serve():
+        store = HttpWeightStore(pool, server.address)
+        assert [await store.reserve("m", 1) for _ in range(3)] == [1, 2, 3]
