Use a new connection for each generation on an engine

A caller could get the tokens of another request: an engine that sends a second, late response to a generation had it taken for the response to the next one on the same connection, and the sidecar forwarded its frames to the entry of that request.

Frames of an engine name neither request nor attempt, and requiring that of them would refuse every engine of today. The sidecar therefore posts each generation with `Connection: close`, and the connection is closed after it.

Evidence: test_tokens_of_a_generation_belong_to_its_own_request failed before with assert 'r1' == 'r2', and passes now.

--- a/src/jasminewalk/sidecars/engine_client.py
+++ b/src/jasminewalk/sidecars/engine_client.py
@@ -13,6 +13,7 @@
 from jasminewalk.interfaces import CachePage, Engine
 from jasminewalk.transport._http_call import (
     CALL_TIMEOUT_S,
+    CLOSE_HEADER,
     HTTP_ERRORS,
     HTTP_OK,
     HttpClient,
@@ -52,12 +53,14 @@
     async def generate(self, request: GenerateRequest) -> AsyncIterator[bytes]:
         """Yield the stream of a generation as newline-delimited JSON frames.
 
+        The frames do not name their request, so the connection is used only once.
+
         :param request: the generation; its first ``resume_from`` tokens are skipped.
         :raises OSError: if the connection fails.
         """
         try:
             async with self.streams.stream(
-                self.address, "/generate", _encode(request)
+                self.address, "/generate", _encode(request), headers=[CLOSE_HEADER]
             ) as response:
                 if response.status != HTTP_OK:
                     body = await response.aread()
--- a/src/jasminewalk/transport/_http_call.py
+++ b/src/jasminewalk/transport/_http_call.py
@@ -26,7 +26,7 @@
 
 HTTP_OK = 200
 CALL_TIMEOUT_S = 2.0
-CLOSE_HEADER = ("connection", "close")
+CLOSE_HEADER = (b"connection", b"close")
 
 NOT_SENT_ERRORS = (
     httpcore.ConnectError,
--- a/tests/test_stuttering_endpoints.py
+++ b/tests/test_stuttering_endpoints.py
@@ -6,7 +6,13 @@
 from jasminewalk.agreement.log_client import HttpLog
 from jasminewalk.exceptions import LogUnavailableError, StaleFencingNumberError
 from jasminewalk.generated_codes import Code
-from jasminewalk.generated_requests import EngineOrder, EngineState, Instance
+from jasminewalk.generated_requests import (
+    EngineOrder,
+    EngineState,
+    Frame,
+    GenerateRequest,
+    Instance,
+)
 from jasminewalk.generated_standins import AppendResult, WeightTurn
 from jasminewalk.interfaces import CachePage, ServiceRequest
 from jasminewalk.sidecars.engine_client import HttpEngine
@@ -15,6 +21,7 @@
 from jasminewalk.transport._http import open_http_pool
 from jasminewalk.transport.instances_client import HttpInstanceList
 from raw_server import StutteringServer, build_response
+from test_standins import make_request
 
 pytestmark = pytest.mark.anyio
 
@@ -108,6 +115,20 @@
             await engine.order(EngineOrder(fencing_number=8, role="mixed", models=[]))
 
 
+async def test_tokens_of_a_generation_belong_to_its_own_request(pool):
+    def answer(request):
+        request_id = msgspec.json.decode(request.body, type=GenerateRequest).request_id
+        return build_response(encode_json(Frame(n=0, t=request_id, end="stop")) + b"\n")
+
+    server = StutteringServer(answer)
+    async with server.serve():
+        engine = HttpEngine(pool, server.address)
+        for request_id in ("r1", "r2", "r3"):
+            request = make_request(request_id=request_id)
+            data = b"".join([chunk async for chunk in engine.generate(request)])
+            assert msgspec.json.decode(data, type=Frame).t == request_id
+
+
 async def test_exported_handle_belongs_to_its_own_request(pool):
     server = StutteringServer(
         lambda request: build_response(request.line.split(b"/")[3])
