Send nothing more to an engine that says it is leaving

An engine that leaves now says so in every response (Server-Leaving: 1). The gateways read only its registry entry, so a gateway cut off from the store went on sending it requests, which the platform's rule DRAIN forbids later than drain_ms after the machine had passed on such a response.

EngineClients reads the header from the head of every response: answers, errors, refusals, heads of streams, prefills, reports and orders. The engine's state keeps it, so it needs no store and holds for this incarnation only; an entry with another id or another start makes a new state. Peers learn it from each message until the engine is gone (a new last field, which the version before ignores, and whose absence reads as none). A 421 says nothing, because another engine may have sent it. No stage order follows a report that says it.

`explain` also shows such a notice if it was logged long before the request, and for a request that found no engine.

test_message_without_outcomes_is_accepted and test_invalid_outcomes_are_ignored meant the outcomes but changed the last field of a message, which has been the limits since they were added. They now change the outcomes by name.

--- a/src/jasminewalk/gateway/engine_clients.py
+++ b/src/jasminewalk/gateway/engine_clients.py
@@ -129,7 +129,7 @@
             connection = await self._connect(engine, timeout_s)
         exchange = Exchange(request_id)
         sent_at = self.clock()
-        exchange.on_response = lambda response: self._record_limit(
+        exchange.on_response = lambda response: self._record_response(
             engine, response, sent_at
         )
         reused = connection.exchange_count > 0
@@ -195,13 +195,23 @@
                     pool.close()
                     del self.pools[engine]
 
-    def _record_limit(
+    def _record_response(
         self, engine: EngineState, response: Response, sent_at: float
     ) -> None:
-        head, now = response.head, self.clock()
         if response.status == MISDIRECTED_REQUEST:
             # Another engine may have answered.
             return
+        if response.head.leaving:
+            reason = f"a response with status {response.status} said so"
+            event = self.fleet.record_leaving(engine, reason)
+            if event is not None:
+                self.on_event(event)
+        self._record_limit(engine, response, sent_at)
+
+    def _record_limit(
+        self, engine: EngineState, response: Response, sent_at: float
+    ) -> None:
+        head, now = response.head, self.clock()
         engine_id = engine.entry.engine_id
         event: FleetEvent | None
         if head.unreadable_limit:
--- a/src/jasminewalk/gateway/fleet.py
+++ b/src/jasminewalk/gateway/fleet.py
@@ -116,6 +116,8 @@
     :param limit: limit on its requests from all gateways together.
     :param sent_times: monotonic times of the latest requests of this gateway, oldest
         first.
+    :param said_leaving: whether a response, or a peer that had one, said that this
+        incarnation is leaving.
     """
 
     entry: EngineEntry
@@ -136,6 +138,12 @@
     residence_s: float = DEFAULT_RESIDENCE_S
     limit: RequestLimit = attrs.field(factory=RequestLimit)
     sent_times: deque[float] = attrs.field(factory=deque)
+    said_leaving: bool = False
+
+    @property
+    def leaving(self) -> bool:
+        """Whether it is leaving, by its registry entry or by what it said."""
+        return self.entry.leaving or self.said_leaving
 
     @property
     def requests(self) -> int:
@@ -268,7 +276,7 @@
             engine
             for engine in self.engines.values()
             if engine.entry.service == service
-            and not engine.entry.leaving
+            and not engine.leaving
             and (engine.expires_at is None or now < engine.expires_at)
         ]
         trusted = [
@@ -380,6 +388,17 @@
         detail = f"{per_s:g} requests a second from all gateways; {sent}"
         return FleetEvent("engine_limited", engine.entry.engine_id, detail)
 
+    def record_leaving(self, engine: EngineState, reason: str) -> FleetEvent | None:
+        """Record that an engine said that it is leaving; return an event if it is news.
+
+        :param engine: the engine.
+        :param reason: how this gateway learned of it, for the log.
+        """
+        if engine.said_leaving:
+            return None
+        engine.said_leaving = True
+        return FleetEvent("engine_leaving", engine.entry.engine_id, reason)
+
     def suspect(self, now: float, engine: EngineState, reason: str) -> FleetEvent:
         """Avoid an engine that did not answer, longer with each consecutive failure.
 
--- a/src/jasminewalk/gateway/log_trace.py
+++ b/src/jasminewalk/gateway/log_trace.py
@@ -11,6 +11,9 @@
 
 # State changes this long before and after a request are part of its trace.
 CONTEXT_MARGIN = timedelta(seconds=2)
+# Events of an engine that hold until another one of them, or for good.
+LEAVING_EVENT = "engine_leaving"
+INCARNATION_EVENTS = ("engine_listed", "engine_gone")
 SEPARATE_KEYS = ("time", "severity", "event", "node")
 
 
@@ -75,7 +78,7 @@
     """Return the lines of a trace in the order of time.
 
     The trace of a request includes the state changes that its gateway logged shortly
-    before and after it for the engines involved.
+    before and after it for the engines involved, and earlier ones that still held.
 
     :param lines: lines of any number of gateways.
     :param line_filter: criteria for the lines.
@@ -109,7 +112,13 @@
         request_lines[0].time - CONTEXT_MARGIN,
         request_lines[-1].time + CONTEXT_MARGIN,
     )
-    return [
+    earlier = _list_lasting_lines(line for line in lines if line.time < first)
+    lasting = [
+        line
+        for line in earlier
+        if line.node in nodes and (not engines or line.fields.get("engine") in engines)
+    ]
+    return lasting + [
         line
         for line in lines
         if line.fields.get("request") == request
@@ -122,6 +131,18 @@
     ]
 
 
+def _list_lasting_lines(lines: Iterable[LogLine]) -> list[LogLine]:
+    """Return the lines of state changes that still hold after all the lines."""
+    lasting: dict[tuple[str, Any], LogLine] = {}
+    for line in lines:
+        key = line.node, line.fields.get("engine")
+        if line.event == LEAVING_EVENT:
+            lasting[key] = line
+        elif line.event in INCARNATION_EVENTS:
+            lasting.pop(key, None)
+    return list(lasting.values())
+
+
 def _matches(line: LogLine, line_filter: LineFilter) -> bool:
     if line_filter.engine and line.fields.get("engine") != line_filter.engine:
         return False
--- a/src/jasminewalk/gateway/peer_link.py
+++ b/src/jasminewalk/gateway/peer_link.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from itertools import chain
 from typing import Any
 
 import msgspec
@@ -168,7 +169,10 @@
         if self.exchange.apply_message(now, message):
             self.configuration.record_peer_progress(now, message.configuration)
             self.registry.record_peer_progress(now, message.registry)
-            for event in self.exchange.apply_limits(now, message):
+            for event in chain(
+                self.exchange.apply_limits(now, message),
+                self.exchange.apply_leaving(message),
+            ):
                 self.log.info(
                     event.event,
                     engine=event.engine,
--- a/src/jasminewalk/gateway/peers.py
+++ b/src/jasminewalk/gateway/peers.py
@@ -77,6 +77,7 @@
     :param outcomes: engine, requests that ended and failed since the last message.
     :param limits: engine, its limit in requests per 1,000 seconds or -1 for none, and
         milliseconds since that was observed.
+    :param leaving: engines that said in a response that they are leaving.
     """
 
     node: str
@@ -91,9 +92,10 @@
     speeds: list[tuple[int, int, int]]
     prefills: list[tuple[int, str, int]]
     changing: list[tuple[int, int]]
-    # Previous versions of the gateway do not send outcomes or limits.
+    # Previous versions of the gateway do not send all of these fields.
     outcomes: list[tuple[int, int, int]] = []
     limits: list[tuple[int, int, int]] = []
+    leaving: list[int] = []
 
 
 def decode_peer_message(data: bytes) -> PeerMessage | None:
@@ -297,6 +299,9 @@
             ],
             outcomes=self._collect_outcomes(),
             limits=self._collect_limits(now),
+            leaving=[
+                compute_engine_key(engine) for engine in engines if engine.said_leaving
+            ],
         )
         return msgspec.msgpack.encode(message)
 
@@ -433,6 +438,22 @@
                 if event is not None:
                     yield event
 
+    def apply_leaving(self, message: PeerMessage) -> Iterator[FleetEvent]:
+        """Record the engines of which a peer says that they are leaving.
+
+        Yield an event for each that this gateway did not know of.
+
+        :param message: the message.
+        """
+        if not message.leaving:
+            return
+        leaving = set(message.leaving)
+        for engine in self.fleet.engines.values():
+            if not engine.said_leaving and compute_engine_key(engine) in leaving:
+                event = self.fleet.record_leaving(engine, "a peer said so")
+                if event is not None:
+                    yield event
+
     def drop_silent_peers(self, now: float) -> Iterator[str]:
         """Drop the loads and speeds of silent peers, and yield their names.
 
--- a/src/jasminewalk/gateway/stage_controller.py
+++ b/src/jasminewalk/gateway/stage_controller.py
@@ -145,7 +145,8 @@
             if report.order_in_progress or report.stage == change.stage:
                 self.planner.record_change(self.clock(), service.name)
                 return
-            if not self.lease.may_order(read_boot_clock()):
+            # The report itself may say that the engine is leaving.
+            if change.engine.leaving or not self.lease.may_order(read_boot_clock()):
                 return
             self.planner.record_change(self.clock(), service.name)
             fencing_number = self.lease.generation
--- a/src/jasminewalk/platform/headers.py
+++ b/src/jasminewalk/platform/headers.py
@@ -27,6 +27,7 @@
 RESPONSE_SIGNATURE = b"x-jasminewalk-response-signature"
 NOT_EXECUTED = b"x-jasminewalk-not-executed"
 REQUEST_LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
 EXPECT_INSTANCE = b"x-jasminewalk-expect-instance"
 REQUEST_PRIORITY = b"x-jasminewalk-request-priority"
 STAGE = b"x-jasminewalk-stage"
@@ -114,6 +115,7 @@
     :param request_limit_per_s: requests per second that the engine takes from all
         gateways together; None if the response names no limit.
     :param unreadable_limit: the limit as received, if it is not a number; else empty.
+    :param leaving: whether the engine says that it is leaving.
     """
 
     request_id: str
@@ -124,6 +126,7 @@
     idle_timeout_s: float | None
     request_limit_per_s: float | None = None
     unreadable_limit: str = ""
+    leaving: bool = False
 
 
 def decode_request_head(headers: Iterable[Header]) -> RequestHead:
@@ -165,6 +168,7 @@
         idle_timeout_s=_parse_keep_alive(values.get(b"keep-alive", b"")),
         request_limit_per_s=request_limit_per_s,
         unreadable_limit="" if request_limit_per_s is not None else limit_text,
+        leaving=values.get(LEAVING, b"").strip() == b"1",
     )
 
 
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -211,7 +211,8 @@
 
     ``behaviour`` is the name of the method that handles the requests of callers. If it
     ``repeats_responses``, the last response on a connection is sent again when the next
-    request arrives there, before the response to that one.
+    request arrives there, before the response to that one. While it is ``leaving``, all
+    its responses say so.
     """
 
     def __init__(self, engine_id, service="app", stage="", zone="north"):
@@ -229,6 +230,7 @@
         self.behaviour = "answer"
         self.delay_s = 0.0
         self.request_limit = ""
+        self.leaving = False
         self.arrivals = []
         self.handles = {}
         self.repeats_responses = False
@@ -304,23 +306,29 @@
                 "waiting": 0,
                 "running": 0,
             }
-            connection.send_response(200, (), json.dumps(report).encode())
+            connection.send_response(
+                200, self.build_leaving_headers(), json.dumps(report).encode()
+            )
         elif request.path == "/-/order":
             order = json.loads(request.body)
             order["at"] = asyncio.get_running_loop().time()
             self.orders.append(order)
-            connection.send_response(202, (), b"")
+            connection.send_response(202, self.build_leaving_headers(), b"")
         else:
             self.released_paths.append(request.path)
-            connection.send_response(200, (), b"")
+            connection.send_response(200, self.build_leaving_headers(), b"")
 
     def build_headers(self, headers):
         return [
             (b"x-jasminewalk-request-id", headers[b"x-jasminewalk-request-id"]),
             (b"x-jasminewalk-response-signature", self.engine_id.encode()),
             *self.build_limit_headers(),
+            *self.build_leaving_headers(),
         ]
 
+    def build_leaving_headers(self):
+        return [(b"server-leaving", b"1")] if self.leaving else []
+
     def build_limit_headers(self):
         if not self.request_limit:
             return []
@@ -381,11 +389,15 @@
             [
                 *response_headers,
                 *self.build_limit_headers(),
+                *self.build_leaving_headers(),
                 (b"x-jasminewalk-not-executed", b"1"),
             ],
             b"",
         )
 
+    async def misdirect(self, connection, request, headers):
+        connection.send_response(421, self.build_headers(headers), b"")
+
     async def overloaded_without_not_executed(self, connection, request, headers):
         connection.send_response(503, self.build_headers(headers), b"")
 
--- a/tests/test_gateway_log_trace.py
+++ b/tests/test_gateway_log_trace.py
@@ -99,3 +99,32 @@
     result = run_command("explain", *(part.format(logs=logs) for part in arguments))
     assert result.code != 0
     assert result.err
+
+
+def select_events(recorded, request):
+    lines = select_lines(parse_lines(recorded), LineFilter(request=request))
+    return [(line.event, line.fields.get("engine")) for line in lines]
+
+
+def test_trace_of_a_request_includes_earlier_notices_of_leaving_engines():
+    recorded = [
+        make_line(1.0, "engine_leaving", engine="i-1", detail="x"),
+        make_line(1.1, "engine_leaving", engine="i-2", detail="x"),
+        make_line(1.2, "engine_leaving", node="front-2", engine="i-1", detail="x"),
+        make_line(1.3, "engine_leaving", engine="i-3", detail="x"),
+        make_line(2.0, "engine_listed", engine="i-3", detail="x"),
+        make_line(20.0, "placed", request="a", engine="i-1"),
+        make_line(20.1, "placed", request="a", engine="i-3"),
+        make_line(30.0, "refused", request="b", reason="no engine"),
+    ]
+    assert select_events(recorded, "a") == [
+        ("engine_leaving", "i-1"),
+        ("placed", "i-1"),
+        ("placed", "i-3"),
+    ]
+    # A request without an engine shows which of them were not to be had.
+    assert select_events(recorded, "b") == [
+        ("engine_leaving", "i-1"),
+        ("engine_leaving", "i-2"),
+        ("refused", None),
+    ]
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -19,6 +19,7 @@
     MEMBER_TIMEOUT_S,
     PEER_TIMEOUT_S,
     PeerExchange,
+    PeerMessage,
     TopicProgress,
     compute_engine_key,
     decode_peer_message,
@@ -28,6 +29,8 @@
 from jasminewalk.platform.store import GroupMembership, KeyedRecord
 from platform_fakes import configuration
 
+# Position of the outcomes in an encoded message.
+OUTCOMES_INDEX = PeerMessage.__struct_fields__.index("outcomes")
 ENTRY = {
     "service": "llm",
     "address": "10.1.0.9:8080",
@@ -251,7 +254,7 @@
     sender, receiver = exchanges
     fields = msgspec.msgpack.decode(build_message(sender, 1.0))
     assert receiver.apply_message(
-        1.0, decode_peer_message(msgspec.msgpack.encode(fields[:-1]))
+        1.0, decode_peer_message(msgspec.msgpack.encode(fields[:OUTCOMES_INDEX]))
     )
 
 
@@ -260,7 +263,7 @@
     sender, receiver = exchanges
     fields = msgspec.msgpack.decode(build_message(sender, 1.0))
     engine = receiver.fleet.engines["i-1"]
-    fields[-1] = [[compute_engine_key(engine), ended, failed]]
+    fields[OUTCOMES_INDEX] = [[compute_engine_key(engine), ended, failed]]
     receiver.apply_message(1.0, decode_peer_message(msgspec.msgpack.encode(fields)))
     assert engine.failure_rate == 0.0
 
