Give each test process ports that no other one is given

test_slow_response_is_waited_for_without_a_retry_left[1-50.0] failed once with a TimeoutError (KNOWN-RED.txt). The harness took each port from bind(0) and gave it back before its server was bound, so two servers could get the same port, or an outgoing connection could take it. The gateway then ended with EADDRINUSE, which the harness didn't look at: it waited 5 s for a ready gateway and raised TimeoutError.

The run of the listed failure kept no log, so that it had this cause is inferred.

Ports now come from blocks below the ephemeral range. A process claims a block with a socket that it keeps bound, so that two runs of tests/fleet.py at once can't take the same port either, and a gateway that ends while a test waits for it fails the test with its own error.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,5 @@
 """Shared fixtures of the tests."""
 
-import socket
 from pathlib import Path
 
 import attrs
@@ -8,6 +7,7 @@
 
 from jasminewalk.cli import main
 from jasminewalk.clock import ManualClock
+from ports import allocate_address
 
 KNOWN_FAILURES_FILE = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
 
@@ -56,9 +56,7 @@
 
 @pytest.fixture
 def free_address():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    return allocate_address()
 
 
 @attrs.frozen
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,10 +1,7 @@
 """A small fleet of processes on the loopback interface, for tests of failures."""
 
-import itertools
 import json
-import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -15,14 +12,13 @@
 
 from jasminewalk.generated_records import ConfigurationRecord
 from jasminewalk.transport.codec import encode_record
+from ports import allocate_address
 from relay import Relay
 
 TIMEOUT_S = 60.0
 POLL_INTERVAL_S = 0.05
 SHARED_KEY = "fleet-shared-key-0123456789"
 PLATFORM_SERVICES = ("log", "instances", "weights")
-FIRST_PORT = 20000
-LAST_PORT = 32000
 FAILURE_DOMAINS = ("norte-oviedo", "norte-santander", "norte-coruna")
 PEERS = {"shared_key": SHARED_KEY, "heartbeat_s": 0.25, "suspect_s": 1.0}
 ORGANISATION = {
@@ -58,26 +54,6 @@
     }
 }
 
-PORT_STRIDE = 997  # Concurrent test processes start at different ports.
-
-_first_port = FIRST_PORT + (os.getpid() % 12) * PORT_STRIDE
-_ports = itertools.chain(range(_first_port, LAST_PORT), range(FIRST_PORT, _first_port))
-
-
-def allocate_port():
-    """Return a free port that this function has not returned before."""
-    for port in _ports:
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
-
-
-def allocate_address():
-    return f"127.0.0.1:{allocate_port()}"
-
 
 def wait_for(condition, description="the condition", timeout_s=TIMEOUT_S):
     """Poll a condition until it is true, and return its value.
--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -20,7 +20,8 @@
 import fire
 
 from platform_fakes import FakeEngine, FakeStore, configuration
-from test_gateway_daemon import SETTINGS, free_port
+from ports import allocate_port
+from test_gateway_daemon import SETTINGS
 
 SOURCE = Path(__file__).resolve().parent.parent / "src"
 GATEWAYS = 2
@@ -70,7 +71,10 @@
 
     def start(self):
         text = SETTINGS.format(
-            peer=free_port(), front=self.front, ready=self.front + 1, store=self.store
+            peer=allocate_port(),
+            front=self.front,
+            ready=allocate_port(),
+            store=self.store,
         )
         text = text.replace("127.0.0.1:", f"{self.ip}:").replace(
             f'address = "{self.ip}:', 'address = "127.0.0.1:'
@@ -126,10 +130,10 @@
         return asyncio.get_running_loop().time()
 
     async def run(self, seconds):
-        await self.store.start(free_port())
+        await self.store.start(allocate_port())
         self.publish_configuration()
         for engine in self.engines:
-            await engine.start(free_port())
+            await engine.start(allocate_port())
             self.store.put("keyed.servers", engine.engine_id, engine.entry())
         for number in range(GATEWAYS):
             gateway = Gateway(
@@ -138,7 +142,7 @@
                 self.directory,
                 self.store.address,
             )
-            gateway.front = free_port()
+            gateway.front = allocate_port()
             gateway.start()
             self.gateways.append(gateway)
         try:
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import socket
 import subprocess
 import sys
 import tomllib
@@ -14,6 +13,7 @@
 from jasminewalk.gateway.daemon import METRICS_PORT, GatewayDaemon
 from jasminewalk.gateway.retry_budget import RetryBudget
 from platform_fakes import ROUTES, FakeEngine, FakeStore, configuration
+from ports import allocate_port
 
 SETTINGS = """
 node_name = "front-1"
@@ -31,12 +31,6 @@
 """
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 INITIAL_CONFIGURATION = configuration()
 
 
@@ -51,14 +45,14 @@
         self.log_output = []
 
     async def start(self, *engines, configuration=INITIAL_CONFIGURATION):
-        await self.store.start(free_port())
+        await self.store.start(allocate_port())
         if configuration is not None:
             self.store.put("keyed.op", "config", configuration)
         for engine in engines:
-            await engine.start(free_port())
+            await engine.start(allocate_port())
             self.engines[engine.engine_id] = engine
             self.store.put("keyed.servers", engine.engine_id, engine.entry())
-        self.front_port, self.ready_port = free_port(), free_port()
+        self.front_port, self.ready_port = allocate_port(), allocate_port()
         self.write_settings()
         self.daemon = GatewayDaemon(self.path)
         self.daemon.log.buffer.write = lambda data: (
@@ -67,13 +61,15 @@
         self.task = asyncio.create_task(self.daemon.run())
         async with asyncio.timeout(5):
             while not self.daemon.is_ready:
+                if self.task.done():
+                    self.task.result()
                 await asyncio.sleep(0.01)
         # The gateway reads the list of gateways two seconds after its start.
         self.daemon.peers.peers_known = True
 
     def write_settings(self, **overrides):
         text = SETTINGS.format(
-            peer=free_port(),
+            peer=allocate_port(),
             front=self.front_port,
             ready=self.ready_port,
             store=overrides.get("store", self.store.address),
@@ -271,7 +267,9 @@
 @pytest.mark.anyio
 async def test_unreachable_engine_uses_no_attempt(harness):
     await harness.start(*make_plain_engines())
-    gone = harness.engines["app-0"].entry(address=f"127.0.0.1:{free_port()}", born=2)
+    gone = harness.engines["app-0"].entry(
+        address=f"127.0.0.1:{allocate_port()}", born=2
+    )
     harness.store.put("keyed.servers", "app-0", gone)
     await asyncio.sleep(1.2)
     harness.daemon.fleet.engines[
@@ -759,7 +757,7 @@
     # After SIGTERM the event loop is closed, which removes its signal handlers, and the
     # process exits a little later.
     path = tmp_path / "local.toml"
-    store, peer, front, ready = (free_port() for _ in range(4))
+    store, peer, front, ready = (allocate_port() for _ in range(4))
     path.write_text(
         SETTINGS.format(
             peer=peer, front=front, ready=ready, store=f"127.0.0.1:{store}"
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -12,7 +12,8 @@
 from jasminewalk.gateway.fleet import Fleet
 from jasminewalk.gateway.peers import PeerExchange, TopicProgress, decode_peer_message
 from platform_fakes import FakeEngine, FakeStore, configuration
-from test_gateway_daemon import SETTINGS, free_port
+from ports import allocate_port
+from test_gateway_daemon import SETTINGS
 
 GATEWAYS = 4
 # Seconds after which a limit must hold, and length of the windows in which it does.
@@ -45,10 +46,10 @@
         self.request_numbers = itertools.count()
 
     async def start(self, engines, count=GATEWAYS):
-        await self.store.start(free_port())
+        await self.store.start(allocate_port())
         self.store.put("keyed.op", "config", configuration())
         for engine in engines:
-            await engine.start(free_port())
+            await engine.start(allocate_port())
             self.store.put("keyed.servers", engine.engine_id, engine.entry())
         for number in range(count):
             self.add_gateway(f"front-{number}", f"127.0.0.{number + 2}")
@@ -60,9 +61,9 @@
 
     def add_gateway(self, name, ip):
         text = SETTINGS.format(
-            peer=free_port(),
-            front=free_port(),
-            ready=free_port(),
+            peer=allocate_port(),
+            front=allocate_port(),
+            ready=allocate_port(),
             store=self.store.address,
         )
         text = text.replace("127.0.0.1:", f"{ip}:").replace(
