Require the attempt in every response of a sidecar

An entry compared the attempt that a response names with its own only if the response named one. Replies without the header were taken for the reply to the request at hand, and refusals never had it, so that a late refusal on a reused connection was reported to the caller of another request as "not run" while that request ran.

Entries now send the identifier of the attempt, sidecars repeat it in every response, errors and refusals included, and entries require it. This connection stays reused: it is on the path of each request, and both ends are ours.

Adjacent versions: sidecars of the version before have the header on all successful responses and the request's id in the body of refusals, which is accepted in its place; only their errors without an id (a wrong signature, an unreadable request) count as a failed attempt. The fake sidecar of the tests now names the attempt as real ones do.

--- a/src/jasminewalk/ingress/_run.py
+++ b/src/jasminewalk/ingress/_run.py
@@ -38,9 +38,11 @@
 from jasminewalk.transport._http import ATTEMPT_HEADER
 from jasminewalk.types import Refusal
 
-__all__ = ["EntryContext", "RequestRun", "read_limited_body"]
+__all__ = ["HTTP_OK", "EntryContext", "RequestRun", "read_limited_body"]
 
+HTTP_OK = 200
 MAX_REFUSAL_BYTES = 1 << 16
+OTHER_REQUEST_MESSAGE = "The response belongs to another request."
 
 _decode_refusal = msgspec.json.Decoder(RefusalBody).decode
 
@@ -288,20 +290,28 @@
         :param address: request address of the sidecar.
         """
 
+    def build_attempt_id(self, action: Send) -> bytes:
+        """Build the identifier of an attempt, which its response must repeat.
+
+        :param action: the attempt.
+        """
+        return f"{self.job.profile.request_id}/{action.attempt}".encode()
+
     def check_attempt_header(self, action: Send, response: httpcore.Response) -> None:
         """Check that a response belongs to this attempt of this request.
 
+        A refusal without the header is checked by ``read_refusal``.
+
         :param action: the attempt.
         :param response: response of the sidecar.
-        :raises httpcore.RemoteProtocolError: if its header names another request or
-            attempt.
+        :raises httpcore.RemoteProtocolError: if its header is missing or names another
+            request or attempt.
         """
-        expected = f"{self.job.profile.request_id}/{action.attempt}".encode()
-        for name, value in response.headers:
-            if name.lower() == ATTEMPT_HEADER and value != expected:
-                raise httpcore.RemoteProtocolError(
-                    "The response belongs to another request."
-                )
+        attempt_id = find_attempt_id(response)
+        if not attempt_id and response.status != HTTP_OK:
+            return
+        if attempt_id != self.build_attempt_id(action):
+            raise httpcore.RemoteProtocolError(OTHER_REQUEST_MESSAGE)
 
     def record_success(self, endpoint: str) -> None:
         """Record that the request succeeded.
@@ -348,13 +358,32 @@
         """Read the refusal in a response; return None if the body is not a refusal.
 
         :param response: response with an error status.
-        :raises httpcore.RemoteProtocolError: if the body is too large.
+        :raises httpcore.RemoteProtocolError: if the body is too large, or the refusal
+            does not name this request.
         """
         body = await read_limited_body(response, MAX_REFUSAL_BYTES)
         try:
-            return _decode_refusal(body)
+            refusal = _decode_refusal(body)
         except (msgspec.MsgspecError, UnicodeDecodeError):
             return None
+        # Sidecars of earlier versions name the request only in the body of a refusal.
+        is_named = find_attempt_id(response) or (
+            refusal.request_id == self.job.profile.request_id
+        )
+        if not is_named:
+            raise httpcore.RemoteProtocolError(OTHER_REQUEST_MESSAGE)
+        return refusal
+
+
+def find_attempt_id(response: httpcore.Response) -> bytes:
+    """Return the identifier of the attempt that a response names, or no bytes.
+
+    :param response: response of a sidecar.
+    """
+    for name, value in response.headers:
+        if name.lower() == ATTEMPT_HEADER:
+            return value
+    return b""
 
 
 async def read_limited_body(response: httpcore.Response, max_bytes: int) -> bytes:
--- a/src/jasminewalk/ingress/_run_call.py
+++ b/src/jasminewalk/ingress/_run_call.py
@@ -3,7 +3,12 @@
 import msgspec
 
 from jasminewalk.generated_requests import ServiceCall, ServiceReply
-from jasminewalk.ingress._run import EntryContext, RequestRun, read_limited_body
+from jasminewalk.ingress._run import (
+    HTTP_OK,
+    EntryContext,
+    RequestRun,
+    read_limited_body,
+)
 from jasminewalk.ingress.jobs import CallJob
 from jasminewalk.scheduling.attempts import Action, Send
 
@@ -58,11 +63,15 @@
         endpoint = action.route.endpoint
         body = self.encode_request(action)
         async with self.context.connections.post(
-            address, "/call", body, self.compute_read_timeout_s()
+            address,
+            "/call",
+            body,
+            self.compute_read_timeout_s(),
+            self.build_attempt_id(action),
         ) as response:
             self.check_attempt_header(action, response)
             self.membership.record_response(self.clock.monotonic(), endpoint)
-            if response.status != 200:
+            if response.status != HTTP_OK:
                 refusal = await self.read_refusal(response)
                 if refusal is None:
                     self.trace.attempts[-1].outcome = f"status {response.status}"
--- a/src/jasminewalk/ingress/_run_generation.py
+++ b/src/jasminewalk/ingress/_run_generation.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from jasminewalk.generated_requests import GenerateRequest
-from jasminewalk.ingress._run import EntryContext, RequestRun
+from jasminewalk.ingress._run import HTTP_OK, EntryContext, RequestRun
 from jasminewalk.ingress.jobs import GenerationJob, TokenSink
 from jasminewalk.scheduling.attempts import Action, Send
 from jasminewalk.types import RequestProfile
@@ -89,10 +89,11 @@
             "/generate",
             self.encode_request(action),
             self.context.progress_timeout_s,
+            self.build_attempt_id(action),
         ) as response:
             self.check_attempt_header(action, response)
             self.membership.record_response(self.clock.monotonic(), endpoint)
-            if response.status != 200:
+            if response.status != HTTP_OK:
                 refusal = await self.read_refusal(response)
                 if refusal is None:
                     self.trace.attempts[-1].outcome = f"status {response.status}"
--- a/src/jasminewalk/ingress/connections.py
+++ b/src/jasminewalk/ingress/connections.py
@@ -8,7 +8,7 @@
 import httpcore
 
 from jasminewalk.clock import Clock
-from jasminewalk.transport._http import split_address
+from jasminewalk.transport._http import ATTEMPT_HEADER, split_address
 from jasminewalk.transport.network import NetworkBackend, ReadTimeoutMonitor
 from jasminewalk.transport.peer_auth import AUTH_HEADER, PeerAuthenticator
 
@@ -198,7 +198,12 @@
         self.authenticator = authenticator
 
     def post(
-        self, address: str, path: str, body: bytes, read_timeout_s: float
+        self,
+        address: str,
+        path: str,
+        body: bytes,
+        read_timeout_s: float,
+        attempt: bytes,
     ) -> AbstractAsyncContextManager[httpcore.Response]:
         """Post a signed request and yield its response while it streams.
 
@@ -206,7 +211,8 @@
         :param path: path of the request.
         :param body: body of the request.
         :param read_timeout_s: timeout for each read in seconds.
+        :param attempt: identifier of the attempt, which the response repeats.
         """
         signature = self.authenticator.sign("POST", path, body)
-        headers = [(AUTH_HEADER, signature)]
+        headers = [(AUTH_HEADER, signature), (ATTEMPT_HEADER, attempt)]
         return self.stream(address, path, body, read_timeout_s, headers)
--- a/src/jasminewalk/sidecars/sidecar_http.py
+++ b/src/jasminewalk/sidecars/sidecar_http.py
@@ -13,7 +13,14 @@
     ServiceCall,
 )
 from jasminewalk.metrics import Metrics
-from jasminewalk.transport._http import Receive, Scope, Send, read_body, send_json
+from jasminewalk.transport._http import (
+    ATTEMPT_HEADER,
+    Receive,
+    Scope,
+    Send,
+    read_body,
+    send_json,
+)
 from jasminewalk.transport.peer_auth import AUTH_HEADER, PeerAuthenticator
 from jasminewalk.types import Refusal
 
@@ -90,6 +97,14 @@
     )
 
 
+def find_attempt_headers(scope: Scope) -> list[tuple[bytes, bytes]]:
+    """Return the headers of a request that name its attempt.
+
+    :param scope: ASGI scope.
+    """
+    return [header for header in scope["headers"] if header[0] == ATTEMPT_HEADER]
+
+
 class SidecarApp:
     """ASGI application that authenticates entries and dispatches their requests.
 
@@ -133,7 +148,12 @@
             logging.warning(
                 "[sidecar] Request refused. path=%s error=%s", scope["path"], error
             )
-            await send_json(send, error.result.http_status, build_error_body(error))
+            await send_json(
+                send,
+                error.result.http_status,
+                build_error_body(error),
+                find_attempt_headers(scope),
+            )
 
     def authenticate(self, scope: Scope, body: bytes) -> None:
         """Check the signature of a request.
--- a/src/jasminewalk/sidecars/sidecar_service.py
+++ b/src/jasminewalk/sidecars/sidecar_service.py
@@ -354,16 +354,21 @@
         :param reply: the reply.
         :param send: ASGI send function.
         """
+        attempt_header = (
+            ATTEMPT_HEADER,
+            f"{call.request_id}/{call.attempt}".encode(),
+        )
         if isinstance(reply, Refusal):
             body = build_refusal_body(
                 reply, call.request_id, queued=len(self.pending_calls)
             )
-            await send_json(send, RESULTS[reply.code].http_status, body)
+            status = RESULTS[reply.code].http_status
+            await send_json(send, status, body, [attempt_header])
             return
         body_bytes = msgspec.msgpack.encode(reply)
         headers = [
             *MSGPACK_HEADERS,
-            (ATTEMPT_HEADER, f"{call.request_id}/{call.attempt}".encode()),
+            attempt_header,
             (b"content-length", str(len(body_bytes)).encode()),
         ]
         await send({"type": "http.response.start", "status": 200, "headers": headers})
--- a/src/jasminewalk/sidecars/sidecar_streams.py
+++ b/src/jasminewalk/sidecars/sidecar_streams.py
@@ -244,7 +244,13 @@
             queued=self.queue.queued,
             queued_prefill_tokens=self.queue.queued_prefill_tokens,
         )
-        await send_json(send, RESULTS[refusal.code].http_status, body)
+        attempt_id = f"{request.request_id}/{request.attempt}".encode()
+        await send_json(
+            send,
+            RESULTS[refusal.code].http_status,
+            body,
+            [(ATTEMPT_HEADER, attempt_id)],
+        )
 
     def start_ready_streams(self) -> None:
         """Start the streams that the queue allows to run now."""
--- a/tests/dispatch_harness.py
+++ b/tests/dispatch_harness.py
@@ -49,7 +49,8 @@
         body = await read_body(receive, 1 << 20)
         if self.refusal is not None:
             self.requests.append(None)
-            await send_json(send, 429, self.refusal)
+            headers = [item for item in scope["headers"] if item[0] == ATTEMPT_HEADER]
+            await send_json(send, 429, self.refusal, headers)
         elif scope["path"] == "/call":
             await self.call(body, receive, send)
         else:
@@ -82,7 +83,9 @@
             await self.wait_disconnect(receive)
             return
         reply = msgspec.msgpack.encode(ServiceReply(status=200, body=b"seat"))
-        await send({"type": "http.response.start", "status": 200, "headers": []})
+        attempt_id = f"{request.request_id}/{request.attempt}".encode()
+        headers = [(ATTEMPT_HEADER, attempt_id)]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
         await send({"type": "http.response.body", "body": reply})
 
     async def send_chunk(self, send, data):
--- a/tests/test_sidecar_streams.py
+++ b/tests/test_sidecar_streams.py
@@ -47,9 +47,8 @@
     )
 
 
-async def test_first_token_lets_the_next_prefill_start():
-    engine = BlockingEngine()
-    runner = GenerationRunner(
+def make_runner(engine):
+    return GenerationRunner(
         engine=engine,
         queue=EndpointQueue(QueueSettings(engine_prefill_s=0.0, max_running=8)),
         pool="tutor",
@@ -58,6 +57,23 @@
         metrics=Metrics("sidecar"),
     )
 
+
+async def test_refusal_names_its_attempt():
+    runner = make_runner(BlockingEngine())
+    runner.queue.drain()
+    sent = []
+
+    async def send(message):
+        sent.append(message)
+
+    await runner.handle(make_request(3), anyio.sleep_forever, send)
+    assert (b"jasminewalk-attempt", b"r3/1") in sent[0]["headers"]
+
+
+async def test_first_token_lets_the_next_prefill_start():
+    engine = BlockingEngine()
+    runner = make_runner(engine)
+
     async def send(message):
         pass
 
--- a/tests/test_stuttering_endpoints.py
+++ b/tests/test_stuttering_endpoints.py
@@ -1,10 +1,17 @@
 """Clients of a peer whose second response to a request follows the next request."""
 
+import anyio
+import attrs
 import msgspec
 import pytest
 
+from dispatch_harness import DispatchHarness
 from jasminewalk.agreement.log_client import HttpLog
-from jasminewalk.exceptions import LogUnavailableError, StaleFencingNumberError
+from jasminewalk.exceptions import (
+    LogUnavailableError,
+    RefusedError,
+    StaleFencingNumberError,
+)
 from jasminewalk.generated_codes import Code
 from jasminewalk.generated_requests import (
     EngineOrder,
@@ -12,14 +19,22 @@
     Frame,
     GenerateRequest,
     Instance,
+    RefusalBody,
+    ServiceCall,
+    ServiceReply,
 )
 from jasminewalk.generated_standins import AppendResult, WeightTurn
+from jasminewalk.ingress.jobs import CallJob
 from jasminewalk.interfaces import CachePage, ServiceRequest
+from jasminewalk.metrics import Metrics
 from jasminewalk.sidecars.engine_client import HttpEngine
 from jasminewalk.sidecars.service_client import HttpService
+from jasminewalk.sidecars.sidecar_http import SidecarApp
 from jasminewalk.sidecars.weights_client import HttpWeightStore
-from jasminewalk.transport._http import open_http_pool
+from jasminewalk.transport._http import HttpServer, open_http_pool
+from jasminewalk.transport._http_call import call
 from jasminewalk.transport.instances_client import HttpInstanceList
+from jasminewalk.transport.peer_auth import PeerAuthenticator
 from raw_server import StutteringServer, build_response
 from test_standins import make_request
 
@@ -184,3 +199,78 @@
     async with server.serve():
         store = HttpWeightStore(pool, server.address)
         assert [await store.reserve("m", 1) for _ in range(3)] == [1, 2, 3]
+
+
+async def call_through_entry(server, *request_ids):
+    """Call a sidecar for requests one after the other; return replies and errors."""
+    harness = DispatchHarness()
+    results = []
+    async with anyio.create_task_group() as group, server.serve():
+        group.start_soon(harness.connections.run)
+        harness.add_endpoint("e1", server.address, kind="service")
+        for request_id in request_ids:
+            profile = attrs.evolve(harness.make_profile(), request_id=request_id)
+            job = CallJob(
+                profile=profile,
+                service="desk",
+                method="GET",
+                path="/",
+                headers=[],
+                body=b"",
+            )
+            try:
+                _, reply = await harness.dispatcher.call(job)
+                results.append(reply.body)
+            except RefusedError as error:
+                results.append(error)
+        await harness.connections.aclose()
+        group.cancel_scope.cancel()
+    return results
+
+
+async def test_refusal_of_another_request_is_not_believed():
+    def answer(request):
+        call = msgspec.msgpack.decode(request.body, type=ServiceCall)
+        if call.request_id == "r1":
+            refusal = RefusalBody(
+                code=Code.OVERLOADED,
+                name="",
+                message="",
+                ran="not_run",
+                request_id="r1",
+            )
+            return build_response(encode_json(refusal), status=b"429 Busy")
+        return build_response(msgspec.msgpack.encode(ServiceReply(status=200)))
+
+    first, second = await call_through_entry(StutteringServer(answer), "r1", "r2")
+    assert (first.code, first.ran) == (Code.OVERLOADED, "not_run")
+    assert second.ran == "unknown"
+
+
+async def test_reply_that_does_not_name_its_request_is_not_believed():
+    def answer(request):
+        call = msgspec.msgpack.decode(request.body, type=ServiceCall)
+        reply = ServiceReply(status=200, body=call.request_id.encode())
+        return build_response(msgspec.msgpack.encode(reply))
+
+    results = await call_through_entry(StutteringServer(answer), "r1", "r2")
+    assert [result.ran for result in results] == ["unknown", "unknown"]
+
+
+async def test_sidecar_names_the_attempt_in_an_error(pool):
+    app = SidecarApp(
+        authenticator=PeerAuthenticator("0123456789abcdef"),
+        body_bytes=10,
+        metrics=Metrics("sidecar"),
+    )
+    server = HttpServer(app, "127.0.0.1:0")
+    async with anyio.create_task_group() as group:
+        group.start_soon(server.serve)
+        await server.wait_started()
+        headers = [("jasminewalk-attempt", "r1/2")]
+        response = await call(
+            pool, "POST", server.address, "/call", headers=headers, timeout_s=2.0
+        )
+        assert response.status == 403
+        assert ("jasminewalk-attempt", "r1/2") in response.headers
+        server.stop()
