Leave engines alone that answer 503 with Retry-After

An engine that turns a request away may now name the seconds for which it wants nothing from that machine. The gateways avoided it for 0.15 s as after any refusal, and the platform's rule BUDGET allows two more requests in that time.

EngineClients reads the header from any 503 of an engine into its EngineBackoff, which keeps the latest end that it named. Whoever chooses an engine leaves it out: first attempts, retries, prefills and handed-over streams (list_available). Reports, orders and releases of handles wait. It is no failure and no suspicion, and it ends with the incarnation. The rule is per machine, so peers are not told.

An engine that can be tried at all is preferred to none: while the trusted ones back off, suspected ones are used. A request that no engine can take is refused at once with the time until the first comes back (reason "engine backoff"); one that is too late elsewhere gets that time if it is shorter than the wait there. After the end one request may be in flight, growing to the engine's slots within a second. A value that is no number of seconds is logged, and the default holds. `explain` shows a backoff that still held when the request came.

--- a/src/jasminewalk/gateway/daemon.py
+++ b/src/jasminewalk/gateway/daemon.py
@@ -11,7 +11,7 @@
 from jasminewalk.gateway.admission import AdmissionPolicy
 from jasminewalk.gateway.decision_log import DecisionLog
 from jasminewalk.gateway.engine_clients import EngineClients
-from jasminewalk.gateway.fleet import Fleet
+from jasminewalk.gateway.fleet import Fleet, FleetEvent
 from jasminewalk.gateway.holder_lease import HolderLease
 from jasminewalk.gateway.metrics import GatewayMetrics
 from jasminewalk.gateway.peer_link import GatewaysFollower, PeerLink
@@ -69,9 +69,7 @@
         self.log = DecisionLog(self.settings.name, self.clock)
         self.fleet = Fleet()
         self.clients = EngineClients(self.fleet, self.clock)
-        self.clients.on_event = lambda event: self.log.info(
-            event.event, engine=event.engine, detail=event.detail
-        )
+        self.clients.on_event = self._log_engine_event
         self.metrics = GatewayMetrics()
         self.routes: RouteTable | None = None
         self.stopping = asyncio.Event()
@@ -242,6 +240,10 @@
         else:
             connection.send_response(OK if self.is_ready else UNAVAILABLE, (), b"")
 
+    def _log_engine_event(self, event: FleetEvent) -> None:
+        fields = {} if event.left_s is None else {"left_s": event.left_s}
+        self.log.info(event.event, engine=event.engine, detail=event.detail, **fields)
+
     def _log_handler_failure(self, request: CallerRequest, error: Exception) -> None:
         self.log.warning(
             "handler_failed",
--- a/src/jasminewalk/gateway/engine_clients.py
+++ b/src/jasminewalk/gateway/engine_clients.py
@@ -206,8 +206,23 @@
             event = self.fleet.record_leaving(engine, reason)
             if event is not None:
                 self.on_event(event)
+        self._record_backoff(engine, response)
         self._record_limit(engine, response, sent_at)
 
+    def _record_backoff(self, engine: EngineState, response: Response) -> None:
+        head = response.head
+        event = None
+        if head.unreadable_retry_after:
+            event = FleetEvent(
+                "retry_after_unreadable",
+                engine.entry.engine_id,
+                head.unreadable_retry_after,
+            )
+        elif head.retry_after_s is not None:
+            event = self.fleet.record_backoff(self.clock(), engine, head.retry_after_s)
+        if event is not None:
+            self.on_event(event)
+
     def _record_limit(
         self, engine: EngineState, response: Response, sent_at: float
     ) -> None:
--- a/src/jasminewalk/gateway/fleet.py
+++ b/src/jasminewalk/gateway/fleet.py
@@ -7,6 +7,7 @@
 import attrs
 
 from jasminewalk.exceptions import BadMessageError
+from jasminewalk.gateway.engine_backoff import EngineBackoff
 from jasminewalk.gateway.prompt_cache import PromptCache
 from jasminewalk.gateway.request_limit import RequestLimit
 from jasminewalk.platform.configuration import EngineTraits, Service
@@ -83,11 +84,13 @@
     :param event: name of the log event.
     :param engine: id of the engine.
     :param detail: reason, with the inputs of the decision.
+    :param left_s: seconds for which the change holds, if it has an end.
     """
 
     event: str
     engine: str
     detail: str
+    left_s: float | None = None
 
 
 @attrs.define(eq=False)
@@ -118,6 +121,7 @@
         first.
     :param said_leaving: whether a response, or a peer that had one, said that this
         incarnation is leaving.
+    :param backoff: time for which it wants nothing from this gateway.
     """
 
     entry: EngineEntry
@@ -139,6 +143,7 @@
     limit: RequestLimit = attrs.field(factory=RequestLimit)
     sent_times: deque[float] = attrs.field(factory=deque)
     said_leaving: bool = False
+    backoff: EngineBackoff = attrs.field(factory=EngineBackoff)
 
     @property
     def leaving(self) -> bool:
@@ -176,6 +181,15 @@
             return 1.0
         return sum(speed * samples for speed, samples in estimates) / total_samples
 
+    def compute_backoff_wait_s(self, now: float) -> float:
+        """Return the seconds until it takes another request after it turned some away.
+
+        :param now: current monotonic time in seconds.
+        """
+        return self.backoff.compute_wait_s(
+            now, self.own_load.requests, self.entry.slots
+        )
+
     def observe_prefill(self, expected_s: float, elapsed_s: float) -> None:
         """Add a speed sample from a prefill that did not wait for other requests.
 
@@ -272,29 +286,42 @@
         :param service: name of the service.
         :param now: current monotonic time in seconds.
         """
-        listed = [
-            engine
-            for engine in self.engines.values()
-            if engine.entry.service == service
-            and not engine.leaving
-            and (engine.expires_at is None or now < engine.expires_at)
-        ]
-        trusted = [
-            engine
-            for engine in listed
-            if engine.suspect_until <= now and engine.changing_until <= now
-        ]
-        return trusted or listed
+        return _prefer_trusted(self._list_present(service, now), now)
 
     def list_available(self, service: str, now: float) -> list[EngineState]:
-        """Return the usable engines of a service whose limits have room.
+        """Return the usable engines of a service that take another request now.
+
+        An engine that turned requests away for a time is left out, and so is one whose
+        limit has no room.
 
         :param service: name of the service.
         :param now: current monotonic time in seconds.
         """
-        usable = self.list_usable(service, now)
+        present = [
+            engine
+            for engine in self._list_present(service, now)
+            if not engine.compute_backoff_wait_s(now)
+        ]
+        usable = _prefer_trusted(present, now)
         return [engine for engine in usable if engine.limit.has_room(now)]
 
+    def find_shortest_backoff(self, service: str, now: float) -> EngineState | None:
+        """Return the first engine to come back of those that turned requests away.
+
+        :param service: name of the service.
+        :param now: current monotonic time in seconds.
+        """
+        waiting = [
+            engine
+            for engine in self._list_present(service, now)
+            if engine.compute_backoff_wait_s(now)
+        ]
+        return min(
+            waiting,
+            key=lambda engine: engine.compute_backoff_wait_s(now),
+            default=None,
+        )
+
     def compute_limit_wait_s(self, service: str, now: float) -> float | None:
         """Return the seconds until the limit of an engine has room again.
 
@@ -306,6 +333,7 @@
         waits = (
             engine.limit.compute_wait_s(now)
             for engine in self.list_usable(service, now)
+            if not engine.compute_backoff_wait_s(now)
         )
         return min((wait_s for wait_s in waits if wait_s > 0), default=None)
 
@@ -399,6 +427,27 @@
         engine.said_leaving = True
         return FleetEvent("engine_leaving", engine.entry.engine_id, reason)
 
+    def record_backoff(
+        self, now: float, engine: EngineState, wait_s: float
+    ) -> FleetEvent | None:
+        """Record that an engine turned a request away; return an event if it is news.
+
+        :param now: current monotonic time in seconds.
+        :param engine: the engine.
+        :param wait_s: seconds for which it wants nothing from this gateway.
+        """
+        was_active = engine.backoff.is_active(now)
+        if not engine.backoff.extend(now, wait_s) or not wait_s:
+            return None
+        longer = "again, for longer" if was_active else "nothing is sent to it"
+        detail = f"{longer}; {engine.count_sent(now)} requests sent here in "
+        return FleetEvent(
+            "engine_backoff",
+            engine.entry.engine_id,
+            f"{detail}{SENT_WINDOW_S:g} s",
+            left_s=round(wait_s, 2),
+        )
+
     def suspect(self, now: float, engine: EngineState, reason: str) -> FleetEvent:
         """Avoid an engine that did not answer, longer with each consecutive failure.
 
@@ -455,6 +504,15 @@
                 rate = f"failure rate {engine.failure_rate:.2f}"
                 yield FleetEvent(event, engine_id, rate)
 
+    def _list_present(self, service: str, now: float) -> list[EngineState]:
+        return [
+            engine
+            for engine in self.engines.values()
+            if engine.entry.service == service
+            and not engine.leaving
+            and (engine.expires_at is None or now < engine.expires_at)
+        ]
+
     def _update_entry(self, now: float, entry: EngineEntry) -> Iterator[FleetEvent]:
         known = self.engines.get(entry.engine_id)
         if known is not None and known.entry.started_ms == entry.started_ms:
@@ -492,6 +550,16 @@
         return found.engine if found else None
 
 
+def _prefer_trusted(engines: list[EngineState], now: float) -> list[EngineState]:
+    """Return the engines that are neither suspected nor changing, or all if all are."""
+    trusted = [
+        engine
+        for engine in engines
+        if engine.suspect_until <= now and engine.changing_until <= now
+    ]
+    return trusted or engines
+
+
 def filter_by_stage(engines: Iterable[EngineState], stage: str) -> list[EngineState]:
     """Return the engines in a stage; engines without a stage count as decode.
 
--- a/src/jasminewalk/gateway/generation_run.py
+++ b/src/jasminewalk/gateway/generation_run.py
@@ -75,7 +75,11 @@
         been executed.
         """
         now = self.context.clock()
-        engines = self.context.fleet.list_usable(self.service, now)
+        engines = [
+            engine
+            for engine in self.context.fleet.list_usable(self.service, now)
+            if not engine.backoff.is_active(now)
+        ]
         options = self.context.placement.list_options(
             self.prompt_profile,
             self.list_available_engines(),
@@ -111,9 +115,21 @@
             self.warn("not_admitted", **inputs)
             self.finish_incomplete("too late to go on", BAD_GATEWAY)
         else:
-            self.refuse("overloaded", decision.retry_after_s, **inputs)
+            self._refuse_overloaded(decision.retry_after_s, inputs)
         return None
 
+    def _refuse_overloaded(
+        self, retry_after_s: float, inputs: dict[str, object]
+    ) -> None:
+        now = self.context.clock()
+        backing_off = self.context.fleet.find_shortest_backoff(self.service, now)
+        if backing_off is not None:
+            # An engine that comes back sooner takes the request then.
+            backoff_s = backing_off.compute_backoff_wait_s(now)
+            retry_after_s = min(retry_after_s, backoff_s)
+            inputs["backoff_ms"] = round(backoff_s * 1e3, 1)
+        self.refuse("overloaded", retry_after_s, **inputs)
+
     def _choose_admitted(
         self, options: list[PlacementOption], *, busy: bool
     ) -> tuple[PlacementOption, AdmissionDecision]:
@@ -204,8 +220,9 @@
                 sent.close()
         if handle is None:
             if response.head.not_executed:
-                self.record_rejection(engine, response.status)
-            refused = response.head.not_executed
+                self.record_rejection(engine, response)
+            turned_away = response.head.retry_after_s is not None
+            refused = response.head.not_executed or turned_away
             reason = f"engine answered {response.status}"
             self._record_prefill_failure(engine, reason, failed=not refused)
             return False
--- a/src/jasminewalk/gateway/log_trace.py
+++ b/src/jasminewalk/gateway/log_trace.py
@@ -11,8 +11,10 @@
 
 # State changes this long before and after a request are part of its trace.
 CONTEXT_MARGIN = timedelta(seconds=2)
-# Events of an engine that hold until another one of them, or for good.
+# Events that hold while the engine runs, the event that holds for a time that its line
+# names, and events after which the engine's earlier ones no longer hold.
 LEAVING_EVENT = "engine_leaving"
+BACKOFF_EVENT = "engine_backoff"
 INCARNATION_EVENTS = ("engine_listed", "engine_gone")
 SEPARATE_KEYS = ("time", "severity", "event", "node")
 
@@ -112,7 +114,7 @@
         request_lines[0].time - CONTEXT_MARGIN,
         request_lines[-1].time + CONTEXT_MARGIN,
     )
-    earlier = _list_lasting_lines(line for line in lines if line.time < first)
+    earlier = _list_lasting_lines(lines, first)
     lasting = [
         line
         for line in earlier
@@ -131,16 +133,26 @@
     ]
 
 
-def _list_lasting_lines(lines: Iterable[LogLine]) -> list[LogLine]:
-    """Return the lines of state changes that still hold after all the lines."""
-    lasting: dict[tuple[str, Any], LogLine] = {}
+def _list_lasting_lines(lines: Iterable[LogLine], time: datetime) -> list[LogLine]:
+    """Return the earlier lines of state changes of engines that hold at a time."""
+    lasting: dict[tuple[str, Any, str], LogLine] = {}
     for line in lines:
-        key = line.node, line.fields.get("engine")
-        if line.event == LEAVING_EVENT:
-            lasting[key] = line
+        if line.time >= time:
+            break
+        engine = line.fields.get("engine")
+        if line.event == LEAVING_EVENT or _lasts_until(line, time):
+            lasting[line.node, engine, line.event] = line
         elif line.event in INCARNATION_EVENTS:
-            lasting.pop(key, None)
-    return list(lasting.values())
+            lasting.pop((line.node, engine, LEAVING_EVENT), None)
+            lasting.pop((line.node, engine, BACKOFF_EVENT), None)
+    return sorted(lasting.values(), key=lambda line: line.time)
+
+
+def _lasts_until(line: LogLine, time: datetime) -> bool:
+    left_s = line.fields.get("left_s")
+    if line.event != BACKOFF_EVENT or not isinstance(left_s, int | float):
+        return False
+    return (time - line.time).total_seconds() <= left_s
 
 
 def _matches(line: LogLine, line_filter: LineFilter) -> bool:
--- a/src/jasminewalk/gateway/plain_run.py
+++ b/src/jasminewalk/gateway/plain_run.py
@@ -50,6 +50,13 @@
         """Whether the response is missing or is a server error."""
         return self.response is None or self.response.status >= MIN_SERVER_ERROR_STATUS
 
+    @property
+    def turned_away(self) -> bool:
+        """Whether the engine wants no requests from this gateway for a time."""
+        return (
+            self.response is not None and self.response.head.retry_after_s is not None
+        )
+
 
 class PlainRun(RequestRun):
     """Runs a plain request; retries it if it is repeatable or was not executed."""
@@ -178,9 +185,10 @@
     ) -> None:
         if result.not_executed:
             if result.response is not None:
-                self.record_rejection(engine, result.response.status)
+                self.record_rejection(engine, result.response)
             return
-        engine.record_outcome(result.failed)
+        if not result.turned_away:
+            engine.record_outcome(result.failed)
         if result.response is not None:
             engine.last_progress_at = self.context.clock()
             engine.observe_latency(elapsed_s)
--- a/src/jasminewalk/gateway/prefilled_prompt.py
+++ b/src/jasminewalk/gateway/prefilled_prompt.py
@@ -1,5 +1,6 @@
 """Prompts whose prefill ran on a separate engine, and the release of their handles."""
 
+import asyncio
 from collections.abc import Callable
 
 import attrs
@@ -39,12 +40,15 @@
 ) -> None:
     """Release the handle of a prompt that no engine decodes from.
 
-    Errors are only logged.
+    An engine that turned requests away for a time is called when that is over. Errors
+    are only logged.
 
     :param clients: connections to the engines.
     :param prompt: the prompt.
     :param log: writes a log line about the request.
     """
+    while (wait_s := prompt.engine.backoff.until - clients.clock()) > 0:
+        await asyncio.sleep(wait_s)
     try:
         await clients.call(
             prompt.engine,
--- a/src/jasminewalk/gateway/run.py
+++ b/src/jasminewalk/gateway/run.py
@@ -1,5 +1,6 @@
 """Base of the request runs: retries, load accounting, responses and log lines."""
 
+import math
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from enum import Enum, auto
@@ -135,6 +136,7 @@
         self.tried_engines: list[str] = []
         self.sent = False
         self.retry_after_s = ENGINE_FULL_RETRY_AFTER_S
+        self.awaited_engine = ""
         timeout_s = route.timeout_s
         if head.deadline_s is not None:
             timeout_s = min(timeout_s, head.deadline_s)
@@ -175,10 +177,17 @@
     def explain_missing_engine(self) -> str:
         """Return why there is no engine to choose, and set when to come back."""
         now = self.context.clock()
-        wait_s = self.context.fleet.compute_limit_wait_s(self.service, now)
-        if wait_s is None:
+        limit_wait_s = self.context.fleet.compute_limit_wait_s(self.service, now)
+        backing_off = self.context.fleet.find_shortest_backoff(self.service, now)
+        if backing_off is not None:
+            backoff_wait_s = backing_off.compute_backoff_wait_s(now)
+            if limit_wait_s is None or backoff_wait_s <= limit_wait_s:
+                self.retry_after_s = backoff_wait_s
+                self.awaited_engine = backing_off.entry.engine_id
+                return "engine backoff"
+        if limit_wait_s is None:
             return "no engine"
-        self.retry_after_s = min(wait_s, MAX_LIMIT_RETRY_AFTER_S)
+        self.retry_after_s = min(limit_wait_s, MAX_LIMIT_RETRY_AFTER_S)
         return "engine limit"
 
     @contextmanager
@@ -199,14 +208,19 @@
             load.release_prefill()
             engine.own_load.requests -= 1
 
-    def record_rejection(self, engine: EngineState, status: int) -> None:
+    def record_rejection(self, engine: EngineState, response: Response) -> None:
         """Record that an engine refused the request without running it.
 
         :param engine: the engine.
-        :param status: status code of the refusal.
+        :param response: the refusal.
         """
+        if response.head.retry_after_s is not None:
+            # The engine itself said for how long it is to be left alone.
+            if not self.list_available_engines():
+                self.explain_missing_engine()
+            return
         event = self.context.fleet.record_rejection(
-            self.context.clock(), engine, status
+            self.context.clock(), engine, response.status
         )
         if event is not None:
             self.warn(event.event, engine=event.engine, detail=event.detail)
@@ -219,7 +233,11 @@
         :param inputs: inputs of the decision, as fields of the log line. Under load,
             lines of placements are suppressed before lines of refusals.
         """
+        # Rounded up, so that the caller does not come back just too early.
+        retry_after_s = math.ceil(retry_after_s * 100) / 100
         headers = [(b"retry-after", b"%.2f" % retry_after_s)]
+        if self.awaited_engine:
+            inputs.setdefault("engine", self.awaited_engine)
         self.connection.send_response(UNAVAILABLE, headers, b"")
         self.context.metrics.record_refusal(self.route.name, reason)
         self.warn(
--- a/src/jasminewalk/gateway/stage_controller.py
+++ b/src/jasminewalk/gateway/stage_controller.py
@@ -131,7 +131,14 @@
             engines = self.fleet.list_usable(service.name, now)
             demand = self.exchange.compute_total_demand(now)
             change = self.planner.plan(now, service.name, engines, demand)
-            if change is not None:
+            if change is not None and change.engine.backoff.is_active(now):
+                self.log.info(
+                    "order_deferred",
+                    engine=change.engine.entry.engine_id,
+                    stage=change.stage,
+                    left_s=round(change.engine.backoff.until - now, 2),
+                )
+            elif change is not None:
                 await self._order(service, change)
                 return
 
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -129,7 +129,9 @@
                 sent.close()
         if result is StreamAttemptResult.DONE:
             engine.observe_residence(self.context.clock() - started_at)
-        if result is not StreamAttemptResult.NOT_EXECUTED:
+        response = sent.exchange.response
+        turned_away = response is not None and response.head.retry_after_s is not None
+        if result is not StreamAttemptResult.NOT_EXECUTED and not turned_away:
             engine.record_outcome(result is StreamAttemptResult.BROKEN)
         self._record_prefill_time(engine, estimate, prompt, alone, started_at)
         return result
@@ -203,7 +205,7 @@
         body = await sent.exchange.body()
         if response.head.not_executed:
             self.reason = f"engine refused with {response.status}"
-            self.record_rejection(engine, response.status)
+            self.record_rejection(engine, response)
             self.log("not_executed", engine=engine.entry.engine_id, reason=self.reason)
             return StreamAttemptResult.NOT_EXECUTED
         self.error_response = (response, body)
--- a/src/jasminewalk/platform/headers.py
+++ b/src/jasminewalk/platform/headers.py
@@ -28,6 +28,7 @@
 NOT_EXECUTED = b"x-jasminewalk-not-executed"
 REQUEST_LIMIT = b"server-limit"
 LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 EXPECT_INSTANCE = b"x-jasminewalk-expect-instance"
 REQUEST_PRIORITY = b"x-jasminewalk-request-priority"
 STAGE = b"x-jasminewalk-stage"
@@ -63,7 +64,9 @@
     )
 )
 MISDIRECTED_REQUEST = 421
+UNAVAILABLE = 503
 MAX_ID_BYTES = 200
+MAX_RETRY_AFTER_S = 1e9
 
 
 @attrs.frozen
@@ -116,6 +119,10 @@
         gateways together; None if the response names no limit.
     :param unreadable_limit: the limit as received, if it is not a number; else empty.
     :param leaving: whether the engine says that it is leaving.
+    :param retry_after_s: seconds for which an engine that answers 503 wants no requests
+        from this gateway; None if it does not say.
+    :param unreadable_retry_after: that time as received, if it is not a number of
+        seconds; else empty.
     """
 
     request_id: str
@@ -127,6 +134,8 @@
     request_limit_per_s: float | None = None
     unreadable_limit: str = ""
     leaving: bool = False
+    retry_after_s: float | None = None
+    unreadable_retry_after: str = ""
 
 
 def decode_request_head(headers: Iterable[Header]) -> RequestHead:
@@ -159,6 +168,10 @@
     values = dict(headers)
     limit_text = _decode_text(values.get(REQUEST_LIMIT, b""))
     request_limit_per_s = _parse_rate(limit_text)
+    retry_after_text = ""
+    if status == UNAVAILABLE:
+        retry_after_text = _decode_text(values.get(RETRY_AFTER, b""))
+    retry_after_s = _parse_retry_after(retry_after_text)
     return ResponseHead(
         request_id=_decode_text(values.get(REQUEST_ID, b"")),
         signed=RESPONSE_SIGNATURE in values,
@@ -169,6 +182,8 @@
         request_limit_per_s=request_limit_per_s,
         unreadable_limit="" if request_limit_per_s is not None else limit_text,
         leaving=values.get(LEAVING, b"").strip() == b"1",
+        retry_after_s=retry_after_s,
+        unreadable_retry_after="" if retry_after_s is not None else retry_after_text,
     )
 
 
@@ -269,6 +284,13 @@
     return rate if 0 <= rate < math.inf else None
 
 
+def _parse_retry_after(text: str) -> float | None:
+    if not text.isascii() or not text.replace(".", "", 1).isdigit():
+        return None
+    seconds = float(text)
+    return seconds if seconds < MAX_RETRY_AFTER_S else None
+
+
 def _parse_milliseconds(value: bytes | None) -> float | None:
     if value is None:
         return None
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -231,7 +231,9 @@
         self.delay_s = 0.0
         self.request_limit = ""
         self.leaving = False
+        self.retry_after = "1"
         self.arrivals = []
+        self.control_arrivals = []
         self.handles = {}
         self.repeats_responses = False
         self.last_responses = {}
@@ -285,7 +287,7 @@
         self.requests.append((request, headers))
         self.arrivals.append(asyncio.get_running_loop().time())
         request_id = headers[b"x-jasminewalk-request-id"].decode()
-        if self.behaviour != "full":
+        if self.behaviour not in ("full", "turn_away"):
             prefill = b"x-jasminewalk-stage" in headers
             self.executed_requests.append((request_id, request.target, prefill))
         self.running_requests.add(request_id)
@@ -298,7 +300,10 @@
             self.running_requests.discard(request_id)
 
     async def handle_control_call(self, connection, request):
-        if request.path == "/-/report":
+        self.control_arrivals.append(asyncio.get_running_loop().time())
+        if self.behaviour == "turn_away":
+            connection.send_response(503, self.build_retry_after_headers(), b"")
+        elif request.path == "/-/report":
             report = {
                 "stage": self.stage,
                 "sequence": len(self.orders),
@@ -395,6 +400,19 @@
             b"",
         )
 
+    async def turn_away(self, connection, request, headers):
+        """Refuse the request and ask for no others for a time."""
+        headers = self.build_headers(headers) + self.build_retry_after_headers()
+        headers.append((b"x-jasminewalk-not-executed", b"1"))
+        connection.send_response(503, headers, b"")
+
+    async def turn_away_without_not_executed(self, connection, request, headers):
+        headers = self.build_headers(headers) + self.build_retry_after_headers()
+        connection.send_response(503, headers, b"")
+
+    def build_retry_after_headers(self):
+        return [(b"retry-after", self.retry_after.encode())]
+
     async def misdirect(self, connection, request, headers):
         connection.send_response(421, self.build_headers(headers), b"")
 
--- a/tests/test_gateway_log_trace.py
+++ b/tests/test_gateway_log_trace.py
@@ -128,3 +128,23 @@
         ("engine_leaving", "i-2"),
         ("refused", None),
     ]
+
+
+def test_trace_of_a_request_includes_backoffs_that_still_held():
+    recorded = [
+        make_line(1.0, "engine_backoff", engine="i-1", detail="x", left_s=5.0),
+        make_line(1.0, "engine_backoff", engine="i-2", detail="x", left_s=30.0),
+        make_line(2.0, "engine_backoff", engine="i-2", detail="y", left_s=20.5),
+        make_line(20.0, "refused", request="a", engine="i-1"),
+        make_line(20.1, "refused", request="b", engine="i-2"),
+        make_line(25.0, "refused", request="c", engine="i-2"),
+    ]
+    assert select_events(recorded, "a") == [("refused", "i-1")]
+    assert select_events(recorded, "b") == [
+        ("engine_backoff", "i-2"),
+        ("refused", "i-2"),
+    ]
+    assert select_events(recorded, "c") == [
+        ("engine_backoff", "i-2"),
+        ("refused", "i-2"),
+    ]
