Bound the bytes of an engine that belong to no body

A peer could send a head, interim responses, a chunk size, a chunk extension, trailers or responses to other requests without end. httptools collects names, values and trailers before it calls back, so a gateway's memory grew as fast as the peer sent, until the request's deadline. Callers got 504 at the deadline instead of a retry or an early 502.

An exchange now ends with "too many bytes outside of the body" after 64 KiB, to which each byte of a body adds 8, and with "too many bytes of other responses" after 1 MiB. Chunk size lines of one-byte chunks stay within that. A failed exchange can no longer become complete, trailers no longer join the headers, and one connection reports 10 discards at most.

--- a/src/jasminewalk/http1/client.py
+++ b/src/jasminewalk/http1/client.py
@@ -19,9 +19,17 @@
     "connect",
 ]
 
+# An exchange is aborted after more bytes that are not part of a body: heads, chunk
+# framing and trailers. Each byte of a body allows for some more.
+MAX_FRAMING_BYTES = 64 * 1024
+FRAMING_BYTES_PER_BODY_BYTE = 8
+# An exchange is aborted after more bytes of bodies of skipped responses.
+MAX_SKIPPED_BYTES = 1024 * 1024
 # An exchange with a larger response body is aborted, because bodies are buffered in
 # memory.
 MAX_RESPONSE_BODY_BYTES = 64 * 1024 * 1024
+# Discarded bytes of one connection that are each reported.
+MAX_DISCARD_REPORTS = 10
 MIN_FINAL_STATUS = 200
 STATUSES_WITHOUT_BODY = (204, 304)
 
@@ -81,6 +89,7 @@
     :param failure: reason for the failure; empty if there is none.
     :param chunks: received bytes of the body that were not read yet.
     :param body_bytes: number of bytes of the body received so far.
+    :param skipped_bytes: number of bytes of the bodies of skipped responses.
     :param waiter: future of the task that waits for data.
     :param on_response: called with the status and headers of the response.
     """
@@ -91,6 +100,7 @@
     failure: str = ""
     chunks: deque[bytes] = attrs.field(factory=deque)
     body_bytes: int = 0
+    skipped_bytes: int = 0
     waiter: asyncio.Future[None] | None = None
     on_response: Callable[[Response], None] | None = None
 
@@ -160,8 +170,12 @@
         self.idle_since = 0.0
         self.idle_timeout_s: float | None = None
         self.exchange_count = 0
+        self.discard_count = 0
         self.ends_at_close = False
         self.skipping_response = False
+        self.head_complete = False
+        self.unchecked_bytes = 0
+        self.checked_body_bytes = 0
         self.headers: list[Header] = []
         self.parser = httptools.HttpResponseParser(self)
 
@@ -177,31 +191,44 @@
         """
         assert self.transport is not None
         self.exchange = exchange
+        self.unchecked_bytes = 0
+        self.checked_body_bytes = 0
         self.transport.write(request)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes; abort the connection if no request is outstanding."""
-        if self.exchange is None:
+        """Parse received bytes; abort the connection if no request is outstanding.
+
+        It is also aborted if too many bytes belong to no body.
+        """
+        exchange = self.exchange
+        if exchange is None:
             self._discard("bytes without a request")
             self.abort("bytes without a request")
             return
+        self.unchecked_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.abort(f"no HTTP answer: {type(error).__name__}")
+        if self.unchecked_bytes > MAX_FRAMING_BYTES:
+            self._check_framing(exchange)
 
     def on_message_begin(self) -> None:
         """Start a response."""
         self.headers = []
         self.ends_at_close = False
         self.skipping_response = False
+        self.head_complete = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add one header."""
+        """Add one header; drop the trailers after a body."""
+        if self.head_complete:
+            return
         self.headers.append((name.lower(), value.strip()))
 
     def on_headers_complete(self) -> None:
         """Accept the response if it belongs to the current exchange, else skip it."""
+        self.head_complete = True
         status = self.parser.get_status_code()
         exchange = self.exchange
         head = decode_response_head(status, self.headers)
@@ -236,7 +263,12 @@
     def on_body(self, body: bytes) -> None:
         """Add bytes of the body."""
         exchange = self.exchange
-        if exchange is None or self.skipping_response:
+        if exchange is None or exchange.failure:
+            return
+        if self.skipping_response:
+            exchange.skipped_bytes += len(body)
+            if exchange.skipped_bytes > MAX_SKIPPED_BYTES:
+                self.abort("too many bytes of other responses")
             return
         exchange.body_bytes += len(body)
         if exchange.body_bytes > MAX_RESPONSE_BODY_BYTES:
@@ -279,7 +311,19 @@
         self.exchange_count += 1
         self.idle_since = self.clock()
 
+    def _check_framing(self, exchange: Exchange) -> None:
+        body_bytes = exchange.body_bytes + exchange.skipped_bytes
+        allowed = FRAMING_BYTES_PER_BODY_BYTE * (body_bytes - self.checked_body_bytes)
+        if self.unchecked_bytes <= allowed:
+            self.unchecked_bytes = 0
+            self.checked_body_bytes = body_bytes
+        elif self.unchecked_bytes > MAX_FRAMING_BYTES + allowed:
+            self.abort("too many bytes outside of the body")
+
     def _discard(self, reason: str, request_id: str = "") -> None:
+        self.discard_count += 1
+        if self.discard_count > MAX_DISCARD_REPORTS:
+            return
         expected_id = self.exchange.request_id if self.exchange else ""
         self.on_discarded(
             DiscardedBytes(reason, request_id, expected_id, self.exchange_count)
@@ -287,7 +331,7 @@
 
     def _complete(self) -> None:
         exchange = self.exchange
-        if exchange is not None and not exchange.complete:
+        if exchange is not None and not exchange.complete and not exchange.failure:
             exchange.complete = True
             exchange.wake()
 
