Limit the response bodies in memory of each exchange and of all together

An engine that sent bodies without end could fill the memory of a gateway: each exchange took up to 64 MiB and their number was not limited, and a body that nobody read was received all the same.

An exchange now takes 16 MiB at most, less if it says so (max_body_bytes), and a larger content-length fails it at once. A ReceiveBudget of 32 MiB counts what all exchanges with engines hold, another one those with the store; over it, the exchange that holds most is aborted, so that small responses are not affected. Receiving pauses while more than 64 KiB of an exchange were not read. Exchange.body() has a timeout without data, which the store's connections used to have in a loop of their own.

--- a/src/jasminewalk/gateway/engine_clients.py
+++ b/src/jasminewalk/gateway/engine_clients.py
@@ -13,6 +13,7 @@
     DiscardedBytes,
     Exchange,
     ExchangeBrokenError,
+    ReceiveBudget,
     Response,
     connect,
     encode_request,
@@ -77,6 +78,7 @@
         self.fleet = fleet
         self.clock = clock
         self.pools: dict[EngineState, ConnectionPool] = {}
+        self.budget = ReceiveBudget()
         self.connections_opened = 0
         self.on_event: Callable[[FleetEvent], None] = lambda event: None
 
@@ -218,7 +220,10 @@
         self.connections_opened += 1
         try:
             connection = await connect(
-                engine.entry.address, min(CONNECT_TIMEOUT_S, timeout_s), self.clock
+                engine.entry.address,
+                min(CONNECT_TIMEOUT_S, timeout_s),
+                self.clock,
+                self.budget,
             )
         except ExchangeBrokenError as error:
             raise NotSentError(error.reason) from error
--- a/src/jasminewalk/gateway/store_connections.py
+++ b/src/jasminewalk/gateway/store_connections.py
@@ -8,6 +8,7 @@
     ConnectionPool,
     Exchange,
     ExchangeBrokenError,
+    ReceiveBudget,
     connect,
     encode_request,
 )
@@ -33,6 +34,7 @@
 
     def __init__(self, address: str, clock: Callable[[], float]) -> None:
         self.clock = clock
+        self.budget = ReceiveBudget()
         self.pool = ConnectionPool(address, clock, MAX_IDLE_S)
 
     def use_address(self, address: str) -> None:
@@ -76,18 +78,14 @@
     ) -> tuple[int, bytes]:
         connection = self.pool.take_idle(MAX_IDLE_S)
         if connection is None:
-            connection = await connect(self.pool.address, CONNECT_TIMEOUT_S, self.clock)
+            connection = await connect(
+                self.pool.address, CONNECT_TIMEOUT_S, self.clock, self.budget
+            )
         try:
             connection.send(request, exchange)
             async with asyncio.timeout(timeout_s):
                 response = await exchange.head()
-            parts: list[bytes] = []
-            while True:
-                async with asyncio.timeout(timeout_s):
-                    part = await exchange.next_chunk()
-                if not part:
-                    return response.status, b"".join(parts)
-                parts.append(part)
+            return response.status, await exchange.body(timeout_s)
         finally:
             if exchange.complete:
                 self.pool.release(connection)
--- a/src/jasminewalk/http1/client.py
+++ b/src/jasminewalk/http1/client.py
@@ -16,6 +16,7 @@
     "DiscardedBytes",
     "Exchange",
     "ExchangeBrokenError",
+    "ReceiveBudget",
     "connect",
 ]
 
@@ -27,7 +28,12 @@
 MAX_SKIPPED_BYTES = 1024 * 1024
 # An exchange with a larger response body is aborted, because bodies are buffered in
 # memory.
-MAX_RESPONSE_BODY_BYTES = 64 * 1024 * 1024
+MAX_RESPONSE_BODY_BYTES = 16 * 1024 * 1024
+# Bytes of bodies that all exchanges with one budget may hold. If there are more, the
+# exchange that holds most is aborted.
+MAX_HELD_BYTES = 32 * 1024 * 1024
+# Receiving pauses while more bytes of an exchange were not read.
+MAX_UNREAD_BYTES = 64 * 1024
 # Discarded bytes of one connection that are each reported.
 MAX_DISCARD_REPORTS = 10
 MIN_FINAL_STATUS = 200
@@ -90,8 +96,13 @@
     :param chunks: received bytes of the body that were not read yet.
     :param body_bytes: number of bytes of the body received so far.
     :param skipped_bytes: number of bytes of the bodies of skipped responses.
+    :param max_body_bytes: larger bodies fail the exchange.
+    :param unread_bytes: number of bytes of ``chunks``.
+    :param kept_bytes: number of bytes of an incomplete body that were read.
+    :param held_bytes: number of bytes that count towards the connection's budget.
     :param waiter: future of the task that waits for data.
     :param on_response: called with the status and headers of the response.
+    :param on_read: called when ``kept_bytes`` grew or ``held_bytes`` may shrink.
     """
 
     request_id: str = ""
@@ -101,8 +112,13 @@
     chunks: deque[bytes] = attrs.field(factory=deque)
     body_bytes: int = 0
     skipped_bytes: int = 0
+    max_body_bytes: int = MAX_RESPONSE_BODY_BYTES
+    unread_bytes: int = 0
+    kept_bytes: int = 0
+    held_bytes: int = 0
     waiter: asyncio.Future[None] | None = None
     on_response: Callable[[Response], None] | None = None
+    on_read: Callable[[], None] | None = None
 
     def wake(self) -> None:
         """Wake the task that waits for this exchange."""
@@ -133,6 +149,24 @@
 
         :raises ExchangeBrokenError: if the exchange fails first.
         """
+        return await self._read_chunks()
+
+    async def body(self, chunk_timeout_s: float | None = None) -> bytes:
+        """Wait for the complete body.
+
+        :param chunk_timeout_s: longest time in seconds without data; None is unlimited.
+        :raises ExchangeBrokenError: if the exchange fails first.
+        :raises TimeoutError: if no data arrives in time.
+        """
+        parts: list[bytes] = []
+        while True:
+            async with asyncio.timeout(chunk_timeout_s):
+                part = await self._read_chunks(keep=True)
+            if not part:
+                return b"".join(parts)
+            parts.append(part)
+
+    async def _read_chunks(self, *, keep: bool = False) -> bytes:
         while not self.chunks:
             if self.complete:
                 return b""
@@ -141,31 +175,55 @@
             await self.wait()
         chunk = b"".join(self.chunks)
         self.chunks.clear()
+        self.unread_bytes = 0
+        if keep:
+            self.kept_bytes += len(chunk)
+        if self.on_read is not None and (keep or self.held_bytes):
+            self.on_read()
         return chunk
 
-    async def body(self) -> bytes:
-        """Wait for the complete body.
 
-        :raises ExchangeBrokenError: if the exchange fails first.
-        """
-        parts = []
-        while chunk := await self.next_chunk():
-            parts.append(chunk)
-        return b"".join(parts)
+@attrs.define(eq=False)
+class ReceiveBudget:
+    """Limit on the bytes of response bodies that several connections hold in memory.
+
+    :param limit_bytes: maximum number of bytes.
+    :param held_bytes: number of bytes held now.
+    :param connections: open connections that share the budget.
+    """
+
+    limit_bytes: int = MAX_HELD_BYTES
+    held_bytes: int = 0
+    connections: set["Connection"] = attrs.field(factory=set)
+
+    def enforce(self) -> None:
+        """Abort the exchanges that hold most until the limit is kept."""
+        while self.held_bytes > self.limit_bytes and self.connections:
+            largest = max(
+                self.connections, key=lambda connection: connection.held_bytes
+            )
+            if not largest.held_bytes:
+                return
+            largest.abort("too many bytes of bodies in memory")
 
 
 class Connection(asyncio.Protocol):
     """HTTP/1.1 connection that carries one exchange at a time.
 
     :param clock: function that returns the monotonic time in seconds.
+    :param budget: limit on the bytes in memory; by default it is not shared.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, clock: Callable[[], float], budget: ReceiveBudget | None = None
+    ) -> None:
         self.clock = clock
+        self.budget = budget or ReceiveBudget()
         self.on_discarded: Callable[[DiscardedBytes], None] = lambda discarded: None
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
         self.closed = False
+        self.paused = False
         self.reusable = True
         self.idle_since = 0.0
         self.idle_timeout_s: float | None = None
@@ -182,6 +240,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         self.transport = transport  # type: ignore[assignment]
+        self.budget.connections.add(self)
 
     def send(self, request: bytes, exchange: Exchange) -> None:
         """Send a request.
@@ -191,6 +250,7 @@
         """
         assert self.transport is not None
         self.exchange = exchange
+        exchange.on_read = self._handle_read
         self.unchecked_bytes = 0
         self.checked_body_bytes = 0
         self.transport.write(request)
@@ -254,6 +314,9 @@
         )
         if head.closing or self.ends_at_close:
             self.reusable = False
+        if int(names.get(b"content-length", 0)) > exchange.max_body_bytes:
+            self.abort("answer too large")
+            return
         self.idle_timeout_s = head.idle_timeout_s
         exchange.response = Response(status, self.headers, head)
         if exchange.on_response is not None:
@@ -270,11 +333,16 @@
             if exchange.skipped_bytes > MAX_SKIPPED_BYTES:
                 self.abort("too many bytes of other responses")
             return
-        exchange.body_bytes += len(body)
-        if exchange.body_bytes > MAX_RESPONSE_BODY_BYTES:
+        size = len(body)
+        exchange.body_bytes += size
+        if exchange.body_bytes > exchange.max_body_bytes:
             self.abort("answer too large")
             return
         exchange.chunks.append(body)
+        exchange.unread_bytes += size
+        if exchange.unread_bytes > MAX_UNREAD_BYTES:
+            self._pause_reading()
+            self._count_held_bytes(exchange)
         exchange.wake()
 
     def on_message_complete(self) -> None:
@@ -293,6 +361,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the exchange in progress."""
         self.closed = True
+        self.budget.connections.discard(self)
         self._fail("connection reset" if error else "connection closed")
 
     def abort(self, reason: str = "aborted") -> None:
@@ -304,13 +373,47 @@
         if self.transport is not None:
             self.transport.abort()
         self._fail(reason)
+        self._free_held_bytes()
 
     def release(self) -> None:
         """Detach the completed exchange and mark the connection as idle."""
+        self._free_held_bytes()
+        self._resume_reading()
         self.exchange = None
         self.exchange_count += 1
         self.idle_since = self.clock()
 
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes of the current exchange that count towards the budget."""
+        return self.exchange.held_bytes if self.exchange is not None else 0
+
+    def _handle_read(self) -> None:
+        if self.exchange is not None:
+            self._count_held_bytes(self.exchange)
+        self._resume_reading()
+
+    def _count_held_bytes(self, exchange: Exchange) -> None:
+        held_bytes = exchange.kept_bytes + exchange.unread_bytes
+        self.budget.held_bytes += held_bytes - exchange.held_bytes
+        exchange.held_bytes = held_bytes
+        self.budget.enforce()
+
+    def _free_held_bytes(self) -> None:
+        if self.exchange is not None:
+            self.budget.held_bytes -= self.exchange.held_bytes
+            self.exchange.held_bytes = 0
+
+    def _pause_reading(self) -> None:
+        if self.transport is not None and not self.paused:
+            self.paused = True
+            self.transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if self.transport is not None and self.paused:
+            self.paused = False
+            self.transport.resume_reading()
+
     def _check_framing(self, exchange: Exchange) -> None:
         body_bytes = exchange.body_bytes + exchange.skipped_bytes
         allowed = FRAMING_BYTES_PER_BODY_BYTE * (body_bytes - self.checked_body_bytes)
@@ -343,13 +446,17 @@
 
 
 async def connect(
-    address: str, timeout_s: float, clock: Callable[[], float]
+    address: str,
+    timeout_s: float,
+    clock: Callable[[], float],
+    budget: ReceiveBudget | None = None,
 ) -> Connection:
     """Open a connection.
 
     :param address: ``host:port``.
     :param timeout_s: maximum time in seconds.
     :param clock: function that returns the monotonic time in seconds.
+    :param budget: limit on the bytes in memory; by default it is not shared.
     :raises ExchangeBrokenError: if the connection can't be opened in time.
     """
     host, _, port = address.rpartition(":")
@@ -357,7 +464,7 @@
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                lambda: Connection(clock), host, int(port)
+                lambda: Connection(clock, budget), host, int(port)
             )
     except TimeoutError as error:
         raise ExchangeBrokenError("connect timeout") from error
--- a/tests/endless_peers.py
+++ b/tests/endless_peers.py
@@ -63,7 +63,7 @@
 ]
 ENDLESS_BODIES = [
     EndlessBytes("length", make_head(b"content-length: 99999999999") + b"\r\n", b"x"),
-    EndlessBytes("chunks", CHUNKED_HEAD, b"4\r\nbody\r\n"),
+    EndlessBytes("chunks", CHUNKED_HEAD, b"400\r\n" + b"x" * 1024 + b"\r\n"),
     EndlessBytes("until_close", make_head() + b"\r\n", b"x"),
 ]
 
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -6,6 +6,7 @@
 
 from endless_peers import (
     CHUNKED_HEAD,
+    ENDLESS_BODIES,
     ENDLESS_FOREIGN,
     ENDLESS_FRAMING,
     ENDLESS_HEADS,
@@ -13,7 +14,11 @@
     EndlessPeer,
 )
 from jasminewalk.http1 import Exchange, ExchangeBrokenError, connect
-from jasminewalk.http1.client import encode_request
+from jasminewalk.http1.client import (
+    MAX_RESPONSE_BODY_BYTES,
+    ReceiveBudget,
+    encode_request,
+)
 
 # Bytes that the kernel and the transports of both sides may hold.
 SOCKET_BUFFER_BYTES = 8 * 1024 * 1024
@@ -29,10 +34,12 @@
     """Yield a function that sends a request to an endless peer; return both."""
     peers = []
 
-    async def open_connection(endless, exchange=None):
-        peer = await EndlessPeer(endless).start(free_address)
-        peers.append(peer)
-        connection = await connect(free_address, 1.0, get_time)
+    async def open_connection(endless, exchange=None, budget=None):
+        if not peers:
+            peers.append(await EndlessPeer(endless).start(free_address))
+        peer = peers[0]
+        peer.endless = endless
+        connection = await connect(free_address, 1.0, get_time, budget)
         exchange = exchange or Exchange("a")
         connection.send(encode_request(b"GET", b"/", (), b""), exchange)
         return peer, connection, exchange
@@ -75,3 +82,59 @@
     *_, exchange = await open_endless(EndlessBytes("trailers", response, b"\r\n"))
     assert await receive_whole(exchange) == b"y"
     assert b"x-a" not in dict(exchange.response.headers)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("endless", ENDLESS_BODIES, ids=str)
+async def test_endless_body_fails_the_exchange(open_endless, endless):
+    peer, _, exchange = await open_endless(endless)
+    with pytest.raises(ExchangeBrokenError, match="too large"):
+        await receive_whole(exchange)
+    await assert_closed_by_client(peer)
+    assert peer.sent_bytes < 2 * MAX_RESPONSE_BODY_BYTES + SOCKET_BUFFER_BYTES
+
+
+@pytest.mark.anyio
+async def test_body_over_the_limit_fails_even_if_it_ends_at_once(open_endless):
+    response = CHUNKED_HEAD + b"3\r\nmax\r\n1\r\n!\r\n0\r\n\r\n"
+    exchange = Exchange("a", max_body_bytes=3)
+    await open_endless(EndlessBytes("ends", response, b"\r\n"), exchange)
+    with pytest.raises(ExchangeBrokenError, match="too large"):
+        await receive_whole(exchange)
+
+
+@pytest.mark.anyio
+async def test_bodies_in_memory_are_limited_together(open_endless):
+    budget = ReceiveBudget(limit_bytes=1024 * 1024)
+    small = EndlessBytes("small", CHUNKED_HEAD + b"5\r\nsmall\r\n0\r\n", b"\r\n")
+    endless = EndlessBytes("large", CHUNKED_HEAD, b"400\r\n" + b"x" * 1024 + b"\r\n")
+    slow = EndlessBytes("held", CHUNKED_HEAD, b"4\r\nheld\r\n")
+    *_, held = await open_endless(slow, Exchange("a"), budget)
+    await held.head()
+    large = [await open_endless(endless, budget=budget) for _ in range(3)]
+    results = await asyncio.gather(
+        *(receive_whole(exchange) for _, _, exchange in large),
+        return_exceptions=True,
+    )
+    assert {str(error) for error in results} == {"too many bytes of bodies in memory"}
+    assert not held.failure
+    *_, exchange = await open_endless(small, budget=budget)
+    assert await receive_whole(exchange) == b"small"
+    assert 0 <= budget.held_bytes <= budget.limit_bytes
+
+
+@pytest.mark.anyio
+async def test_receiving_pauses_while_the_body_is_not_read(open_endless):
+    endless = EndlessBytes("chunks", CHUNKED_HEAD, b"4\r\nbody\r\n")
+    peer, connection, exchange = await open_endless(endless)
+    await asyncio.sleep(0.5)
+    assert exchange.body_bytes < 512 * 1024
+    assert peer.sent_bytes < SOCKET_BUFFER_BYTES
+    assert not connection.closed
+    received = 0
+    async with asyncio.timeout(FAILURE_TIMEOUT_S):
+        while received < 1024 * 1024:
+            received += len(await exchange.next_chunk())
+    assert connection.budget.held_bytes < 512 * 1024
+    connection.abort()
+    assert connection.budget.held_bytes == 0
