Relay the events before a missing one

If one read of a stream held events 1, 2 and 4, the error about event 4 hid events 1 and 2, but the splitter already counted them as sent. The stream was then resumed after event 2, so that the caller got event 3 without the two before it: not whole, but complete to look at.

The events before the missing one are returned now, and the next call raises the error; a stream that ends there does not count as complete.

test_events_before_a_missing_one_are_not_lost failed before: "OutOfOrderError: event b'4' after b'2'".

--- a/src/jasminewalk/gateway/event_stream.py
+++ b/src/jasminewalk/gateway/event_stream.py
@@ -32,18 +32,25 @@
     def feed(self, data: bytes) -> list[bytes]:
         """Return the events that the next bytes of the stream complete.
 
-        Events that the caller already has are dropped.
+        Events that the caller already has are dropped. If an event is missing, those
+        before it are returned first and the next call raises the error.
 
         :param data: next bytes of the stream.
         :raises OutOfOrderError: if an event is missing.
         """
         self.buffer += data
-        events = []
+        events: list[bytes] = []
         start = 0
         for boundary in EVENT_END.finditer(self.buffer):
             event = self.buffer[start : boundary.end()]
+            try:
+                accepted = self._accept(event)
+            except OutOfOrderError:
+                if not events:
+                    raise
+                break
             start = boundary.end()
-            if self._accept(event):
+            if accepted:
                 events.append(event)
         self.buffer = self.buffer[start:]
         return events
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -298,6 +298,18 @@
     assert splitter.at_event_boundary
 
 
+def test_events_before_a_missing_one_are_not_lost():
+    splitter = EventSplitter()
+    assert splitter.feed(encode_events(1, 2, 4)) == [
+        encode_events(1),
+        encode_events(2),
+    ]
+    assert splitter.last_id == b"2"
+    assert not splitter.at_event_boundary
+    with pytest.raises(OutOfOrderError):
+        splitter.feed(b"")
+
+
 def test_resumed_stream_has_no_duplicate_or_missing_event():
     splitter = EventSplitter()
     assert len(splitter.feed(encode_events(1, 2) + b"id: 3\nda")) == 2
