Limit the size of a response that is read whole

An engine, a service, the log or another endpoint that sends a body without end filled the memory of its entry or sidecar until the timeout: `call` read the whole body first. The body of an error of an engine was read without any timeout of its own.

A larger response counts as lost, so a call with an idempotency key is reported as one that may have run. The limited read joins the body as it arrives; a list of very small chunks takes many times their size.

--- a/src/jasminewalk/agreement/log_client.py
+++ b/src/jasminewalk/agreement/log_client.py
@@ -8,13 +8,19 @@
 from jasminewalk.exceptions import LogUnavailableError
 from jasminewalk.generated_standins import AppendResult
 from jasminewalk.interfaces import Log, LogEntry, LogPage
-from jasminewalk.transport._http_call import HttpResponse, call, raise_for_status
+from jasminewalk.transport._http_call import (
+    MAX_RESPONSE_BYTES,
+    HttpResponse,
+    call,
+    raise_for_status,
+)
 
 __all__ = ["MAIN_STREAM", "HttpLog", "get_claims_stream_name"]
 
 MAIN_STREAM = "main"
 # Maximum seconds for which a page of the log may keep arriving.
 MAX_TRANSFER_S = 10.0
+MAX_PAGE_BYTES = 256 << 20
 
 _decode_append = msgspec.json.Decoder(AppendResult).decode
 _decode_page = msgspec.msgpack.Decoder(tuple[int, int, list[tuple[int, bytes]]]).decode
@@ -76,7 +82,9 @@
         """
         path = f"{self.path}?offset={offset}&limit={limit}&wait_s={wait_s:g}"
         timeout_s = self.timeout_s + wait_s
-        response = await self.call("GET", path, b"", timeout_s, MAX_TRANSFER_S)
+        response = await self.call(
+            "GET", path, b"", timeout_s, MAX_TRANSFER_S, MAX_PAGE_BYTES
+        )
         try:
             first, tail, rows = _decode_page(response.body)
         except msgspec.MsgspecError as error:
@@ -91,6 +99,7 @@
         body: bytes,
         timeout_s: float,
         max_transfer_s: float = 0.0,
+        max_bytes: int = MAX_RESPONSE_BYTES,
     ) -> HttpResponse:
         """Send a request to the log service.
 
@@ -99,6 +108,7 @@
         :param body: body of the request.
         :param timeout_s: maximum seconds without data.
         :param max_transfer_s: further seconds in which data may keep arriving.
+        :param max_bytes: largest body of the response, in bytes.
         :raises LogUnavailableError: if no response came or it reports an error.
         """
         try:
@@ -110,6 +120,7 @@
                 body=body,
                 timeout_s=timeout_s,
                 max_duration_s=timeout_s + max_transfer_s,
+                max_bytes=max_bytes,
             )
             raise_for_status(response)
         except OSError as error:
--- a/src/jasminewalk/ingress/_run.py
+++ b/src/jasminewalk/ingress/_run.py
@@ -36,11 +36,11 @@
 from jasminewalk.scheduling.membership import Membership
 from jasminewalk.scheduling.routing import Router
 from jasminewalk.transport._http import ATTEMPT_HEADER
+from jasminewalk.transport._http_call import HTTP_OK, read_limited_body
 from jasminewalk.types import Refusal
 
-__all__ = ["HTTP_OK", "EntryContext", "RequestRun", "read_limited_body"]
+__all__ = ["EntryContext", "RequestRun"]
 
-HTTP_OK = 200
 MAX_REFUSAL_BYTES = 1 << 16
 OTHER_REQUEST_MESSAGE = "The response belongs to another request."
 
@@ -384,20 +384,3 @@
         if name.lower() == ATTEMPT_HEADER:
             return value
     return b""
-
-
-async def read_limited_body(response: httpcore.Response, max_bytes: int) -> bytes:
-    """Read the body of a response up to a limit.
-
-    :param response: the response.
-    :param max_bytes: largest body allowed, in bytes.
-    :raises httpcore.RemoteProtocolError: if the body is larger.
-    """
-    chunks: list[bytes] = []
-    size = 0
-    async for chunk in response.aiter_stream():
-        size += len(chunk)
-        if size > max_bytes:
-            raise httpcore.RemoteProtocolError("The response body is too large.")
-        chunks.append(chunk)
-    return b"".join(chunks)
--- a/src/jasminewalk/ingress/_run_call.py
+++ b/src/jasminewalk/ingress/_run_call.py
@@ -3,14 +3,10 @@
 import msgspec
 
 from jasminewalk.generated_requests import ServiceCall, ServiceReply
-from jasminewalk.ingress._run import (
-    HTTP_OK,
-    EntryContext,
-    RequestRun,
-    read_limited_body,
-)
+from jasminewalk.ingress._run import EntryContext, RequestRun
 from jasminewalk.ingress.jobs import CallJob
 from jasminewalk.scheduling.attempts import Action, Send
+from jasminewalk.transport._http_call import HTTP_OK, read_limited_body
 
 __all__ = ["CallRun"]
 
--- a/src/jasminewalk/ingress/_run_generation.py
+++ b/src/jasminewalk/ingress/_run_generation.py
@@ -6,9 +6,10 @@
 import msgspec
 
 from jasminewalk.generated_requests import GenerateRequest
-from jasminewalk.ingress._run import HTTP_OK, EntryContext, RequestRun
+from jasminewalk.ingress._run import EntryContext, RequestRun
 from jasminewalk.ingress.jobs import GenerationJob, TokenSink
 from jasminewalk.scheduling.attempts import Action, Send
+from jasminewalk.transport._http_call import HTTP_OK
 from jasminewalk.types import RequestProfile
 
 __all__ = ["GenerationRun"]
--- a/src/jasminewalk/sidecars/engine_client.py
+++ b/src/jasminewalk/sidecars/engine_client.py
@@ -16,10 +16,12 @@
     CLOSE_HEADER,
     HTTP_ERRORS,
     HTTP_OK,
+    MAX_ERROR_BYTES,
     HttpClient,
     HttpResponse,
     decode_error,
     raise_for_status,
+    read_limited_body,
     to_os_error,
 )
 
@@ -63,7 +65,7 @@
                 self.address, "/generate", _encode(request), headers=[CLOSE_HEADER]
             ) as response:
                 if response.status != HTTP_OK:
-                    body = await response.aread()
+                    body = await read_limited_body(response, MAX_ERROR_BYTES)
                     raise_for_status(HttpResponse(response.status, [], body))
                 async for data in response.aiter_stream():
                     yield data
--- a/src/jasminewalk/transport/_http_call.py
+++ b/src/jasminewalk/transport/_http_call.py
@@ -19,6 +19,7 @@
     "NotSentError",
     "call",
     "decode_error",
+    "read_limited_body",
     "to_os_error",
     "raise_for_status",
     "build_timeouts",
@@ -26,6 +27,8 @@
 
 HTTP_OK = 200
 CALL_TIMEOUT_S = 2.0
+MAX_RESPONSE_BYTES = 32 << 20
+MAX_ERROR_BYTES = 1 << 16
 CLOSE_HEADER = (b"connection", b"close")
 
 NOT_SENT_ERRORS = (
@@ -106,6 +109,7 @@
     headers: list[tuple[str, str]] | None = None,
     timeout_s: float,
     max_duration_s: float | None = None,
+    max_bytes: int = MAX_RESPONSE_BYTES,
 ) -> HttpResponse:
     """Send a request on a new connection and return the complete response.
 
@@ -120,23 +124,38 @@
     :param headers: additional headers.
     :param timeout_s: longest time in seconds without data.
     :param max_duration_s: timeout in seconds for the whole call; the same if None.
+    :param max_bytes: largest body of the response, in bytes.
     :raises NotSentError: if no part of the request was sent.
     :raises OSError: if no complete response was received.
     """
     try:
         with anyio.fail_after(timeout_s if max_duration_s is None else max_duration_s):
-            response = await pool.request(
+            async with pool.stream(
                 method,
                 build_url(address, path),
                 headers=[CLOSE_HEADER, *(headers or [])],
                 content=body,
                 extensions=build_timeouts(timeout_s, timeout_s),
-            )
+            ) as response:
+                content = await read_limited_body(response, max_bytes)
     except HTTP_ERRORS as error:
         raise to_os_error(error) from error
-    return HttpResponse(
-        response.status, decode_headers(response.headers), response.content
-    )
+    return HttpResponse(response.status, decode_headers(response.headers), content)
+
+
+async def read_limited_body(response: httpcore.Response, max_bytes: int) -> bytes:
+    """Read the body of a response up to a limit.
+
+    :param response: the response.
+    :param max_bytes: largest body allowed, in bytes.
+    :raises httpcore.RemoteProtocolError: if the body is larger.
+    """
+    body = bytearray()
+    async for chunk in response.aiter_stream():
+        body += chunk
+        if len(body) > max_bytes:
+            raise httpcore.RemoteProtocolError("The response body is too large.")
+    return bytes(body)
 
 
 def decode_headers(headers: list[tuple[bytes, bytes]]) -> list[tuple[str, str]]:
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -79,3 +79,20 @@
         writer.write(self.last_responses.get(writer, b""))
         response = self.last_responses[writer] = self.answer(request)
         writer.write(response)
+
+
+class EndlessServer(RawServer):
+    """Server that responds with ``start`` and then ``piece`` until it is closed."""
+
+    def __init__(self, start, piece):
+        super().__init__(self.send_without_end)
+        self.start = start
+        self.piece = piece
+        self.sent_bytes = 0
+
+    async def send_without_end(self, request, writer):
+        writer.write(self.start)
+        while True:
+            writer.write(self.piece)
+            await writer.drain()
+            self.sent_bytes += len(self.piece)
--- /dev/null
+++ b/tests/test_endless_responses.py
@@ -0,0 +1,112 @@
+"""Clients of a peer that sends bytes until the connection is closed."""
+
+import anyio
+import pytest
+
+from jasminewalk.agreement.log_client import HttpLog
+from jasminewalk.exceptions import LogUnavailableError
+from jasminewalk.interfaces import ServiceRequest
+from jasminewalk.sidecars.engine_client import HttpEngine
+from jasminewalk.sidecars.service_client import HttpService
+from jasminewalk.transport._http import open_http_pool
+from jasminewalk.transport._http_call import call
+from raw_server import EndlessServer, RawServer, build_response
+from test_standins import make_request
+
+pytestmark = pytest.mark.anyio
+
+TIMEOUT_S = 30.0
+SHORT_TIMEOUT_S = 0.5
+MAX_BYTES = 1 << 20
+BLOCK = b"a" * 65536
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK + b"transfer-encoding: chunked\r\n\r\n"
+INTERIM_RESPONSE = b"HTTP/1.1 102 Processing\r\nx: " + b"a" * 1000 + b"\r\n\r\n"
+# Sent bytes may wait in the buffers of both sockets.
+SOCKET_BUFFERS_BYTES = 16 << 20
+ENDLESS_BODIES = {
+    "length": (OK + b"content-length: 999999999999\r\n\r\n", BLOCK),
+    "until close": (OK + b"\r\n", BLOCK),
+    "chunks": (CHUNKED, b"10000\r\n" + BLOCK + b"\r\n"),
+}
+
+
+@pytest.fixture
+async def pool():
+    async with open_http_pool() as pool:
+        yield pool
+
+
+@pytest.mark.parametrize("kind", ENDLESS_BODIES)
+async def test_body_is_given_up_at_its_limit(pool, kind):
+    async with EndlessServer(*ENDLESS_BODIES[kind]).serve() as server:
+        with pytest.raises(OSError, match="too large"):
+            await call(
+                pool,
+                "GET",
+                server.address,
+                "/",
+                timeout_s=TIMEOUT_S,
+                max_bytes=MAX_BYTES,
+            )
+        assert server.sent_bytes < MAX_BYTES + SOCKET_BUFFERS_BYTES
+
+
+async def test_body_of_the_largest_size_is_read(pool):
+    async def respond(request, writer):
+        writer.write(build_response(b"a" * MAX_BYTES))
+
+    async with RawServer(respond).serve() as server:
+        response = await call(
+            pool, "GET", server.address, "/", timeout_s=TIMEOUT_S, max_bytes=MAX_BYTES
+        )
+        assert len(response.body) == MAX_BYTES
+
+
+@pytest.mark.parametrize(
+    ("start", "piece"),
+    [
+        (OK + b"x: ", BLOCK),
+        (OK, b"x: a\r\n" * 10_000),
+        (CHUNKED + b"1;", BLOCK),
+        (CHUNKED + b"0\r\n", b"x: a\r\n" * 10_000),
+    ],
+    ids=["header line", "headers", "chunk extension", "trailers"],
+)
+async def test_head_and_framing_are_given_up_at_their_limit(pool, start, piece):
+    async with EndlessServer(start, piece).serve() as server:
+        with pytest.raises(OSError, match="too long"):
+            await call(pool, "GET", server.address, "/", timeout_s=TIMEOUT_S)
+        assert server.sent_bytes < SOCKET_BUFFERS_BYTES
+
+
+async def test_interim_responses_are_given_up_at_the_timeout(pool):
+    async with EndlessServer(b"", INTERIM_RESPONSE * 64).serve() as server:
+        with pytest.raises(TimeoutError):
+            await call(pool, "GET", server.address, "/", timeout_s=SHORT_TIMEOUT_S)
+
+
+async def test_service_response_without_end_is_lost(pool):
+    async with EndlessServer(*ENDLESS_BODIES["chunks"]).serve() as server:
+        service = HttpService(pool, server.address)
+        request = ServiceRequest(method="GET", path="/", headers=[], body=b"", key="k")
+        with pytest.raises(OSError, match="too large") as caught:
+            await service.call(request)
+        assert not isinstance(caught.value, ConnectionError)
+
+
+async def test_page_of_the_log_without_end_is_unavailable(pool, monkeypatch):
+    monkeypatch.setattr("jasminewalk.agreement.log_client.MAX_PAGE_BYTES", MAX_BYTES)
+    async with EndlessServer(*ENDLESS_BODIES["chunks"]).serve() as server:
+        log = HttpLog(pool, server.address, TIMEOUT_S)
+        with pytest.raises(LogUnavailableError, match="too large"):
+            await log.read(1, 10)
+
+
+async def test_error_of_an_engine_without_end_is_given_up(pool):
+    start = CHUNKED.replace(b"200 OK", b"500 Broken")
+    async with EndlessServer(start, b"10000\r\n" + BLOCK + b"\r\n").serve() as server:
+        engine = HttpEngine(pool, server.address)
+        with anyio.fail_after(TIMEOUT_S), pytest.raises(OSError, match="too large"):
+            await anext(engine.generate(make_request()))
+        assert server.sent_bytes < SOCKET_BUFFERS_BYTES
