--- a/src/jasminewalk/transport/network.py
+++ b/src/jasminewalk/transport/network.py
@@ -13,6 +13,8 @@
 
 TIMEOUT_CHECK_INTERVAL_S = 0.1
 WRITE_BUFFER_BYTES = 1 << 16
+# All of a read is parsed before other tasks run, so a read must not be large.
+MAX_READ_BYTES = 1 << 13
 
 
 class ReadTimeoutMonitor:
@@ -115,7 +117,7 @@
         """
         if self.write_buffer:
             await self.stream.send(self.take_write_buffer())
-        return await self.stream.receive(max_bytes)
+        return await self.stream.receive(min(max_bytes, MAX_READ_BYTES))
 
     def take_write_buffer(self) -> bytes:
         """Return the buffered bytes and clear the buffer."""
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -86,6 +86,25 @@
             await call(pool, "GET", server.address, "/", timeout_s=SHORT_TIMEOUT_S)
 
 
+async def test_other_tasks_run_while_many_interim_responses_arrive(pool):
+    async def respond(request, writer):
+        writer.write(INTERIM_RESPONSE * 1000 + build_response(b""))
+
+    turns = 0
+
+    async def count_turns():
+        nonlocal turns
+        while True:
+            await anyio.sleep(0)
+            turns += 1
+
+    async with RawServer(respond).serve() as server, anyio.create_task_group() as group:
+        group.start_soon(count_turns)
+        await call(pool, "GET", server.address, "/", timeout_s=TIMEOUT_S)
+        group.cancel_scope.cancel()
+    assert turns >= 100
+
+
 async def test_service_response_without_end_is_lost(pool):
     async with EndlessServer(*ENDLESS_BODIES["chunks"]).serve() as server:
         service = HttpService(pool, server.address)
