Bound events, error bodies and responses to prefills that never end

A slow one kept a resumable stream from its other engines, because each byte counted as progress; callers got a cut stream at the deadline. Events beyond the tokens asked for, and events without an id, went to the caller until the deadline. The body of an error or of the response to a prefill could take the whole time of its request.

An engine is silent if it completes no event for 1.2 s. Bodies of errors and prefills have 1.2 s and 1 MiB. All these count as broken attempts, so that the request goes elsewhere where its route allows that; a stream that has begun is cut, never ended.

Tests with sockets, fast and slow.

--- a/src/jasminewalk/gateway/generation_run.py
+++ b/src/jasminewalk/gateway/generation_run.py
@@ -20,7 +20,7 @@
 from jasminewalk.platform.engines import decode_prompt_handle
 from jasminewalk.platform.headers import build_engine_headers
 
-__all__ = ["OK", "GenerationRun", "compute_silence_timeout_s"]
+__all__ = ["OK", "GenerationRun", "compute_silence_timeout_s", "receive_small_body"]
 
 # An engine counts as silent if it sends this gateway nothing for this multiple of the
 # predicted time, and for at least the minimum in seconds.
@@ -30,6 +30,10 @@
 # another engine can still send an event before the caller abandons the request.
 CALLER_PATIENCE_SHARE = 0.8
 OK = 200
+# Largest body of the response to a prefill or of an error, and seconds in which it must
+# arrive after the head.
+MAX_SMALL_BODY_BYTES = 1024 * 1024
+SMALL_BODY_TIMEOUT_S = 1.2
 # Engine priority of a resumed stream, which its caller already has part of.
 RESUMED_PRIORITY = 0
 
@@ -192,7 +196,7 @@
                     estimate.total_s,
                     may_abandon=lambda: True,
                 )
-                body = await sent.exchange.body()
+                body = await receive_small_body(sent)
                 handle = None
                 if response.status == OK:
                     handle = decode_prompt_handle(body)
@@ -329,6 +333,21 @@
         self.warn(event.event, engine=event.engine, detail=event.detail)
 
 
+async def receive_small_body(sent: OpenExchange) -> bytes:
+    """Receive a body that is small and was complete when its response began.
+
+    :param sent: request whose response has begun.
+    :raises ExchangeBrokenError: if the body is too large or not complete in time.
+    """
+    sent.exchange.max_body_bytes = MAX_SMALL_BODY_BYTES
+    try:
+        async with asyncio.timeout(SMALL_BODY_TIMEOUT_S):
+            return await sent.exchange.body()
+    except TimeoutError:
+        reason = f"body not complete after {SMALL_BODY_TIMEOUT_S} s"
+        raise ExchangeBrokenError(reason) from None
+
+
 def compute_silence_timeout_s(predicted_s: float, caller_patience_s: float) -> float:
     """Return the seconds of silence after which an engine is suspected.
 
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -3,9 +3,9 @@
 import asyncio
 
 from jasminewalk.gateway.engine_clients import NotSentError, OpenExchange
-from jasminewalk.gateway.event_stream import EventSplitter, OutOfOrderError
+from jasminewalk.gateway.event_stream import EventSplitter, InvalidStreamError
 from jasminewalk.gateway.fleet import EngineState
-from jasminewalk.gateway.generation_run import OK, GenerationRun
+from jasminewalk.gateway.generation_run import OK, GenerationRun, receive_small_body
 from jasminewalk.gateway.placement import PrefillEstimate
 from jasminewalk.gateway.prefilled_prompt import PrefilledPrompt
 from jasminewalk.gateway.run import (
@@ -19,12 +19,15 @@
 
 __all__ = ["StreamRun"]
 
-# Seconds without a byte after which a stream is resumed on another engine, if allowed.
+# Seconds without a complete event after which a stream is resumed on another engine,
+# if allowed.
 STREAM_SILENCE_TIMEOUT_S = 1.2
 # Engines to which connecting may fail before the request is refused.
 MAX_CONNECT_FAILURES = 3
 # Shortest remaining time for which a request is sent again, in seconds.
 MIN_SEND_TIME_S = 0.02
+# Events of a stream in addition to one for each token that the caller asked for.
+MAX_EXTRA_EVENTS = 16
 
 
 class StreamRun(GenerationRun):
@@ -33,7 +36,11 @@
     async def run(self) -> None:
         """Run the request and send the response to the caller."""
         self.prepare()
-        self.splitter = EventSplitter(self.head.last_event_id.encode())
+        max_tokens = self.head.output_tokens
+        self.splitter = EventSplitter(
+            self.head.last_event_id.encode(),
+            max_id=max_tokens + MAX_EXTRA_EVENTS if max_tokens else None,
+        )
         self.error_response: tuple[Response, bytes] | None = None
         self.retry_reserved = False
         self.first_event_at: float | None = None
@@ -167,6 +174,7 @@
             self.may_have_run = True
             if self.prefilled_prompt is not None:
                 self.prefilled_prompt.transferred = True
+            self._postpone_silence_timeout()
             while True:
                 chunk = await self._next_chunk(sent)
                 if not chunk:
@@ -175,9 +183,10 @@
                 load.complete_prefill()
                 for event in self.splitter.feed(chunk):
                     self._relay_event(response, event)
+                    self._postpone_silence_timeout()
         except ExchangeBrokenError as error:
             return self._fail_attempt(engine, error.reason)
-        except OutOfOrderError as error:
+        except InvalidStreamError as error:
             return self._fail_attempt(engine, str(error))
         if not self.splitter.at_event_boundary:
             return self._fail_attempt(engine, "stream ended within an event")
@@ -189,18 +198,22 @@
             return await sent.exchange.next_chunk()
         while True:
             try:
-                async with asyncio.timeout(STREAM_SILENCE_TIMEOUT_S):
+                async with asyncio.timeout(self.silent_at - self.context.clock()):
                     return await sent.exchange.next_chunk()
             except TimeoutError:
+                self._postpone_silence_timeout()
                 # Abandon the stream only if it can be resumed on another engine.
                 if self.try_reserve_retry():
                     reason = f"silent for {STREAM_SILENCE_TIMEOUT_S} s"
                     raise ExchangeBrokenError(reason) from None
 
+    def _postpone_silence_timeout(self) -> None:
+        self.silent_at = self.context.clock() + STREAM_SILENCE_TIMEOUT_S
+
     async def _handle_error_response(
         self, sent: OpenExchange, response: Response, engine: EngineState
     ) -> StreamAttemptResult:
-        body = await sent.exchange.body()
+        body = await receive_small_body(sent)
         if response.head.not_executed:
             self.reason = f"engine refused with {response.status}"
             self.record_rejection(engine, response.status)
--- a/tests/endless_peers.py
+++ b/tests/endless_peers.py
@@ -66,6 +66,24 @@
     EndlessBytes("chunks", CHUNKED_HEAD, b"400\r\n" + b"x" * 1024 + b"\r\n"),
     EndlessBytes("until_close", make_head() + b"\r\n", b"x"),
 ]
+ENDLESS_EVENTS = [
+    EndlessBytes("event", make_head() + b"\r\nid: 1\ndata: ", b"x"),
+    EndlessBytes("event_id", make_head() + b"\r\nid: ", b"1"),
+    EndlessBytes("events_without_id", make_head() + b"\r\n", b"data: x\n\n"),
+    EndlessBytes("comments", make_head() + b"\r\n", b": ping\n\n"),
+    EndlessBytes("line_ends", make_head() + b"\r\n", b"\n"),
+]
+PART_OF_STREAM = make_head() + b"\r\nid: 1\ndata: x\n\nid: 2\ndata: "
+ERROR_HEAD = make_head(CHUNKED, status=b"500 Failed") + b"\r\n"
+SMALL_CHUNK = b"4\r\nbody\r\n"
+ENDLESS_ERRORS = [
+    EndlessBytes("error_chunks", ERROR_HEAD, SMALL_CHUNK),
+    EndlessBytes(
+        "error_length",
+        make_head(b"content-length: 9999999", status=b"500 Failed") + b"\r\n",
+        b"x",
+    ),
+]
 
 
 class EndlessPeer:
--- a/tests/test_endless_engines.py
+++ b/tests/test_endless_engines.py
@@ -5,23 +5,32 @@
 import pytest
 
 from endless_peers import (
+    CHUNKED_HEAD,
     ENDLESS_BODIES,
+    ENDLESS_ERRORS,
+    ENDLESS_EVENTS,
     ENDLESS_FOREIGN,
     ENDLESS_FRAMING,
     ENDLESS_HEADS,
+    PART_OF_STREAM,
+    SMALL_CHUNK,
+    EndlessBytes,
     EndlessEngine,
+    make_head,
 )
+from jasminewalk.gateway.stream_run import MAX_EXTRA_EVENTS
 from jasminewalk.http1.client import (
     MAX_DISCARD_REPORTS,
     MAX_RESPONSE_BODY_BYTES,
 )
 from platform_fakes import FakeEngine
-from test_gateway_daemon import GatewayHarness
+from test_gateway_daemon import LONG_PROMPT_HEADERS, GatewayHarness, make_llm_engines
 
 # Bytes that the kernel and the transports of both sides may hold.
 SOCKET_BUFFER_BYTES = 8 * 1024 * 1024
-# Timeout of the routes for plain requests, and seconds allowed on top.
+# Timeouts of the routes for plain requests and for streams, and seconds allowed on top.
 PLAIN_TIMEOUT_S = 0.9
+STREAM_TIMEOUT_S = 2.0
 MARGIN_S = 0.6
 # Seconds within which callers of other engines get their responses.
 USUAL_RESPONSE_S = 0.5
@@ -117,3 +126,125 @@
     assert {(await task)[0] for task in sent} <= {502, 504}
     await assert_others_are_undisturbed(harness)
     assert budget.held_bytes == 0
+
+
+async def start_decoders(harness, endless, *, slow=False, others=()):
+    """Start an engine that streams endlessly, and others that don't."""
+    engine = EndlessEngine("decoder-0", endless, slow=slow, service="llm")
+    engine.stage = "decode"
+    await harness.start(engine, FakeEngine("app-0"), *others)
+    return engine
+
+
+async def assert_lookups_are_undisturbed(harness):
+    status, _, elapsed_s = await send_timed(harness, "/look/seats")
+    assert status == 200
+    assert elapsed_s < USUAL_RESPONSE_S
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("slow", [False, True])
+@pytest.mark.parametrize(
+    "endless",
+    [*ENDLESS_HEADS, *ENDLESS_FRAMING, *ENDLESS_FOREIGN, *ENDLESS_EVENTS[:2]],
+    ids=str,
+)
+async def test_endless_bytes_before_the_first_event_fail_a_stream(
+    harness, endless, slow
+):
+    engine = await start_decoders(harness, endless, slow=slow)
+    sent = asyncio.create_task(send_timed(harness, "/help/", **USAGE))
+    await assert_lookups_are_undisturbed(harness)
+    status, _, elapsed_s = await sent
+    assert status in ((502, 504) if slow else (502,))
+    assert elapsed_s < STREAM_TIMEOUT_S + MARGIN_S
+    await assert_closed_by_gateway(engine)
+    assert engine.sent_bytes < SOCKET_BUFFER_BYTES
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("slow", [False, True])
+@pytest.mark.parametrize(
+    "endless",
+    [
+        *ENDLESS_EVENTS[2:],
+        EndlessBytes("part", PART_OF_STREAM, b"x"),
+        EndlessBytes("ids", make_head() + b"\r\nid: 1\ndata: x\n\n", b"id: 1\n\n"),
+    ],
+    ids=str,
+)
+async def test_stream_without_end_never_looks_complete(harness, endless, slow):
+    engine = await start_decoders(harness, endless, slow=slow)
+    sent = asyncio.create_task(send_timed(harness, "/help/", **USAGE))
+    await assert_lookups_are_undisturbed(harness)
+    try:
+        status, body, elapsed_s = await sent
+    except ConnectionResetError:
+        pass
+    else:
+        assert status != 200 or not body.endswith(b"0\r\n\r\n")
+        assert elapsed_s < STREAM_TIMEOUT_S + MARGIN_S
+    await assert_closed_by_gateway(engine)
+    assert engine.sent_bytes < 2 * MAX_RESPONSE_BODY_BYTES + SOCKET_BUFFER_BYTES
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("slow", [False, True])
+@pytest.mark.parametrize(
+    "endless",
+    [EndlessBytes("part", PART_OF_STREAM, b"x"), *ENDLESS_ERRORS],
+    ids=str,
+)
+async def test_stream_without_end_is_resumed_on_another_engine(harness, endless, slow):
+    engine = await start_decoders(
+        harness, endless, slow=slow, others=make_llm_engines()
+    )
+    for _ in range(3):
+        status, body, elapsed_s = await send_timed(harness, "/verdict/", **USAGE)
+        assert status == 200
+        assert body.count(b"data: ") == 3
+        assert body.endswith(b"0\r\n\r\n")
+        assert elapsed_s < STREAM_TIMEOUT_S
+    assert engine.requests
+    await assert_closed_by_gateway(engine)
+
+
+@pytest.mark.anyio
+async def test_more_events_than_tokens_are_not_relayed(harness):
+    engine = await start_decoders(harness, ENDLESS_EVENTS[0])
+    events = [b"id: %d\ndata: x\n\n" % number for number in range(1, 1001)]
+    engine.endless = EndlessBytes(
+        "events", make_head() + b"\r\n" + b"".join(events), b"\n"
+    )
+    _, body, elapsed_s = await send_timed(harness, "/help/", **USAGE)
+    assert 40 <= body.count(b"data: x") <= 40 + MAX_EXTRA_EVENTS
+    assert not body.endswith(b"0\r\n\r\n")
+    assert elapsed_s < USUAL_RESPONSE_S
+    await assert_closed_by_gateway(engine)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("slow", [False, True])
+@pytest.mark.parametrize(
+    "endless",
+    [*ENDLESS, EndlessBytes("small_chunks", CHUNKED_HEAD, SMALL_CHUNK)],
+    ids=str,
+)
+async def test_prefill_without_end_is_followed_by_another_placement(
+    harness, endless, slow
+):
+    prefiller = EndlessEngine("prefiller", endless, slow=slow, service="llm")
+    prefiller.stage = "prefill"
+    await harness.start(prefiller, *make_llm_engines()[1:], FakeEngine("app-0"))
+    sent = asyncio.create_task(send_timed(harness, "/verdict/", **LONG_PROMPT_HEADERS))
+    await assert_lookups_are_undisturbed(harness)
+    status, body, elapsed_s = await sent
+    assert prefiller.requests
+    if slow:
+        assert status in (200, 503)
+        assert elapsed_s < STREAM_TIMEOUT_S + MARGIN_S
+    else:
+        assert status == 200
+        assert body.count(b"data: token") == 3
+    await assert_closed_by_gateway(prefiller)
+    assert prefiller.sent_bytes < SOCKET_BUFFER_BYTES
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -10,7 +10,12 @@
 from gateway_fakes import make_engine, make_prompt
 from jasminewalk.gateway.admission import AdmissionPolicy, Admitted, Refused
 from jasminewalk.gateway.demand import Demand
-from jasminewalk.gateway.event_stream import EventSplitter, OutOfOrderError
+from jasminewalk.gateway.event_stream import (
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    InvalidStreamError,
+    OutOfOrderError,
+)
 from jasminewalk.gateway.generation_run import compute_silence_timeout_s
 from jasminewalk.gateway.placement import PlacementPolicy, estimate_prefill_s
 from jasminewalk.gateway.prompt_cache import PromptCache
@@ -298,6 +303,29 @@
     assert splitter.at_event_boundary
 
 
+@pytest.mark.parametrize("data", [b"id: 1\ndata: ", b"id: "])
+def test_event_that_never_ends_is_not_buffered(data):
+    splitter = EventSplitter()
+    assert splitter.feed(encode_events(1) + data) == [encode_events(1)]
+    with pytest.raises(InvalidStreamError):
+        for _ in range(MAX_EVENT_BYTES):
+            splitter.feed(b"1" * 16)
+    assert len(splitter.buffer) <= MAX_EVENT_BYTES + 16
+
+
+def test_events_beyond_the_highest_id_are_not_returned():
+    splitter = EventSplitter(max_id=2)
+    assert len(splitter.feed(encode_events(1, 2, 3))) == 2
+    with pytest.raises(InvalidStreamError):
+        splitter.feed(encode_events(4))
+
+
+def test_event_id_of_many_digits_is_invalid():
+    splitter = EventSplitter(last_id=b"1")
+    with pytest.raises(InvalidStreamError):
+        splitter.feed(b"id: " + b"2" * 5000 + b"\ndata: x\n\n")
+
+
 def test_events_before_a_missing_one_are_not_lost():
     splitter = EventSplitter()
     assert splitter.feed(encode_events(1, 2, 4)) == [
