Pause a stream while its caller does not read

Events were written to the caller's connection however much it had not read, so that a slow caller and a fast engine could fill the memory of a gateway.

The run of a stream now waits until the caller's write buffer is below its high-water mark. Meanwhile the exchange is not read, so receiving from the engine pauses after 64 KiB. The stream is not cut before its deadline, and the waiting time does not count as silence of the engine.

test_stream_to_a_slow_caller_waits_in_the_engine failed before with "assert 6631299 < (1024 * 1024)" bytes in the write buffer, and test_stream_to_a_caller_that_never_reads_ends_in_time with a TimeoutError (all events were written, and the connection stayed open with them).

--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -181,8 +181,10 @@
                     break
                 engine.last_progress_at = self.context.clock()
                 load.complete_prefill()
-                for event in self.splitter.feed(chunk):
-                    self._relay_event(response, event)
+                if events := self.splitter.feed(chunk):
+                    for event in events:
+                        self._relay_event(response, event)
+                    await self.connection.drain()
                     self._postpone_silence_timeout()
         except ExchangeBrokenError as error:
             return self._fail_attempt(engine, error.reason)
--- a/src/jasminewalk/http1/server.py
+++ b/src/jasminewalk/http1/server.py
@@ -95,6 +95,7 @@
         self.task: asyncio.Task[None] | None = None
         self.closed = False
         self.closing = False
+        self.writable: asyncio.Future[None] | None = None
         self.response_started = False
         self.response_ended = False
         self.cancel_on_close = True
@@ -195,6 +196,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the running request of a caller that disconnected."""
         self.closed = True
+        self.resume_writing()
         self.server.connections.discard(self)
         self.pending_requests.clear()
         if self.task is not None and self.cancel_on_close:
@@ -243,6 +245,21 @@
 
     # Sending.
 
+    def pause_writing(self) -> None:
+        """Let ``drain`` wait, because the caller reads more slowly than is written."""
+        self.writable = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Let ``drain`` return."""
+        if self.writable is not None:
+            self.writable.set_result(None)
+            self.writable = None
+
+    async def drain(self) -> None:
+        """Wait until the caller has read most of what was written."""
+        if self.writable is not None:
+            await asyncio.shield(self.writable)
+
     def send_response(
         self, status: int, headers: Iterable[Header], body: bytes
     ) -> None:
--- a/tests/test_endless_engines.py
+++ b/tests/test_endless_engines.py
@@ -209,6 +209,49 @@
     await assert_closed_by_gateway(engine)
 
 
+class LongEventEngine(FakeEngine):
+    """Engine that sends 384 events of 32 KiB at once."""
+
+    async def send_events(self, connection, headers, count):
+        connection.start_stream(200, self.build_headers(headers))
+        for number in range(1, 385):
+            data = b"x" * 32 * 1024
+            connection.send_chunk(b"id: %d\ndata: %s\n\n" % (number, data))
+
+
+@pytest.mark.anyio
+async def test_stream_to_a_slow_caller_waits_in_the_engine(harness):
+    await harness.start(LongEventEngine("decoder", "llm", "decode"), FakeEngine("app"))
+    reader, writer = await asyncio.open_connection("127.0.0.1", harness.front_port)
+    usage = {"x_jasminewalk_token_usage": "380,400", "connection": "close"}
+    writer.write(harness.build_request("/help/", **usage))
+    await reader.readuntil(b"\r\n\r\n")
+    await asyncio.sleep(0.5)
+    await assert_lookups_are_undisturbed(harness)
+    (connection,) = harness.daemon.caller_server.connections
+    assert connection.transport.get_write_buffer_size() < 1024 * 1024
+    assert harness.daemon.clients.budget.held_bytes < 1024 * 1024
+    async with asyncio.timeout(STREAM_TIMEOUT_S):
+        body = await reader.read()
+    writer.close()
+    assert body.count(b"id: ") == 384
+    assert body.endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.anyio
+async def test_stream_to_a_caller_that_never_reads_ends_in_time(harness):
+    await harness.start(LongEventEngine("decoder", "llm", "decode"))
+    reader, writer = await asyncio.open_connection("127.0.0.1", harness.front_port)
+    usage = {"x_jasminewalk_token_usage": "380,400"}
+    writer.write(harness.build_request("/help/", **usage))
+    await reader.readuntil(b"\r\n\r\n")
+    async with asyncio.timeout(STREAM_TIMEOUT_S + MARGIN_S):
+        while harness.daemon.caller_server.connections:
+            await asyncio.sleep(0.01)
+    assert harness.read_log_lines("stream_cut")
+    writer.close()
+
+
 @pytest.mark.anyio
 async def test_more_events_than_tokens_are_not_relayed(harness):
     engine = await start_decoders(harness, ENDLESS_EVENTS[0])
