Send each call to the store over a connection of its own

A late response to an earlier call could become a belief: calls shared a kept connection and their responses do not name them, so a response was taken for a page of another topic or offset, a membership (the lease on stage orders) or a confirmed write.

Evidence: against a store that sends its last response again before the next one, test_call_never_takes_the_response_to_an_earlier_one failed with "assert (200, b'/-/log-read?from=0') == (200, b'/-/log-read?from=1')".

Nothing else arrives on a new connection. An exchange without an id now also requires that its response is the first on the connection.

--- a/src/jasminewalk/gateway/store_connections.py
+++ b/src/jasminewalk/gateway/store_connections.py
@@ -5,7 +5,6 @@
 
 from jasminewalk.exceptions import LogUnavailableError
 from jasminewalk.http1.client import (
-    ConnectionPool,
     Exchange,
     ExchangeBrokenError,
     connect,
@@ -19,30 +18,28 @@
 # Timeout in seconds of a whole call; ample for a configuration of megabytes on the
 # slowest link.
 MAX_CALL_S = 10.0
-# An idle connection is not reused after this many seconds, as the store may have
-# dropped it without notice.
-MAX_IDLE_S = 2.0
 
 
 class StoreConnections:
-    """Sends calls to the store over persistent connections.
+    """Sends calls to the store, each over a connection of its own.
+
+    Responses do not name their call. On a kept connection, a late response to an
+    earlier call could be taken for a page of another topic or for a membership.
 
     :param address: ``host:port``.
     :param clock: returns the monotonic time in seconds.
     """
 
     def __init__(self, address: str, clock: Callable[[], float]) -> None:
+        self.address = address
         self.clock = clock
-        self.pool = ConnectionPool(address, clock, MAX_IDLE_S)
 
     def use_address(self, address: str) -> None:
         """Send later calls to another address.
 
         :param address: ``host:port``.
         """
-        if address != self.pool.address:
-            self.pool.close()
-            self.pool.address = address
+        self.address = address
 
     async def call(
         self, method: bytes, target: str, body: bytes, timeout_s: float
@@ -58,7 +55,7 @@
         :param timeout_s: longest time in seconds without data from the store.
         :raises LogUnavailableError: if it isn't answered completely and in time.
         """
-        headers = [(b"host", self.pool.address.encode())]
+        headers = [(b"host", self.address.encode()), (b"connection", b"close")]
         request = encode_request(method, target.encode(), headers, body)
         exchange = Exchange()
         try:
@@ -74,9 +71,7 @@
     async def _send(
         self, request: bytes, exchange: Exchange, timeout_s: float
     ) -> tuple[int, bytes]:
-        connection = self.pool.take_idle(MAX_IDLE_S)
-        if connection is None:
-            connection = await connect(self.pool.address, CONNECT_TIMEOUT_S, self.clock)
+        connection = await connect(self.address, CONNECT_TIMEOUT_S, self.clock)
         try:
             connection.send(request, exchange)
             async with asyncio.timeout(timeout_s):
@@ -89,7 +84,4 @@
                     return response.status, b"".join(parts)
                 parts.append(part)
         finally:
-            if exchange.complete:
-                self.pool.release(connection)
-            else:
-                connection.abort()
+            connection.abort()
--- a/src/jasminewalk/http1/client.py
+++ b/src/jasminewalk/http1/client.py
@@ -76,8 +76,8 @@
     late or additional response before the expected one. One without an id fails the
     exchange, unless it is a failure and the first response on the connection.
 
-    :param request_id: id that the response must carry; empty accepts any response that
-        names no request.
+    :param request_id: id that the response must carry; empty accepts only a response
+        that names no request and is the first on the connection.
     :param response: status and headers of the response, once received.
     :param complete: whether the whole response was received.
     :param failure: reason for the failure; empty if there is none.
@@ -284,20 +284,18 @@
     def _belongs(self, exchange: Exchange, status: int, request_id: str) -> bool:
         """Return whether a response belongs to the exchange; discard it if not."""
         self.response_count += 1
-        if request_id == exchange.request_id:
+        first = self.response_count == 1
+        if request_id == exchange.request_id and (request_id or first):
             return True
         self.reusable = False
-        if not exchange.request_id:
-            self._discard("response to a request", request_id)
-            self.abort("response names a request")
-            return False
-        if request_id:
+        if request_id and exchange.request_id:
             self._discard("response to another request", request_id)
             return False
-        if self.response_count == 1 and status >= MIN_FAILURE_STATUS:
+        if not request_id and first and status >= MIN_FAILURE_STATUS:
             return True
-        self._discard("response without an id")
-        self.abort("response names no request")
+        reason = f"response names {'a' if request_id else 'no'} request"
+        self._discard(reason, request_id)
+        self.abort(reason)
         return False
 
     def _discard(self, reason: str, request_id: str = "") -> None:
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -705,7 +705,7 @@
     assert (await harness.send_request("/book/seat"))[0] == 200
     harness.write_settings(store="127.0.0.1:1")
     harness.daemon.reload()
-    assert harness.daemon.store_connections.pool.address == "127.0.0.1:1"
+    assert harness.daemon.store_connections.address == "127.0.0.1:1"
 
 
 @asynccontextmanager
--- /dev/null
+++ b/tests/test_gateway_store_connections.py
@@ -0,0 +1,70 @@
+"""Test that responses of the store are taken for their own call only."""
+
+import asyncio
+
+import pytest
+
+from jasminewalk.exceptions import LogUnavailableError
+from jasminewalk.gateway.store_connections import StoreConnections
+
+pytestmark = pytest.mark.anyio
+
+TIMEOUT_S = 0.5
+
+
+@pytest.fixture
+async def store(free_address):
+    """Serve a store that sends its last response again before the next one."""
+    targets = []
+
+    async def handle(reader, writer):
+        last_response = b""
+        while True:
+            try:
+                head = await reader.readuntil(b"\r\n\r\n")
+            except (asyncio.IncompleteReadError, ConnectionResetError):
+                writer.close()
+                return
+            target = head.split()[1]
+            targets.append(target)
+            writer.write(last_response)
+            last_response = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (
+                len(target),
+                target,
+            )
+            writer.write(last_response)
+
+    host, _, port = free_address.rpartition(":")
+    server = await asyncio.start_server(handle, host, int(port))
+    yield targets
+    server.close()
+
+
+async def test_call_never_takes_the_response_to_an_earlier_one(store, free_address):
+    connections = StoreConnections(free_address, asyncio.get_running_loop().time)
+    for number in range(3):
+        target = f"/-/log-read?from={number}"
+        status, body = await connections.call(b"GET", target, b"", TIMEOUT_S)
+        assert (status, body) == (200, target.encode())
+    assert len(store) == 3
+
+
+async def test_call_fails_if_the_response_names_a_request(free_address):
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        head = b"HTTP/1.1 200 OK\r\nx-jasminewalk-request-id: a\r\n"
+        writer.write(head + b"content-length: 2\r\n\r\nme")
+
+    host, _, port = free_address.rpartition(":")
+    connections = StoreConnections(free_address, asyncio.get_running_loop().time)
+    async with await asyncio.start_server(handle, host, int(port)):
+        with pytest.raises(LogUnavailableError, match="names a request"):
+            await connections.call(b"GET", "/-/log-newest", b"", TIMEOUT_S)
+
+
+async def test_later_calls_go_to_a_changed_address(store, free_address):
+    connections = StoreConnections("127.0.0.1:1", asyncio.get_running_loop().time)
+    with pytest.raises(LogUnavailableError, match="connect failed"):
+        await connections.call(b"GET", "/", b"", TIMEOUT_S)
+    connections.use_address(free_address)
+    assert await connections.call(b"GET", "/a", b"", TIMEOUT_S) == (200, b"/a")
