Do not reuse a connection on which another message began

The rest of an unexpected message could be read as the response to the next request. A message that began behind a complete response, but whose headers had not arrived when the exchange was released, left the connection in the pool (test_connection_on_which_another_ message_began_is_not_reusable[H] and the test of a message that begins before the release failed with "assert not True" and "assert False" for reusable and closed).

The first byte of such a message now makes the connection not reusable, and bytes that arrive after the response is complete close it, whether or not it was released.

--- a/src/jasminewalk/http1/client.py
+++ b/src/jasminewalk/http1/client.py
@@ -184,7 +184,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; abort the connection if no request is outstanding."""
-        if self.exchange is None:
+        if self.exchange is None or self.exchange.complete:
             self._discard("bytes without a request")
             self.abort("bytes without a request")
             return
@@ -194,7 +194,9 @@
             self.abort(f"no HTTP answer: {type(error).__name__}")
 
     def on_message_begin(self) -> None:
-        """Start a response."""
+        """Start a response; do not reuse the connection if none is expected."""
+        if self.exchange is None or self.exchange.complete:
+            self.reusable = False
         self.headers = []
         self.ends_at_close = False
         self.skipping_response = False
@@ -212,7 +214,6 @@
         exchange = self.exchange
         head = decode_response_head(status, self.headers)
         if exchange is None or exchange.complete:
-            self.reusable = False
             self.skipping_response = True
             self._discard("second response", head.request_id)
             return
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -183,6 +183,38 @@
     assert not connection.reusable
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("extra", [b"H", b"HTTP/1.1 200 OK\r\nx-jasmine", b"junk"])
+async def test_connection_on_which_another_message_began_is_not_reusable(peer, extra):
+    response = RESPONSE_HEAD + b"content-length: 2\r\n\r\nme"
+    status, body, connection = await peer(response + extra)
+    assert (status, body) == (200, b"me")
+    assert not connection.reusable
+
+
+@pytest.mark.anyio
+async def test_message_that_begins_before_the_release_makes_connection_not_reusable(
+    free_address,
+):
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(RESPONSE_HEAD + b"content-length: 2\r\n\r\nme")
+        await asyncio.sleep(0.05)
+        writer.write(b"HTTP/1.1")
+
+    host, _, port = free_address.rpartition(":")
+    async with await asyncio.start_server(handle, host, int(port)):
+        pool = ConnectionPool(free_address, get_time)
+        connection = await connect(free_address, 1.0, get_time)
+        exchange = Exchange("a")
+        connection.send(encode_request(b"GET", b"/", (), b""), exchange)
+        assert await exchange.body() == b"me"
+        await asyncio.sleep(0.1)
+        pool.release(connection)
+        assert connection.closed
+        assert pool.take_idle(1.0) is None
+
+
 @pytest.mark.anyio
 async def test_refused_connection_raises_exchange_broken(free_address):
     with pytest.raises(ExchangeBrokenError, match="connect failed"):
