Drop the trailers of responses and of callers' requests

A trailer could change whose request or response a message is: httptools reports trailers like headers, after the head, and both sides added them to the headers of the message. A caller's trailer replaced the request id, model or prompt of its own request (test_trailers_are_not_headers_of_the_request failed with "assert 'b' == 'a'"), and an engine's trailer became a header of the relayed response (test_trailers_are_not_headers_of_the_response: "Left contains one more item: b'x-jasminewalk-response-signature'").

Fields after the end of the head are no longer added; a caller's still count against its limit for headers.

--- a/src/jasminewalk/http1/client.py
+++ b/src/jasminewalk/http1/client.py
@@ -165,6 +165,7 @@
         self.response_count = 0
         self.ends_at_close = False
         self.skipping_response = False
+        self.head_complete = False
         self.headers: list[Header] = []
         self.parser = httptools.HttpResponseParser(self)
 
@@ -198,15 +199,18 @@
         if self.exchange is None or self.exchange.complete:
             self.reusable = False
         self.headers = []
+        self.head_complete = False
         self.ends_at_close = False
         self.skipping_response = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add one header."""
-        self.headers.append((name.lower(), value.strip()))
+        """Add one header; drop trailers, which follow the body."""
+        if not self.head_complete:
+            self.headers.append((name.lower(), value.strip()))
 
     def on_headers_complete(self) -> None:
         """Accept the response if it belongs to the current exchange, else skip it."""
+        self.head_complete = True
         if self.closed:
             self.skipping_response = True
             return
--- a/src/jasminewalk/http1/server.py
+++ b/src/jasminewalk/http1/server.py
@@ -149,8 +149,9 @@
         self._add_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add one header."""
-        self.headers.append((name.lower(), value.strip()))
+        """Add one header; drop trailers, which follow the body."""
+        if not self.head_complete:
+            self.headers.append((name.lower(), value.strip()))
         # Counts four more bytes for the colon, the space and the line end.
         self._add_head_bytes(len(name) + len(value) + 4)
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -15,6 +15,7 @@
 )
 from jasminewalk.http1.client import encode_request
 from jasminewalk.http1.server import CallerLimits
+from jasminewalk.platform.headers import decode_request_head
 
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nx-jasminewalk-request-id: a\r\n"
 OTHER_RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nx-jasminewalk-request-id: b\r\n"
@@ -215,6 +216,27 @@
         assert pool.take_idle(1.0) is None
 
 
+@pytest.mark.anyio
+async def test_trailers_are_not_headers_of_the_response(free_address):
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(RESPONSE_HEAD + b"transfer-encoding: chunked\r\n\r\n2\r\nme\r\n")
+        writer.write(b"0\r\nx-jasminewalk-response-signature: forged\r\n\r\n")
+
+    host, _, port = free_address.rpartition(":")
+    async with await asyncio.start_server(handle, host, int(port)):
+        connection = await connect(free_address, 1.0, get_time)
+        exchange = Exchange("a")
+        connection.send(encode_request(b"GET", b"/", (), b""), exchange)
+        assert await exchange.body() == b"me"
+        assert [name for name, _ in (await exchange.head()).headers] == [
+            b"x-jasminewalk-request-id",
+            b"transfer-encoding",
+        ]
+        assert connection.reusable
+        connection.abort()
+
+
 @pytest.mark.anyio
 async def test_refused_connection_raises_exchange_broken(free_address):
     with pytest.raises(ExchangeBrokenError, match="connect failed"):
@@ -318,6 +340,17 @@
     assert [request.path for request in server.handled] == ["/a"]
 
 
+@pytest.mark.anyio
+async def test_trailers_are_not_headers_of_the_request(server, free_address):
+    data = b"POST /a HTTP/1.1\r\nHost: x\r\nX-Jasminewalk-Request-Id: a\r\n"
+    data += b"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+    data += b"1\r\n2\r\n0\r\nX-Jasminewalk-Request-Id: b\r\n\r\n"
+    await send_and_read(free_address, data)
+    (request,) = server.handled
+    assert decode_request_head(request.headers).request_id == "a"
+    assert request.body == b"2"
+
+
 @pytest.mark.anyio
 async def test_handler_is_cancelled_when_caller_disconnects(server, free_address):
     with pytest.raises(TimeoutError):
