Reject responses whose request, framing or end is ambiguous

A caller could get half an answer, an answer in a coding that it can't know of, or one that names another request beside its own. Failing before, in test_http1.py:

- Two different ids in one head: the last one counted ("DID NOT RAISE ExchangeBrokenError").
They are joined now, so the response belongs to no request.
- Transfer-Encoding: gzip, chunked, in one header or two: the body was relayed still coded, without the header ("DID NOT RAISE").
Codings other than chunked fail the exchange.
- A response above the size limit whose end came in the same read as the excess looked complete and was cut at the limit ("DID NOT RAISE").
A failed exchange is never complete.
- A second Connection header, and HTTP/1.0: the connection counted as reusable ("assert True == False"), so the next request met a closing connection and counted as possibly run.
- Two Content-Encoding headers: the last one counted ("assert False").

httptools itself rejects a length beside chunks, two lengths, even equal ones, a 101, folded and malformed headers; tests pin the first ones.

--- a/src/jasminewalk/http1/client.py
+++ b/src/jasminewalk/http1/client.py
@@ -24,6 +24,7 @@
 MAX_RESPONSE_BODY_BYTES = 64 * 1024 * 1024
 MIN_FINAL_STATUS = 200
 MIN_FAILURE_STATUS = 300
+TRANSFER_ENCODING = b"transfer-encoding"
 STATUSES_WITHOUT_BODY = (204, 304)
 
 
@@ -226,10 +227,15 @@
         ):
             self.skipping_response = True
             return
-        names = dict(self.headers)
+        names = {name for name, _ in self.headers}
+        codings = [value for name, value in self.headers if name == TRANSFER_ENCODING]
+        if codings and [coding.lower() for coding in codings] != [b"chunked"]:
+            # The body would be relayed with a coding that no header names.
+            self.abort("unknown transfer coding")
+            return
         self.ends_at_close = (
             b"content-length" not in names
-            and b"transfer-encoding" not in names
+            and not codings
             and status not in STATUSES_WITHOUT_BODY
         )
         if head.closing or self.ends_at_close:
@@ -254,6 +260,8 @@
 
     def on_message_complete(self) -> None:
         """Complete the exchange."""
+        if not self.parser.should_keep_alive():
+            self.reusable = False
         if self.skipping_response:
             self.skipping_response = False
             return
@@ -311,7 +319,7 @@
 
     def _complete(self) -> None:
         exchange = self.exchange
-        if exchange is not None and not exchange.complete:
+        if exchange is not None and not exchange.complete and not exchange.failure:
             exchange.complete = True
             exchange.wake()
 
--- a/src/jasminewalk/platform/headers.py
+++ b/src/jasminewalk/platform/headers.py
@@ -1,7 +1,7 @@
 """Decode and build the headers of requests and responses."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import attrs
 
@@ -147,7 +147,7 @@
     )
 
 
-def decode_response_head(status: int, headers: Iterable[Header]) -> ResponseHead:
+def decode_response_head(status: int, headers: Sequence[Header]) -> ResponseHead:
     """Decode the headers of an engine's response.
 
     :param status: status code.
@@ -157,10 +157,13 @@
     limit_text = _decode_text(values.get(REQUEST_LIMIT, b""))
     request_limit_per_s = _parse_rate(limit_text)
     return ResponseHead(
-        request_id=_decode_text(values.get(REQUEST_ID, b"")),
+        request_id=_decode_response_id(headers),
         signed=RESPONSE_SIGNATURE in values,
         not_executed=NOT_EXECUTED in values or status == MISDIRECTED_REQUEST,
-        encoded=values.get(b"content-encoding", b"identity").lower() != b"identity",
+        encoded=any(
+            name == b"content-encoding" and value.lower() != b"identity"
+            for name, value in headers
+        ),
         closing=b"close" in values.get(b"connection", b"").lower(),
         idle_timeout_s=_parse_keep_alive(values.get(b"keep-alive", b"")),
         request_limit_per_s=request_limit_per_s,
@@ -252,6 +255,12 @@
     return value[:MAX_ID_BYTES].decode("latin-1")
 
 
+def _decode_response_id(headers: Iterable[Header]) -> str:
+    # Different ids are joined, as such a response is proven for none of them.
+    ids = dict.fromkeys(value for name, value in headers if name == REQUEST_ID)
+    return _decode_text(b"\n".join(ids))
+
+
 def _parse_count(value: bytes) -> int:
     value = value.strip()
     return int(value) if value.isdigit() and len(value) < 12 else 0
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -11,6 +11,7 @@
     ConnectionPool,
     Exchange,
     ExchangeBrokenError,
+    client,
     connect,
 )
 from jasminewalk.http1.client import encode_request
@@ -21,6 +22,13 @@
 OTHER_RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nx-jasminewalk-request-id: b\r\n"
 LATE_RESPONSE = OTHER_RESPONSE_HEAD + b"content-length: 4\r\n\r\nlate"
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+OWN_ID = b"x-jasminewalk-request-id: a\r\n"
+OTHER_ID = b"x-jasminewalk-request-id: b\r\n"
+TWO_LENGTHS = b"content-length: 2\r\ncontent-length: 3\r\n"
+CHUNKED = b"transfer-encoding: chunked\r\n"
+GZIP_CHUNKED = b"transfer-encoding: gzip, chunked\r\n"
+GZIP = b"transfer-encoding: gzip\r\n"
+CHUNKS = b"2\r\nme\r\n0\r\n\r\n"
 
 
 def get_time():
@@ -90,6 +98,14 @@
         (RESPONSE_HEAD + b"\r\nuntil a reset", True),
         (b"this is no answer", False),
         (b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nanon", False),
+        (RESPONSE_HEAD + OTHER_ID + b"content-length: 2\r\n\r\nme", False),
+        (OTHER_RESPONSE_HEAD + OWN_ID + b"content-length: 2\r\n\r\nme", False),
+        (RESPONSE_HEAD + CHUNKED + b"content-length: 2\r\n\r\n" + CHUNKS, False),
+        (RESPONSE_HEAD + TWO_LENGTHS + b"\r\nme", False),
+        (RESPONSE_HEAD + GZIP_CHUNKED + b"\r\n" + CHUNKS, False),
+        (RESPONSE_HEAD + GZIP + CHUNKED + b"\r\n" + CHUNKS, False),
+        (RESPONSE_HEAD + GZIP + b"\r\nuntil the end", False),
+        (b"HTTP/1.1 101 Switching\r\nupgrade: x\r\n\r\nme", False),
         (OTHER_RESPONSE_HEAD + b"content-length: 4\r\n\r\nlate", False),
         (b"", False),
     ],
@@ -216,6 +232,33 @@
         assert pool.take_idle(1.0) is None
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("response", "reusable"),
+    [
+        (RESPONSE_HEAD + b"content-length: 0\r\n\r\n", True),
+        (RESPONSE_HEAD.replace(b"200", b"204") + b"\r\n", True),
+        (RESPONSE_HEAD.replace(b"1.1", b"1.0") + b"content-length: 0\r\n\r\n", False),
+        (RESPONSE_HEAD + b"connection: close\r\ncontent-length: 0\r\n\r\n", False),
+        (RESPONSE_HEAD + b"connection: close\r\nconnection: x\r\n"
+         b"content-length: 0\r\n\r\n", False),
+    ],
+)  # fmt: skip
+async def test_connection_that_the_peer_closes_is_not_reusable(
+    peer, response, reusable
+):
+    _, _, connection = await peer(response)
+    assert connection.reusable == reusable
+
+
+@pytest.mark.anyio
+async def test_response_above_the_size_limit_never_looks_complete(peer, monkeypatch):
+    monkeypatch.setattr(client, "MAX_RESPONSE_BODY_BYTES", 3)
+    chunks = b"2\r\nme\r\n2\r\nme\r\n0\r\n\r\n"
+    with pytest.raises(ExchangeBrokenError, match="too large"):
+        await peer(RESPONSE_HEAD + CHUNKED + b"\r\n" + chunks)
+
+
 @pytest.mark.anyio
 async def test_trailers_are_not_headers_of_the_response(free_address):
     async def handle(reader, writer):
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -125,3 +125,8 @@
 def test_response_without_a_request_limit_names_none():
     head = decode_response_head(200, [])
     assert (head.request_limit_per_s, head.unreadable_limit) == (None, "")
+
+
+def test_response_with_one_encoding_of_several_is_encoded():
+    headers = [(b"content-encoding", b"gzip"), (b"content-encoding", b"identity")]
+    assert decode_response_head(200, headers).encoded
