Keep bytes that are no answer out of the responses to callers

A caller on a kept connection could take bytes for the answer to its next request that are none. Failing before, in test_http1.py:

- A response to HEAD was sent with a body or chunks (response.endswith(b"\r\n\r\n") was False), and an engine's own response to HEAD, which has a length but no body, was waited for until the deadline; the bytes of a late second response would have become its body.
An exchange for HEAD is complete with its head, and its connection is not reused.
- 100 Continue for a pipelined request was sent at once, also in front of or amid the response to the request before it ("assert b'100 Continue' not in b'HTTP/1.1 100 Continue...'").
It is now sent once no request before it is being handled.
- A request with Transfer-Encoding: gzip, chunked was passed on still coded, without the header (timed out while the request was handled).

--- a/src/jasminewalk/gateway/engine_clients.py
+++ b/src/jasminewalk/gateway/engine_clients.py
@@ -111,7 +111,7 @@
         connection = pool.take_idle(max_idle_s)
         if connection is None:
             connection = await self._connect(engine, timeout_s)
-        exchange = self._build_exchange(engine, request_id)
+        exchange = self._build_exchange(engine, method, request_id)
         reused = connection.exchange_count > 0
         connection.send(request, exchange)
         return OpenExchange(exchange, connection, pool, reused)
@@ -147,7 +147,7 @@
             ]
             request = encode_request(method, target, all_headers, body)
             connection = await self._connect(engine, timeout_s)
-            exchange = self._build_exchange(engine, "")
+            exchange = self._build_exchange(engine, method, "")
             try:
                 connection.send(request, exchange)
                 response = await exchange.head()
@@ -178,10 +178,13 @@
                     pool.close()
                     del self.pools[engine]
 
-    def _build_exchange(self, engine: EngineState, request_id: str) -> Exchange:
+    def _build_exchange(
+        self, engine: EngineState, method: bytes, request_id: str
+    ) -> Exchange:
         sent_at = self.clock()
         return Exchange(
             request_id,
+            has_body=method != b"HEAD",
             on_response=lambda response: self._record_limit(engine, response, sent_at),
         )
 
--- a/src/jasminewalk/http1/client.py
+++ b/src/jasminewalk/http1/client.py
@@ -79,6 +79,7 @@
 
     :param request_id: id that the response must carry; empty accepts only a response
         that names no request and is the first on the connection.
+    :param has_body: whether the response may have a body; one to HEAD has none.
     :param response: status and headers of the response, once received.
     :param complete: whether the whole response was received.
     :param failure: reason for the failure; empty if there is none.
@@ -89,6 +90,7 @@
     """
 
     request_id: str = ""
+    has_body: bool = True
     response: Response | None = None
     complete: bool = False
     failure: str = ""
@@ -245,6 +247,11 @@
         if exchange.on_response is not None:
             exchange.on_response(exchange.response)
         exchange.wake()
+        if not exchange.has_body:
+            # The parser would take the next bytes for the body.
+            self.reusable = False
+            self.skipping_response = True
+            self._complete()
 
     def on_body(self, body: bytes) -> None:
         """Add bytes of the body."""
--- a/src/jasminewalk/http1/server.py
+++ b/src/jasminewalk/http1/server.py
@@ -23,6 +23,7 @@
 REQUEST_TIMEOUT = 408
 CONTENT_TOO_LARGE = 413
 HEADERS_TOO_LARGE = 431
+NOT_IMPLEMENTED = 501
 STATUSES_WITHOUT_BODY = (204, 304)
 
 
@@ -102,6 +103,8 @@
         self.idle_since = server.clock()
         self.head_bytes = 0
         self.head_complete = False
+        self.continue_expected = False
+        self.answers_head = False
         self.headers: list[Header] = []
         self.target = b""
         self.body: list[bytes] = []
@@ -156,11 +159,15 @@
         self._add_head_bytes(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
-        """Send 100 Continue if the caller expects it before it sends the body."""
+        """Reject unknown codings; send 100 Continue if the caller expects it."""
         self.head_complete = True
         for name, value in self.headers:
+            if name == b"transfer-encoding" and value.lower() != b"chunked":
+                self.refuse(NOT_IMPLEMENTED)
             if name == b"expect" and value.lower() == b"100-continue":
-                self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                self.continue_expected = True
+        if self.task is None:
+            self._send_continue()
 
     def on_body(self, body: bytes) -> None:
         """Add bytes of the body."""
@@ -176,6 +183,7 @@
             return
         started_s = self.request_started_s
         self.request_started_s = None
+        self.continue_expected = False
         request = CallerRequest(
             method=self.parser.get_method(),
             target=self.target,
@@ -206,11 +214,18 @@
         if self.head_bytes > self.server.limits.header_bytes:
             self.refuse(HEADERS_TOO_LARGE)
 
+    def _send_continue(self) -> None:
+        if self.continue_expected and not self.closing:
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self.continue_expected = False
+
     def _start_next_request(self) -> None:
         if not self.pending_requests or self.closed or self.closing:
             self.idle_since = self.server.clock()
+            self._send_continue()
             return
         request = self.pending_requests.popleft()
+        self.answers_head = request.method == b"HEAD"
         self.response_started = False
         self.response_ended = False
         self.cancel_on_close = True
@@ -254,11 +269,12 @@
         :param body: complete body.
         """
         head = self._encode_head(status, headers)
-        if status not in STATUSES_WITHOUT_BODY:
+        # The length of the body that a response to HEAD leaves out may be unknown.
+        if status not in STATUSES_WITHOUT_BODY and (body or not self.answers_head):
             head += b"content-length: %d\r\n" % len(body)
         self.response_started = True
         self.response_ended = True
-        self._write(head + b"\r\n" + body)
+        self._write(head + b"\r\n" + (b"" if self.answers_head else body))
 
     def start_stream(self, status: int, headers: Iterable[Header]) -> None:
         """Send the status and headers of a response whose body follows in chunks.
@@ -275,12 +291,14 @@
 
         :param data: bytes of the chunk; an empty chunk would end the body.
         """
-        self._write(b"%x\r\n%s\r\n" % (len(data), data))
+        if not self.answers_head:
+            self._write(b"%x\r\n%s\r\n" % (len(data), data))
 
     def end_stream(self) -> None:
         """Send the last chunk, which marks the body as complete."""
         self.response_ended = True
-        self._write(b"0\r\n\r\n")
+        if not self.answers_head:
+            self._write(b"0\r\n\r\n")
 
     def refuse(self, status: int) -> None:
         """Reject a request that can't be read and close the connection.
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -304,6 +304,12 @@
                 raise
         if request.path == "/fails":
             raise ValueError("handler")
+        if request.path == "/stream":
+            connection.start_stream(200, ())
+            await asyncio.sleep(0.1)
+            connection.send_chunk(b"part")
+            connection.end_stream()
+            return
         if request.path == "/cut":
             connection.start_stream(200, ())
             connection.send_chunk(b"part")
@@ -372,6 +378,66 @@
     assert not server.handled
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "codings",
+    [
+        b"Transfer-Encoding: gzip, chunked\r\n",
+        b"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+    ],
+)
+async def test_request_with_another_coding_than_chunked_is_rejected(
+    server, free_address, codings
+):
+    data = b"POST / HTTP/1.1\r\nHost: x\r\n" + codings + b"\r\n" + CHUNKS
+    response = await send_and_read(free_address, data)
+    assert response.split()[1] == b"501"
+    assert not server.handled
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("path", [b"/a", b"/stream"])
+async def test_response_to_head_has_no_body(server, free_address, path):
+    data = b"HEAD " + path + b" HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+    response = await send_and_read(free_address, data)
+    assert response.startswith(b"HTTP/1.1 200 OK\r\n")
+    assert response.endswith(b"\r\n\r\n")
+    assert response.count(b"\r\n\r\n") == 1
+
+
+@pytest.mark.anyio
+async def test_exchange_for_head_takes_no_bytes_for_a_body(server, free_address):
+    connection = await connect(free_address, 1.0, get_time)
+    exchange = Exchange(has_body=False)
+    connection.send(encode_request(b"HEAD", b"/a", (), b""), exchange)
+    async with asyncio.timeout(1.0):
+        assert (await exchange.head()).status == 200
+        assert await exchange.body() == b""
+    assert not connection.reusable
+    connection.abort()
+
+
+@pytest.mark.anyio
+async def test_interim_response_never_lies_within_another_response(
+    server, free_address
+):
+    data = (
+        b"POST /stream HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+        b"POST /b HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        b"Expect: 100-continue\r\nContent-Length: 1\r\n\r\n"
+    )
+    host, _, port = free_address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    async with asyncio.timeout(1.0):
+        stream = await reader.readuntil(b"0\r\n\r\n")
+        assert b"100 Continue" not in stream
+        assert await reader.readuntil(b"\r\n\r\n") == CONTINUE_RESPONSE
+        writer.write(b"1")
+        assert (await reader.read()).endswith(b"POST1")
+    writer.close()
+
+
 @pytest.mark.anyio
 async def test_body_that_looks_like_a_request_is_not_parsed_as_request(
     server, free_address
