Reject requests that the engine may read differently from the gateway

An engine and the gateway could disagree on whose request it is: of a repeated header, the gateway took the first host but the last request id, model, prompt and last event id, and passed all of them on. Ids were compared by their first 200 bytes only, so a response to a request whose id goes on differently would have been accepted.

A request that repeats one of these headers, or whose id has 200 bytes or more, now gets 400, and the log line ambiguous_request names the header.

--- a/src/jasminewalk/gateway/daemon.py
+++ b/src/jasminewalk/gateway/daemon.py
@@ -30,7 +30,7 @@
 from jasminewalk.gateway.stream_run import StreamRun
 from jasminewalk.http1.server import CallerConnection, CallerRequest, CallerServer
 from jasminewalk.platform.configuration import ServingConfiguration
-from jasminewalk.platform.headers import decode_request_head
+from jasminewalk.platform.headers import decode_request_head, find_ambiguous_header
 from jasminewalk.platform.settings import load_settings
 from jasminewalk.platform.store import StoreClient
 
@@ -204,6 +204,13 @@
             connection.send_response(UNAVAILABLE, headers, b"")
             self.log.warning("refused", request=head.request_id, reason="starting")
             return
+        ambiguous_header = find_ambiguous_header(request.headers)
+        if ambiguous_header:
+            connection.send_response(BAD_REQUEST, (), b"")
+            self.log.warning(
+                "ambiguous_request", request=head.request_id, header=ambiguous_header
+            )
+            return
         route = self.routes.match(request.host, request.path)
         if route is None:
             connection.send_response(NOT_FOUND, (), b"")
--- a/src/jasminewalk/platform/headers.py
+++ b/src/jasminewalk/platform/headers.py
@@ -12,6 +12,7 @@
     "RequestHead",
     "decode_response_head",
     "decode_request_head",
+    "find_ambiguous_header",
     "build_engine_headers",
     "filter_relayed_headers",
 ]
@@ -61,6 +62,18 @@
         b"expect",
     )
 )
+# Headers of a caller that the gateway decides by; an engine that reads another value
+# of a repeated one would serve another request than the gateway answers for.
+SINGLE_HEADERS = frozenset(
+    (
+        b"host",
+        REQUEST_ID,
+        MODEL,
+        TOKEN_USAGE,
+        PROMPT_PREFIX,
+        LAST_EVENT_ID,
+    )
+)
 MISDIRECTED_REQUEST = 421
 MAX_ID_BYTES = 200
 
@@ -147,6 +160,23 @@
     )
 
 
+def find_ambiguous_header(headers: Iterable[Header]) -> str:
+    """Return the name of a header by which a request can't be told; empty if none.
+
+    That is one that may occur once and is repeated, or an id that is too long to be
+    compared with that of a response.
+
+    :param headers: pairs of a name in lower case and a value.
+    """
+    seen = set()
+    for name, value in headers:
+        if name in SINGLE_HEADERS:
+            if name in seen or (name == REQUEST_ID and len(value) >= MAX_ID_BYTES):
+                return name.decode()
+            seen.add(name)
+    return ""
+
+
 def decode_response_head(status: int, headers: Sequence[Header]) -> ResponseHead:
     """Decode the headers of an engine's response.
 
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -176,6 +176,37 @@
     assert (await harness.send_request("/book/seat"))[0] == 200
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "extra",
+    [
+        "host: other.example",
+        "x-jasminewalk-request-id: other",
+        "x-jasminewalk-request-id: r1",
+        "x-jasminewalk-prompt-prefix: a:1\r\nx-jasminewalk-prompt-prefix: b:1",
+        "last-event-id: 1\r\nlast-event-id: 2",
+    ],
+)
+async def test_request_that_engine_and_gateway_may_read_differently_gets_400(
+    harness, extra
+):
+    await harness.start(*make_plain_engines())
+    status, _, _ = await harness.send_request("/look/x", accept=f"*/*\r\n{extra}")
+    assert status == 400
+    assert not count_engine_requests(harness)
+    assert harness.read_log_lines("ambiguous_request")
+
+
+@pytest.mark.anyio
+async def test_request_with_an_id_too_long_to_compare_gets_400(harness):
+    await harness.start(*make_plain_engines())
+    status, _, _ = await harness.send_request(
+        "/look/x", x_jasminewalk_request_id="a" * 200
+    )
+    assert status == 400
+    assert not count_engine_requests(harness)
+
+
 @pytest.mark.anyio
 async def test_request_without_a_route_gets_404(harness):
     await harness.start(*make_plain_engines())
