Never send a request over a connection that carried it before

A prefill and the decode of the same request, or two runs of it, have the same id, so on one connection a late second response to the first passes for the response to the second: a stream's bytes could be a handle, or a run's bytes those of an earlier run.

Evidence: with an engine that repeats its last response when the next request arrives, test_request_never_takes_the_response_to_its_own_earlier_attempt got b'{"kv_handle": "h-1", ...}' for the stream of r1.

A connection keeps the ids that it carried, and the pool leaves it out for a request with one of them. To bound the ids, a connection is closed after 1,000 exchanges.

--- a/src/jasminewalk/gateway/engine_clients.py
+++ b/src/jasminewalk/gateway/engine_clients.py
@@ -108,7 +108,7 @@
         request = encode_request(method, target, headers, body)
         pool = self.get_pool(engine)
         max_idle_s = MAX_IDLE_REPEATABLE_S if repeatable else MAX_IDLE_ONCE_S
-        connection = pool.take_idle(max_idle_s)
+        connection = pool.take_idle(max_idle_s, request_id)
         if connection is None:
             connection = await self._connect(engine, timeout_s)
         exchange = self._build_exchange(engine, method, request_id)
--- a/src/jasminewalk/http1/client.py
+++ b/src/jasminewalk/http1/client.py
@@ -22,6 +22,8 @@
 # An exchange with a larger response body is aborted, because bodies are buffered in
 # memory.
 MAX_RESPONSE_BODY_BYTES = 64 * 1024 * 1024
+# A connection is closed after this many exchanges, as it keeps the ids of all of them.
+MAX_EXCHANGES = 1000
 MIN_FINAL_STATUS = 200
 MIN_FAILURE_STATUS = 300
 TRANSFER_ENCODING = b"transfer-encoding"
@@ -166,6 +168,7 @@
         self.idle_timeout_s: float | None = None
         self.exchange_count = 0
         self.response_count = 0
+        self.request_ids: set[str] = set()
         self.ends_at_close = False
         self.skipping_response = False
         self.head_complete = False
@@ -184,6 +187,7 @@
         """
         assert self.transport is not None
         self.exchange = exchange
+        self.request_ids.add(exchange.request_id)
         self.transport.write(request)
 
     def data_received(self, data: bytes) -> None:
@@ -376,22 +380,28 @@
     idle: list[Connection] = attrs.field(factory=list)
     open_count: int = 0
 
-    def take_idle(self, idle_limit_s: float) -> Connection | None:
+    def take_idle(self, idle_limit_s: float, request_id: str) -> Connection | None:
         """Return the most recently used idle connection, or None.
 
         Connections that were idle for too long are closed. Half of the timeout that the
         peer announced is allowed, so that the peer does not close the connection first.
+        One that carried the same request before is left out, because a late response to
+        that attempt has the same id.
 
         :param idle_limit_s: maximum time that the connection was idle, in seconds.
+        :param request_id: id of the request that is sent over the connection.
         """
         now = self.clock()
-        while self.idle:
-            connection = self.idle.pop()
+        for connection in reversed(self.idle):
             timeout_s = connection.idle_timeout_s
             allowed_s = idle_limit_s if timeout_s is None else timeout_s / 2
-            if not connection.closed and now - connection.idle_since <= min(
+            usable = not connection.closed and now - connection.idle_since <= min(
                 allowed_s, idle_limit_s
-            ):
+            )
+            if usable and request_id in connection.request_ids:
+                continue
+            self.idle.remove(connection)
+            if usable:
                 return connection
             connection.abort()
         return None
@@ -402,7 +412,8 @@
         :param connection: connection whose exchange is complete.
         """
         connection.release()
-        if connection.closed or not connection.reusable:
+        exhausted = connection.exchange_count >= MAX_EXCHANGES
+        if connection.closed or not connection.reusable or exhausted:
             connection.abort()
         else:
             self.idle.append(connection)
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -380,6 +380,37 @@
         assert prefiller.handles[source.decode().partition("/")[2]] == request_id
 
 
+@pytest.mark.anyio
+async def test_request_never_takes_the_response_to_its_own_earlier_attempt(harness):
+    await harness.start(FakeEngine("decoder", "llm", "decode"))
+    harness.engines["decoder"].repeats_responses = True
+    state = harness.daemon.fleet.engines["decoder"]
+
+    async def send(request_id, *headers):
+        sent = await harness.daemon.clients.send(
+            state,
+            b"POST",
+            b"/verdict/",
+            [(b"x-jasminewalk-request-id", request_id.encode()), *headers],
+            b"",
+            request_id=request_id,
+            repeatable=True,
+            timeout_s=1.0,
+        )
+        body = await sent.exchange.body()
+        sent.close()
+        return sent.reused, body
+
+    _, prefill = await send("r1", (b"x-jasminewalk-stage", b"prefill"))
+    assert b"kv_handle" in prefill
+    reused, stream = await send("r1")
+    assert stream.startswith(b"id: 1\n")
+    assert not reused
+    harness.engines["decoder"].repeats_responses = False
+    reused, _ = await send("r2")
+    assert reused
+
+
 @pytest.mark.anyio
 async def test_control_calls_never_take_responses_to_others_calls(harness):
     await harness.start(*make_plain_engines(1))
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -229,7 +229,7 @@
         await asyncio.sleep(0.1)
         pool.release(connection)
         assert connection.closed
-        assert pool.take_idle(1.0) is None
+        assert pool.take_idle(1.0, "b") is None
 
 
 @pytest.mark.anyio
@@ -509,8 +509,22 @@
     pool = ConnectionPool(free_address, clock.monotonic)
     connection = await connect(free_address, 1.0, clock.monotonic)
     pool.release(connection)
-    assert pool.take_idle(1.0) is connection
+    assert pool.take_idle(1.0, "b") is connection
     pool.release(connection)
     clock.advance(1.5)
-    assert pool.take_idle(1.0) is None
+    assert pool.take_idle(1.0, "b") is None
     assert connection.closed
+
+
+@pytest.mark.anyio
+async def test_pool_closes_connections_after_their_last_exchange(
+    server, free_address, clock, monkeypatch
+):
+    monkeypatch.setattr(client, "MAX_EXCHANGES", 2)
+    pool = ConnectionPool(free_address, clock.monotonic)
+    connection = await connect(free_address, 1.0, clock.monotonic)
+    pool.release(connection)
+    assert pool.take_idle(1.0, "b") is connection
+    pool.release(connection)
+    assert connection.closed
+    assert pool.take_idle(1.0, "b") is None
