--- a/src/jasminewalk/gateway/engine_clients.py
+++ b/src/jasminewalk/gateway/engine_clients.py
@@ -110,10 +110,10 @@
         request = encode_request(method, target, headers, body)
         pool = self.get_pool(engine)
         max_idle_s = MAX_IDLE_REPEATABLE_S if repeatable else MAX_IDLE_ONCE_S
-        connection = pool.take_idle(max_idle_s)
+        connection = pool.take_idle(max_idle_s, request_id)
         if connection is None:
             connection = await self._connect(engine, timeout_s)
-        exchange = self._build_exchange(engine, request_id)
+        exchange = self._build_exchange(engine, method, request_id)
         reused = connection.exchange_count > 0
         connection.send(request, exchange)
         return OpenExchange(exchange, connection, pool, reused)
@@ -149,7 +149,7 @@
             ]
             request = encode_request(method, target, all_headers, body)
             connection = await self._connect(engine, timeout_s)
-            exchange = self._build_exchange(engine, "")
+            exchange = self._build_exchange(engine, method, "")
             try:
                 connection.send(request, exchange)
                 response = await exchange.head()
@@ -180,10 +180,13 @@
                     pool.close()
                     del self.pools[engine]
 
-    def _build_exchange(self, engine: EngineState, request_id: str) -> Exchange:
+    def _build_exchange(
+        self, engine: EngineState, method: bytes, request_id: str
+    ) -> Exchange:
         sent_at = self.clock()
         return Exchange(
             request_id,
+            has_body=method != b"HEAD",
             on_response=lambda response: self._record_response(
                 engine, response, sent_at
             ),
--- a/src/jasminewalk/http1/client.py
+++ b/src/jasminewalk/http1/client.py
@@ -36,8 +36,12 @@
 MAX_UNREAD_BYTES = 64 * 1024
 # Discarded bytes of one connection that are each reported.
 MAX_DISCARD_REPORTS = 10
+# A connection is closed after this many exchanges, as it keeps the ids of all of them.
+MAX_EXCHANGES = 1000
 MIN_FINAL_STATUS = 200
 MIN_FAILURE_STATUS = 300
+CONTENT_LENGTH = b"content-length"
+TRANSFER_ENCODING = b"transfer-encoding"
 STATUSES_WITHOUT_BODY = (204, 304)
 
 
@@ -90,8 +94,9 @@
     late or additional response before the expected one. One without an id fails the
     exchange, unless it is a failure and the first response on the connection.
 
-    :param request_id: id that the response must carry; empty accepts any response that
-        names no request.
+    :param request_id: id that the response must carry; empty accepts only a response
+        that names no request and is the first on the connection.
+    :param has_body: whether the response may have a body; one to HEAD has none.
     :param response: status and headers of the response, once received.
     :param complete: whether the whole response was received.
     :param failure: reason for the failure; empty if there is none.
@@ -108,6 +113,7 @@
     """
 
     request_id: str = ""
+    has_body: bool = True
     response: Response | None = None
     complete: bool = False
     failure: str = ""
@@ -232,6 +238,7 @@
         self.exchange_count = 0
         self.response_count = 0
         self.discard_count = 0
+        self.request_ids: set[str] = set()
         self.ends_at_close = False
         self.skipping_response = False
         self.head_complete = False
@@ -253,6 +260,7 @@
         """
         assert self.transport is not None
         self.exchange = exchange
+        self.request_ids.add(exchange.request_id)
         exchange.on_read = self._handle_read
         self.unchecked_bytes = 0
         self.checked_body_bytes = 0
@@ -264,7 +272,7 @@
         It is also aborted if too many bytes belong to no body.
         """
         exchange = self.exchange
-        if exchange is None:
+        if exchange is None or exchange.complete:
             self._discard("bytes without a request")
             self.abort("bytes without a request")
             return
@@ -277,17 +285,18 @@
             self._check_framing(exchange)
 
     def on_message_begin(self) -> None:
-        """Start a response."""
+        """Start a response; do not reuse the connection if none is expected."""
+        if self.exchange is None or self.exchange.complete:
+            self.reusable = False
         self.headers = []
+        self.head_complete = False
         self.ends_at_close = False
         self.skipping_response = False
-        self.head_complete = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add one header; drop the trailers after a body."""
-        if self.head_complete:
-            return
-        self.headers.append((name.lower(), value.strip()))
+        """Add one header; drop trailers, which follow the body."""
+        if not self.head_complete:
+            self.headers.append((name.lower(), value.strip()))
 
     def on_headers_complete(self) -> None:
         """Accept the response if it belongs to the current exchange, else skip it."""
@@ -299,7 +308,6 @@
         exchange = self.exchange
         head = decode_response_head(status, self.headers)
         if exchange is None or exchange.complete:
-            self.reusable = False
             self.skipping_response = True
             self._discard("second response", head.request_id)
             return
@@ -308,15 +316,18 @@
         ):
             self.skipping_response = True
             return
-        names = dict(self.headers)
+        lengths = [int(value) for name, value in self.headers if name == CONTENT_LENGTH]
+        codings = [value for name, value in self.headers if name == TRANSFER_ENCODING]
+        if codings and [coding.lower() for coding in codings] != [b"chunked"]:
+            # The body would be relayed with a coding that no header names.
+            self.abort("unknown transfer coding")
+            return
         self.ends_at_close = (
-            b"content-length" not in names
-            and b"transfer-encoding" not in names
-            and status not in STATUSES_WITHOUT_BODY
+            not lengths and not codings and status not in STATUSES_WITHOUT_BODY
         )
         if head.closing or self.ends_at_close:
             self.reusable = False
-        if int(names.get(b"content-length", 0)) > exchange.max_body_bytes:
+        if exchange.has_body and max(lengths, default=0) > exchange.max_body_bytes:
             self.abort("answer too large")
             return
         self.idle_timeout_s = head.idle_timeout_s
@@ -324,6 +335,11 @@
         if exchange.on_response is not None:
             exchange.on_response(exchange.response)
         exchange.wake()
+        if not exchange.has_body:
+            # The parser would take the next bytes for the body.
+            self.reusable = False
+            self.skipping_response = True
+            self._complete()
 
     def on_body(self, body: bytes) -> None:
         """Add bytes of the body."""
@@ -349,6 +365,8 @@
 
     def on_message_complete(self) -> None:
         """Complete the exchange."""
+        if not self.parser.should_keep_alive():
+            self.reusable = False
         if self.skipping_response:
             self.skipping_response = False
             return
@@ -388,20 +406,18 @@
     def _belongs(self, exchange: Exchange, status: int, request_id: str) -> bool:
         """Return whether a response belongs to the exchange; discard it if not."""
         self.response_count += 1
-        if request_id == exchange.request_id:
+        first = self.response_count == 1
+        if request_id == exchange.request_id and (request_id or first):
             return True
         self.reusable = False
-        if not exchange.request_id:
-            self._discard("response to a request", request_id)
-            self.abort("response names a request")
-            return False
-        if request_id:
+        if request_id and exchange.request_id:
             self._discard("response to another request", request_id)
             return False
-        if self.response_count == 1 and status >= MIN_FAILURE_STATUS:
+        if not request_id and first and status >= MIN_FAILURE_STATUS:
             return True
-        self._discard("response without an id")
-        self.abort("response names no request")
+        reason = f"response names {'a' if request_id else 'no'} request"
+        self._discard(reason, request_id)
+        self.abort(reason)
         return False
 
     @property
@@ -509,22 +525,28 @@
     idle: list[Connection] = attrs.field(factory=list)
     open_count: int = 0
 
-    def take_idle(self, idle_limit_s: float) -> Connection | None:
+    def take_idle(self, idle_limit_s: float, request_id: str) -> Connection | None:
         """Return the most recently used idle connection, or None.
 
         Connections that were idle for too long are closed. Half of the timeout that the
         peer announced is allowed, so that the peer does not close the connection first.
+        One that carried the same request before is left out, because a late response to
+        that attempt has the same id.
 
         :param idle_limit_s: maximum time that the connection was idle, in seconds.
+        :param request_id: id of the request that is sent over the connection.
         """
         now = self.clock()
-        while self.idle:
-            connection = self.idle.pop()
+        for connection in reversed(self.idle):
             timeout_s = connection.idle_timeout_s
             allowed_s = idle_limit_s if timeout_s is None else timeout_s / 2
-            if not connection.closed and now - connection.idle_since <= min(
+            usable = not connection.closed and now - connection.idle_since <= min(
                 allowed_s, idle_limit_s
-            ):
+            )
+            if usable and request_id in connection.request_ids:
+                continue
+            self.idle.remove(connection)
+            if usable:
                 return connection
             connection.abort()
         return None
@@ -535,7 +557,8 @@
         :param connection: connection whose exchange is complete.
         """
         connection.release()
-        if connection.closed or not connection.reusable:
+        exhausted = connection.exchange_count >= MAX_EXCHANGES
+        if connection.closed or not connection.reusable or exhausted:
             connection.abort()
         else:
             self.idle.append(connection)
--- a/src/jasminewalk/platform/headers.py
+++ b/src/jasminewalk/platform/headers.py
@@ -1,7 +1,7 @@
 """Decode and build the headers of requests and responses."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import attrs
 
@@ -12,6 +12,7 @@
     "RequestHead",
     "decode_response_head",
     "decode_request_head",
+    "find_ambiguous_header",
     "build_engine_headers",
     "filter_relayed_headers",
 ]
@@ -63,6 +64,18 @@
         b"expect",
     )
 )
+# Headers of a caller that the gateway decides by; an engine that reads another value
+# of a repeated one would serve another request than the gateway answers for.
+SINGLE_HEADERS = frozenset(
+    (
+        b"host",
+        REQUEST_ID,
+        MODEL,
+        TOKEN_USAGE,
+        PROMPT_PREFIX,
+        LAST_EVENT_ID,
+    )
+)
 MISDIRECTED_REQUEST = 421
 UNAVAILABLE = 503
 MAX_ID_BYTES = 200
@@ -159,7 +172,24 @@
     )
 
 
-def decode_response_head(status: int, headers: Iterable[Header]) -> ResponseHead:
+def find_ambiguous_header(headers: Iterable[Header]) -> str:
+    """Return the name of a header by which a request can't be told; empty if none.
+
+    That is one that may occur once and is repeated, or an id that is too long to be
+    compared with that of a response.
+
+    :param headers: pairs of a name in lower case and a value.
+    """
+    seen = set()
+    for name, value in headers:
+        if name in SINGLE_HEADERS:
+            if name in seen or (name == REQUEST_ID and len(value) >= MAX_ID_BYTES):
+                return name.decode()
+            seen.add(name)
+    return ""
+
+
+def decode_response_head(status: int, headers: Sequence[Header]) -> ResponseHead:
     """Decode the headers of an engine's response.
 
     :param status: status code.
@@ -173,10 +203,13 @@
         retry_after_text = _decode_text(values.get(RETRY_AFTER, b""))
     retry_after_s = _parse_retry_after(retry_after_text)
     return ResponseHead(
-        request_id=_decode_text(values.get(REQUEST_ID, b"")),
+        request_id=_decode_response_id(headers),
         signed=RESPONSE_SIGNATURE in values,
         not_executed=NOT_EXECUTED in values or status == MISDIRECTED_REQUEST,
-        encoded=values.get(b"content-encoding", b"identity").lower() != b"identity",
+        encoded=any(
+            name == b"content-encoding" and value.lower() != b"identity"
+            for name, value in headers
+        ),
         closing=b"close" in values.get(b"connection", b"").lower(),
         idle_timeout_s=_parse_keep_alive(values.get(b"keep-alive", b"")),
         request_limit_per_s=request_limit_per_s,
@@ -271,6 +304,12 @@
     return value[:MAX_ID_BYTES].decode("latin-1")
 
 
+def _decode_response_id(headers: Iterable[Header]) -> str:
+    # Different ids are joined, as such a response is proven for none of them.
+    ids = dict.fromkeys(value for name, value in headers if name == REQUEST_ID)
+    return _decode_text(b"\n".join(ids))
+
+
 def _parse_count(value: bytes) -> int:
     value = value.strip()
     return int(value) if value.isdigit() and len(value) < 12 else 0
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -172,6 +172,37 @@
     assert (await harness.send_request("/book/seat"))[0] == 200
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "extra",
+    [
+        "host: other.example",
+        "x-jasminewalk-request-id: other",
+        "x-jasminewalk-request-id: r1",
+        "x-jasminewalk-prompt-prefix: a:1\r\nx-jasminewalk-prompt-prefix: b:1",
+        "last-event-id: 1\r\nlast-event-id: 2",
+    ],
+)
+async def test_request_that_engine_and_gateway_may_read_differently_gets_400(
+    harness, extra
+):
+    await harness.start(*make_plain_engines())
+    status, _, _ = await harness.send_request("/look/x", accept=f"*/*\r\n{extra}")
+    assert status == 400
+    assert not count_engine_requests(harness)
+    assert harness.read_log_lines("ambiguous_request")
+
+
+@pytest.mark.anyio
+async def test_request_with_an_id_too_long_to_compare_gets_400(harness):
+    await harness.start(*make_plain_engines())
+    status, _, _ = await harness.send_request(
+        "/look/x", x_jasminewalk_request_id="a" * 200
+    )
+    assert status == 400
+    assert not count_engine_requests(harness)
+
+
 @pytest.mark.anyio
 async def test_request_without_a_route_gets_404(harness):
     await harness.start(*make_plain_engines())
@@ -347,6 +378,37 @@
         assert prefiller.handles[source.decode().partition("/")[2]] == request_id
 
 
+@pytest.mark.anyio
+async def test_request_never_takes_the_response_to_its_own_earlier_attempt(harness):
+    await harness.start(FakeEngine("decoder", "llm", "decode"))
+    harness.engines["decoder"].repeats_responses = True
+    state = harness.daemon.fleet.engines["decoder"]
+
+    async def send(request_id, *headers):
+        sent = await harness.daemon.clients.send(
+            state,
+            b"POST",
+            b"/verdict/",
+            [(b"x-jasminewalk-request-id", request_id.encode()), *headers],
+            b"",
+            request_id=request_id,
+            repeatable=True,
+            timeout_s=1.0,
+        )
+        body = await sent.exchange.body()
+        sent.close()
+        return sent.reused, body
+
+    _, prefill = await send("r1", (b"x-jasminewalk-stage", b"prefill"))
+    assert b"kv_handle" in prefill
+    reused, stream = await send("r1")
+    assert stream.startswith(b"id: 1\n")
+    assert not reused
+    harness.engines["decoder"].repeats_responses = False
+    reused, _ = await send("r2")
+    assert reused
+
+
 @pytest.mark.anyio
 async def test_control_calls_never_take_responses_to_others_calls(harness):
     await harness.start(*make_plain_engines(1))
@@ -703,7 +765,7 @@
     assert (await harness.send_request("/book/seat"))[0] == 200
     harness.write_settings(store="127.0.0.1:1")
     harness.daemon.reload()
-    assert harness.daemon.store_connections.pool.address == "127.0.0.1:1"
+    assert harness.daemon.store_connections.address == "127.0.0.1:1"
 
 
 @asynccontextmanager
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -11,15 +11,24 @@
     ConnectionPool,
     Exchange,
     ExchangeBrokenError,
+    client,
     connect,
 )
 from jasminewalk.http1.client import encode_request
 from jasminewalk.http1.server import CallerLimits
+from jasminewalk.platform.headers import decode_request_head
 
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nx-jasminewalk-request-id: a\r\n"
 OTHER_RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nx-jasminewalk-request-id: b\r\n"
 LATE_RESPONSE = OTHER_RESPONSE_HEAD + b"content-length: 4\r\n\r\nlate"
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+OWN_ID = b"x-jasminewalk-request-id: a\r\n"
+OTHER_ID = b"x-jasminewalk-request-id: b\r\n"
+TWO_LENGTHS = b"content-length: 2\r\ncontent-length: 3\r\n"
+CHUNKED = b"transfer-encoding: chunked\r\n"
+GZIP_CHUNKED = b"transfer-encoding: gzip, chunked\r\n"
+GZIP = b"transfer-encoding: gzip\r\n"
+CHUNKS = b"2\r\nme\r\n0\r\n\r\n"
 
 
 def get_time():
@@ -89,6 +98,14 @@
         (RESPONSE_HEAD + b"\r\nuntil a reset", True),
         (b"this is no answer", False),
         (b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nanon", False),
+        (RESPONSE_HEAD + OTHER_ID + b"content-length: 2\r\n\r\nme", False),
+        (OTHER_RESPONSE_HEAD + OWN_ID + b"content-length: 2\r\n\r\nme", False),
+        (RESPONSE_HEAD + CHUNKED + b"content-length: 2\r\n\r\n" + CHUNKS, False),
+        (RESPONSE_HEAD + TWO_LENGTHS + b"\r\nme", False),
+        (RESPONSE_HEAD + GZIP_CHUNKED + b"\r\n" + CHUNKS, False),
+        (RESPONSE_HEAD + GZIP + CHUNKED + b"\r\n" + CHUNKS, False),
+        (RESPONSE_HEAD + GZIP + b"\r\nuntil the end", False),
+        (b"HTTP/1.1 101 Switching\r\nupgrade: x\r\n\r\nme", False),
         (OTHER_RESPONSE_HEAD + b"content-length: 4\r\n\r\nlate", False),
         (b"", False),
     ],
@@ -183,6 +200,86 @@
     assert not connection.reusable
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("extra", [b"H", b"HTTP/1.1 200 OK\r\nx-jasmine", b"junk"])
+async def test_connection_on_which_another_message_began_is_not_reusable(peer, extra):
+    response = RESPONSE_HEAD + b"content-length: 2\r\n\r\nme"
+    status, body, connection = await peer(response + extra)
+    assert (status, body) == (200, b"me")
+    assert not connection.reusable
+
+
+@pytest.mark.anyio
+async def test_message_that_begins_before_the_release_makes_connection_not_reusable(
+    free_address,
+):
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(RESPONSE_HEAD + b"content-length: 2\r\n\r\nme")
+        await asyncio.sleep(0.05)
+        writer.write(b"HTTP/1.1")
+
+    host, _, port = free_address.rpartition(":")
+    async with await asyncio.start_server(handle, host, int(port)):
+        pool = ConnectionPool(free_address, get_time)
+        connection = await connect(free_address, 1.0, get_time)
+        exchange = Exchange("a")
+        connection.send(encode_request(b"GET", b"/", (), b""), exchange)
+        assert await exchange.body() == b"me"
+        await asyncio.sleep(0.1)
+        pool.release(connection)
+        assert connection.closed
+        assert pool.take_idle(1.0, "b") is None
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("response", "reusable"),
+    [
+        (RESPONSE_HEAD + b"content-length: 0\r\n\r\n", True),
+        (RESPONSE_HEAD.replace(b"200", b"204") + b"\r\n", True),
+        (RESPONSE_HEAD.replace(b"1.1", b"1.0") + b"content-length: 0\r\n\r\n", False),
+        (RESPONSE_HEAD + b"connection: close\r\ncontent-length: 0\r\n\r\n", False),
+        (RESPONSE_HEAD + b"connection: close\r\nconnection: x\r\n"
+         b"content-length: 0\r\n\r\n", False),
+    ],
+)  # fmt: skip
+async def test_connection_that_the_peer_closes_is_not_reusable(
+    peer, response, reusable
+):
+    _, _, connection = await peer(response)
+    assert connection.reusable == reusable
+
+
+@pytest.mark.anyio
+async def test_response_above_the_size_limit_never_looks_complete(peer, monkeypatch):
+    monkeypatch.setattr(client, "MAX_RESPONSE_BODY_BYTES", 3)
+    chunks = b"2\r\nme\r\n2\r\nme\r\n0\r\n\r\n"
+    with pytest.raises(ExchangeBrokenError, match="too large"):
+        await peer(RESPONSE_HEAD + CHUNKED + b"\r\n" + chunks)
+
+
+@pytest.mark.anyio
+async def test_trailers_are_not_headers_of_the_response(free_address):
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(RESPONSE_HEAD + b"transfer-encoding: chunked\r\n\r\n2\r\nme\r\n")
+        writer.write(b"0\r\nx-jasminewalk-response-signature: forged\r\n\r\n")
+
+    host, _, port = free_address.rpartition(":")
+    async with await asyncio.start_server(handle, host, int(port)):
+        connection = await connect(free_address, 1.0, get_time)
+        exchange = Exchange("a")
+        connection.send(encode_request(b"GET", b"/", (), b""), exchange)
+        assert await exchange.body() == b"me"
+        assert [name for name, _ in (await exchange.head()).headers] == [
+            b"x-jasminewalk-request-id",
+            b"transfer-encoding",
+        ]
+        assert connection.reusable
+        connection.abort()
+
+
 @pytest.mark.anyio
 async def test_refused_connection_raises_exchange_broken(free_address):
     with pytest.raises(ExchangeBrokenError, match="connect failed"):
@@ -207,6 +304,12 @@
                 raise
         if request.path == "/fails":
             raise ValueError("handler")
+        if request.path == "/stream":
+            connection.start_stream(200, ())
+            await asyncio.sleep(0.1)
+            connection.send_chunk(b"part")
+            connection.end_stream()
+            return
         if request.path == "/cut":
             connection.start_stream(200, ())
             connection.send_chunk(b"part")
@@ -275,6 +378,66 @@
     assert not server.handled
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "codings",
+    [
+        b"Transfer-Encoding: gzip, chunked\r\n",
+        b"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+    ],
+)
+async def test_request_with_another_coding_than_chunked_is_rejected(
+    server, free_address, codings
+):
+    data = b"POST / HTTP/1.1\r\nHost: x\r\n" + codings + b"\r\n" + CHUNKS
+    response = await send_and_read(free_address, data)
+    assert response.split()[1] == b"501"
+    assert not server.handled
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("path", [b"/a", b"/stream"])
+async def test_response_to_head_has_no_body(server, free_address, path):
+    data = b"HEAD " + path + b" HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+    response = await send_and_read(free_address, data)
+    assert response.startswith(b"HTTP/1.1 200 OK\r\n")
+    assert response.endswith(b"\r\n\r\n")
+    assert response.count(b"\r\n\r\n") == 1
+
+
+@pytest.mark.anyio
+async def test_exchange_for_head_takes_no_bytes_for_a_body(server, free_address):
+    connection = await connect(free_address, 1.0, get_time)
+    exchange = Exchange(has_body=False)
+    connection.send(encode_request(b"HEAD", b"/a", (), b""), exchange)
+    async with asyncio.timeout(1.0):
+        assert (await exchange.head()).status == 200
+        assert await exchange.body() == b""
+    assert not connection.reusable
+    connection.abort()
+
+
+@pytest.mark.anyio
+async def test_interim_response_never_lies_within_another_response(
+    server, free_address
+):
+    data = (
+        b"POST /stream HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+        b"POST /b HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        b"Expect: 100-continue\r\nContent-Length: 1\r\n\r\n"
+    )
+    host, _, port = free_address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    async with asyncio.timeout(1.0):
+        stream = await reader.readuntil(b"0\r\n\r\n")
+        assert b"100 Continue" not in stream
+        assert await reader.readuntil(b"\r\n\r\n") == CONTINUE_RESPONSE
+        writer.write(b"1")
+        assert (await reader.read()).endswith(b"POST1")
+    writer.close()
+
+
 @pytest.mark.anyio
 async def test_body_that_looks_like_a_request_is_not_parsed_as_request(
     server, free_address
@@ -286,6 +449,17 @@
     assert [request.path for request in server.handled] == ["/a"]
 
 
+@pytest.mark.anyio
+async def test_trailers_are_not_headers_of_the_request(server, free_address):
+    data = b"POST /a HTTP/1.1\r\nHost: x\r\nX-Jasminewalk-Request-Id: a\r\n"
+    data += b"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+    data += b"1\r\n2\r\n0\r\nX-Jasminewalk-Request-Id: b\r\n\r\n"
+    await send_and_read(free_address, data)
+    (request,) = server.handled
+    assert decode_request_head(request.headers).request_id == "a"
+    assert request.body == b"2"
+
+
 @pytest.mark.anyio
 async def test_handler_is_cancelled_when_caller_disconnects(server, free_address):
     with pytest.raises(TimeoutError):
@@ -335,8 +509,22 @@
     pool = ConnectionPool(free_address, clock.monotonic)
     connection = await connect(free_address, 1.0, clock.monotonic)
     pool.release(connection)
-    assert pool.take_idle(1.0) is connection
+    assert pool.take_idle(1.0, "b") is connection
     pool.release(connection)
     clock.advance(1.5)
-    assert pool.take_idle(1.0) is None
+    assert pool.take_idle(1.0, "b") is None
+    assert connection.closed
+
+
+@pytest.mark.anyio
+async def test_pool_closes_connections_after_their_last_exchange(
+    server, free_address, clock, monkeypatch
+):
+    monkeypatch.setattr(client, "MAX_EXCHANGES", 2)
+    pool = ConnectionPool(free_address, clock.monotonic)
+    connection = await connect(free_address, 1.0, clock.monotonic)
+    pool.release(connection)
+    assert pool.take_idle(1.0, "b") is connection
+    pool.release(connection)
     assert connection.closed
+    assert pool.take_idle(1.0, "b") is None
