Give the size limit in a test to its exchange

test_response_above_the_size_limit_never_looks_complete set the module's constant, which is now only the default of Exchange.max_body_bytes. The checked response and error are the same.

--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -40,7 +40,9 @@
     """Yield a function that sends a request and serves raw bytes as its response."""
     servers = []
 
-    async def exchange(response, *, reset=False, timeout_s=1.0, request_id="a"):
+    async def exchange(
+        response, *, reset=False, timeout_s=1.0, request_id="a", **options
+    ):
         async def handle(reader, writer):
             await reader.read(100)
             writer.write(response)
@@ -57,7 +59,7 @@
         host, _, port = free_address.rpartition(":")
         servers.append(await asyncio.start_server(handle, host, int(port)))
         connection = await connect(free_address, timeout_s, get_time)
-        sent_exchange = Exchange(request_id)
+        sent_exchange = Exchange(request_id, **options)
         connection.send(encode_request(b"GET", b"/", (), b""), sent_exchange)
         async with asyncio.timeout(timeout_s):
             head = await sent_exchange.head()
@@ -252,11 +254,10 @@
 
 
 @pytest.mark.anyio
-async def test_response_above_the_size_limit_never_looks_complete(peer, monkeypatch):
-    monkeypatch.setattr(client, "MAX_RESPONSE_BODY_BYTES", 3)
+async def test_response_above_the_size_limit_never_looks_complete(peer):
     chunks = b"2\r\nme\r\n2\r\nme\r\n0\r\n\r\n"
     with pytest.raises(ExchangeBrokenError, match="too large"):
-        await peer(RESPONSE_HEAD + CHUNKED + b"\r\n" + chunks)
+        await peer(RESPONSE_HEAD + CHUNKED + b"\r\n" + chunks, max_body_bytes=3)
 
 
 @pytest.mark.anyio
