Expect the leaving engines at the end of a gateway's message

The test of the bytes of an earlier message named the fields added since; leaving is a new one, empty in that message.

--- a/tests/test_wire_bytes.py
+++ b/tests/test_wire_bytes.py
@@ -104,8 +104,8 @@
     fields = msgspec.msgpack.decode(written)
     message = decode_peer_message(written)
     assert isinstance(message, PeerMessage)
-    assert PeerMessage.__struct_fields__[len(fields) :] == ("limits",)
-    assert msgspec.msgpack.encode(message) == msgspec.msgpack.encode([*fields, []])
+    assert PeerMessage.__struct_fields__[len(fields) :] == ("limits", "leaving")
+    assert msgspec.msgpack.encode(message) == msgspec.msgpack.encode([*fields, [], []])
 
 
 def test_earlier_gateway_decodes_a_peer_message_with_added_fields():
