Check that handles and reports are of the engine's current incarnation

A stream could go on from the handle of another request, or a handle of another request be released, after an engine restarted under its id or another engine took its address: a handle is only an id, engines do not check whose it is, and releases and reports did not name the engine that they were for. A report of another incarnation could lead to a stage order.

A release that is not confirmed with 200 is logged. The stand-in engine answers 421 to calls for another engine.

--- a/src/jasminewalk/gateway/fleet.py
+++ b/src/jasminewalk/gateway/fleet.py
@@ -256,6 +256,14 @@
         self.loaded = False
         self.store_recovered_at = float("-inf")
 
+    def is_replaced(self, engine: EngineState) -> bool:
+        """Return whether another incarnation is listed under the id of an engine.
+
+        :param engine: the engine.
+        """
+        listed = self.engines.get(engine.entry.engine_id)
+        return listed is not None and listed is not engine
+
     def list_usable(self, service: str, now: float) -> list[EngineState]:
         """Return the engines of a service that may get requests.
 
--- a/src/jasminewalk/gateway/generation_run.py
+++ b/src/jasminewalk/gateway/generation_run.py
@@ -209,6 +209,10 @@
             reason = f"engine answered {response.status}"
             self._record_prefill_failure(engine, reason, failed=not refused)
             return False
+        if self.context.fleet.is_replaced(engine):
+            # Handles of the new incarnation may have the same id.
+            self._record_prefill_failure(engine, "engine restarted", failed=False)
+            return False
         engine.record_outcome(False)
         elapsed_s = self.context.clock() - started_at
         if alone and engine.prefill_s == 0.0:
--- a/src/jasminewalk/gateway/prefilled_prompt.py
+++ b/src/jasminewalk/gateway/prefilled_prompt.py
@@ -8,11 +8,13 @@
 from jasminewalk.gateway.fleet import EngineState
 from jasminewalk.http1.client import ExchangeBrokenError
 from jasminewalk.platform.engines import build_release_path
+from jasminewalk.platform.headers import build_engine_headers
 
 __all__ = ["PrefilledPrompt", "release_prompt"]
 
 # Timeout of the call that releases a handle, in seconds.
 RELEASE_TIMEOUT_S = 0.5
+OK = 200
 
 
 @attrs.define
@@ -39,21 +41,30 @@
 ) -> None:
     """Release the handle of a prompt that no engine decodes from.
 
-    Errors are only logged.
+    Errors are only logged. A handle of an engine that restarted since is gone; another
+    engine at its address refuses the call.
 
     :param clients: connections to the engines.
     :param prompt: the prompt.
     :param log: writes a log line about the request.
     """
+    if clients.fleet.is_replaced(prompt.engine):
+        log("handle_not_freed", reason="engine restarted")
+        return
+    headers = build_engine_headers(
+        (), engine_id=prompt.engine.entry.engine_id, deadline_s=RELEASE_TIMEOUT_S
+    )
     try:
-        await clients.call(
+        status, _ = await clients.call(
             prompt.engine,
             b"DELETE",
             build_release_path(prompt.handle_id),
-            (),
+            headers,
             b"",
             RELEASE_TIMEOUT_S,
         )
+        if status != OK:
+            log("handle_not_freed", reason=f"engine answered {status}")
     except (ExchangeBrokenError, NotSentError, TimeoutError) as error:
         # The engine releases the handle itself when it expires.
         log("handle_not_freed", reason=repr(error))
--- a/src/jasminewalk/gateway/stage_controller.py
+++ b/src/jasminewalk/gateway/stage_controller.py
@@ -3,12 +3,12 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from jasminewalk.exceptions import BadMessageError, LogUnavailableError
 from jasminewalk.gateway.decision_log import DecisionLog
 from jasminewalk.gateway.engine_clients import EngineClients, NotSentError
-from jasminewalk.gateway.fleet import Fleet
+from jasminewalk.gateway.fleet import EngineState, Fleet
 from jasminewalk.gateway.holder_lease import HolderLease
 from jasminewalk.gateway.peers import PeerExchange
 from jasminewalk.gateway.stage_planner import StageChange, StagePlanner
@@ -17,16 +17,18 @@
 from jasminewalk.platform.engines import (
     ACCEPTED_STATUSES,
     REPORT_PATH,
+    EngineReport,
     decode_report,
     encode_stage_order,
     get_order_path,
 )
-from jasminewalk.platform.headers import build_engine_headers
+from jasminewalk.platform.headers import Header, build_engine_headers
 from jasminewalk.platform.store import GATEWAYS_TOPIC, StoreClient
 
 __all__ = ["StageController"]
 
 HOLDER_GROUP = "stage-holder"
+OK = 200
 # Seconds without a renewal after which the store drops a member of the group.
 SESSION_S = 3.0
 # Seconds between two renewals.
@@ -135,13 +137,31 @@
                 await self._order(service, change)
                 return
 
+    async def _read_report(
+        self, engine: EngineState, headers: Sequence[Header]
+    ) -> EngineReport:
+        """Read the report of an engine.
+
+        :raises BadMessageError: if it is not the report of this incarnation.
+        """
+        status, body = await self.clients.call(
+            engine, b"GET", REPORT_PATH, headers, b"", CALL_TIMEOUT_S
+        )
+        if status != OK:
+            raise BadMessageError(f"engine answered {status} instead of a report")
+        report = decode_report(body)
+        restarted = report.started_ms not in (0, engine.entry.started_ms)
+        if restarted or self.fleet.is_replaced(engine):
+            raise BadMessageError("report of another incarnation of the engine")
+        return report
+
     async def _order(self, service: Service, change: StageChange) -> None:
         engine_id = change.engine.entry.engine_id
+        headers = build_engine_headers(
+            (), engine_id=engine_id, deadline_s=CALL_TIMEOUT_S
+        )
         try:
-            _, body = await self.clients.call(
-                change.engine, b"GET", REPORT_PATH, (), b"", CALL_TIMEOUT_S
-            )
-            report = decode_report(body)
+            report = await self._read_report(change.engine, headers)
             if report.order_in_progress or report.stage == change.stage:
                 self.planner.record_change(self.clock(), service.name)
                 return
@@ -153,9 +173,6 @@
             change.engine.changing_until = (
                 self.clock() + change_duration_s + REGISTRY_DELAY_S
             )
-            headers = build_engine_headers(
-                (), engine_id=engine_id, deadline_s=CALL_TIMEOUT_S
-            )
             status, _ = await self.clients.call(
                 change.engine,
                 b"POST",
--- a/src/jasminewalk/platform/engines.py
+++ b/src/jasminewalk/platform/engines.py
@@ -45,6 +45,7 @@
     :param order_in_progress: whether it is executing an order.
     :param waiting: number of requests that wait at the engine.
     :param running: number of requests that run on the engine.
+    :param started_ms: Unix time of its start in milliseconds; 0 if it names none.
     """
 
     stage: str
@@ -52,6 +53,7 @@
     order_in_progress: bool
     waiting: int
     running: int
+    started_ms: int = 0
 
 
 def decode_prompt_handle(body: bytes) -> PromptHandle:
@@ -83,6 +85,7 @@
             order_in_progress=bool(document["busy"]),
             waiting=int(document["waiting"]),
             running=int(document["running"]),
+            started_ms=int(document.get("born", 0)),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise BadMessageError(f"engine report: {error!r}") from error
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -225,6 +225,8 @@
         self.running_requests = set()
         self.orders = []
         self.released_paths = []
+        self.report_status = 200
+        self.report_changes = {}
         self.event_count = 3
         self.behaviour = "answer"
         self.delay_s = 0.0
@@ -277,6 +279,12 @@
         headers = dict(request.headers)
         if self.repeats_responses:
             self.repeat_last_response(connection)
+        if headers.get(b"x-jasminewalk-expect-instance") not in (
+            None,
+            self.engine_id.encode(),
+        ):
+            connection.send_response(421, self.build_headers(headers), b"")
+            return
         if request.path.startswith("/-/"):
             await self.handle_control_call(connection, request)
             return
@@ -303,8 +311,11 @@
                 "busy": False,
                 "waiting": 0,
                 "running": 0,
+                **self.report_changes,
             }
-            connection.send_response(200, (), json.dumps(report).encode())
+            connection.send_response(
+                self.report_status, (), json.dumps(report).encode()
+            )
         elif request.path == "/-/order":
             order = json.loads(request.body)
             order["at"] = asyncio.get_running_loop().time()
@@ -315,8 +326,9 @@
             connection.send_response(200, (), b"")
 
     def build_headers(self, headers):
+        request_id = headers.get(b"x-jasminewalk-request-id")
         return [
-            (b"x-jasminewalk-request-id", headers[b"x-jasminewalk-request-id"]),
+            *([(b"x-jasminewalk-request-id", request_id)] if request_id else []),
             (b"x-jasminewalk-response-signature", self.engine_id.encode()),
             *self.build_limit_headers(),
         ]
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -14,6 +14,7 @@
 from jasminewalk.gateway.daemon import METRICS_PORT, GatewayDaemon
 from jasminewalk.gateway.retry_budget import RetryBudget
 from jasminewalk.platform.engines import decode_report
+from jasminewalk.platform.store import KeyedRecord
 from platform_fakes import ROUTES, FakeEngine, FakeStore, configuration
 
 SETTINGS = """
@@ -612,6 +613,46 @@
     assert harness.engines["prefiller"].released_paths == ["/-/kv-handle/h-1"]
 
 
+@pytest.mark.anyio
+async def test_prompt_of_a_restarted_engine_is_not_used(harness):
+    await harness.start(*make_llm_engines())
+    prefiller = harness.engines["prefiller"]
+    prefiller.delay_s = 0.3
+    request = asyncio.create_task(
+        harness.send_request("/verdict/", b"", **LONG_PROMPT_HEADERS)
+    )
+    await asyncio.sleep(0.1)
+    entry = json.dumps(prefiller.entry(born=2)).encode()
+    events = harness.daemon.fleet.apply_changes(
+        harness.daemon.clock(), [KeyedRecord("prefiller", entry)]
+    )
+    assert [event.event for event in events] == ["engine_listed"]
+    assert (await request)[0] == 200
+    assert len(prefiller.requests) == 1
+    assert not any(
+        b"x-jasminewalk-kv-source" in headers
+        for engine in harness.engines.values()
+        for _, headers in engine.requests
+    )
+
+
+@pytest.mark.anyio
+async def test_release_is_refused_by_another_engine_at_the_same_address(harness):
+    await harness.start(*make_llm_engines())
+    for name in ("decoder-1", "decoder-2"):
+        harness.engines[name].behaviour = "hang"
+    prefiller = harness.engines["prefiller"]
+    asyncio.get_running_loop().call_later(0.3, setattr, prefiller, "engine_id", "other")
+    with pytest.raises(TimeoutError):
+        await harness.send_request(
+            "/verdict/", b"", timeout_s=0.5, **LONG_PROMPT_HEADERS
+        )
+    await asyncio.sleep(0.2)
+    assert prefiller.requests
+    assert not prefiller.released_paths
+    assert harness.read_log_lines("handle_not_freed")
+
+
 @pytest.mark.anyio
 async def test_configuration_is_applied_within_two_seconds_and_never_reverted(harness):
     await harness.start(*make_plain_engines())
@@ -818,6 +859,29 @@
     assert order["expected"] == 0
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("attribute", "value"),
+    [
+        ("report_status", 503),
+        ("report_changes", {"born": 2}),
+        ("engine_id", "other"),
+    ],
+)
+async def test_report_of_another_engine_or_incarnation_causes_no_order(
+    harness, attribute, value
+):
+    await harness.start(*make_llm_engines()[1:])
+    for engine in harness.engines.values():
+        setattr(engine, attribute, value)
+    async with asyncio.timeout(4):
+        while not harness.read_log_lines("order_unanswered"):
+            await asyncio.sleep(0.05)
+    assert not any(engine.orders for engine in harness.engines.values())
+    (line, *_) = harness.read_log_lines("order_unanswered")
+    assert "BadMessageError" in line["reason"]
+
+
 def test_command_reports_path_of_unreadable_settings(run_command, tmp_path):
     result = run_command("gateway", "--settings", tmp_path / "absent.toml")
     assert result.code != 0
