Ignore outdated messages of peers whatever address they name

Loads, limits and outcomes of an earlier incarnation of a gateway, or of a late datagram, could become this gateway's belief. Failing before:

- A message with another address than the last replaced the peer's state, with its start and number, before its order was checked, so an earlier incarnation's message was applied (test_message_of_an_earlier_incarnation_at_another_address_is_ignored: "assert not True").
- A changed address in the list of gateways left the loads of the former process in place for good (test_loads_of_a_gateway_whose_listed_address_changed_are_dropped: "assert [] == ['1']").
- A message with an unusable address named a peer to which nothing could be sent; with a port that is no number, the task that announces ended each time (test_message_with_an_unusable_address_names_no_peer: five cases).

The order is checked first, a changed address changes only the address, and a silent peer keeps its number. Messages and entries of the list must name an IPv4 address and a port.

--- a/src/jasminewalk/gateway/peer_link.py
+++ b/src/jasminewalk/gateway/peer_link.py
@@ -30,6 +30,7 @@
 FIRST_LIST_READ_DELAY_S = 2.0
 # Seconds between attempts to register.
 REGISTRATION_RETRY_S = 0.5
+MAX_PORT = 65535
 
 
 class GatewaysFollower(TopicFollower):
@@ -75,16 +76,14 @@
                 continue
             try:
                 address = msgspec.json.decode(record.value)["address"]
-                host, _, port = address.rpartition(":")
-                socket.inet_aton(host)
-                int(port)
+                if not _is_peer_address(address):
+                    raise ValueError(f"{address!r} is no address and port")
             except (
                 msgspec.DecodeError,
                 AttributeError,
                 KeyError,
                 TypeError,
                 ValueError,
-                OSError,
             ) as error:
                 reason = repr(error)
                 self.log.warning("gateway_unreadable", key=record.key, reason=reason)
@@ -161,7 +160,7 @@
         :param data: payload of the datagram.
         """
         message = decode_peer_message(data)
-        if message is None:
+        if message is None or not _is_peer_address(message.address):
             self.log.warning("peer_unreadable", size=len(data))
             return
         now = self.clock()
@@ -186,3 +185,13 @@
 
     def error_received(self, exc: Exception) -> None:
         """Ignore errors; the state of unreachable peers is dropped after a timeout."""
+
+
+def _is_peer_address(address: str) -> bool:
+    """Return whether a text is an IPv4 address and a port."""
+    host, _, port = address.rpartition(":")
+    try:
+        socket.inet_aton(host)
+        return 0 < int(port) <= MAX_PORT
+    except (OSError, ValueError):
+        return False
--- a/src/jasminewalk/gateway/peers.py
+++ b/src/jasminewalk/gateway/peers.py
@@ -130,7 +130,8 @@
     :param address: ``host:port`` of its UDP socket.
     :param started_ms: Unix time of its process start in milliseconds.
     :param number: number of its last message; -1 before the first.
-    :param received_at: monotonic time of its last message.
+    :param received_at: monotonic time of its last message; minus infinity before the
+        first and once its loads are dropped.
     :param heard_at: monotonic time of its last message, or at which the list of
         gateways named it; kept when its loads are dropped.
     :param demand: demand of its callers.
@@ -174,9 +175,9 @@
         """
         if node == self.node:
             return
-        peer = self.peers.get(node)
-        if peer is None or peer.address != address:
-            self.peers[node] = Peer(address, heard_at=now)
+        peer = self.peers.setdefault(node, Peer(address, heard_at=now))
+        if peer.address != address:
+            peer.address, peer.heard_at = address, now
 
     def list_members(self, now: float) -> list[str]:
         """Return the names of all gateways that share limits, with this one.
@@ -368,11 +369,15 @@
         """
         if message.node == self.node:
             return False
+        peer = self.peers.get(message.node)
+        if peer is not None and (message.started_ms, message.number) <= (
+            peer.started_ms,
+            peer.number,
+        ):
+            return False
         self.record_address(now, message.node, message.address)
         self.peers_known = True
         peer = self.peers[message.node]
-        if (message.started_ms, message.number) <= (peer.started_ms, peer.number):
-            return False
         peer.started_ms, peer.number = message.started_ms, message.number
         peer.received_at = peer.heard_at = now
         engines_by_key = {
@@ -438,11 +443,10 @@
 
         :param now: current monotonic time in seconds.
         """
-        for node, peer in list(self.peers.items()):
-            if peer.number >= 0 and now - peer.received_at >= PEER_TIMEOUT_S:
-                self.peers[node] = Peer(
-                    peer.address, peer.started_ms, heard_at=peer.heard_at
-                )
+        for node, peer in self.peers.items():
+            if PEER_TIMEOUT_S <= now - peer.received_at < float("inf"):
+                # The number stays, so that a late message is still known as outdated.
+                peer.received_at, peer.demand = float("-inf"), Demand()
                 for engine in self.fleet.engines.values():
                     engine.peer_loads.pop(node, None)
                     engine.peer_speeds.pop(node, None)
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -12,6 +12,7 @@
 import pytest
 
 from jasminewalk.gateway.daemon import METRICS_PORT, GatewayDaemon
+from jasminewalk.gateway.peers import PeerExchange, TopicProgress
 from jasminewalk.gateway.retry_budget import RetryBudget
 from jasminewalk.platform.engines import decode_report
 from jasminewalk.platform.store import KeyedRecord
@@ -715,6 +716,21 @@
     return sum(context.try_take_retry("app") for _ in range(100))
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "address", ["", "nowhere", "gateway:7660", "127.0.0.1:0", "127.0.0.1:x"]
+)
+async def test_message_with_an_unusable_address_names_no_peer(harness, address):
+    await harness.start(*make_plain_engines())
+    peer = PeerExchange("front-2", address, 1, harness.daemon.fleet)
+    message = peer.build_message(1.0, TopicProgress(), TopicProgress())
+    harness.daemon.peer_link.receive(message)
+    await asyncio.sleep(0.2)
+    assert not harness.daemon.peers.peers
+    assert harness.read_log_lines("peer_unreadable")
+    assert not harness.read_log_lines("task_failed")
+
+
 @pytest.mark.anyio
 async def test_retry_budget_is_shared_with_peers_that_fell_silent(harness):
     await harness.start(*make_plain_engines())
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -234,6 +234,41 @@
     assert decode_peer_message(msgspec.msgpack.encode({"node": 1})) is None
 
 
+def test_message_of_an_earlier_incarnation_at_another_address_is_ignored(exchanges):
+    sender, receiver = exchanges
+    sender.fleet.engines["i-1"].own_load.requests = 3
+    old = decode_peer_message(build_message(sender, 1.0))
+    sender.fleet.engines["i-1"].own_load.requests = 0
+    sender.started_ms, sender.address = 2, "10.0.0.9:7660"
+    assert send_message(sender, receiver, 1.1)
+    assert not receiver.apply_message(1.2, old)
+    assert receiver.peers["1"].address == "10.0.0.9:7660"
+    assert receiver.fleet.engines["i-1"].requests == 0
+    assert send_message(sender, receiver, 1.3)
+
+
+def test_late_message_is_ignored_after_a_silence(exchanges):
+    sender, receiver = exchanges
+    sender.fleet.engines["i-1"].own_load.requests = 3
+    late = decode_peer_message(build_message(sender, 1.0))
+    assert send_message(sender, receiver, 1.1)
+    silent_at = 1.1 + PEER_TIMEOUT_S
+    assert list(receiver.drop_silent_peers(silent_at)) == ["1"]
+    assert not list(receiver.drop_silent_peers(silent_at))
+    assert not receiver.apply_message(silent_at, late)
+    assert receiver.fleet.engines["i-1"].requests == 0
+    assert send_message(sender, receiver, silent_at + 0.1)
+
+
+def test_loads_of_a_gateway_whose_listed_address_changed_are_dropped(exchanges):
+    sender, receiver = exchanges
+    sender.fleet.engines["i-1"].own_load.requests = 3
+    assert send_message(sender, receiver, 1.0)
+    receiver.record_address(1.1, "1", "10.0.0.9:7660")
+    assert list(receiver.drop_silent_peers(1.0 + PEER_TIMEOUT_S)) == ["1"]
+    assert receiver.fleet.engines["i-1"].requests == 0
+
+
 def test_gateways_exchange_outcomes_of_requests(exchanges):
     sender, receiver = exchanges
     for failed in (True, False, True, True):
