--- a/tests/test_endless_engines.py
+++ b/tests/test_endless_engines.py
@@ -19,6 +19,7 @@
     make_head,
 )
 from jasminewalk.gateway.stream_run import MAX_EXTRA_EVENTS
+from jasminewalk.http1 import ExchangeBrokenError
 from jasminewalk.http1.client import (
     MAX_DISCARD_REPORTS,
     MAX_RESPONSE_BODY_BYTES,
@@ -291,3 +292,63 @@
         assert body.count(b"data: token") == 3
     await assert_closed_by_gateway(prefiller)
     assert prefiller.sent_bytes < SOCKET_BUFFER_BYTES
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("slow", [False, True])
+@pytest.mark.parametrize(
+    "endless",
+    [
+        *ENDLESS_HEADS,
+        *ENDLESS_FRAMING,
+        ENDLESS_FOREIGN[0],
+        *ENDLESS_BODIES,
+        EndlessBytes("small_chunks", CHUNKED_HEAD, SMALL_CHUNK),
+    ],
+    ids=str,
+)
+async def test_control_call_without_end_fails_in_time(harness, endless, slow):
+    engine = EndlessEngine("app-0", endless, slow=slow)
+    engine.endless_paths = b"/-/"
+    await harness.start(engine, FakeEngine("decoder", "llm", "decode"))
+    target = harness.daemon.fleet.engines["app-0"]
+    call = asyncio.create_task(
+        harness.daemon.clients.call(target, b"GET", b"/-/report", (), b"", 0.5)
+    )
+    await assert_others_are_undisturbed(harness)
+    with pytest.raises((ExchangeBrokenError, TimeoutError)):
+        async with asyncio.timeout(0.5 + MARGIN_S):
+            await call
+    await assert_closed_by_gateway(engine)
+    assert engine.sent_bytes < SOCKET_BUFFER_BYTES
+
+
+class TalkativeEngine(FakeEngine):
+    """Engine that goes on to send bytes after its response was complete."""
+
+    closed = False
+
+    async def answer(self, connection, request, headers):
+        await super().answer(connection, request, headers)
+        connection._write = lambda data: None
+        self.task = asyncio.create_task(self.send_on(connection))
+
+    async def send_on(self, connection):
+        await asyncio.sleep(0.05)
+        while not connection.transport.is_closing():
+            connection.transport.write(b"x" * 1024)
+            await asyncio.sleep(0.01)
+        self.closed = True
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("path", ["/book/seat", "/help/"])
+async def test_idle_connection_with_bytes_without_end_is_closed(harness, path):
+    engines = [TalkativeEngine("app-0"), TalkativeEngine("decoder", "llm", "decode")]
+    await harness.start(*engines)
+    for _ in range(2):
+        status, _, elapsed_s = await send_timed(harness, path, **USAGE)
+        assert status == 200
+        assert elapsed_s < USUAL_RESPONSE_S
+        await asyncio.sleep(0.2)
+    assert any(engine.closed for engine in engines)
