Bound what is read from the store

A store whose newest records never ended was read for 40 pages, up to 640 MiB, and what had been read by then counted as all keys; engines beyond it would have counted as gone. A page of tiny records became up to millions of objects, and one message for each unreadable one.

A response of the store takes 8 MiB at most, the newest records of all keys 32 MiB. More pages than 40 are an error. A page is decoded up to 20,000 records, and the next read continues there; 100 messages about unreadable records are kept.

Before, the tests of test_platform_store failed with "DID NOT RAISE LogUnavailableError" (twice) and "assert 21005 == (5 + 20000)".

--- a/src/jasminewalk/gateway/store_connections.py
+++ b/src/jasminewalk/gateway/store_connections.py
@@ -20,6 +20,8 @@
 # Timeout in seconds of a whole call; ample for a configuration of megabytes on the
 # slowest link.
 MAX_CALL_S = 10.0
+# Largest response; the store limits its pages to about 1 MB, or to one record.
+MAX_BODY_BYTES = 8 * 1024 * 1024
 # An idle connection is not reused after this many seconds, as the store may have
 # dropped it without notice.
 MAX_IDLE_S = 2.0
@@ -62,7 +64,7 @@
         """
         headers = [(b"host", self.pool.address.encode())]
         request = encode_request(method, target.encode(), headers, body)
-        exchange = Exchange()
+        exchange = Exchange(max_body_bytes=MAX_BODY_BYTES)
         try:
             async with asyncio.timeout(MAX_CALL_S):
                 return await self._send(request, exchange, timeout_s)
--- a/src/jasminewalk/platform/store.py
+++ b/src/jasminewalk/platform/store.py
@@ -42,7 +42,12 @@
 # Longest time of a call in seconds without data from the store, apart from the time
 # that a read asks it to wait.
 CALL_TIMEOUT_S = 0.8
+# Limits of the newest records of all keys together.
 MAX_NEWEST_PAGES = 40
+MAX_NEWEST_BYTES = 32 * 1024 * 1024
+# Limits of one page of records; the records after these are read with the next page.
+MAX_PAGE_RECORDS = 20_000
+MAX_UNREADABLE_MESSAGES = 100
 
 
 class RecordsGoneError(Exception):
@@ -67,8 +72,8 @@
 
     :param records: records in the order of the topic.
     :param next_offset: offset from which to continue reading.
-    :param unreadable: one error message for each record that could not be decoded and
-        was skipped.
+    :param unreadable: error messages about records that could not be decoded and were
+        skipped; not more than ``MAX_UNREADABLE_MESSAGES``.
     :param size: bytes of the store's responses.
     :param end: offset of the topic's end; records from ``next_offset`` up to it were
         not read, because the size of a page is limited. By default there are none.
@@ -115,7 +120,8 @@
         """Read the newest record of each key.
 
         :param topic: keyed topic.
-        :raises LogUnavailableError: if the call fails or its response is invalid.
+        :raises LogUnavailableError: if the call fails or its response is invalid, or
+            if the records never end.
         """
         records: list[KeyedRecord] = []
         end, after, size = None, "", 0
@@ -125,6 +131,8 @@
                 query["after"] = after
             body = await self._call(b"GET", "/-/log-newest", query, b"", CALL_TIMEOUT_S)
             size += len(body)
+            if size > MAX_NEWEST_BYTES:
+                raise LogUnavailableError(f"{size} bytes of newest records")
             document = self._decode_object(body)
             items = document.get("items")
             if not isinstance(items, list):
@@ -137,6 +145,8 @@
             if not document.get("has_more") or not items:
                 break
             after = records[-1].key
+        else:
+            raise LogUnavailableError(f"{MAX_NEWEST_PAGES} pages of newest records")
         return RecordsPage(tuple(records), end or 0, size=size)
 
     async def read_from(
@@ -270,7 +280,11 @@
     records: list[KeyedRecord] = []
     unreadable: list[str] = []
     position = PAGE_HEADER.size
-    while position + RECORD_LENGTH.size <= len(body):
+    first_offset = offset
+    while (
+        position + RECORD_LENGTH.size <= len(body)
+        and offset - first_offset < MAX_PAGE_RECORDS
+    ):
         (length,) = RECORD_LENGTH.unpack_from(body, position)
         position += RECORD_LENGTH.size
         content = body[position : position + length]
@@ -281,7 +295,8 @@
         try:
             records.append(_decode_record(topic, content))
         except BadMessageError as error:
-            unreadable.append(str(error))
+            if len(unreadable) < MAX_UNREADABLE_MESSAGES:
+                unreadable.append(str(error))
     return RecordsPage(tuple(records), offset, tuple(unreadable), len(body), end)
 
 
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -13,6 +13,9 @@
     EndlessBytes,
     EndlessPeer,
 )
+from jasminewalk.exceptions import LogUnavailableError
+from jasminewalk.gateway import store_connections
+from jasminewalk.gateway.store_connections import MAX_BODY_BYTES
 from jasminewalk.http1 import Exchange, ExchangeBrokenError, connect
 from jasminewalk.http1.client import (
     MAX_RESPONSE_BODY_BYTES,
@@ -138,3 +141,42 @@
     assert connection.budget.held_bytes < 512 * 1024
     connection.abort()
     assert connection.budget.held_bytes == 0
+
+
+@pytest.fixture
+async def store_peer(free_address, monkeypatch):
+    """Yield a function that sends a call to a store that responds without end."""
+    monkeypatch.setattr(store_connections, "MAX_CALL_S", 1.0)
+    peers = []
+
+    async def call(endless, *, slow):
+        peers.append(await EndlessPeer(endless, slow=slow).start(free_address))
+        connections = store_connections.StoreConnections(free_address, get_time)
+        async with asyncio.timeout(FAILURE_TIMEOUT_S):
+            try:
+                await connections.call(b"GET", "/-/log-read", b"", 0.5)
+            finally:
+                await assert_closed_by_client(peers[0])
+                assert connections.budget.held_bytes == 0
+                assert not connections.pool.idle
+
+    yield call, peers
+    for peer in peers:
+        peer.server.close()
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("slow", [False, True])
+@pytest.mark.parametrize(
+    "endless",
+    [*ENDLESS_HEADS, *ENDLESS_FRAMING, ENDLESS_FOREIGN[0], *ENDLESS_BODIES],
+    ids=str,
+)
+async def test_call_to_the_store_fails_if_the_response_never_ends(
+    store_peer, endless, slow
+):
+    call, peers = store_peer
+    with pytest.raises(LogUnavailableError):
+        await call(endless, slow=slow)
+    body_bytes = MAX_BODY_BYTES if endless in ENDLESS_BODIES else 0
+    assert peers[0].sent_bytes < 2 * body_bytes + SOCKET_BUFFER_BYTES
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -7,7 +7,14 @@
 import pytest
 
 from jasminewalk.exceptions import LogUnavailableError
-from jasminewalk.platform.store import KeyedRecord, RecordsGoneError, StoreClient
+from jasminewalk.platform.store import (
+    MAX_NEWEST_PAGES,
+    MAX_PAGE_RECORDS,
+    MAX_UNREADABLE_MESSAGES,
+    KeyedRecord,
+    RecordsGoneError,
+    StoreClient,
+)
 
 
 def encode_page(*contents, end=9, first=0):
@@ -40,6 +47,29 @@
     assert page.next_offset == 6
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("item", [{"key": "a"}, {"key": "a", "value": "x" * 4_000_000}])
+async def test_newest_records_without_end_are_not_collected(store, item):
+    class EndlessPages(list):
+        def pop(self, index):
+            return 200, json.dumps({"items": [item], "has_more": True}).encode()
+
+    store.responses = EndlessPages()
+    with pytest.raises(LogUnavailableError, match="newest records"):
+        await store.read_newest("keyed.x")
+    assert len(store.requests) <= MAX_NEWEST_PAGES
+
+
+@pytest.mark.anyio
+async def test_records_of_a_page_and_messages_about_them_are_limited(store):
+    records = [b"\x01kv"] * MAX_PAGE_RECORDS
+    store.responses = [(200, encode_page(*[b""] * 1000, *records))]
+    page = await store.read_from("keyed.x", 5)
+    assert page.next_offset == 5 + MAX_PAGE_RECORDS
+    assert len(page.records) == MAX_PAGE_RECORDS - 1000
+    assert len(page.unreadable) == MAX_UNREADABLE_MESSAGES
+
+
 @pytest.mark.anyio
 async def test_unreadable_records_are_skipped_and_reported(store):
     store.responses = [(200, encode_page(b"", b"\x09short", b"\x01kv"))]
