Bound what callers send and what they leave unread

A caller could send a header, a chunk size, a chunk extension, trailers or line ends as fast as the link allowed until the request timed out; the parser collects names and values before it calls back. Bodies of up to 4 MiB were limited for each request only, with eight pipelined ones on each connection. A response that its caller did not read stayed in memory without end, and pipelined requests were run meanwhile. Trailers joined the headers of a request, after the checks of its head.

A request is now refused (431, or 400 after its head) once more than the header limit and 4 KiB are not its body, to which each byte of a body adds 8. A connection is not read on while its waiting requests have a whole body's bytes. All connections of a server hold 32 MiB of bodies; over it, the largest incomplete request is refused with 503, as it has not run. The next pipelined request waits until the caller reads. An unread response is aborted after 15 s without progress, or the largest one if there are more than 32 MiB of them (log line response_unread). Trailers are dropped.

--- a/src/jasminewalk/gateway/daemon.py
+++ b/src/jasminewalk/gateway/daemon.py
@@ -108,6 +108,9 @@
             self._log_handler_failure,
             self._log_unreadable_request,
         )
+        self.caller_server.on_unread = lambda unsent_bytes: self.log.warning(
+            "response_unread", unsent_bytes=unsent_bytes
+        )
         self.store_connections = StoreConnections(
             self.settings.store_address, self.clock
         )
--- a/src/jasminewalk/http1/server.py
+++ b/src/jasminewalk/http1/server.py
@@ -17,12 +17,26 @@
 # Seconds within which a request with a body must arrive, from its first bytes to its
 # last; ample for slow links.
 BODY_TIMEOUT_S = 15.0
+# Seconds without progress after which a response that its caller doesn't read is
+# aborted.
+SEND_TIMEOUT_S = 15.0
+# A request is refused after more bytes in addition to its headers and its body, such as
+# chunk framing and trailers. Each byte of the body allows for some more.
+MAX_FRAMING_BYTES = 4 * 1024
+FRAMING_BYTES_PER_BODY_BYTE = 8
+# Bytes of request bodies that all connections of one server may hold in memory. Over
+# it, the largest request that is not complete is refused.
+MAX_HELD_BYTES = 32 * 1024 * 1024
+# Bytes of complete responses that callers have not read. Over it, the connection with
+# most of them is aborted.
+MAX_UNSENT_BYTES = 32 * 1024 * 1024
 # Seconds between two checks for idle connections and slow requests.
 SWEEP_INTERVAL_S = 0.25
 BAD_REQUEST = 400
 REQUEST_TIMEOUT = 408
 CONTENT_TOO_LARGE = 413
 HEADERS_TOO_LARGE = 431
+UNAVAILABLE = 503
 STATUSES_WITHOUT_BODY = (204, 304)
 
 
@@ -107,6 +121,11 @@
         self.target = b""
         self.body: list[bytes] = []
         self.body_bytes = 0
+        self.unchecked_bytes = 0
+        self.checked_body_bytes = 0
+        self.held_bytes = 0
+        self.unsent_bytes = 0
+        self.unsent_since = 0.0
 
     # Receiving.
 
@@ -121,6 +140,7 @@
             return
         if self.request_started_s is None:
             self.request_started_s = self.server.clock()
+        self.unchecked_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -130,7 +150,9 @@
                 raise error
         except httptools.HttpParserError:
             self.refuse(BAD_REQUEST)
-        if len(self.pending_requests) >= MAX_PIPELINED and self.transport is not None:
+        if self.unchecked_bytes > MAX_FRAMING_BYTES:
+            self._check_framing()
+        if self._too_many_pending and self.transport is not None:
             self.transport.pause_reading()
 
     def on_message_begin(self) -> None:
@@ -143,6 +165,7 @@
         self.body_bytes = 0
         self.head_bytes = 0
         self.head_complete = False
+        self.checked_body_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         """Add a part of the target."""
@@ -150,7 +173,9 @@
         self._add_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add one header."""
+        """Add one header; drop the trailers after a body."""
+        if self.head_complete:
+            return
         self.headers.append((name.lower(), value.strip()))
         # Counts four more bytes for the colon, the space and the line end.
         self._add_head_bytes(len(name) + len(value) + 4)
@@ -167,13 +192,20 @@
         self.body_bytes += len(body)
         if self.body_bytes > self.server.limits.body_bytes:
             self.refuse(CONTENT_TOO_LARGE)
+        if self.closing:
             return
         self.body.append(body)
+        server = self.server
+        self.held_bytes += len(body)
+        server.held_bytes += len(body)
+        if server.held_bytes > server.max_held_bytes:
+            server.refuse_largest()
 
     def on_message_complete(self) -> None:
         """Queue the request that was received completely."""
         if self.closing:
             return
+        self.unchecked_bytes = 0
         started_s = self.request_started_s
         self.request_started_s = None
         request = CallerRequest(
@@ -196,6 +228,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the running request of a caller that disconnected."""
         self.closed = True
+        self._free(self.held_bytes)
         self.resume_writing()
         self.server.connections.discard(self)
         self.pending_requests.clear()
@@ -207,10 +240,39 @@
         if self.head_bytes > self.server.limits.header_bytes:
             self.refuse(HEADERS_TOO_LARGE)
 
+    def _check_framing(self) -> None:
+        allowed = FRAMING_BYTES_PER_BODY_BYTE * (
+            self.body_bytes - self.checked_body_bytes
+        )
+        if self.unchecked_bytes <= allowed:
+            self.unchecked_bytes = 0
+            self.checked_body_bytes = self.body_bytes
+        elif (
+            self.unchecked_bytes
+            > self.server.limits.header_bytes + MAX_FRAMING_BYTES + allowed
+        ):
+            self.refuse(BAD_REQUEST if self.head_complete else HEADERS_TOO_LARGE)
+
+    def _free(self, size: int) -> None:
+        self.held_bytes -= size
+        self.server.held_bytes -= size
+
+    @property
+    def _too_many_pending(self) -> bool:
+        pending = self.pending_requests
+        if not pending:
+            return False
+        body_bytes = sum(len(request.body) for request in pending)
+        return (
+            len(pending) >= MAX_PIPELINED or body_bytes >= self.server.limits.body_bytes
+        )
+
     def _start_next_request(self) -> None:
         if not self.pending_requests or self.closed or self.closing:
             self.idle_since = self.server.clock()
             return
+        if self.writable is not None:
+            return
         request = self.pending_requests.popleft()
         self.response_started = False
         self.response_ended = False
@@ -226,6 +288,8 @@
         finally:
             self.server.active -= 1
             self.task = None
+            if request.body and not self.closed:
+                self._free(len(request.body))
             self._finish_request(request)
 
     def _finish_request(self, request: CallerRequest) -> None:
@@ -239,9 +303,9 @@
         if not request.keep_alive or self.closing or self.server.draining:
             self.close()
             return
-        if self.transport is not None and len(self.pending_requests) < MAX_PIPELINED:
-            self.transport.resume_reading()
         self._start_next_request()
+        if self.transport is not None and not self._too_many_pending:
+            self.transport.resume_reading()
 
     # Sending.
 
@@ -250,10 +314,12 @@
         self.writable = asyncio.get_running_loop().create_future()
 
     def resume_writing(self) -> None:
-        """Let ``drain`` return."""
+        """Let ``drain`` return, and start the next request that waits."""
         if self.writable is not None:
             self.writable.set_result(None)
             self.writable = None
+        if self.task is None and self.pending_requests:
+            self._start_next_request()
 
     async def drain(self) -> None:
         """Wait until the caller has read most of what was written."""
@@ -309,6 +375,9 @@
             return
         self.closing = True
         self.server.on_refused(status)
+        if self.body:
+            self._free(sum(len(part) for part in self.body))
+            self.body = []
         if self.task is None:
             self._write(
                 self._encode_head(status, []) + b"content-length: 0\r\n\r\n",
@@ -327,6 +396,23 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def check_progress(self, now: float) -> None:
+        """Abort the connection if its caller has read nothing for too long.
+
+        :param now: current monotonic time in seconds.
+        """
+        size = 0 if self.transport is None else self.transport.get_write_buffer_size()
+        if not size or size != self.unsent_bytes:
+            self.unsent_bytes, self.unsent_since = size, now
+        elif now - self.unsent_since > SEND_TIMEOUT_S:
+            self.abort_unread()
+
+    def abort_unread(self) -> None:
+        """Abort the connection because its caller doesn't read its response."""
+        self.server.on_unread(self.unsent_bytes)
+        self.unsent_bytes = 0
+        self.abort()
+
     def _encode_head(self, status: int, headers: Iterable[Header]) -> bytes:
         try:
             phrase = HTTPStatus(status).phrase.encode()
@@ -368,9 +454,13 @@
         self.clock = clock
         self.on_error = on_error
         self.on_refused = on_refused
+        self.on_unread: Callable[[int], None] = lambda unsent_bytes: None
         self.limits = CallerLimits()
         self.connections: set[CallerConnection] = set()
         self.active = 0
+        self.held_bytes = 0
+        self.max_held_bytes = MAX_HELD_BYTES
+        self.max_unsent_bytes = MAX_UNSENT_BYTES
         self.draining = False
         self.server: asyncio.Server | None = None
 
@@ -384,6 +474,13 @@
             lambda: CallerConnection(self), host, int(port), backlog=512
         )
 
+    def refuse_largest(self) -> None:
+        """Refuse the largest request that is not complete."""
+        connections = [connection for connection in self.connections if connection.body]
+        if connections:
+            largest = max(connections, key=lambda connection: connection.body_bytes)
+            largest.refuse(UNAVAILABLE)
+
     async def sweep_forever(self) -> None:
         """Close idle connections and reject slow requests periodically."""
         while True:
@@ -394,7 +491,11 @@
         """Close idle connections and reject slow requests once."""
         now = self.clock()
         for connection in list(self.connections):
-            if connection.task is not None or connection.closing:
+            if connection.task is not None:
+                connection.unsent_bytes = 0
+                continue
+            connection.check_progress(now)
+            if connection.closing:
                 continue
             started_s = connection.request_started_s
             if started_s is not None:
@@ -405,6 +506,16 @@
                     connection.refuse(REQUEST_TIMEOUT)
             elif now - connection.idle_since > self.limits.idle_timeout_s:
                 connection.close()
+        self._limit_unsent_bytes()
+
+    def _limit_unsent_bytes(self) -> None:
+        total = sum(connection.unsent_bytes for connection in self.connections)
+        while total > self.max_unsent_bytes:
+            largest = max(
+                self.connections, key=lambda connection: connection.unsent_bytes
+            )
+            total -= largest.unsent_bytes
+            largest.abort_unread()
 
     def stop_listening(self) -> None:
         """Stop accepting connections."""
