Complete a generation with its last frame

Callers of a generation whose last frame had arrived were told "the deadline passed" if the endpoint then went on sending, heartbeats or empty lines for instance, or fell silent without ending the stream: the entry waited for the end of the HTTP response, and after silence it counted the attempt as failed and began another.

The response is complete with its last frame.

Evidence, failed before with "1401 deadline_passed" and pass now: test_bytes_after_the_last_frame_do_not_hold_up_the_response (frames, lines) and test_silence_after_the_last_frame_does_not_fail_the_attempt.

--- a/src/jasminewalk/ingress/_run_generation.py
+++ b/src/jasminewalk/ingress/_run_generation.py
@@ -1,12 +1,16 @@
 """Runs one generation and resumes it after a failure."""
 
 import math
+from collections.abc import AsyncIterator
 
+import anyio
 import httpcore
 import msgspec
+from absl import logging
 
 from jasminewalk.generated_requests import GenerateRequest
 from jasminewalk.ingress._run import EntryContext, RequestRun
+from jasminewalk.ingress.connections import TRANSPORT_ERRORS
 from jasminewalk.ingress.jobs import GenerationJob, TokenSink
 from jasminewalk.scheduling.attempts import Action, Send
 from jasminewalk.transport._http_call import HTTP_OK
@@ -15,6 +19,8 @@
 __all__ = ["GenerationRun"]
 
 MIN_FIRST_TOKEN_TIMEOUT_S = 0.001
+STREAM_END_TIMEOUT_S = 0.2
+MAX_STREAM_END_BYTES = 1 << 16
 
 _encode = msgspec.msgpack.Encoder().encode
 
@@ -104,7 +110,7 @@
         return self.handle_stream_end(endpoint)
 
     async def relay_tokens(self, attempt: int, response: httpcore.Response) -> None:
-        """Forward tokens until the stream ends, reports an error or is malformed.
+        """Forward tokens until the last one, or until the stream fails or is malformed.
 
         :param attempt: number of the attempt.
         :param response: response of the sidecar.
@@ -112,7 +118,8 @@
         assembler = self.machine.assembler
         write = self.sink.write
         monotonic = self.clock.monotonic
-        async for data in response.aiter_stream():
+        chunks = response.aiter_stream()
+        async for data in chunks:
             texts = assembler.feed_lines(attempt, data)
             if texts:
                 now_s = monotonic()
@@ -124,6 +131,36 @@
                 await write(attempt, texts)
             if assembler.error_frame is not None:
                 return
+            if assembler.finish_reason:
+                await self.read_stream_end(chunks)
+                return
+
+    async def read_stream_end(self, chunks: AsyncIterator[bytes]) -> None:
+        """Read what follows the last frame, so that the connection can be used again.
+
+        The response is complete, so a stream that does not end only costs its
+        connection.
+
+        :param chunks: the rest of the response of the sidecar.
+        """
+        size = 0
+        reason = "timeout"
+        try:
+            with anyio.move_on_after(STREAM_END_TIMEOUT_S):
+                async for data in chunks:
+                    size += len(data)
+                    if size > MAX_STREAM_END_BYTES:
+                        reason = "too many bytes"
+                        break
+                else:
+                    return
+        except TRANSPORT_ERRORS as error:
+            reason = repr(error)
+        logging.warning(
+            "[entry] Stream did not end after its last frame. request_id=%s reason=%s",
+            self.job.profile.request_id,
+            reason,
+        )
 
     def record_first_token(self) -> None:
         """Record the arrival of the first token."""
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -1,10 +1,17 @@
 """Clients of a peer that sends bytes until the connection is closed."""
 
+import contextlib
+
 import anyio
+import attrs
+import msgspec
 import pytest
 
+from dispatch_harness import PROGRESS_TIMEOUT_S, TOKENS, DispatchHarness
 from jasminewalk.agreement.log_client import HttpLog
 from jasminewalk.exceptions import LogUnavailableError
+from jasminewalk.generated_requests import Frame
+from jasminewalk.ingress.jobs import GenerationJob
 from jasminewalk.interfaces import ServiceRequest
 from jasminewalk.sidecars.engine_client import HttpEngine
 from jasminewalk.sidecars.service_client import HttpService
@@ -129,3 +136,59 @@
         with anyio.fail_after(TIMEOUT_S), pytest.raises(OSError, match="too large"):
             await anext(engine.generate(make_request()))
         assert server.sent_bytes < SOCKET_BUFFERS_BYTES
+
+
+STREAM_START = CHUNKED.replace(OK, OK + b"jasminewalk-attempt: r1/1\r\n")
+COMPLETE_STREAM = b"".join(
+    msgspec.json.encode(
+        Frame(n=n, t=text, end="length" if n == len(TOKENS) - 1 else "")
+    )
+    + b"\n"
+    for n, text in enumerate(TOKENS)
+)
+
+
+def build_chunk(data):
+    return b"%x\r\n" % len(data) + data + b"\r\n"
+
+
+@contextlib.asynccontextmanager
+async def open_entry(server):
+    """Dispatcher whose only sidecar is a raw server."""
+    harness = DispatchHarness()
+    async with anyio.create_task_group() as group, server.serve():
+        group.start_soon(harness.connections.run)
+        harness.add_endpoint("e1", server.address)
+        yield harness
+        await harness.connections.aclose()
+        group.cancel_scope.cancel()
+
+
+async def generate(harness, deadline_s):
+    profile = harness.make_profile()
+    profile = attrs.evolve(profile, deadline_s=profile.arrived_s + deadline_s)
+    job = GenerationJob(profile=profile, prompt="hi")
+    return await harness.dispatcher.generate(job, harness.sink)
+
+
+@pytest.mark.parametrize("trailing", [b"{}\n", b"\n" * 65536], ids=["frames", "lines"])
+async def test_bytes_after_the_last_frame_do_not_hold_up_the_response(trailing):
+    server = EndlessServer(
+        STREAM_START + build_chunk(COMPLETE_STREAM), build_chunk(trailing)
+    )
+    async with open_entry(server) as harness:
+        assembler = await generate(harness, deadline_s=3.0)
+        assert (harness.sink.texts, assembler.finish_reason) == (TOKENS, "length")
+        assert harness.outcomes == ["ok"]
+        assert not harness.connections.idle
+
+
+async def test_silence_after_the_last_frame_does_not_fail_the_attempt():
+    async def respond(request, writer):
+        writer.write(STREAM_START + build_chunk(COMPLETE_STREAM))
+        await anyio.sleep(PROGRESS_TIMEOUT_S * 4)
+
+    async with open_entry(RawServer(respond)) as harness:
+        await generate(harness, deadline_s=3.0)
+        assert harness.sink.texts == TOKENS
+        assert harness.outcomes == ["ok"]
