End a generation whose engine sends too many tokens

An engine that sent tokens without end had all of them forwarded: a streaming caller got more than the maximum that it had asked for, until the deadline failed the response, and the entry kept the text of all of them in memory.

The assembler of a response knows the maximum now. A token beyond it is not passed on and ends the response with the finish reason "length"; a last frame without a token, which names another reason, may still follow the last token.

Evidence: test_tokens_beyond_the_maximum_are_not_forwarded failed before with "1401 deadline_passed" and passes now.

--- a/src/jasminewalk/scheduling/_response_assembler.py
+++ b/src/jasminewalk/scheduling/_response_assembler.py
@@ -1,5 +1,7 @@
 """Assembly of a response from the streams of its attempts."""
 
+import math
+
 import msgspec
 
 from jasminewalk.generated_codes import Code
@@ -18,7 +20,10 @@
     r"""Assembles the response to one request from the frames of its attempts.
 
     Only the next expected token of the current attempt is passed on. Frames of earlier
-    attempts and duplicate tokens are dropped.
+    attempts and duplicate tokens are dropped. A token beyond the maximum ends the
+    response.
+
+    :param max_tokens: maximum number of tokens.
 
     >>> assembler = ResponseAssembler()
     >>> assembler.start_attempt(1)
@@ -30,7 +35,8 @@
     ('stop', 2, 'ab')
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_tokens: float = math.inf) -> None:
+        self.max_tokens = max_tokens
         self.attempt = 0
         self.next_token = 0
         self.texts: list[str] = []
@@ -103,6 +109,9 @@
                 self.error_frame = frame if frame.code else MALFORMED_FRAME
                 break
             if index == self.next_token:
+                if index >= self.max_tokens:
+                    self.finish_reason = "length"
+                    break
                 self.next_token += 1
                 texts.append(frame.t)
             if frame.cached:
--- a/src/jasminewalk/scheduling/attempts.py
+++ b/src/jasminewalk/scheduling/attempts.py
@@ -111,7 +111,7 @@
     def __init__(self, *, profile: RequestProfile, endpoints: EndpointSelector) -> None:
         self.profile = profile
         self.endpoints = endpoints
-        self.assembler = ResponseAssembler()
+        self.assembler = ResponseAssembler(profile.max_tokens or math.inf)
         self.attempt = 0
         self.known_ran: Ran = "not_run"
         self.in_flight = False
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -1,6 +1,7 @@
 """Clients of a peer that sends bytes until the connection is closed."""
 
 import contextlib
+import itertools
 
 import anyio
 import attrs
@@ -192,3 +193,17 @@
         await generate(harness, deadline_s=3.0)
         assert harness.sink.texts == TOKENS
         assert harness.outcomes == ["ok"]
+
+
+async def test_tokens_beyond_the_maximum_are_not_forwarded():
+    async def respond(request, writer):
+        writer.write(STREAM_START)
+        for n in itertools.count():
+            frame = msgspec.json.encode(Frame(n=n, t=f" t{n}"))
+            writer.write(build_chunk(frame + b"\n"))
+            await writer.drain()
+
+    async with open_entry(RawServer(respond)) as harness:
+        assembler = await generate(harness, deadline_s=3.0)
+        assert (harness.sink.texts, assembler.finish_reason) == (TOKENS, "length")
+        assert harness.outcomes == ["ok"]
