Close connections on which a request does not end

Anyone who reaches the port of an entry, a sidecar or an operator application could fill the memory of the process, and hold up all its other requests, with one connection: uvicorn with httptools sets no limit to a path, a header, the number of headers, trailers or a chunk extension, nor a time for a head, reads the rest of a body for ever after its response, and resumes reading after each response however many pipelined requests wait.

`LimitedHttpProtocol` extends uvicorn's protocol with a limit of bytes since the last complete head or piece of a body, a timeout of a head and of the rest of a body after its response, and a limit of requests that wait on the connection. It says so in a response if no request is in progress, and in a log line. `read_body` joins the body as it arrives, because a list of very small pieces takes many times their size.

--- a/src/jasminewalk/transport/_http.py
+++ b/src/jasminewalk/transport/_http.py
@@ -12,6 +12,7 @@
 
 from jasminewalk.exceptions import BadRequestError, JasminewalkError
 from jasminewalk.generated_codes import Code
+from jasminewalk.transport._http_protocol import LimitedHttpProtocol
 from jasminewalk.transport.network import NetworkBackend
 
 __all__ = [
@@ -104,7 +105,7 @@
         self.address = f"{host}:{port}"
         config = uvicorn.Config(
             app,
-            http="httptools",
+            http=LimitedHttpProtocol,
             ws="none",
             lifespan="off",
             log_config=None,
@@ -159,21 +160,18 @@
     :raises BadRequestError: if the body is larger.
     :raises JasminewalkError: if the caller disconnected.
     """
-    parts: list[bytes] = []
-    size = 0
+    body = bytearray()
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             raise JasminewalkError(code=Code.CALLER_GONE)
-        part = message.get("body", b"")
-        size += len(part)
-        if size > max_bytes:
+        body += message.get("body", b"")
+        if len(body) > max_bytes:
             raise BadRequestError(
                 f"The body has more than {max_bytes} bytes.", code=Code.BODY_TOO_LARGE
             )
-        parts.append(part)
         if not message.get("more_body", False):
-            return b"".join(parts)
+            return bytes(body)
 
 
 async def send_json(
