Fail a fleet's start with the error of a process that ended

An endpoint whose port is taken ends at its start, and nothing looked at it: sidecars and entries become ready, chats are answered, and no booking ever is.

Evidence: with the port of enrolment-1 taken, start_fleet failed before with exactly that text, and the cause was only in the log of that process. It says now "enrolment-1 ended: ... Address already in use"; test_fleet_that_lacks_a_process_does_not_start checks it.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -16,6 +16,7 @@
 from relay import Relay
 
 TIMEOUT_S = 60.0
+MAX_LOG_CHARACTERS = 2000
 POLL_INTERVAL_S = 0.05
 SHARED_KEY = "fleet-shared-key-0123456789"
 PLATFORM_SERVICES = ("log", "instances", "weights")
@@ -134,6 +135,16 @@
     def read_log(self, name):
         return (self.folder / f"{name}.log").read_text(encoding="utf-8")
 
+    def check_running(self):
+        """Check that no process has ended.
+
+        :raises AssertionError: with the end of its log if one has.
+        """
+        for name, process in self.processes.items():
+            if process.poll() is not None:
+                log = self.read_log(name)[-MAX_LOG_CHARACTERS:]
+                raise AssertionError(f"{name} ended: {log}")
+
     def start_platform(self):
         for kind in PLATFORM_SERVICES:
             self.addresses[kind] = allocate_address()
@@ -410,6 +421,10 @@
 
 def start_fleet(folder, engines=2, services=2, entries=2, retention_s=0.0, **model):
     fleet = Fleet(folder, retention_s)
+
+    def wait_until(condition, description):
+        wait_for(lambda: fleet.check_running() or condition(), description)
+
     try:
         fleet.start_platform()
         for number in range(1, engines + 1):
@@ -420,13 +435,13 @@
             fleet.start_entry(number)
         # A log with a short retention drops what nothing has read yet.
         for name in fleet.operator_addresses:
-            wait_for(lambda name=name: fleet.is_serving(name), f"{name} serving")
+            wait_until(lambda name=name: fleet.is_serving(name), f"{name} serving")
         fleet.publish()
         for name in fleet.operator_addresses:
-            wait_for(lambda name=name: fleet.is_ready(name), f"{name} ready")
+            wait_until(lambda name=name: fleet.is_ready(name), f"{name} ready")
         for entry in fleet.entry_addresses:
-            wait_for(lambda entry=entry: fleet.chat(entry).status == 200, "a chat")
-            wait_for(
+            wait_until(lambda entry=entry: fleet.chat(entry).status == 200, "a chat")
+            wait_until(
                 lambda entry=entry: fleet.book(uuid.uuid4().hex, entry).status == 200,
                 "a booking",
             )
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import socket
 import threading
 import uuid
 from concurrent.futures import ThreadPoolExecutor
@@ -455,6 +456,23 @@
         fleet.stop()
 
 
+def test_fleet_that_lacks_a_process_does_not_start(tmp_path, monkeypatch):
+    start = Fleet.start
+
+    def start_without_service(fleet, name, settings, *arguments):
+        if name == "enrolment-1":
+            host, _, port = settings["listen"].partition(":")
+            other_server.bind((host, int(port)))
+        start(fleet, name, settings, *arguments)
+
+    monkeypatch.setattr(Fleet, "start", start_without_service)
+    with (
+        socket.socket() as other_server,
+        pytest.raises(AssertionError, match=r"enrolment-1 ended: .*in use"),
+    ):
+        fleets.start_fleet(tmp_path, engines=1, services=1, entries=1)
+
+
 def test_wrong_method_and_bad_body_return_error_codes(fleet):
     url = fleet.build_url("entry-1", "/v1/chat/completions")
     assert decode_refusal(send_http("GET", url)) == ("wrong_method", "not_run")
