Treat what an older era of the store said as unproved

The platform's store may come back from a copy some seconds old, without what it had acknowledged since; Store-Era in its responses rises by one each time. The gateways did not read it. A gateway went on from an offset that had been given out again and missed records; its address was lost from the list of gateways; and two gateways could hold the lease on stage orders, because the copy grants it to whoever joins first while the holder before uses its own for another 1.8 s.

StoreClient compares the era of each response. A late response of an older era counts as lost. On a rise, before the response is used, followers forget their offsets and read the newest records after a short random delay; a read from an older offset or of pages of two eras is repeated; the gateway's address is written again; and the lease is dropped. In a new era, or after a process started, a lease is used only when no holder before can use its own any more. Fencing numbers count from the era, since generations go back with the copy. Peers' progress names its era (a new last field) and counts in the same one only, so that offsets of before cause no reads and a peer's reads don't hide the new era.

Engines that the copy lacks have 2 s, as after an outage. The copy takes back neither that an incarnation is leaving nor an older incarnation; an engine that was gone is held for 5 s or until it writes its entry again, and keeps what was known of it, such as a backoff. Log lines store_era, configuration_kept, entry_outdated, engine_held, gateway_listed_again.

The store stand-in can be copied and restored, and answers 410 to a read beyond its end.

--- a/src/jasminewalk/gateway/daemon.py
+++ b/src/jasminewalk/gateway/daemon.py
@@ -110,6 +110,7 @@
             self.settings.store_address, self.clock
         )
         self.store = StoreClient(self.store_connections.call)
+        self.store.on_new_era = self._handle_new_era
         self.configuration = ConfigurationFollower(
             self.store, self.log, self.clock, self._apply_configuration
         )
@@ -241,8 +242,7 @@
             connection.send_response(OK if self.is_ready else UNAVAILABLE, (), b"")
 
     def _log_engine_event(self, event: FleetEvent) -> None:
-        fields = {} if event.left_s is None else {"left_s": event.left_s}
-        self.log.info(event.event, engine=event.engine, detail=event.detail, **fields)
+        self.log.info(event.event, **event.fields)
 
     def _log_handler_failure(self, request: CallerRequest, error: Exception) -> None:
         self.log.warning(
@@ -268,6 +268,18 @@
             routes=len(configuration.routes),
         )
 
+    def _handle_new_era(self, previous: int | None, era: int) -> None:
+        """Treat what was learned from the store, and written there, as unproved."""
+        if previous is not None:
+            for follower in (self.configuration, self.registry, self.gateways):
+                follower.forget_offsets()
+            self.fleet.record_new_era(self.clock())
+        # A process that just started does not know whether the era is new.
+        lease_dropped = self.stage_controller.distrust_lease(era)
+        self.log.warning(
+            "store_era", era=era, previous=previous, lease_dropped=lease_dropped
+        )
+
     async def _watch_settings(self) -> None:
         last_stamp = self._read_settings_stamp()
         while True:
--- a/src/jasminewalk/gateway/fleet.py
+++ b/src/jasminewalk/gateway/fleet.py
@@ -22,6 +22,13 @@
 
 # After an outage of the store, running engines register again within this many seconds.
 RELISTING_GRACE_S = 2.0
+# Seconds for which the state of an engine that is gone is kept, in case that the same
+# incarnation is listed again.
+GONE_KEPT_S = 60.0
+# Seconds for which an engine that was gone is left alone when the store comes back from
+# an older copy that still lists it. If it is alive, it writes its entry again by then;
+# if not, the store removes the entry again.
+RELISTED_HOLD_S = 5.0
 # Seconds that an engine is avoided after its first failure to connect or answer;
 # doubled with each further one, up to the maximum.
 MIN_SUSPICION_S = 0.5
@@ -92,6 +99,14 @@
     detail: str
     left_s: float | None = None
 
+    @property
+    def fields(self) -> dict[str, object]:
+        """Fields of its log line."""
+        fields: dict[str, object] = {"engine": self.engine, "detail": self.detail}
+        if self.left_s is not None:
+            fields["left_s"] = self.left_s
+        return fields
+
 
 @attrs.define(eq=False)
 class EngineState:
@@ -122,6 +137,8 @@
     :param said_leaving: whether a response, or a peer that had one, said that this
         incarnation is leaving.
     :param backoff: time for which it wants nothing from this gateway.
+    :param held_until: monotonic time up to which it gets nothing because only an older
+        copy of the store lists it.
     """
 
     entry: EngineEntry
@@ -144,6 +161,7 @@
     sent_times: deque[float] = attrs.field(factory=deque)
     said_leaving: bool = False
     backoff: EngineBackoff = attrs.field(factory=EngineBackoff)
+    held_until: float = float("-inf")
 
     @property
     def leaving(self) -> bool:
@@ -275,8 +293,10 @@
     def __init__(self) -> None:
         self.engines: dict[str, EngineState] = {}
         self.services: dict[str, Service] = {}
+        self.gone: dict[str, EngineState] = {}
         self.loaded = False
         self.store_recovered_at = float("-inf")
+        self.reads_older_copy = False
 
     def list_usable(self, service: str, now: float) -> list[EngineState]:
         """Return the engines of a service that may get requests.
@@ -354,6 +374,16 @@
         """
         self.store_recovered_at = now
 
+    def record_new_era(self, now: float) -> None:
+        """Record that the store came back from an older copy.
+
+        The next snapshot may list engines that are gone, and older incarnations.
+
+        :param now: current monotonic time in seconds.
+        """
+        self.record_store_recovery(now)
+        self.reads_older_copy = True
+
     def apply_snapshot(
         self, now: float, records: Iterable[KeyedRecord]
     ) -> Iterator[FleetEvent]:
@@ -367,7 +397,7 @@
         yield from self.apply_changes(now, records)
         for engine_id in set(self.engines) - listed:
             yield from self._mark_missing(now, engine_id)
-        self.loaded = True
+        self.loaded, self.reads_older_copy = True, False
 
     def apply_changes(
         self, now: float, records: Iterable[KeyedRecord]
@@ -395,8 +425,13 @@
         """
         for engine_id, engine in list(self.engines.items()):
             if engine.expires_at is not None and now >= engine.expires_at:
-                del self.engines[engine_id]
+                self.gone[engine_id] = self.engines.pop(engine_id)
                 yield FleetEvent("engine_gone", engine_id, "entry is missing")
+        self.gone = {
+            engine_id: engine
+            for engine_id, engine in self.gone.items()
+            if engine.expires_at is not None and now < engine.expires_at + GONE_KEPT_S
+        }
 
     def record_limit(
         self, now: float, engine: EngineState, per_s: float | None, at: float
@@ -511,18 +546,23 @@
             if engine.entry.service == service
             and not engine.leaving
             and (engine.expires_at is None or now < engine.expires_at)
+            and engine.held_until <= now
         ]
 
     def _update_entry(self, now: float, entry: EngineEntry) -> Iterator[FleetEvent]:
         known = self.engines.get(entry.engine_id)
         if known is not None and known.entry.started_ms == entry.started_ms:
-            known.expires_at = None
-            if known.entry != entry:
-                changed = f"stage={entry.stage or '-'} leaving={entry.leaving}"
-                if known.entry.stage != entry.stage:
-                    known.changing_until = 0.0
-                known.entry = entry
-                yield FleetEvent("engine_changed", entry.engine_id, changed)
+            yield from self._change_entry(known, entry)
+            return
+        gone = self.gone.get(entry.engine_id)
+        newest = known or gone
+        if newest is not None and self._is_outdated(newest, entry):
+            detail = f"started at {entry.started_ms}, known {newest.entry.started_ms}"
+            yield FleetEvent("entry_outdated", entry.engine_id, detail)
+            return
+        self.gone.pop(entry.engine_id, None)
+        if gone is not None and gone.entry.started_ms == entry.started_ms:
+            yield from self._relist(now, gone, entry)
             return
         traits = self._get_engine_traits(entry.service)
         state = EngineState(entry, PromptCache(traits.kv_cache_tokens if traits else 0))
@@ -536,6 +576,38 @@
             f"zone={entry.failure_domain} stage={entry.stage or '-'}",
         )
 
+    def _change_entry(
+        self, known: EngineState, entry: EngineEntry
+    ) -> Iterator[FleetEvent]:
+        known.expires_at, known.held_until = None, float("-inf")
+        if known.entry == entry:
+            return
+        if known.entry.stage != entry.stage:
+            known.changing_until = 0.0
+        # An older copy of the store may show the entry of before it was leaving.
+        known.said_leaving = known.leaving
+        known.entry = entry
+        changed = f"stage={entry.stage or '-'} leaving={known.leaving}"
+        yield FleetEvent("engine_changed", entry.engine_id, changed)
+
+    def _relist(
+        self, now: float, engine: EngineState, entry: EngineEntry
+    ) -> Iterator[FleetEvent]:
+        self.engines[entry.engine_id] = engine
+        yield from self._change_entry(engine, entry)
+        if self.reads_older_copy:
+            engine.held_until = now + RELISTED_HOLD_S
+            detail = "it was gone before the store came back from an older copy"
+            yield FleetEvent(
+                "engine_held", entry.engine_id, detail, left_s=RELISTED_HOLD_S
+            )
+        else:
+            detail = f"again, as started at {entry.started_ms}"
+            yield FleetEvent("engine_listed", entry.engine_id, detail)
+
+    def _is_outdated(self, known: EngineState, entry: EngineEntry) -> bool:
+        return self.reads_older_copy and entry.started_ms < known.entry.started_ms
+
     def _mark_missing(self, now: float, engine_id: str) -> Iterator[FleetEvent]:
         engine = self.engines.get(engine_id)
         if engine is None or engine.expires_at is not None:
--- a/src/jasminewalk/gateway/holder_lease.py
+++ b/src/jasminewalk/gateway/holder_lease.py
@@ -8,6 +8,9 @@
 
 # The member of the group that is assigned this partition holds the lease.
 HOLDER_PARTITION = 0
+# Fencing numbers of one era of the store; its groups count generations, which go back
+# when the store comes back from an older copy.
+FENCING_NUMBERS_PER_ERA = 1_000_000
 # Share of the session after which an unrenewed lease is no longer used.
 USABLE_SESSION_SHARE = 0.6
 
@@ -21,11 +24,18 @@
     handover gap, so that orders of two holders are never close together. All times are
     seconds of a monotonic clock that includes time in suspend.
 
+    A store that comes back from an older copy, in a new era, may have lost the lease
+    and grant it to another member at once. A holder of the older era can use its lease
+    for the usable share of the session after its last renewal, which was before the new
+    era. So in a new era a lease is used only after that time.
+
     :param session_s: seconds without a renewal after which the store drops a member.
     :param handover_gap_s: minimum seconds between orders of two holders.
-    :param generation: generation of the group; the fencing number of orders.
+    :param generation: generation of the group.
     :param held_since: time since which the lease is held; None if it is not held.
     :param valid_until: time up to which the lease may be used unless it is renewed.
+    :param era: era of the store that the lease is of.
+    :param usable_from: time from which no holder of an older era can use its lease.
     """
 
     session_s: float
@@ -33,6 +43,26 @@
     generation: int = 0
     held_since: float | None = None
     valid_until: float = float("-inf")
+    era: int = 0
+    usable_from: float = float("-inf")
+
+    @property
+    def fencing_number(self) -> int:
+        """Number of an order, higher than the ones of earlier holders."""
+        return self.era * FENCING_NUMBERS_PER_ERA + self.generation
+
+    def distrust(self, now: float, era: int) -> bool:
+        """Drop the lease in a new era of the store; return whether it was held.
+
+        :param now: current time in seconds.
+        :param era: the new era.
+        """
+        was_held = self.held_since is not None
+        self.held_since, self.valid_until = None, float("-inf")
+        self.generation, self.era = 0, era
+        unproved_s = USABLE_SESSION_SHARE * self.session_s
+        self.usable_from = now + unproved_s + self.handover_gap_s
+        return was_held
 
     def record_renewal(
         self, requested_at: float, received_at: float, membership: GroupMembership
@@ -65,4 +95,5 @@
             self.held_since is not None
             and now < self.valid_until
             and now >= self.held_since + self.handover_gap_s
+            and now >= self.usable_from
         )
--- a/src/jasminewalk/gateway/log_trace.py
+++ b/src/jasminewalk/gateway/log_trace.py
@@ -11,10 +11,10 @@
 
 # State changes this long before and after a request are part of its trace.
 CONTEXT_MARGIN = timedelta(seconds=2)
-# Events that hold while the engine runs, the event that holds for a time that its line
+# Events that hold while the engine runs, events that hold for a time that their line
 # names, and events after which the engine's earlier ones no longer hold.
 LEAVING_EVENT = "engine_leaving"
-BACKOFF_EVENT = "engine_backoff"
+TIMED_EVENTS = ("engine_backoff", "engine_held")
 INCARNATION_EVENTS = ("engine_listed", "engine_gone")
 SEPARATE_KEYS = ("time", "severity", "event", "node")
 
@@ -143,14 +143,14 @@
         if line.event == LEAVING_EVENT or _lasts_until(line, time):
             lasting[line.node, engine, line.event] = line
         elif line.event in INCARNATION_EVENTS:
-            lasting.pop((line.node, engine, LEAVING_EVENT), None)
-            lasting.pop((line.node, engine, BACKOFF_EVENT), None)
+            for event in (LEAVING_EVENT, *TIMED_EVENTS):
+                lasting.pop((line.node, engine, event), None)
     return sorted(lasting.values(), key=lambda line: line.time)
 
 
 def _lasts_until(line: LogLine, time: datetime) -> bool:
     left_s = line.fields.get("left_s")
-    if line.event != BACKOFF_EVENT or not isinstance(left_s, int | float):
+    if line.event not in TIMED_EVENTS or not isinstance(left_s, int | float):
         return False
     return (time - line.time).total_seconds() <= left_s
 
--- a/src/jasminewalk/gateway/peer_link.py
+++ b/src/jasminewalk/gateway/peer_link.py
@@ -29,6 +29,8 @@
 LIST_READ_INTERVAL_S = 20.0
 # Seconds until gateways that started at the same time are on the list.
 FIRST_LIST_READ_DELAY_S = 2.0
+# Maximum random delay in seconds until a gateway registers again in a new era.
+REREGISTRATION_JITTER_S = 2.0
 # Seconds between attempts to register.
 REGISTRATION_RETRY_S = 0.5
 
@@ -51,13 +53,13 @@
     ) -> None:
         super().__init__(GATEWAYS_TOPIC, store, log, clock, LIST_READ_INTERVAL_S)
         self.exchange = exchange
+        self.registered = False
 
     async def register_and_run(self) -> None:
         """Register this gateway, then follow the list until cancelled."""
-        value = msgspec.json.encode({"address": self.exchange.address})
         while True:
             try:
-                await self.store.put(GATEWAYS_TOPIC, self.exchange.node, value)
+                await self._register()
                 break
             except (LogUnavailableError, OSError) as error:
                 self.log.warning("gateway_not_listed", reason=repr(error))
@@ -65,6 +67,29 @@
         await asyncio.sleep(FIRST_LIST_READ_DELAY_S)
         await self.run()
 
+    async def read_once(self) -> None:
+        """Read once and apply the records; register before in a new era of the store.
+
+        :raises LogUnavailableError: if the store does not answer as expected.
+        """
+        if not self.registered:
+            await self._register()
+            self.log.info("gateway_listed_again", era=self.store.era)
+        await super().read_once()
+
+    def forget_offsets(self, jitter_s: float = REREGISTRATION_JITTER_S) -> None:
+        """Forget how far the list was read, and that this gateway is on it.
+
+        :param jitter_s: maximum random delay of the next read in seconds.
+        """
+        super().forget_offsets(jitter_s)
+        self.registered = False
+
+    async def _register(self) -> None:
+        value = msgspec.json.encode({"address": self.exchange.address})
+        await self.store.put(GATEWAYS_TOPIC, self.exchange.node, value)
+        self.registered = True
+
     def apply_snapshot(self, page: RecordsPage) -> bool:
         """Record the addresses on the list of gateways."""
         return self.apply_changes(page)
--- a/src/jasminewalk/gateway/peers.py
+++ b/src/jasminewalk/gateway/peers.py
@@ -19,6 +19,7 @@
 from jasminewalk.platform.headers import PromptPart
 
 __all__ = [
+    "UNKNOWN_ERA",
     "PeerExchange",
     "PeerMessage",
     "TopicProgress",
@@ -34,6 +35,8 @@
 MEMBER_TIMEOUT_S = 20.0
 # Seconds for which the end of a limit is announced.
 LIMIT_END_ANNOUNCEMENT_S = 10.0
+# Era in a message whose sender knows none, or is of the previous version.
+UNKNOWN_ERA = -1
 # Limit in a message that stands for none.
 NO_LIMIT = -1
 # Messages that announce the same prefill, because single datagrams can be lost.
@@ -53,10 +56,12 @@
 
     :param read_ms_ago: milliseconds since its last read; negative if unknown.
     :param changed_offset: offset after the last record that had an effect.
+    :param era: era of the store that the offset is of.
     """
 
     read_ms_ago: int = -1
     changed_offset: int = 0
+    era: int = UNKNOWN_ERA
 
 
 class PeerMessage(msgspec.Struct, array_like=True, frozen=True):
--- a/src/jasminewalk/gateway/stage_controller.py
+++ b/src/jasminewalk/gateway/stage_controller.py
@@ -93,6 +93,13 @@
                 await self._order_next()
             await asyncio.sleep(RENEWAL_INTERVAL_S * random.uniform(0.9, 1.1))
 
+    def distrust_lease(self, era: int) -> bool:
+        """Drop the lease in a new era of the store; return whether it was held.
+
+        :param era: the new era.
+        """
+        return self.lease.distrust(read_boot_clock(), era)
+
     async def leave(self) -> None:
         """Release the lease before the process ends."""
         self.lease.held_since = None
@@ -156,7 +163,7 @@
             if change.engine.leaving or not self.lease.may_order(read_boot_clock()):
                 return
             self.planner.record_change(self.clock(), service.name)
-            fencing_number = self.lease.generation
+            fencing_number = self.lease.fencing_number
             change_duration_s = service.engine.stage_change_s if service.engine else 0.0
             change.engine.changing_until = (
                 self.clock() + change_duration_s + REGISTRY_DELAY_S
--- a/src/jasminewalk/gateway/store_connections.py
+++ b/src/jasminewalk/gateway/store_connections.py
@@ -11,6 +11,8 @@
     connect,
     encode_request,
 )
+from jasminewalk.platform.headers import decode_store_era
+from jasminewalk.platform.store import StoreResponse
 
 __all__ = ["StoreConnections"]
 
@@ -46,8 +48,8 @@
 
     async def call(
         self, method: bytes, target: str, body: bytes, timeout_s: float
-    ) -> tuple[int, bytes]:
-        """Send one call and return the status and body of the response.
+    ) -> StoreResponse:
+        """Send one call and return the response.
 
         A response may take longer than the timeout as long as data keeps arriving,
         because a slow link needs more than that for a large one.
@@ -73,7 +75,7 @@
 
     async def _send(
         self, request: bytes, exchange: Exchange, timeout_s: float
-    ) -> tuple[int, bytes]:
+    ) -> StoreResponse:
         connection = self.pool.take_idle(MAX_IDLE_S)
         if connection is None:
             connection = await connect(self.pool.address, CONNECT_TIMEOUT_S, self.clock)
@@ -86,7 +88,8 @@
                 async with asyncio.timeout(timeout_s):
                     part = await exchange.next_chunk()
                 if not part:
-                    return response.status, b"".join(parts)
+                    era = decode_store_era(response.headers)
+                    return StoreResponse(response.status, b"".join(parts), era)
                 parts.append(part)
         finally:
             if exchange.complete:
--- a/src/jasminewalk/gateway/store_follower.py
+++ b/src/jasminewalk/gateway/store_follower.py
@@ -8,7 +8,7 @@
 from jasminewalk.exceptions import BadConfigurationError, LogUnavailableError
 from jasminewalk.gateway.decision_log import DecisionLog
 from jasminewalk.gateway.fleet import Fleet, FleetEvent
-from jasminewalk.gateway.peers import TopicProgress
+from jasminewalk.gateway.peers import UNKNOWN_ERA, TopicProgress
 from jasminewalk.platform.configuration import (
     ConfigurationDecoder,
     ServingConfiguration,
@@ -34,6 +34,9 @@
 # Maximum random delay of a read in seconds, so that usually one gateway reads and
 # announces the result to its peers.
 READ_JITTER_S = 0.4
+# Maximum random delay in seconds of the first read in a new era of the store, which all
+# gateways make.
+NEW_ERA_JITTER_S = 0.3
 # Seconds between two checks whether a read is due.
 POLL_INTERVAL_S = 0.05
 # Records behind the end of the topic from which the newest record of each key is read
@@ -86,6 +89,7 @@
         self.peer_read_at = float("-inf")
         self.changed_offset = 0
         self.peer_changed_offset = 0
+        self.not_before = float("-inf")
         self.on_read: Callable[[], None] = lambda: None
 
     async def run(self) -> None:
@@ -147,12 +151,27 @@
             return None
         return page
 
+    def forget_offsets(self, jitter_s: float = NEW_ERA_JITTER_S) -> None:
+        """Forget how far the topic was read, as the offsets are of an older era.
+
+        :param jitter_s: maximum random delay of the next read in seconds.
+        """
+        self.offset = None
+        self.end_offset = self.changed_offset = self.peer_changed_offset = 0
+        self.peer_read_at = float("-inf")
+        self.not_before = self.clock() + random.uniform(0.0, jitter_s)
+
     def record_peer_progress(self, now: float, progress: TopicProgress) -> None:
         """Record how far a peer has read the topic.
 
+        Progress in another era of the store is ignored: its offsets mean other records.
+        This gateway then reads by itself, and finds a new era.
+
         :param now: current monotonic time in seconds.
         :param progress: progress that the peer announced.
         """
+        if progress.era != self._announced_era:
+            return
         if progress.read_ms_ago >= 0:
             self.peer_read_at = max(self.peer_read_at, now - progress.read_ms_ago / 1e3)
         self.peer_changed_offset = max(
@@ -167,8 +186,13 @@
         if self.offset is None or self.failing_since is not None:
             return TopicProgress()
         if self.end_offset > self.offset:
-            return TopicProgress(-1, self.changed_offset)
-        return TopicProgress(int((now - self.read_at) * 1e3), self.changed_offset)
+            return TopicProgress(-1, self.changed_offset, self._announced_era)
+        read_ms_ago = int((now - self.read_at) * 1e3)
+        return TopicProgress(read_ms_ago, self.changed_offset, self._announced_era)
+
+    @property
+    def _announced_era(self) -> int:
+        return UNKNOWN_ERA if self.store.era is None else self.store.era
 
     def apply_snapshot(self, page: RecordsPage) -> bool:
         """Apply the newest record of each key; return whether anything changed.
@@ -241,7 +265,9 @@
         return max(0, known_end - (self.offset or 0))
 
     def _is_due(self, jitter_s: float) -> bool:
-        if self.offset is None or self._records_behind:
+        if self.offset is None:
+            return self.clock() >= self.not_before
+        if self._records_behind:
             return True
         last_read_at = max(self.read_at, self.peer_read_at)
         return self.clock() - last_read_at >= self.read_interval_s + jitter_s
@@ -295,6 +321,14 @@
                 version = self._read_document(decode_version, record.value)
                 if version is not None and version > self.version:
                     versions[version] = record.value
+                elif version is not None and version < self.version:
+                    # A store that came back from a copy may have lost the newest one.
+                    self.log.info(
+                        "configuration_kept",
+                        version=self.version,
+                        older=version,
+                        era=self.store.era,
+                    )
         return [versions[version] for version in sorted(versions, reverse=True)]
 
     def _read_document(
@@ -336,5 +370,5 @@
         changed = False
         for event in events:
             changed = True
-            self.log.info(event.event, engine=event.engine, detail=event.detail)
+            self.log.info(event.event, **event.fields)
         return changed
--- a/src/jasminewalk/platform/headers.py
+++ b/src/jasminewalk/platform/headers.py
@@ -12,6 +12,7 @@
     "RequestHead",
     "decode_response_head",
     "decode_request_head",
+    "decode_store_era",
     "build_engine_headers",
     "filter_relayed_headers",
 ]
@@ -29,6 +30,7 @@
 REQUEST_LIMIT = b"server-limit"
 LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
+STORE_ERA = b"store-era"
 EXPECT_INSTANCE = b"x-jasminewalk-expect-instance"
 REQUEST_PRIORITY = b"x-jasminewalk-request-priority"
 STAGE = b"x-jasminewalk-stage"
@@ -66,6 +68,7 @@
 MISDIRECTED_REQUEST = 421
 UNAVAILABLE = 503
 MAX_ID_BYTES = 200
+MAX_ERA_DIGITS = 12
 MAX_RETRY_AFTER_S = 1e9
 
 
@@ -187,6 +190,15 @@
     )
 
 
+def decode_store_era(headers: Iterable[Header]) -> int | None:
+    """Return the era that a response of the store names, or None if it names none.
+
+    :param headers: pairs of a name in lower case and a value.
+    """
+    value = dict(headers).get(STORE_ERA, b"").strip()
+    return int(value) if value.isdigit() and len(value) < MAX_ERA_DIGITS else None
+
+
 def build_engine_headers(
     headers: Iterable[Header],
     *,
--- a/src/jasminewalk/platform/store.py
+++ b/src/jasminewalk/platform/store.py
@@ -22,6 +22,7 @@
     "RecordsGoneError",
     "RecordsPage",
     "StoreClient",
+    "StoreResponse",
     "StoreTransport",
 ]
 
@@ -95,21 +96,43 @@
     partitions: frozenset[int]
 
 
-# Sends (method, target, body, longest time in seconds without data); returns (status,
-# body).
-StoreTransport = Callable[[bytes, str, bytes, float], Awaitable[tuple[int, bytes]]]
+@attrs.frozen
+class StoreResponse:
+    """A response of the store.
+
+    :param status: HTTP status.
+    :param body: whole body.
+    :param era: number that rises each time the store comes back from an older copy;
+        None if the response names none.
+    """
+
+    status: int
+    body: bytes
+    era: int | None = None
+
+
+# Sends (method, target, body, longest time in seconds without data).
+StoreTransport = Callable[[bytes, str, bytes, float], Awaitable[StoreResponse]]
 
 
 @attrs.define
 class StoreClient:
     """Client of the metadata store.
 
+    The store may come back from an older copy. What was read and written before is then
+    unproved, and offsets are given out again. It begins a new era each time.
+
     :param transport: function that sends one call.
     :param calls: number of calls made so far.
+    :param era: highest era that a response named; None before the first.
+    :param on_new_era: called with the era before, or None, and the new one, before the
+        response that names it is used.
     """
 
     transport: StoreTransport
     calls: int = 0
+    era: int | None = None
+    on_new_era: Callable[[int | None, int], None] = lambda previous, era: None
 
     async def read_newest(self, topic: str) -> RecordsPage:
         """Read the newest record of each key.
@@ -118,12 +141,15 @@
         :raises LogUnavailableError: if the call fails or its response is invalid.
         """
         records: list[KeyedRecord] = []
-        end, after, size = None, "", 0
+        end, after, size, era = None, "", 0, self.era
         for _ in range(MAX_NEWEST_PAGES):
             query = {"topic": topic, "part": PARTITION}
             if after:
                 query["after"] = after
             body = await self._call(b"GET", "/-/log-newest", query, b"", CALL_TIMEOUT_S)
+            if after and self.era != era:
+                raise LogUnavailableError("store's era changed between two pages")
+            era = self.era
             size += len(body)
             document = self._decode_object(body)
             items = document.get("items")
@@ -148,21 +174,23 @@
         :param offset: offset of the first record to read.
         :param wait_s: seconds for which the store waits for a record if there is none.
         :raises LogUnavailableError: if the call fails or its response is invalid.
-        :raises RecordsGoneError: if records from the offset on were deleted.
+        :raises RecordsGoneError: if records from the offset on were deleted, or if the
+            offset is of an older era.
         """
         query = {"topic": topic, "part": PARTITION, "from": offset}
         if wait_s > 0:
             query["wait_ms"] = int(wait_s * 1e3)
-        status, body = await self._send(
+        era = self.era
+        response = await self._send(
             b"GET", "/-/log-read", query, b"", wait_s + CALL_TIMEOUT_S
         )
-        if status == GONE:
+        if response.status == GONE or (era is not None and era != self.era):
             raise RecordsGoneError(topic)
-        if status != OK:
+        if response.status != OK:
             raise LogUnavailableError(
-                f"store returned status {status} to a read of {topic}"
+                f"store returned status {response.status} to a read of {topic}"
             )
-        return _decode_page(topic, offset, body)
+        return _decode_page(topic, offset, response.body)
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Write one record of a keyed topic.
@@ -225,10 +253,12 @@
         body: bytes,
         timeout_s: float,
     ) -> bytes:
-        status, response = await self._send(method, path, query, body, timeout_s)
-        if status != OK:
-            raise LogUnavailableError(f"store returned status {status} to {path}")
-        return response
+        response = await self._send(method, path, query, body, timeout_s)
+        if response.status != OK:
+            raise LogUnavailableError(
+                f"store returned status {response.status} to {path}"
+            )
+        return response.body
 
     async def _send(
         self,
@@ -237,10 +267,21 @@
         query: dict[str, Any],
         body: bytes,
         timeout_s: float,
-    ) -> tuple[int, bytes]:
+    ) -> StoreResponse:
         self.calls += 1
         target = f"{path}?{urlencode(query)}" if query else path
-        return await self.transport(method, target, body, timeout_s)
+        response = await self.transport(method, target, body, timeout_s)
+        self._check_era(response)
+        return response
+
+    def _check_era(self, response: StoreResponse) -> None:
+        era, known = response.era, self.era
+        if era is None or era == known:
+            return
+        if known is not None and era < known:
+            raise LogUnavailableError(f"store response of era {era} in era {known}")
+        self.era = era
+        self.on_new_era(known, era)
 
     def _decode_object(self, body: bytes) -> dict[str, Any]:
         try:
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -84,7 +84,8 @@
     """In-memory metadata store with keyed topics and one group.
 
     ``bytes_per_s`` limits the rate at which records are sent, and the store falls
-    silent after ``silent_after_bytes`` of a response; None is unlimited.
+    silent after ``silent_after_bytes`` of a response; None is unlimited. All responses
+    name its ``era``; None leaves the header out.
     """
 
     def __init__(self):
@@ -96,6 +97,7 @@
         self.calls = []
         self.member_expiries = {}
         self.generation = 0
+        self.era = 1
         self.address = ""
 
     async def start(self, free_port):
@@ -123,15 +125,34 @@
         self.calls.append(name)
         await getattr(self, name.replace("-", "_"))(connection, query, request.body)
 
+    def respond(self, connection, status, body):
+        connection.send_response(status, self.build_era_headers(), body)
+
+    def build_era_headers(self):
+        return [] if self.era is None else [(b"Store-Era", b"%d" % self.era)]
+
+    def make_copy(self):
+        """Return a copy of the records and members, from which to restore the store."""
+        topics = {topic: list(records) for topic, records in self.topics.items()}
+        return topics, dict(self.member_expiries), self.generation
+
+    def restore(self, copy):
+        """Go back to a copy, in a new era; offsets are given out again."""
+        topics, self.member_expiries, self.generation = copy
+        self.topics = {topic: list(records) for topic, records in topics.items()}
+        self.member_expiries = dict(self.member_expiries)
+        self.first_offsets = {}
+        self.era += 1
+
     async def send_records(self, connection, body):
         if self.silent_after_bytes is not None and len(body) > self.silent_after_bytes:
-            connection.start_stream(200, ())
+            connection.start_stream(200, self.build_era_headers())
             connection.send_chunk(body[: self.silent_after_bytes])
             await asyncio.sleep(30)
         if self.bytes_per_s is None:
-            connection.send_response(200, (), body)
+            self.respond(connection, 200, body)
             return
-        connection.start_stream(200, ())
+        connection.start_stream(200, self.build_era_headers())
         piece = max(1, int(self.bytes_per_s * RECORDS_INTERVAL_S))
         for start in range(0, len(body), piece):
             connection.send_chunk(body[start : start + piece])
@@ -155,8 +176,9 @@
 
     async def log_read(self, connection, query, body):
         topic, first_offset = query["topic"], int(query["from"])
-        if first_offset < self.first_offsets.get(topic, 0):
-            connection.send_response(410, (), b'{"first":0}')
+        end = len(self.topics.get(topic, ()))
+        if not self.first_offsets.get(topic, 0) <= first_offset <= end:
+            self.respond(connection, 410, b'{"first":0}')
             return
         deadline = (
             asyncio.get_running_loop().time() + float(query.get("wait_ms", 0)) / 1e3
@@ -177,7 +199,7 @@
         size = body[4]
         key, value = body[5 : 5 + size].decode(), body[5 + size :]
         self.topics.setdefault(query["topic"], []).append((key, value))
-        connection.send_response(200, (), b'{"offset":0,"end":1}')
+        self.respond(connection, 200, b'{"offset":0,"end":1}')
 
     async def log_join(self, connection, query, body):
         request = json.loads(body)
@@ -199,11 +221,11 @@
             [[request["topics"][0], 0, 0]] if holder == request["member"] else []
         )
         response = {"generation": self.generation, "ttl_ms": 3000, "parts": partitions}
-        connection.send_response(200, (), json.dumps(response).encode())
+        self.respond(connection, 200, json.dumps(response).encode())
 
     async def log_leave(self, connection, query, body):
         self.member_expiries.pop(json.loads(body)["member"], None)
-        connection.send_response(200, (), b"{}")
+        self.respond(connection, 200, b"{}")
 
 
 class FakeEngine:
--- a/tests/test_gateway_log_trace.py
+++ b/tests/test_gateway_log_trace.py
@@ -148,3 +148,18 @@
         ("engine_backoff", "i-2"),
         ("refused", "i-2"),
     ]
+
+
+def test_trace_of_a_request_includes_a_new_era_of_the_store():
+    recorded = [
+        make_line(1.0, "store_era", era=4, previous=3),
+        make_line(1.0, "engine_held", engine="i-1", detail="x", left_s=5.0),
+        make_line(2.5, "refused", request="a", engine="i-1"),
+        make_line(5.5, "refused", request="b", reason="no engine"),
+    ]
+    assert select_events(recorded, "a") == [
+        ("store_era", None),
+        ("engine_held", "i-1"),
+        ("refused", "i-1"),
+    ]
+    assert select_events(recorded, "b") == [("engine_held", "i-1"), ("refused", None)]
--- a/tests/test_gateway_store_follower.py
+++ b/tests/test_gateway_store_follower.py
@@ -20,6 +20,7 @@
 
 class ScriptedStore:
     def __init__(self, clock):
+        self.era = None
         self.newest = RecordsPage((), 0)
         self.changes = []
         self.failure = None
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -7,7 +7,12 @@
 import pytest
 
 from jasminewalk.exceptions import LogUnavailableError
-from jasminewalk.platform.store import KeyedRecord, RecordsGoneError, StoreClient
+from jasminewalk.platform.store import (
+    KeyedRecord,
+    RecordsGoneError,
+    StoreClient,
+    StoreResponse,
+)
 
 
 def encode_page(*contents, end=9, first=0):
@@ -27,7 +32,7 @@
 
         async def call(self, method, target, body, timeout_s):
             self.requests.append((method, target, body))
-            return self.responses.pop(0)
+            return StoreResponse(*self.responses.pop(0))
 
     return ScriptedStore()
 
