Hand out each port once in the tests of gateways

A gateway in a test now and then never became ready ("TimeoutError" in GatewayHarness.start). Its task had ended with "address already in use": twice in a row, free_port can return the same port, and it did not ask whether the port is free for UDP. Of 2,000 ports in a row, 165 were returned before.

test_free_ports_are_handed_out_once fails without the change.

--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -31,10 +31,25 @@
 """
 
 
+used_ports = set()
+
+
 def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a port that is free for TCP and UDP and was not returned before."""
+    while True:
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            tcp.bind(("127.0.0.1", 0))
+            port = tcp.getsockname()[1]
+            with suppress(OSError):
+                udp.bind(("127.0.0.1", port))
+                if port not in used_ports:
+                    used_ports.add(port)
+                    return port
+
+
+def test_free_ports_are_handed_out_once():
+    ports = [free_port() for _ in range(2000)]
+    assert len(set(ports)) == len(ports)
 
 
 INITIAL_CONFIGURATION = configuration()
