--- a/src/jasminewalk/gateway/store_connections.py
+++ b/src/jasminewalk/gateway/store_connections.py
@@ -11,6 +11,8 @@
     connect,
     encode_request,
 )
+from jasminewalk.platform.headers import decode_store_era
+from jasminewalk.platform.store import StoreResponse
 
 __all__ = ["StoreConnections"]
 
@@ -47,8 +49,8 @@
 
     async def call(
         self, method: bytes, target: str, body: bytes, timeout_s: float
-    ) -> tuple[int, bytes]:
-        """Send one call and return the status and body of the response.
+    ) -> StoreResponse:
+        """Send one call and return the response.
 
         A response may take longer than the timeout as long as data keeps arriving,
         because a slow link needs more than that for a large one.
@@ -74,7 +76,7 @@
 
     async def _send(
         self, request: bytes, exchange: Exchange, timeout_s: float
-    ) -> tuple[int, bytes]:
+    ) -> StoreResponse:
         connection = await connect(
             self.address, CONNECT_TIMEOUT_S, self.clock, self.budget
         )
@@ -82,6 +84,8 @@
             connection.send(request, exchange)
             async with asyncio.timeout(timeout_s):
                 response = await exchange.head()
-            return response.status, await exchange.body(timeout_s)
+            body = await exchange.body(timeout_s)
+            era = decode_store_era(response.headers)
+            return StoreResponse(response.status, body, era)
         finally:
             connection.abort()
--- a/tests/test_gateway_store_connections.py
+++ b/tests/test_gateway_store_connections.py
@@ -6,6 +6,7 @@
 
 from jasminewalk.exceptions import LogUnavailableError
 from jasminewalk.gateway.store_connections import StoreConnections
+from jasminewalk.platform.store import StoreResponse
 
 pytestmark = pytest.mark.anyio
 
@@ -44,8 +45,8 @@
     connections = StoreConnections(free_address, asyncio.get_running_loop().time)
     for number in range(3):
         target = f"/-/log-read?from={number}"
-        status, body = await connections.call(b"GET", target, b"", TIMEOUT_S)
-        assert (status, body) == (200, target.encode())
+        response = await connections.call(b"GET", target, b"", TIMEOUT_S)
+        assert response == StoreResponse(200, target.encode())
     assert len(store) == 3
 
 
@@ -67,4 +68,5 @@
     with pytest.raises(LogUnavailableError, match="connect failed"):
         await connections.call(b"GET", "/", b"", TIMEOUT_S)
     connections.use_address(free_address)
-    assert await connections.call(b"GET", "/a", b"", TIMEOUT_S) == (200, b"/a")
+    response = await connections.call(b"GET", "/a", b"", TIMEOUT_S)
+    assert response == StoreResponse(200, b"/a")
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -14,6 +14,7 @@
     KeyedRecord,
     RecordsGoneError,
     StoreClient,
+    StoreResponse,
 )
 
 
@@ -34,7 +35,7 @@
 
         async def call(self, method, target, body, timeout_s):
             self.requests.append((method, target, body))
-            return self.responses.pop(0)
+            return StoreResponse(*self.responses.pop(0))
 
     return ScriptedStore()
 
