Test that a control message without end is cut off

NNG closes the connection of a peer that announces a message larger than message_bytes, and the messages of others arrive. The test passed at once; it guards the limit that is passed to pynng.

--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -86,3 +86,25 @@
     peer.close()
     assert len(listener_handler.messages) == 1
     assert listener_handler.rejected == [1502]
+
+
+async def test_message_without_end_is_cut_off_and_others_arrive(
+    listener, listener_handler, free_address
+):
+    pair1_header = b"\x00SP\x00\x00\x11\x00\x00"
+    hello = EntryHello(entry="entry", incarnation="i2")
+    dialer = PeerDialer(free_address, "entry", "i2", PEERS, RecordingHandler())
+    async with anyio.create_task_group() as group:
+        group.start_soon(listener.receive)
+        host, _, port = free_address.rpartition(":")
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            with anyio.fail_after(TIMEOUT_S), pytest.raises(anyio.BrokenResourceError):
+                await stream.send(pair1_header + (1 << 40).to_bytes(8, "big"))
+                while True:
+                    await stream.send(b"a" * 65536)
+        await send_until_accepted(dialer, hello)
+        with anyio.fail_after(TIMEOUT_S):
+            await listener_handler.changed.wait()
+        dialer.close()
+        listener.close()
+    assert listener_handler.messages == [("entry", hello)]
