Limit the responses that the load generator reads

A response, an error or a line of a stream without end filled the memory of the load generator until the deadline of its request plus 5 s: 1.7 and 2.0 GB had arrived when the test failed. The first two use the limited read now, and a line of a stream has at most 64 KiB, as in entries; such a request counts as failed.

Evidence: test_load_generator_gives_a_response_up_at_its_limit failed before in its 3 cases, and passes now. test_engine_that_sends_only_interim_responses_is_stalled passed before and after; it guards the timeout that ends such a generation.

--- a/src/jasminewalk/loads/load.py
+++ b/src/jasminewalk/loads/load.py
@@ -15,12 +15,17 @@
 from jasminewalk.loads.reports import format_result, write_report
 from jasminewalk.settings import load_settings
 from jasminewalk.transport._http import build_url, open_http_pool
+from jasminewalk.transport._http_call import (
+    HTTP_OK,
+    MAX_RESPONSE_BYTES,
+    read_limited_body,
+)
 
 __all__ = ["LoadDriver", "run_load"]
 
 PROGRESS_INTERVAL_S = 1.0
 TIMEOUT_MARGIN_S = 5.0
-HTTP_OK = 200
+MAX_LINE_BYTES = 1 << 16
 HTTP_SERVER_ERROR = 500
 EVENT_PREFIX = b"data: "
 DONE_EVENT = b"data: [DONE]"
@@ -116,11 +121,12 @@
             content=request.body,
         ) as response:
             if response.status != HTTP_OK:
-                record_error(result, response.status, await response.aread())
+                body = await read_limited_body(response, MAX_RESPONSE_BYTES)
+                record_error(result, response.status, body)
             elif request.streamed:
                 await self.read_tokens(request, result, response)
             else:
-                await response.aread()
+                await read_limited_body(response, MAX_RESPONSE_BYTES)
                 result.outcome = "answered"
 
     async def read_tokens(
@@ -131,11 +137,14 @@
         :param request: the request.
         :param result: result of the request; updated.
         :param response: the response.
+        :raises httpcore.RemoteProtocolError: if a line is too long.
         """
         partial_line = b""
         last_s: float | None = None
         async for chunk in response.aiter_stream():
             *lines, partial_line = (partial_line + chunk).split(b"\n")
+            if len(partial_line) > MAX_LINE_BYTES:
+                raise httpcore.RemoteProtocolError("A line of the stream is too long.")
             tokens = sum(has_token(line) for line in lines)
             if tokens:
                 now_s = self.now_s
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -14,11 +14,14 @@
 from jasminewalk.generated_requests import Frame
 from jasminewalk.ingress.jobs import GenerationJob
 from jasminewalk.interfaces import ServiceRequest
+from jasminewalk.loads.load import LoadDriver
 from jasminewalk.sidecars.engine_client import HttpEngine
 from jasminewalk.sidecars.service_client import HttpService
 from jasminewalk.transport._http import open_http_pool
 from jasminewalk.transport._http_call import call
 from raw_server import EndlessServer, RawServer, build_response
+from test_load import PLAN
+from test_sidecar_streams import make_runner
 from test_standins import make_request
 
 pytestmark = pytest.mark.anyio
@@ -139,6 +142,23 @@
         assert server.sent_bytes < SOCKET_BUFFERS_BYTES
 
 
+@pytest.mark.parametrize(
+    ("status", "streamed"),
+    [(b"200 OK", False), (b"500 Broken", False), (b"200 OK", True)],
+    ids=["response", "error", "line of a stream"],
+)
+async def test_load_generator_gives_a_response_up_at_its_limit(pool, status, streamed):
+    start = OK.replace(b"200 OK", status) + b"\r\n"
+    driver = LoadDriver(PLAN, pool, print)
+    async with EndlessServer(start, BLOCK).serve() as server:
+        due = next(driver.schedule.generate_requests())
+        request = attrs.evolve(due, address=server.address, streamed=streamed)
+        with anyio.fail_after(PLAN.kinds[request.kind].deadline_s):
+            await driver.send_request(request)
+        assert driver.tally.totals["failed"] == 1
+        assert server.sent_bytes < (32 << 20) + SOCKET_BUFFERS_BYTES
+
+
 STREAM_START = CHUNKED.replace(OK, OK + b"jasminewalk-attempt: r1/1\r\n")
 COMPLETE_STREAM = b"".join(
     msgspec.json.encode(
@@ -207,3 +227,24 @@
         assembler = await generate(harness, deadline_s=3.0)
         assert (harness.sink.texts, assembler.finish_reason) == (TOKENS, "length")
         assert harness.outcomes == ["ok"]
+
+
+async def test_engine_that_sends_only_interim_responses_is_stalled(pool):
+    async with EndlessServer(b"", INTERIM_RESPONSE).serve() as server:
+        runner = make_runner(HttpEngine(pool, server.address), SHORT_TIMEOUT_S)
+        sent = []
+
+        async def send(message):
+            sent.append(message)
+
+        async def run_ticks():
+            while True:
+                await runner.tick()
+                await anyio.sleep(SHORT_TIMEOUT_S / 10)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(run_ticks)
+            with anyio.fail_after(SHORT_TIMEOUT_S * 20):
+                await runner.handle(make_request(), anyio.sleep_forever, send)
+            group.cancel_scope.cancel()
+        assert b'"code":1407' in b"".join(message.get("body", b"") for message in sent)
--- a/tests/test_sidecar_streams.py
+++ b/tests/test_sidecar_streams.py
@@ -47,13 +47,13 @@
     )
 
 
-def make_runner(engine):
+def make_runner(engine, progress_timeout_s=TIMEOUT_S):
     return GenerationRunner(
         engine=engine,
         queue=EndpointQueue(QueueSettings(engine_prefill_s=0.0, max_running=8)),
         pool="tutor",
         clock=SystemClock(),
-        progress_timeout_s=TIMEOUT_S,
+        progress_timeout_s=progress_timeout_s,
         metrics=Metrics("sidecar"),
     )
 
