--- a/src/jasminewalk/gateway/engine_clients.py
+++ b/src/jasminewalk/gateway/engine_clients.py
@@ -29,6 +29,8 @@
 # it is unknown whether the request arrived.
 MAX_IDLE_ONCE_S = 0.4
 MAX_IDLE_REPEATABLE_S = 3.0
+# Largest body of the response to a control request.
+MAX_CONTROL_BODY_BYTES = 1024 * 1024
 # Seconds between two sweeps for idle connections.
 SWEEP_INTERVAL_S = 1.0
 
@@ -168,6 +170,7 @@
                 repeatable=False,
                 timeout_s=timeout_s,
             )
+            sent.exchange.max_body_bytes = MAX_CONTROL_BODY_BYTES
             try:
                 response = await sent.exchange.head()
                 return response.status, await sent.exchange.body()
