End a body of tiny chunks early

Events of streams are longer than the framing of their chunks.

Before, the small_chunks cases failed with "assert 504 == 502" and a TimeoutError.

--- a/src/jasminewalk/http1/client.py
+++ b/src/jasminewalk/http1/client.py
@@ -20,10 +20,10 @@
     "connect",
 ]
 
-# An exchange is aborted after more bytes that are not part of a body: heads, chunk
-# framing and trailers. Each byte of a body allows for some more.
+# An exchange is aborted when its received bytes, with heads, chunk framing and
+# trailers, exceed this multiple of the bytes of bodies by more than the maximum.
 MAX_FRAMING_BYTES = 64 * 1024
-FRAMING_BYTES_PER_BODY_BYTE = 8
+RECEIVED_BYTES_PER_BODY_BYTE = 2
 # An exchange is aborted after more bytes of bodies of skipped responses.
 MAX_SKIPPED_BYTES = 1024 * 1024
 # An exchange with a larger response body is aborted, because bodies are buffered in
@@ -416,7 +416,7 @@
 
     def _check_framing(self, exchange: Exchange) -> None:
         body_bytes = exchange.body_bytes + exchange.skipped_bytes
-        allowed = FRAMING_BYTES_PER_BODY_BYTE * (body_bytes - self.checked_body_bytes)
+        allowed = RECEIVED_BYTES_PER_BODY_BYTE * (body_bytes - self.checked_body_bytes)
         if self.unchecked_bytes <= allowed:
             self.unchecked_bytes = 0
             self.checked_body_bytes = body_bytes
--- a/tests/endless_peers.py
+++ b/tests/endless_peers.py
@@ -61,9 +61,11 @@
     EndlessBytes("foreign_body", FOREIGN_HEAD, b"x"),
     EndlessBytes("foreign_responses", b"", FOREIGN_RESPONSE),
 ]
+SMALL_CHUNK = b"4\r\nbody\r\n"
 ENDLESS_BODIES = [
     EndlessBytes("length", make_head(b"content-length: 99999999999") + b"\r\n", b"x"),
     EndlessBytes("chunks", CHUNKED_HEAD, b"400\r\n" + b"x" * 1024 + b"\r\n"),
+    EndlessBytes("small_chunks", CHUNKED_HEAD, SMALL_CHUNK),
     EndlessBytes("until_close", make_head() + b"\r\n", b"x"),
 ]
 ENDLESS_EVENTS = [
@@ -75,7 +77,6 @@
 ]
 PART_OF_STREAM = make_head() + b"\r\nid: 1\ndata: x\n\nid: 2\ndata: "
 ERROR_HEAD = make_head(CHUNKED, status=b"500 Failed") + b"\r\n"
-SMALL_CHUNK = b"4\r\nbody\r\n"
 ENDLESS_ERRORS = [
     EndlessBytes("error_chunks", ERROR_HEAD, SMALL_CHUNK),
     EndlessBytes(
--- a/tests/test_endless_engines.py
+++ b/tests/test_endless_engines.py
@@ -5,7 +5,6 @@
 import pytest
 
 from endless_peers import (
-    CHUNKED_HEAD,
     ENDLESS_BODIES,
     ENDLESS_ERRORS,
     ENDLESS_EVENTS,
@@ -13,7 +12,6 @@
     ENDLESS_FRAMING,
     ENDLESS_HEADS,
     PART_OF_STREAM,
-    SMALL_CHUNK,
     EndlessBytes,
     EndlessEngine,
     make_head,
@@ -271,7 +269,7 @@
 @pytest.mark.parametrize("slow", [False, True])
 @pytest.mark.parametrize(
     "endless",
-    [*ENDLESS, EndlessBytes("small_chunks", CHUNKED_HEAD, SMALL_CHUNK)],
+    ENDLESS,
     ids=str,
 )
 async def test_prefill_without_end_is_followed_by_another_placement(
@@ -303,7 +301,6 @@
         *ENDLESS_FRAMING,
         ENDLESS_FOREIGN[0],
         *ENDLESS_BODIES,
-        EndlessBytes("small_chunks", CHUNKED_HEAD, SMALL_CHUNK),
     ],
     ids=str,
 )
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -91,7 +91,7 @@
 @pytest.mark.parametrize("endless", ENDLESS_BODIES, ids=str)
 async def test_endless_body_fails_the_exchange(open_endless, endless):
     peer, _, exchange = await open_endless(endless)
-    with pytest.raises(ExchangeBrokenError, match="too large"):
+    with pytest.raises(ExchangeBrokenError, match=r"too (large|many)"):
         await receive_whole(exchange)
     await assert_closed_by_client(peer)
     assert peer.sent_bytes < 2 * MAX_RESPONSE_BODY_BYTES + SOCKET_BUFFER_BYTES
@@ -128,7 +128,7 @@
 
 @pytest.mark.anyio
 async def test_receiving_pauses_while_the_body_is_not_read(open_endless):
-    endless = EndlessBytes("chunks", CHUNKED_HEAD, b"4\r\nbody\r\n")
+    endless = EndlessBytes("chunks", CHUNKED_HEAD, b"20\r\n" + b"x" * 32 + b"\r\n")
     peer, connection, exchange = await open_endless(endless)
     await asyncio.sleep(0.5)
     assert exchange.body_bytes < 512 * 1024
