Retry a repeatable request whose body is late, not only its head

A repeatable request went to another engine only if the head of the response was late. An engine that sent its head at once and its body slowly, or without end, kept the request until its deadline, and the caller got 504 although another engine was sound.

The time after which a request goes to another engine now covers the whole response, as the latency that it is derived from does. Without a retry left, the body is waited for as before; Exchange.body() goes on after a timeout with what it had read.

Before, 7 of 21 cases of test_safe_request_is_answered_by_another_engine with slow bytes failed with "assert 504 == 200".

--- a/src/jasminewalk/gateway/plain_run.py
+++ b/src/jasminewalk/gateway/plain_run.py
@@ -135,7 +135,7 @@
     ) -> PlainAttemptResult:
         try:
             async with asyncio.timeout(max(self.engine_remaining_s, 0)):
-                if not await self._wait_for_head(sent, slow_after_s):
+                if not await self._wait_for_response(sent, slow_after_s):
                     return PlainAttemptResult(
                         None, reason=NO_RESPONSE, retry_granted=True
                     )
@@ -156,7 +156,7 @@
             return PlainAttemptResult(None, reason="answer is not the engine's")
         return PlainAttemptResult(response, body, f"engine answered {response.status}")
 
-    async def _wait_for_head(self, sent: OpenExchange, slow_after_s: float) -> bool:
+    async def _wait_for_response(self, sent: OpenExchange, slow_after_s: float) -> bool:
         """Return False if the response is late and a retry was taken from the budget.
 
         Without a retry, a late response is waited for until the deadline.
@@ -166,6 +166,7 @@
         try:
             async with asyncio.timeout(slow_after_s):
                 await sent.exchange.head()
+                await sent.exchange.body()
         except TimeoutError:
             other_engine = (
                 self.engine_remaining_s >= MIN_SEND_TIME_S and self._choose_engine()
--- a/src/jasminewalk/http1/client.py
+++ b/src/jasminewalk/http1/client.py
@@ -98,7 +98,8 @@
     :param skipped_bytes: number of bytes of the bodies of skipped responses.
     :param max_body_bytes: larger bodies fail the exchange.
     :param unread_bytes: number of bytes of ``chunks``.
-    :param kept_bytes: number of bytes of an incomplete body that were read.
+    :param kept_chunks: bytes of the body that ``body`` has read.
+    :param kept_bytes: number of bytes of ``kept_chunks``.
     :param held_bytes: number of bytes that count towards the connection's budget.
     :param waiter: future of the task that waits for data.
     :param on_response: called with the status and headers of the response.
@@ -114,6 +115,7 @@
     skipped_bytes: int = 0
     max_body_bytes: int = MAX_RESPONSE_BODY_BYTES
     unread_bytes: int = 0
+    kept_chunks: list[bytes] = attrs.field(factory=list)
     kept_bytes: int = 0
     held_bytes: int = 0
     waiter: asyncio.Future[None] | None = None
@@ -152,19 +154,18 @@
         return await self._read_chunks()
 
     async def body(self, chunk_timeout_s: float | None = None) -> bytes:
-        """Wait for the complete body.
+        """Wait for the complete body. After a timeout, it can be waited for again.
 
         :param chunk_timeout_s: longest time in seconds without data; None is unlimited.
         :raises ExchangeBrokenError: if the exchange fails first.
         :raises TimeoutError: if no data arrives in time.
         """
-        parts: list[bytes] = []
         while True:
             async with asyncio.timeout(chunk_timeout_s):
                 part = await self._read_chunks(keep=True)
             if not part:
-                return b"".join(parts)
-            parts.append(part)
+                return b"".join(self.kept_chunks)
+            self.kept_chunks.append(part)
 
     async def _read_chunks(self, *, keep: bool = False) -> bytes:
         while not self.chunks:
--- a/tests/test_endless_engines.py
+++ b/tests/test_endless_engines.py
@@ -99,9 +99,10 @@
 
 
 @pytest.mark.anyio
+@pytest.mark.parametrize("slow", [False, True])
 @pytest.mark.parametrize("endless", ENDLESS, ids=str)
-async def test_safe_request_is_answered_by_another_engine(harness, endless):
-    engine = EndlessEngine("app-0", endless)
+async def test_safe_request_is_answered_by_another_engine(harness, endless, slow):
+    engine = EndlessEngine("app-0", endless, slow=slow)
     await harness.start(engine, FakeEngine("app-1"))
     for _ in range(3):
         status, _, elapsed_s = await send_timed(harness, "/look/seats")
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -180,3 +180,26 @@
         await call(endless, slow=slow)
     body_bytes = MAX_BODY_BYTES if endless in ENDLESS_BODIES else 0
     assert peers[0].sent_bytes < 2 * body_bytes + SOCKET_BUFFER_BYTES
+
+
+@pytest.mark.anyio
+async def test_body_is_whole_if_it_is_waited_for_again_after_a_timeout(free_address):
+    async def handle(reader, writer):
+        await reader.read(100)
+        writer.write(CHUNKED_HEAD.replace(b"REQUEST-ID", b"a"))
+        for part in (b"5\r\nfirst\r\n", b"6\r\nsecond\r\n", b"0\r\n\r\n"):
+            writer.write(part)
+            await asyncio.sleep(0.15)
+        writer.close()
+
+    host, _, port = free_address.rpartition(":")
+    server = await asyncio.start_server(handle, host, int(port))
+    connection = await connect(free_address, 1.0, get_time)
+    exchange = Exchange("a")
+    connection.send(encode_request(b"GET", b"/", (), b""), exchange)
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.1):
+            await exchange.body()
+    assert await receive_whole(exchange) == b"firstsecond"
+    connection.abort()
+    server.close()
