--- a/src/jasminewalk/gateway/engine_clients.py
+++ b/src/jasminewalk/gateway/engine_clients.py
@@ -29,6 +29,8 @@
 # it is unknown whether the request arrived.
 MAX_IDLE_ONCE_S = 0.4
 MAX_IDLE_REPEATABLE_S = 3.0
+# Largest body of the response to a control request.
+MAX_CONTROL_BODY_BYTES = 1024 * 1024
 # Seconds between two sweeps for idle connections.
 SWEEP_INTERVAL_S = 1.0
 
@@ -150,6 +152,7 @@
             request = encode_request(method, target, all_headers, body)
             connection = await self._connect(engine, timeout_s)
             exchange = self._build_exchange(engine, method, "")
+            exchange.max_body_bytes = MAX_CONTROL_BODY_BYTES
             try:
                 connection.send(request, exchange)
                 response = await exchange.head()
