Send a request to an engine again on a new connection

A stream went on from a handle that was used before: the prefill succeeded, its decode engine failed, and the same engine ran the prefill of the retry. On the reused connection the late second response to the first prefill came first. It names the request, so it was accepted, and with it the first handle, which may be released and given to another request by then.

An id can't tell two sends of one request apart, but the connection can: what arrives on a new one can only belong to the request sent on it. Only generations send twice to one engine; plain requests exclude the engines that they tried.

--- a/src/jasminewalk/gateway/engine_clients.py
+++ b/src/jasminewalk/gateway/engine_clients.py
@@ -91,6 +91,7 @@
         request_id: str,
         repeatable: bool,
         timeout_s: float,
+        reuses_connection: bool = True,
     ) -> OpenExchange:
         """Send a request to an engine.
 
@@ -102,6 +103,8 @@
         :param request_id: id that the response must carry; empty accepts any.
         :param repeatable: whether the request may run more than once.
         :param timeout_s: timeout for opening a connection, in seconds.
+        :param reuses_connection: whether the request may be sent on a connection that
+            carried others.
         :raises NotSentError: if no connection could be opened.
         """
         engine.record_sent(self.clock())
@@ -111,6 +114,7 @@
             request_id=request_id,
             repeatable=repeatable,
             timeout_s=timeout_s,
+            reuses_connection=reuses_connection,
         )
 
     async def _exchange(
@@ -121,10 +125,11 @@
         request_id: str,
         repeatable: bool,
         timeout_s: float,
+        reuses_connection: bool = True,
     ) -> OpenExchange:
         pool = self.get_pool(engine)
         max_idle_s = MAX_IDLE_REPEATABLE_S if repeatable else MAX_IDLE_ONCE_S
-        connection = pool.take_idle(max_idle_s)
+        connection = pool.take_idle(max_idle_s) if reuses_connection else None
         if connection is None:
             connection = await self._connect(engine, timeout_s)
         exchange = Exchange(request_id)
--- a/src/jasminewalk/gateway/generation_run.py
+++ b/src/jasminewalk/gateway/generation_run.py
@@ -45,6 +45,7 @@
         self.reason = ""
         self.prefilled_prompt: PrefilledPrompt | None = None
         self.failed_prefills = 0
+        self.sent_engines: set[str] = set()
         self._record_demand()
 
     @abstractmethod
@@ -260,13 +261,16 @@
         :raises NotSentError: if no connection to the engine could be opened.
         """
         resumed = self.stream_started
+        engine_id = engine.entry.engine_id
+        sent_before = engine_id in self.sent_engines
+        self.sent_engines.add(engine_id)
         return await self.context.clients.send(
             engine,
             self.request.method,
             self.request.target,
             build_engine_headers(
                 self.request.headers,
-                engine_id=engine.entry.engine_id,
+                engine_id=engine_id,
                 deadline_s=self.engine_remaining_s,
                 priority=priority,
                 prefill_only=prefill_only,
@@ -277,6 +281,8 @@
             request_id=self.head.request_id,
             repeatable=self.route.resumable or prefill_only,
             timeout_s=self.engine_remaining_s,
+            # A late second response to what this request sent before names it too.
+            reuses_connection=not sent_before,
         )
 
     async def wait_for_response(
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -346,6 +346,31 @@
         assert prefiller.handles[source.decode().partition("/")[2]] == request_id
 
 
+@pytest.mark.anyio
+async def test_second_prefill_of_a_request_never_gives_the_handle_of_its_first(harness):
+    await harness.start(*make_llm_engines())
+    prefiller, *decoders = harness.engines.values()
+    prefiller.repeats_responses = True
+
+    async def fail_once(connection, request, headers):
+        for engine in decoders:
+            engine.behaviour = "answer"
+        await decoders[0].error(connection, request, headers)
+
+    for engine in decoders:
+        engine.behaviour, engine.fail_once = "fail_once", fail_once
+    status, _, _ = await harness.send_request(
+        "/verdict/", b"notes", **LONG_PROMPT_HEADERS
+    )
+    assert status == 200
+    sources = [
+        headers.get(b"x-jasminewalk-kv-source")
+        for engine in decoders
+        for _, headers in engine.requests
+    ]
+    assert len(prefiller.requests) == len(set(sources)) == 2
+
+
 @pytest.mark.anyio
 async def test_log_line_of_refusal_has_inputs_of_the_decision(harness):
     await harness.start(*make_llm_engines())
