Repeat responses in the gateway soak, and send some without end

The engines and the store of the soak can now send a response a second time: at once, while the connection is idle, before or after the next response, cut in the status line, the head or the body, or after the caller gave up; on control calls and store calls too. They can send heads, headers, bodies, foreign responses and trailers without end. The soak checks from outside that each answer and event names its caller's request, that streams go on from a handle of their own request and each handle is used once, releases, the holder of each order (the store knows it), memory (VmHWM), that requests are answered meanwhile, and that gateways read new records after the faults. The fault schedule of these runs has a generator of its own, so that it no longer depends on the callers' timing. Runs without the new faults have the sequences that they had.

--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -4,10 +4,10 @@
 import base64
 import json
 import struct
-from functools import partial
 from urllib.parse import parse_qs, urlsplit
 
 from jasminewalk.http1 import CallerServer
+from response_faults import ResponseFaults
 
 ROUTES = [
     {
@@ -96,10 +96,12 @@
         self.calls = []
         self.member_expiries = {}
         self.generation = 0
+        self.holders = {}
+        self.faults = ResponseFaults()
         self.address = ""
 
-    async def start(self, free_port):
-        self.address = f"127.0.0.1:{free_port}"
+    async def start(self, port):
+        self.address = f"127.0.0.1:{port}"
         self.server = CallerServer(
             self.handle, asyncio.get_running_loop().time, print, print
         )
@@ -121,7 +123,11 @@
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         name = url.path.removeprefix("/-/")
         self.calls.append(name)
-        await getattr(self, name.replace("-", "_"))(connection, query, request.body)
+        if await self.faults.send_endlessly(connection, ()):
+            return
+        async with self.faults.repeat(connection):
+            respond = getattr(self, name.replace("-", "_"))
+            await respond(connection, query, request.body)
 
     async def send_records(self, connection, body):
         if self.silent_after_bytes is not None and len(body) > self.silent_after_bytes:
@@ -195,6 +201,7 @@
         self.member_expiries = live_members
         self.member_expiries[request["member"]] = now + request["ttl_ms"] / 1e3
         holder = next(iter(self.member_expiries))
+        self.holders.setdefault(self.generation, set()).add(holder)
         partitions = (
             [[request["topics"][0], 0, 0]] if holder == request["member"] else []
         )
@@ -202,7 +209,8 @@
         connection.send_response(200, (), json.dumps(response).encode())
 
     async def log_leave(self, connection, query, body):
-        self.member_expiries.pop(json.loads(body)["member"], None)
+        if self.member_expiries.pop(json.loads(body)["member"], None) is not None:
+            self.generation += 1
         connection.send_response(200, (), b"{}")
 
 
@@ -211,7 +219,7 @@
 
     ``behaviour`` is the name of the method that handles the requests of callers. If it
     ``repeats_responses``, the last response on a connection is sent again when the next
-    request arrives there, before the response to that one.
+    request arrives there, before the response to that one; ``faults`` has more ways.
     """
 
     def __init__(self, engine_id, service="app", stage="", zone="north"):
@@ -231,13 +239,11 @@
         self.request_limit = ""
         self.arrivals = []
         self.handles = {}
-        self.repeats_responses = False
-        self.last_responses = {}
-        self.repeated_responses = 0
+        self.faults = ResponseFaults()
         self.address = ""
 
-    async def start(self, free_port):
-        self.address = f"127.0.0.1:{free_port}"
+    async def start(self, port):
+        self.address = f"127.0.0.1:{port}"
         self.server = CallerServer(
             self.handle, asyncio.get_running_loop().time, print, print
         )
@@ -259,25 +265,27 @@
             fields["stage"] = self.stage
         return fields | changes
 
-    def repeat_last_response(self, connection):
-        """Send the last response on the connection again and record the next one."""
-        last = self.last_responses.get(connection)
-        if last is None:
-            connection._write = partial(self.write_recorded, connection)
-        elif last:
-            connection.transport.write(b"".join(last))
-            self.repeated_responses += 1
-        self.last_responses[connection] = []
+    @property
+    def repeats_responses(self):
+        return bool(self.faults.repeats)
+
+    @repeats_responses.setter
+    def repeats_responses(self, value):
+        self.faults.repeats = ("before_next_response",) if value else ()
 
-    def write_recorded(self, connection, data):
-        self.last_responses[connection].append(data)
-        type(connection)._write(connection, data)
+    @property
+    def repeated_responses(self):
+        return self.faults.repeated_count
 
     async def handle(self, connection, request):
+        async with self.faults.repeat(connection):
+            await self.respond(connection, request)
+
+    async def respond(self, connection, request):
         headers = dict(request.headers)
-        if self.repeats_responses:
-            self.repeat_last_response(connection)
         if request.path.startswith("/-/"):
+            if await self.faults.send_endlessly(connection, ()):
+                return
             await self.handle_control_call(connection, request)
             return
         self.requests.append((request, headers))
@@ -288,7 +296,9 @@
             self.executed_requests.append((request_id, request.target, prefill))
         self.running_requests.add(request_id)
         try:
-            await getattr(self, self.behaviour)(connection, request, headers)
+            own_headers = self.build_headers(headers)
+            if not await self.faults.send_endlessly(connection, own_headers):
+                await getattr(self, self.behaviour)(connection, request, headers)
         except asyncio.CancelledError:
             self.cancelled.append(request_id)
             raise
@@ -329,7 +339,7 @@
     async def answer(self, connection, request, headers):
         await asyncio.sleep(1.5 if request.path.endswith("/slow") else self.delay_s)
         if headers.get(b"x-jasminewalk-stage") == b"prefill":
-            handle = f"h-{len(self.requests)}"
+            handle = f"h-{len(self.handles) + 1}"
             self.handles[handle] = headers[b"x-jasminewalk-request-id"]
             body = {"kv_handle": handle, "tokens": 1, "version": 1}
             connection.send_response(
@@ -347,7 +357,7 @@
         connection.start_stream(200, self.build_headers(headers))
         first_event = int(headers.get(b"last-event-id", b"0")) + 1
         for number in range(first_event, count + 1):
-            connection.send_chunk(b"id: %d\ndata: token %d\n\n" % (number, number))
+            connection.send_chunk(build_event(headers, number))
             await asyncio.sleep(0)
 
     async def break_stream(self, connection, request, headers):
@@ -366,11 +376,12 @@
         await self.send_events(connection, headers, 1)
         await asyncio.sleep(1.5)
         for number in range(2, self.event_count + 1):
-            connection.send_chunk(b"id: %d\ndata: token %d\n\n" % (number, number))
+            connection.send_chunk(build_event(headers, number))
         connection.end_stream()
 
     async def error(self, connection, request, headers):
-        connection.send_response(500, self.build_headers(headers), b"engine failed")
+        body = b"engine failed " + headers[b"x-jasminewalk-request-id"]
+        connection.send_response(500, self.build_headers(headers), body)
 
     async def full(self, connection, request, headers):
         response_headers = [
@@ -404,3 +415,9 @@
             (b"content-encoding", b"gzip"),
         ]
         connection.send_response(200, response_headers, b"zipped")
+
+
+def build_event(headers, number):
+    """Return an event of a stream, which names its request and its number."""
+    request_id = headers[b"x-jasminewalk-request-id"]
+    return b"event: %s\nid: %d\ndata: token %d\n\n" % (request_id, number, number)
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -5,6 +5,7 @@
 from gateway_soak import run_soak
 
 DURATION_S = 6.0
+REPEATS_DURATION_S = 4.0
 
 
 # Seeds 2 and 4: a generation that an engine answered without a signature was reported
@@ -12,9 +13,20 @@
 # Seed 7: SIGHUP ended a process that had not installed its signal handlers yet.
 @pytest.mark.parametrize("seed", [1, 2, 4, 7])
 def test_guarantees_hold_under_faults(seed):
-    assert run_soak(seed, DURATION_S) > 0
+    assert run_soak(seed, DURATION_S)["answers"] > 0
 
 
 @pytest.mark.parametrize("seed", [200, 201])
 def test_versions_come_into_force_over_slow_links(seed):
-    assert run_soak(seed, 2 * DURATION_S, slow_links=True) > 0
+    counts = run_soak(seed, 2 * DURATION_S, slow_links=True)
+    assert counts["answers"] > 0
+
+
+# Seed 12 finds prefills that take any response, seed 302 a handle that is used twice: a
+# late second response to the first prefill of a request was taken for its second.
+@pytest.mark.parametrize("seed", [12, 302])
+def test_no_answer_or_handle_is_mixed_up_with_a_repeated_one(seed):
+    counts = run_soak(seed, REPEATS_DURATION_S, response_faults="engines")
+    assert counts["answers"] > 0
+    assert counts["repeated"] > 0
+    assert counts["handles"] > 0
