Name the store's era once in a peer message

The era stood in each TopicProgress, so a message of an earlier gateway was not encoded again byte for byte, and a field stood in the middle of the message. It is now one last field of the message, which an earlier gateway ignores and whose absence reads as unknown, like the fields added before.

--- a/src/jasminewalk/gateway/peer_link.py
+++ b/src/jasminewalk/gateway/peer_link.py
@@ -175,6 +175,7 @@
             now,
             self.configuration.compute_progress(now),
             self.registry.compute_progress(now),
+            self.registry.announced_era,
         )
         for peer in list(self.exchange.peers.values()):
             host, _, port = peer.address.rpartition(":")
@@ -192,8 +193,9 @@
             return
         now = self.clock()
         if self.exchange.apply_message(now, message):
-            self.configuration.record_peer_progress(now, message.configuration)
-            self.registry.record_peer_progress(now, message.registry)
+            era = message.store_era
+            self.configuration.record_peer_progress(now, message.configuration, era)
+            self.registry.record_peer_progress(now, message.registry, era)
             for event in chain(
                 self.exchange.apply_limits(now, message),
                 self.exchange.apply_leaving(message),
--- a/src/jasminewalk/gateway/peers.py
+++ b/src/jasminewalk/gateway/peers.py
@@ -56,12 +56,10 @@
 
     :param read_ms_ago: milliseconds since its last read; negative if unknown.
     :param changed_offset: offset after the last record that had an effect.
-    :param era: era of the store that the offset is of.
     """
 
     read_ms_ago: int = -1
     changed_offset: int = 0
-    era: int = UNKNOWN_ERA
 
 
 class PeerMessage(msgspec.Struct, array_like=True, frozen=True):
@@ -83,6 +81,7 @@
     :param limits: engine, its limit in requests per 1,000 seconds or -1 for none, and
         milliseconds since that was observed.
     :param leaving: engines that said in a response that they are leaving.
+    :param store_era: era of the store in which it has read the topics.
     """
 
     node: str
@@ -101,6 +100,7 @@
     outcomes: list[tuple[int, int, int]] = []
     limits: list[tuple[int, int, int]] = []
     leaving: list[int] = []
+    store_era: int = UNKNOWN_ERA
 
 
 def decode_peer_message(data: bytes) -> PeerMessage | None:
@@ -265,13 +265,18 @@
             )
 
     def build_message(
-        self, now: float, configuration: TopicProgress, registry: TopicProgress
+        self,
+        now: float,
+        configuration: TopicProgress,
+        registry: TopicProgress,
+        store_era: int = UNKNOWN_ERA,
     ) -> bytes:
         """Build the next message to the other gateways, and decay the failure rates.
 
         :param now: current monotonic time in seconds.
         :param configuration: how far this gateway has read the configuration.
         :param registry: how far this gateway has read the registry.
+        :param store_era: era of the store in which it has read them.
         """
         self.number += 1
         self._decay_failure_rates(now)
@@ -307,6 +312,7 @@
             leaving=[
                 compute_engine_key(engine) for engine in engines if engine.said_leaving
             ],
+            store_era=store_era,
         )
         return msgspec.msgpack.encode(message)
 
--- a/src/jasminewalk/gateway/store_follower.py
+++ b/src/jasminewalk/gateway/store_follower.py
@@ -161,7 +161,9 @@
         self.peer_read_at = float("-inf")
         self.not_before = self.clock() + random.uniform(0.0, jitter_s)
 
-    def record_peer_progress(self, now: float, progress: TopicProgress) -> None:
+    def record_peer_progress(
+        self, now: float, progress: TopicProgress, era: int = UNKNOWN_ERA
+    ) -> None:
         """Record how far a peer has read the topic.
 
         Progress in another era of the store is ignored: its offsets mean other records.
@@ -169,8 +171,9 @@
 
         :param now: current monotonic time in seconds.
         :param progress: progress that the peer announced.
+        :param era: era of the store that it is of.
         """
-        if progress.era != self._announced_era:
+        if era != self.announced_era:
             return
         if progress.read_ms_ago >= 0:
             self.peer_read_at = max(self.peer_read_at, now - progress.read_ms_ago / 1e3)
@@ -186,12 +189,12 @@
         if self.offset is None or self.failing_since is not None:
             return TopicProgress()
         if self.end_offset > self.offset:
-            return TopicProgress(-1, self.changed_offset, self._announced_era)
-        read_ms_ago = int((now - self.read_at) * 1e3)
-        return TopicProgress(read_ms_ago, self.changed_offset, self._announced_era)
+            return TopicProgress(-1, self.changed_offset)
+        return TopicProgress(int((now - self.read_at) * 1e3), self.changed_offset)
 
     @property
-    def _announced_era(self) -> int:
+    def announced_era(self) -> int:
+        """Era of the store that its progress is of, as peers are told."""
         return UNKNOWN_ERA if self.store.era is None else self.store.era
 
     def apply_snapshot(self, page: RecordsPage) -> bool:
--- a/tests/test_gateway_store_era.py
+++ b/tests/test_gateway_store_era.py
@@ -143,22 +143,21 @@
     follower = ConfigurationFollower(store, log, clock.monotonic, print)
     store.era = 4
     for era in (-1, 3, 5):
-        follower.record_peer_progress(10.0, TopicProgress(0, 99, era))
+        follower.record_peer_progress(10.0, TopicProgress(0, 99), era)
     assert follower.peer_read_at == float("-inf")
     assert follower.peer_changed_offset == 0
-    follower.record_peer_progress(10.0, TopicProgress(0, 99, 4))
+    follower.record_peer_progress(10.0, TopicProgress(0, 99), 4)
     assert (follower.peer_read_at, follower.peer_changed_offset) == (10.0, 99)
-    follower.offset, follower.read_at = 99, clock.monotonic()
-    assert follower.compute_progress(clock.monotonic()) == TopicProgress(0, 0, 4)
+    assert follower.announced_era == 4
 
 
-def test_progress_of_the_previous_version_has_no_era():
+def test_message_of_the_previous_version_has_no_era():
     exchange = PeerExchange("front-1", "h:1", 1, Fleet())
-    data = exchange.build_message(1.0, TopicProgress(5, 7, 3), TopicProgress())
-    rows = msgspec.msgpack.decode(data)
-    rows[4] = rows[4][:2]
-    message = decode_peer_message(msgspec.msgpack.encode(rows))
-    assert message.configuration == TopicProgress(5, 7, -1)
+    data = exchange.build_message(1.0, TopicProgress(5, 7), TopicProgress(), 3)
+    assert decode_peer_message(data).store_era == 3
+    fields = msgspec.msgpack.decode(data)[:-1]
+    previous = decode_peer_message(msgspec.msgpack.encode(fields))
+    assert (previous.configuration, previous.store_era) == (TopicProgress(5, 7), -1)
 
 
 # The lease.
--- a/tests/test_wire_bytes.py
+++ b/tests/test_wire_bytes.py
@@ -104,8 +104,11 @@
     fields = msgspec.msgpack.decode(written)
     message = decode_peer_message(written)
     assert isinstance(message, PeerMessage)
-    assert PeerMessage.__struct_fields__[len(fields) :] == ("limits",)
-    assert msgspec.msgpack.encode(message) == msgspec.msgpack.encode([*fields, []])
+    added = ("limits", "leaving", "store_era")
+    assert PeerMessage.__struct_fields__[len(fields) :] == added
+    assert msgspec.msgpack.encode(message) == msgspec.msgpack.encode(
+        [*fields, [], [], -1]
+    )
 
 
 def test_earlier_gateway_decodes_a_peer_message_with_added_fields():
@@ -120,7 +123,7 @@
         array_like=True,
     )
     message = msgspec.structs.replace(
-        decode_peer_message(written), limits=[(1, 4000, 250)]
+        decode_peer_message(written), limits=[(1, 4000, 250)], leaving=[1], store_era=4
     )
     received = msgspec.msgpack.decode(
         msgspec.msgpack.encode(message), type=earlier_type
