Take no lease from the store once the gateway has left the holders

Two gateways could send stage orders at once around a shutdown: a gateway that released its lease went on to renew it while it drained, and the response to a renewal that the store had handled before the release gave it the lease again, though the store may have assigned it to another.

test_gateway_that_left_the_holders_does_not_join_again failed with "assert 'log-join' == 'log-leave'", and test_late_response_to_a_renewal_gives_no_lease_to_a_gateway_that_left with "assert 2888.5 is None" (held_since).

Renewals and orders end when the gateway leaves, and later responses are ignored.

--- a/src/jasminewalk/gateway/stage_controller.py
+++ b/src/jasminewalk/gateway/stage_controller.py
@@ -85,10 +85,11 @@
         self.lease = lease
         self.log = log
         self.clock = clock
+        self.leaving = False
 
     async def run(self) -> None:
-        """Renew the lease and send orders until cancelled."""
-        while True:
+        """Renew the lease and send orders until this process leaves."""
+        while not self.leaving:
             if self.exchange.compute_rank(self.clock()) < MAX_CANDIDATES:
                 await self._renew()
             if self.lease.may_order(read_boot_clock()):
@@ -97,6 +98,7 @@
 
     async def leave(self) -> None:
         """Release the lease before the process ends."""
+        self.leaving = True
         self.lease.held_since = None
         try:
             await self.store.leave(HOLDER_GROUP, self.member)
@@ -118,6 +120,9 @@
             if self.lease.held_since is not None:
                 self.log.warning("holder_not_renewed", reason=repr(error))
             return
+        if self.leaving:
+            # The store may have given the lease to another member since.
+            return
         if self.lease.record_renewal(requested_at, read_boot_clock(), membership):
             self.log.info(
                 "holder_changed",
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -898,6 +898,42 @@
     assert "BadMessageError" in line["reason"]
 
 
+@pytest.mark.anyio
+async def test_gateway_that_left_the_holders_does_not_join_again(harness):
+    await harness.start(*make_llm_engines())
+    async with asyncio.timeout(4):
+        while harness.daemon.stage_controller.lease.held_since is None:
+            await asyncio.sleep(0.05)
+    harness.daemon.stopping.set()
+    await asyncio.sleep(2.0)
+    calls = [call for call in harness.store.calls if call in ("log-join", "log-leave")]
+    assert calls[-1] == "log-leave"
+    assert harness.daemon.stage_controller.lease.held_since is None
+
+
+@pytest.mark.anyio
+async def test_late_response_to_a_renewal_gives_no_lease_to_a_gateway_that_left(
+    harness,
+):
+    await harness.start(*make_llm_engines())
+    controller = harness.daemon.stage_controller
+    joined = asyncio.Event()
+    send = controller.store.transport
+
+    async def send_slowly(method, target, body, timeout_s):
+        response = await send(method, target, body, timeout_s)
+        if target == "/-/log-join":
+            joined.set()
+            await asyncio.sleep(0.2)
+        return response
+
+    controller.store.transport = send_slowly
+    await joined.wait()
+    await controller.leave()
+    await asyncio.sleep(0.4)
+    assert controller.lease.held_since is None
+
+
 def test_command_reports_path_of_unreadable_settings(run_command, tmp_path):
     result = run_command("gateway", "--settings", tmp_path / "absent.toml")
     assert result.code != 0
