--- a/src/jasminewalk/gateway/stage_controller.py
+++ b/src/jasminewalk/gateway/stage_controller.py
@@ -155,7 +155,8 @@
         if status != OK:
             raise BadMessageError(f"engine answered {status} instead of a report")
         report = decode_report(body)
-        restarted = report.started_ms not in (0, engine.entry.started_ms)
+        starts = {report.started_ms, engine.entry.started_ms}
+        restarted = len(starts) > 1 and 0 not in starts
         if restarted or self.fleet.is_replaced(engine):
             raise BadMessageError("report of another incarnation of the engine")
         return report
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -7,6 +7,7 @@
 import sys
 import tomllib
 from contextlib import asynccontextmanager, suppress
+from functools import partial
 from pathlib import Path
 
 import pytest
@@ -898,6 +899,18 @@
     assert "BadMessageError" in line["reason"]
 
 
+@pytest.mark.anyio
+async def test_report_counts_if_the_registry_does_not_name_the_start(harness):
+    engines = make_llm_engines()[1:]
+    for engine in engines:
+        engine.entry = partial(engine.entry, born=0)
+        engine.report_changes = {"born": 2}
+    await harness.start(*engines)
+    async with asyncio.timeout(4):
+        while not any(engine.orders for engine in engines):
+            await asyncio.sleep(0.05)
+
+
 @pytest.mark.anyio
 async def test_gateway_that_left_the_holders_does_not_join_again(harness):
     await harness.start(*make_llm_engines())
