--- a/src/jasminewalk/gateway/stage_controller.py
+++ b/src/jasminewalk/gateway/stage_controller.py
@@ -85,10 +85,11 @@
         self.lease = lease
         self.log = log
         self.clock = clock
+        self.leaving = False
 
     async def run(self) -> None:
-        """Renew the lease and send orders until cancelled."""
-        while True:
+        """Renew the lease and send orders until this process leaves."""
+        while not self.leaving:
             if self.exchange.compute_rank(self.clock()) < MAX_CANDIDATES:
                 await self._renew()
             if self.lease.may_order(read_boot_clock()):
@@ -104,6 +105,7 @@
 
     async def leave(self) -> None:
         """Release the lease before the process ends."""
+        self.leaving = True
         self.lease.held_since = None
         try:
             await self.store.leave(HOLDER_GROUP, self.member)
@@ -125,6 +127,9 @@
             if self.lease.held_since is not None:
                 self.log.warning("holder_not_renewed", reason=repr(error))
             return
+        if self.leaving:
+            # The store may have given the lease to another member since.
+            return
         if self.lease.record_renewal(requested_at, read_boot_clock(), membership):
             self.log.info(
                 "holder_changed",
@@ -164,7 +169,8 @@
         if status != OK:
             raise BadMessageError(f"engine answered {status} instead of a report")
         report = decode_report(body)
-        restarted = report.started_ms not in (0, engine.entry.started_ms)
+        starts = {report.started_ms, engine.entry.started_ms}
+        restarted = len(starts) > 1 and 0 not in starts
         if restarted or self.fleet.is_replaced(engine):
             raise BadMessageError("report of another incarnation of the engine")
         return report
