Accept a handle of a prefilled prompt only if it is a token

An engine's answer to a prefill was copied as it came into a header of the decode request and into the path of a release.

Handles are at most 128 letters, digits, dots, underscores and hyphens; others count as a failed prefill.

--- a/src/jasminewalk/platform/engines.py
+++ b/src/jasminewalk/platform/engines.py
@@ -1,5 +1,6 @@
 """Build and decode the control calls to engines."""
 
+import re
 from typing import Any
 
 import attrs
@@ -22,6 +23,8 @@
 REPORT_PATH = b"/-/report"
 ORDER_PATH = b"/-/order"
 ACCEPTED_STATUSES = (200, 202)
+# Handles are sent in a header and in a path, so they must not contain delimiters.
+HANDLE_PATTERN = re.compile(r"[A-Za-z0-9_-][A-Za-z0-9._-]{0,127}")
 
 
 @attrs.frozen
@@ -65,8 +68,8 @@
     document = _decode_object(body)
     handle = document.get("kv_handle")
     tokens = document.get("tokens")
-    if not isinstance(handle, str) or not handle:
-        raise BadMessageError("prefill response without a handle")
+    if not isinstance(handle, str) or not HANDLE_PATTERN.fullmatch(handle):
+        raise BadMessageError("prefill response without a valid handle")
     return PromptHandle(handle, tokens if isinstance(tokens, int) else 0)
 
 
--- /dev/null
+++ b/tests/test_gateway_trust.py
@@ -0,0 +1,52 @@
+"""What a gateway believes of engines and peers, and what it keeps for them."""
+
+import json
+
+import pytest
+
+from jasminewalk.gateway.peers import TopicProgress, decode_peer_message
+from test_gateway_daemon import (
+    LONG_PROMPT_HEADERS,
+    GatewayHarness,
+    make_llm_engines,
+)
+
+
+@pytest.fixture
+async def gateway(tmp_path):
+    gateway = GatewayHarness(tmp_path)
+    yield gateway
+    gateway.daemon.stopping.set()
+    for task in (gateway.task, *gateway.daemon.tasks):
+        task.cancel()
+
+
+def announce(sender, now):
+    progress = TopicProgress()
+    return decode_peer_message(sender.build_message(now, progress, progress))
+
+
+HANDLES = {
+    "header": "h-1\r\nx-jasminewalk-request-priority: 0",
+    "request": "h-1\r\n\r\nPOST /verdict/ HTTP/1.1\r\n"
+    "x-jasminewalk-request-id: r0\r\n\r\n",
+    "path": "../order",
+    "space": "h 1",
+    "long": "h" * 100_000,
+}
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("handle", HANDLES.values(), ids=HANDLES)
+async def test_handle_that_is_no_token_is_not_sent_to_an_engine(gateway, handle):
+    await gateway.start(*make_llm_engines())
+    prefiller = gateway.engines["prefiller"]
+
+    async def answer(connection, request, headers):
+        body = json.dumps({"kv_handle": handle, "tokens": 1, "version": 1}).encode()
+        connection.send_response(200, prefiller.build_headers(headers), body)
+
+    prefiller.answer = answer
+    await gateway.send_request("/verdict/", b"notes", **LONG_PROMPT_HEADERS)
+    assert prefiller.requests
+    assert not gateway.read_log_lines("handed_over")
