Hear a gateway that restarted with an earlier time of day

Its peers took each of its messages for one of its former incarnation and ignored it, without a log line, until they restarted themselves: its load and demand were not counted, and after 20 s the others shared its part of limits and of the retry budget.

Found by the review. Incarnations are ordered by the time of day, which can be set back. test_restarted_gateway_whose_clock_was_set_back_is_heard failed with "assert False". A message of an incarnation that seems older now counts once the newer one was silent for 1.5 s; datagrams of a former process are not late by that much.

--- a/src/jasminewalk/gateway/peers.py
+++ b/src/jasminewalk/gateway/peers.py
@@ -377,6 +377,14 @@
             for prefill in announced
         ]
 
+    def _is_outdated(self, now: float, message: PeerMessage, peer: Peer) -> bool:
+        if message.started_ms == peer.started_ms:
+            return message.number <= peer.number
+        # The time of day may be set back before a restart, so an incarnation that
+        # seems to be older counts once the other one is silent.
+        is_silent = now - peer.received_at >= PEER_TIMEOUT_S
+        return message.started_ms < peer.started_ms and not is_silent
+
     def apply_message(self, now: float, message: PeerMessage) -> bool:
         """Apply a peer's message; return False if it is outdated or this gateway's own.
 
@@ -386,10 +394,7 @@
         if message.node == self.node:
             return False
         peer = self.peers.get(message.node)
-        if peer is not None and (message.started_ms, message.number) <= (
-            peer.started_ms,
-            peer.number,
-        ):
+        if peer is not None and self._is_outdated(now, message, peer):
             return False
         self.record_address(now, message.node, message.address)
         self.peers_known = True
--- a/tests/test_gateway_trust.py
+++ b/tests/test_gateway_trust.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from jasminewalk.gateway.peers import TopicProgress, decode_peer_message
+from jasminewalk.gateway.fleet import Fleet
+from jasminewalk.gateway.peers import PeerExchange, TopicProgress, decode_peer_message
 from test_gateway_daemon import (
     LONG_PROMPT_HEADERS,
     GatewayHarness,
@@ -50,3 +51,12 @@
     await gateway.send_request("/verdict/", b"notes", **LONG_PROMPT_HEADERS)
     assert prefiller.requests
     assert not gateway.read_log_lines("handed_over")
+
+
+def test_restarted_gateway_whose_clock_was_set_back_is_heard():
+    former = PeerExchange("1", "10.0.0.1:7660", 10_000, Fleet())
+    receiver = PeerExchange("2", "10.0.0.2:7660", 1, Fleet())
+    assert receiver.apply_message(1.0, announce(former, 1.0))
+    assert list(receiver.drop_silent_peers(100.0)) == ["1"]
+    restarted = PeerExchange("1", "10.0.0.1:7660", 9_000, Fleet())
+    assert receiver.apply_message(100.0, announce(restarted, 100.0))
