Give up the release of a handle that expires before its engine takes calls

A release waited as long as the engine's Retry-After said, up to years, and each such task kept the request with its body and connection in memory.

Found by the review. test_release_of_a_handle_does_not_wait_for_hours failed with "assert 'release_prompt' not in [...]". The release is given up, with a log line, if the engine wants no calls for more than 5 s; the engine frees the handle itself.

--- a/src/jasminewalk/gateway/prefilled_prompt.py
+++ b/src/jasminewalk/gateway/prefilled_prompt.py
@@ -15,6 +15,9 @@
 
 # Timeout of the call that releases a handle, in seconds.
 RELEASE_TIMEOUT_S = 0.5
+# Longest delay of that call in seconds; engines release handles themselves after a few
+# seconds.
+MAX_RELEASE_DELAY_S = 5.0
 OK = 200
 
 
@@ -43,15 +46,20 @@
     """Release the handle of a prompt that no engine decodes from.
 
     Errors are only logged. An engine that turned requests away for a time is called
-    when that is over. A handle of an engine that restarted since is gone; another
-    engine at its address refuses the call.
+    when that is over, unless the handle has expired by then. A handle of an engine that
+    restarted since is gone; another engine at its address refuses the call.
 
     :param clients: connections to the engines.
     :param prompt: the prompt.
     :param log: writes a log line about the request.
     """
-    while (wait_s := prompt.engine.backoff.until - clients.clock()) > 0:
-        await asyncio.sleep(wait_s)
+    backoff, deadline = prompt.engine.backoff, clients.clock() + MAX_RELEASE_DELAY_S
+    while backoff.is_active(now := clients.clock()):
+        if backoff.until > deadline:
+            wait_s = round(backoff.until - now, 1)
+            log("handle_not_freed", reason=f"engine wants no calls for {wait_s} s")
+            return
+        await asyncio.sleep(backoff.until - now)
     if clients.fleet.is_replaced(prompt.engine):
         log("handle_not_freed", reason="engine restarted")
         return
--- a/tests/test_gateway_trust.py
+++ b/tests/test_gateway_trust.py
@@ -1,5 +1,6 @@
 """What a gateway believes of engines and peers, and what it keeps for them."""
 
+import asyncio
 import json
 
 import pytest
@@ -60,3 +61,22 @@
     assert list(receiver.drop_silent_peers(100.0)) == ["1"]
     restarted = PeerExchange("1", "10.0.0.1:7660", 9_000, Fleet())
     assert receiver.apply_message(100.0, announce(restarted, 100.0))
+
+
+@pytest.mark.anyio
+async def test_release_of_a_handle_does_not_wait_for_hours(gateway):
+    await gateway.start(*make_llm_engines())
+    for name in ("decoder-1", "decoder-2"):
+        gateway.engines[name].delay_s = 1.5
+    caller = asyncio.create_task(
+        gateway.send_request("/verdict/", b"notes", **LONG_PROMPT_HEADERS)
+    )
+    await asyncio.sleep(0.3)
+    assert gateway.read_log_lines("handed_over")
+    fleet = gateway.daemon.fleet
+    fleet.record_backoff(gateway.daemon.clock(), fleet.engines["prefiller"], 36_000.0)
+    # The route's timeout passes, then the handle is released.
+    await caller
+    await asyncio.sleep(1.0)
+    coroutines = [task.get_coro().__qualname__ for task in asyncio.all_tasks()]
+    assert "release_prompt" not in coroutines
