Close connections that return to the pool of an engine that is gone or moved

They stayed open until the engine closed them, outside of every count: an exchange in flight while its engine was removed returned its connection to a closed pool, and a changed address dropped the pool with its idle connections.

A closed pool closes what returns, and a pool is closed before it is replaced.

--- a/src/jasminewalk/gateway/engine_clients.py
+++ b/src/jasminewalk/gateway/engine_clients.py
@@ -166,9 +166,11 @@
         :param engine: the engine.
         """
         pool = self.pools.get(engine)
-        if pool is None or pool.address != engine.entry.address:
-            pool = ConnectionPool(engine.entry.address, self.clock)
-            self.pools[engine] = pool
+        if pool is not None and pool.address != engine.entry.address:
+            pool.close()
+            pool = None
+        if pool is None:
+            pool = self.pools[engine] = ConnectionPool(engine.entry.address, self.clock)
         return pool
 
     async def sweep_forever(self) -> None:
--- a/src/jasminewalk/http1/client.py
+++ b/src/jasminewalk/http1/client.py
@@ -518,13 +518,15 @@
     :param address: ``host:port``.
     :param clock: function that returns the monotonic time in seconds.
     :param max_idle_s: seconds after which a sweep closes an idle connection.
+    :param idle: idle connections, the most recently used last.
+    :param closed: whether connections are closed when they are returned.
     """
 
     address: str
     clock: Callable[[], float]
     max_idle_s: float = 4.0
     idle: list[Connection] = attrs.field(factory=list)
-    open_count: int = 0
+    closed: bool = False
 
     def take_idle(self, idle_limit_s: float, request_id: str) -> Connection | None:
         """Return the most recently used idle connection, or None.
@@ -559,7 +561,7 @@
         """
         connection.release()
         exhausted = connection.exchange_count >= MAX_EXCHANGES
-        if connection.closed or not connection.reusable or exhausted:
+        if self.closed or connection.closed or not connection.reusable or exhausted:
             connection.abort()
         else:
             self.idle.append(connection)
@@ -578,7 +580,8 @@
         self.idle = kept
 
     def close(self) -> None:
-        """Close all idle connections."""
+        """Close all idle connections, and those that are returned later."""
+        self.closed = True
         for connection in self.idle:
             connection.abort()
         self.idle.clear()
--- a/tests/test_gateway_trust.py
+++ b/tests/test_gateway_trust.py
@@ -5,12 +5,15 @@
 
 import pytest
 
+from jasminewalk.gateway import engine_clients
 from jasminewalk.gateway.fleet import Fleet
 from jasminewalk.gateway.peers import PeerExchange, TopicProgress, decode_peer_message
+from jasminewalk.platform.store import KeyedRecord
 from test_gateway_daemon import (
     LONG_PROMPT_HEADERS,
     GatewayHarness,
     make_llm_engines,
+    make_plain_engines,
 )
 
 
@@ -80,3 +83,19 @@
     await asyncio.sleep(1.0)
     coroutines = [task.get_coro().__qualname__ for task in asyncio.all_tasks()]
     assert "release_prompt" not in coroutines
+
+
+@pytest.mark.anyio
+async def test_connection_of_an_engine_that_is_gone_is_closed(gateway, monkeypatch):
+    monkeypatch.setattr(engine_clients, "SWEEP_INTERVAL_S", 0.05)
+    await gateway.start(*make_plain_engines(1))
+    gateway.engines["app-0"].delay_s = 0.5
+    caller = asyncio.create_task(gateway.send_request("/look/"))
+    await asyncio.sleep(0.2)
+    daemon = gateway.daemon
+    removal = KeyedRecord("app-0", None)
+    assert list(daemon.fleet.apply_changes(daemon.clock(), [removal]))
+    assert not daemon.fleet.engines
+    assert (await caller)[0] == 200
+    await asyncio.sleep(0.3)
+    assert not daemon.clients.budget.connections
