--- a/src/jasminewalk/gateway/engine_clients.py
+++ b/src/jasminewalk/gateway/engine_clients.py
@@ -7,7 +7,7 @@
 import attrs
 
 from jasminewalk.gateway.fleet import EngineState, Fleet, FleetEvent
-from jasminewalk.http1.client import (
+from jasminewalk.http1 import (
     Connection,
     ConnectionPool,
     DiscardedBytes,
--- a/src/jasminewalk/gateway/generation_run.py
+++ b/src/jasminewalk/gateway/generation_run.py
@@ -16,7 +16,7 @@
 )
 from jasminewalk.gateway.prefilled_prompt import PrefilledPrompt, release_prompt
 from jasminewalk.gateway.run import BAD_GATEWAY, RequestRun, TrackedLoad
-from jasminewalk.http1.client import ExchangeBrokenError, Response
+from jasminewalk.http1 import ExchangeBrokenError, Response
 from jasminewalk.platform.engines import decode_prompt_handle
 from jasminewalk.platform.headers import build_engine_headers
 
--- a/src/jasminewalk/gateway/plain_run.py
+++ b/src/jasminewalk/gateway/plain_run.py
@@ -11,7 +11,7 @@
     GATEWAY_TIMEOUT,
     RequestRun,
 )
-from jasminewalk.http1.client import ExchangeBrokenError, Response
+from jasminewalk.http1 import ExchangeBrokenError, Response
 from jasminewalk.platform.headers import build_engine_headers
 
 __all__ = ["PlainRun"]
--- a/src/jasminewalk/gateway/prefilled_prompt.py
+++ b/src/jasminewalk/gateway/prefilled_prompt.py
@@ -7,7 +7,7 @@
 
 from jasminewalk.gateway.engine_clients import EngineClients, NotSentError
 from jasminewalk.gateway.fleet import EngineState
-from jasminewalk.http1.client import ExchangeBrokenError
+from jasminewalk.http1 import ExchangeBrokenError
 from jasminewalk.platform.engines import build_release_path
 from jasminewalk.platform.headers import build_engine_headers
 
--- a/src/jasminewalk/gateway/run.py
+++ b/src/jasminewalk/gateway/run.py
@@ -15,7 +15,7 @@
 from jasminewalk.gateway.peers import PeerExchange
 from jasminewalk.gateway.placement import PlacementPolicy
 from jasminewalk.gateway.retry_budget import RetryBudget
-from jasminewalk.http1.client import Response
+from jasminewalk.http1 import Response
 from jasminewalk.http1.server import CallerConnection, CallerRequest
 from jasminewalk.platform.configuration import Route
 from jasminewalk.platform.headers import RequestHead, filter_relayed_headers
--- a/src/jasminewalk/gateway/stage_controller.py
+++ b/src/jasminewalk/gateway/stage_controller.py
@@ -12,7 +12,7 @@
 from jasminewalk.gateway.holder_lease import HolderLease
 from jasminewalk.gateway.peers import PeerExchange
 from jasminewalk.gateway.stage_planner import StageChange, StagePlanner
-from jasminewalk.http1.client import ExchangeBrokenError
+from jasminewalk.http1 import ExchangeBrokenError
 from jasminewalk.platform.configuration import Service
 from jasminewalk.platform.engines import (
     ACCEPTED_STATUSES,
--- a/src/jasminewalk/gateway/store_connections.py
+++ b/src/jasminewalk/gateway/store_connections.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from jasminewalk.exceptions import LogUnavailableError
-from jasminewalk.http1.client import (
+from jasminewalk.http1 import (
     Exchange,
     ExchangeBrokenError,
     ReceiveBudget,
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -14,7 +14,7 @@
     StreamAttemptResult,
     TrackedLoad,
 )
-from jasminewalk.http1.client import ExchangeBrokenError, Response
+from jasminewalk.http1 import ExchangeBrokenError, Response
 from jasminewalk.platform.headers import filter_relayed_headers
 
 __all__ = ["StreamRun"]
--- a/src/jasminewalk/http1/__init__.py
+++ b/src/jasminewalk/http1/__init__.py
@@ -5,15 +5,15 @@
 belongs to, and when a caller disconnects.
 """
 
-from jasminewalk.http1.client import (
-    Connection,
-    ConnectionPool,
+from jasminewalk.http1.client import Connection, connect, encode_request
+from jasminewalk.http1.exchange import (
     DiscardedBytes,
     Exchange,
     ExchangeBrokenError,
     Response,
-    connect,
 )
+from jasminewalk.http1.pool import ConnectionPool
+from jasminewalk.http1.receive_budget import ReceiveBudget
 from jasminewalk.http1.server import (
     CallerConnection,
     CallerLimits,
@@ -32,5 +32,7 @@
     "DiscardedBytes",
     "Exchange",
     "ExchangeBrokenError",
+    "ReceiveBudget",
     "connect",
+    "encode_request",
 ]
--- a/src/jasminewalk/http1/client.py
+++ b/src/jasminewalk/http1/client.py
@@ -1,24 +1,20 @@
 """HTTP/1.1 client connections to engines and to the platform's store."""
 
 import asyncio
-from collections import deque
 from collections.abc import Callable, Iterable
 
-import attrs
 import httptools
 
-from jasminewalk.platform.headers import Header, ResponseHead, decode_response_head
+from jasminewalk.http1.exchange import (
+    DiscardedBytes,
+    Exchange,
+    ExchangeBrokenError,
+    Response,
+)
+from jasminewalk.http1.receive_budget import ReceiveBudget
+from jasminewalk.platform.headers import Header, decode_response_head
 
-__all__ = [
-    "Response",
-    "Connection",
-    "ConnectionPool",
-    "DiscardedBytes",
-    "Exchange",
-    "ExchangeBrokenError",
-    "ReceiveBudget",
-    "connect",
-]
+__all__ = ["Connection", "connect", "encode_request"]
 
 # An exchange is aborted when its received bytes, with heads, chunk framing and
 # trailers, exceed this multiple of the bytes of bodies by more than the maximum.
@@ -26,18 +22,10 @@
 RECEIVED_BYTES_PER_BODY_BYTE = 2
 # An exchange is aborted after more bytes of bodies of skipped responses.
 MAX_SKIPPED_BYTES = 1024 * 1024
-# An exchange with a larger response body is aborted, because bodies are buffered in
-# memory.
-MAX_RESPONSE_BODY_BYTES = 16 * 1024 * 1024
-# Bytes of bodies that all exchanges with one budget may hold. If there are more, the
-# exchange that holds most is aborted.
-MAX_HELD_BYTES = 32 * 1024 * 1024
 # Receiving pauses while more bytes of an exchange were not read.
 MAX_UNREAD_BYTES = 64 * 1024
 # Discarded bytes of one connection that are each reported.
 MAX_DISCARD_REPORTS = 10
-# A connection is closed after this many exchanges, as it keeps the ids of all of them.
-MAX_EXCHANGES = 1000
 MIN_FINAL_STATUS = 200
 MIN_FAILURE_STATUS = 300
 CONTENT_LENGTH = b"content-length"
@@ -45,177 +33,6 @@
 STATUSES_WITHOUT_BODY = (204, 304)
 
 
-class ExchangeBrokenError(Exception):
-    """The connection failed or sent invalid HTTP before the response was complete.
-
-    :param reason: description of the failure, for logs and metrics.
-    """
-
-    def __init__(self, reason: str) -> None:
-        self.reason = reason
-        super().__init__(reason)
-
-
-@attrs.define
-class Response:
-    """Status and headers of a response.
-
-    :param status: status code.
-    :param headers: pairs of a name in lower case and a value, in the order received.
-    :param head: decoded headers.
-    """
-
-    status: int
-    headers: list[Header]
-    head: ResponseHead
-
-
-@attrs.frozen
-class DiscardedBytes:
-    """Received bytes that are not the response to the current request.
-
-    :param reason: why they were discarded.
-    :param request_id: id of the request that the response names; empty if none.
-    :param expected_id: id of the current request; empty if none.
-    :param exchange_count: exchanges that the connection had completed before.
-    """
-
-    reason: str
-    request_id: str
-    expected_id: str
-    exchange_count: int
-
-
-@attrs.define(eq=False)
-class Exchange:
-    """One request on a connection and its response.
-
-    A response with the id of another request is skipped, because an engine may send a
-    late or additional response before the expected one. One without an id fails the
-    exchange, unless it is a failure and the first response on the connection.
-
-    :param request_id: id that the response must carry; empty accepts only a response
-        that names no request and is the first on the connection.
-    :param has_body: whether the response may have a body; one to HEAD has none.
-    :param response: status and headers of the response, once received.
-    :param complete: whether the whole response was received.
-    :param failure: reason for the failure; empty if there is none.
-    :param chunks: received bytes of the body that were not read yet.
-    :param body_bytes: number of bytes of the body received so far.
-    :param skipped_bytes: number of bytes of the bodies of skipped responses.
-    :param max_body_bytes: larger bodies fail the exchange.
-    :param unread_bytes: number of bytes of ``chunks``.
-    :param kept_chunks: bytes of the body that ``body`` has read.
-    :param kept_bytes: number of bytes of ``kept_chunks``.
-    :param held_bytes: number of bytes that count towards the connection's budget.
-    :param waiter: future of the task that waits for data.
-    :param on_response: called with the status and headers of the response.
-    :param on_read: called when ``kept_bytes`` grew or ``held_bytes`` may shrink.
-    """
-
-    request_id: str = ""
-    has_body: bool = True
-    response: Response | None = None
-    complete: bool = False
-    failure: str = ""
-    chunks: deque[bytes] = attrs.field(factory=deque)
-    body_bytes: int = 0
-    skipped_bytes: int = 0
-    max_body_bytes: int = MAX_RESPONSE_BODY_BYTES
-    unread_bytes: int = 0
-    kept_chunks: list[bytes] = attrs.field(factory=list)
-    kept_bytes: int = 0
-    held_bytes: int = 0
-    waiter: asyncio.Future[None] | None = None
-    on_response: Callable[[Response], None] | None = None
-    on_read: Callable[[], None] | None = None
-
-    def wake(self) -> None:
-        """Wake the task that waits for this exchange."""
-        if self.waiter is not None and not self.waiter.done():
-            self.waiter.set_result(None)
-
-    async def wait(self) -> None:
-        """Wait until data arrives or the exchange ends."""
-        self.waiter = asyncio.get_running_loop().create_future()
-        try:
-            await self.waiter
-        finally:
-            self.waiter = None
-
-    async def head(self) -> Response:
-        """Wait for the status and headers of the response.
-
-        :raises ExchangeBrokenError: if the exchange fails first.
-        """
-        while self.response is None:
-            if self.failure:
-                raise ExchangeBrokenError(self.failure)
-            await self.wait()
-        return self.response
-
-    async def next_chunk(self) -> bytes:
-        """Wait for the next bytes of the body; return no bytes at its end.
-
-        :raises ExchangeBrokenError: if the exchange fails first.
-        """
-        return await self._read_chunks()
-
-    async def body(self, chunk_timeout_s: float | None = None) -> bytes:
-        """Wait for the complete body. After a timeout, it can be waited for again.
-
-        :param chunk_timeout_s: longest time in seconds without data; None is unlimited.
-        :raises ExchangeBrokenError: if the exchange fails first.
-        :raises TimeoutError: if no data arrives in time.
-        """
-        while True:
-            async with asyncio.timeout(chunk_timeout_s):
-                part = await self._read_chunks(keep=True)
-            if not part:
-                return b"".join(self.kept_chunks)
-            self.kept_chunks.append(part)
-
-    async def _read_chunks(self, *, keep: bool = False) -> bytes:
-        while not self.chunks:
-            if self.complete:
-                return b""
-            if self.failure:
-                raise ExchangeBrokenError(self.failure)
-            await self.wait()
-        chunk = b"".join(self.chunks)
-        self.chunks.clear()
-        self.unread_bytes = 0
-        if keep:
-            self.kept_bytes += len(chunk)
-        if self.on_read is not None and (keep or self.held_bytes):
-            self.on_read()
-        return chunk
-
-
-@attrs.define(eq=False)
-class ReceiveBudget:
-    """Limit on the bytes of response bodies that several connections hold in memory.
-
-    :param limit_bytes: maximum number of bytes.
-    :param held_bytes: number of bytes held now.
-    :param connections: open connections that share the budget.
-    """
-
-    limit_bytes: int = MAX_HELD_BYTES
-    held_bytes: int = 0
-    connections: set["Connection"] = attrs.field(factory=set)
-
-    def enforce(self) -> None:
-        """Abort the exchanges that hold most until the limit is kept."""
-        while self.held_bytes > self.limit_bytes and self.connections:
-            largest = max(
-                self.connections, key=lambda connection: connection.held_bytes
-            )
-            if not largest.held_bytes:
-                return
-            largest.abort("too many bytes of bodies in memory")
-
-
 class Connection(asyncio.Protocol):
     """HTTP/1.1 connection that carries one exchange at a time.
 
@@ -511,82 +328,6 @@
     return connection
 
 
-@attrs.define(eq=False)
-class ConnectionPool:
-    """Pool of idle connections to one address.
-
-    :param address: ``host:port``.
-    :param clock: function that returns the monotonic time in seconds.
-    :param max_idle_s: seconds after which a sweep closes an idle connection.
-    :param idle: idle connections, the most recently used last.
-    :param closed: whether connections are closed when they are returned.
-    """
-
-    address: str
-    clock: Callable[[], float]
-    max_idle_s: float = 4.0
-    idle: list[Connection] = attrs.field(factory=list)
-    closed: bool = False
-
-    def take_idle(self, idle_limit_s: float, request_id: str) -> Connection | None:
-        """Return the most recently used idle connection, or None.
-
-        Connections that were idle for too long are closed. Half of the timeout that the
-        peer announced is allowed, so that the peer does not close the connection first.
-        One that carried the same request before is left out, because a late response to
-        that attempt has the same id.
-
-        :param idle_limit_s: maximum time that the connection was idle, in seconds.
-        :param request_id: id of the request that is sent over the connection.
-        """
-        now = self.clock()
-        for connection in reversed(self.idle):
-            timeout_s = connection.idle_timeout_s
-            allowed_s = idle_limit_s if timeout_s is None else timeout_s / 2
-            usable = not connection.closed and now - connection.idle_since <= min(
-                allowed_s, idle_limit_s
-            )
-            if usable and request_id in connection.request_ids:
-                continue
-            self.idle.remove(connection)
-            if usable:
-                return connection
-            connection.abort()
-        return None
-
-    def release(self, connection: Connection) -> None:
-        """Return a connection to the pool, or close it if it can't be reused.
-
-        :param connection: connection whose exchange is complete.
-        """
-        connection.release()
-        exhausted = connection.exchange_count >= MAX_EXCHANGES
-        if self.closed or connection.closed or not connection.reusable or exhausted:
-            connection.abort()
-        else:
-            self.idle.append(connection)
-
-    def sweep(self) -> None:
-        """Close connections that were idle for longer than ``max_idle_s``."""
-        now = self.clock()
-        kept = []
-        for connection in self.idle:
-            if connection.closed:
-                continue
-            if now - connection.idle_since > self.max_idle_s:
-                connection.abort()
-            else:
-                kept.append(connection)
-        self.idle = kept
-
-    def close(self) -> None:
-        """Close all idle connections, and those that are returned later."""
-        self.closed = True
-        for connection in self.idle:
-            connection.abort()
-        self.idle.clear()
-
-
 def encode_request(
     method: bytes, target: bytes, headers: Iterable[Header], body: bytes
 ) -> bytes:
--- a/tests/test_endless_engines.py
+++ b/tests/test_endless_engines.py
@@ -18,10 +18,8 @@
 )
 from jasminewalk.gateway.stream_run import MAX_EXTRA_EVENTS
 from jasminewalk.http1 import ExchangeBrokenError
-from jasminewalk.http1.client import (
-    MAX_DISCARD_REPORTS,
-    MAX_RESPONSE_BODY_BYTES,
-)
+from jasminewalk.http1.client import MAX_DISCARD_REPORTS
+from jasminewalk.http1.exchange import MAX_RESPONSE_BODY_BYTES
 from platform_fakes import FakeEngine
 from test_gateway_daemon import LONG_PROMPT_HEADERS, GatewayHarness, make_llm_engines
 
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -16,12 +16,14 @@
 from jasminewalk.exceptions import LogUnavailableError
 from jasminewalk.gateway import store_connections
 from jasminewalk.gateway.store_connections import MAX_BODY_BYTES
-from jasminewalk.http1 import Exchange, ExchangeBrokenError, connect
-from jasminewalk.http1.client import (
-    MAX_RESPONSE_BODY_BYTES,
+from jasminewalk.http1 import (
+    Exchange,
+    ExchangeBrokenError,
     ReceiveBudget,
+    connect,
     encode_request,
 )
+from jasminewalk.http1.exchange import MAX_RESPONSE_BODY_BYTES
 
 # Bytes that the kernel and the transports of both sides may hold.
 SOCKET_BUFFER_BYTES = 8 * 1024 * 1024
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -11,10 +11,10 @@
     ConnectionPool,
     Exchange,
     ExchangeBrokenError,
-    client,
     connect,
+    encode_request,
+    pool as pool_module,
 )
-from jasminewalk.http1.client import encode_request
 from jasminewalk.http1.server import CallerLimits
 from jasminewalk.platform.headers import decode_request_head
 
@@ -521,7 +521,7 @@
 async def test_pool_closes_connections_after_their_last_exchange(
     server, free_address, clock, monkeypatch
 ):
-    monkeypatch.setattr(client, "MAX_EXCHANGES", 2)
+    monkeypatch.setattr(pool_module, "MAX_EXCHANGES", 2)
     pool = ConnectionPool(free_address, clock.monotonic)
     connection = await connect(free_address, 1.0, clock.monotonic)
     pool.release(connection)
