--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -223,7 +223,7 @@
         self.member_expiries = live_members
         self.member_expiries[request["member"]] = now + request["ttl_ms"] / 1e3
         holder = next(iter(self.member_expiries))
-        self.holders.setdefault(self.generation, set()).add(holder)
+        self.holders.setdefault((self.era, self.generation), set()).add(holder)
         partitions = (
             [[request["topics"][0], 0, 0]] if holder == request["member"] else []
         )
--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from jasminewalk.gateway.holder_lease import FENCING_NUMBERS_PER_ERA
+
 __all__ = [
     "Answer",
     "ViolationError",
@@ -224,12 +226,14 @@
     """Check that stage orders come from the holder of the lease, one at a time.
 
     :param engines: the engines.
-    :param store: the store, which knows the holders of each generation.
+    :param store: the store, which knows the holders of each era's generations.
     :raises ViolationError: if an order comes from another gateway.
     """
     for engine in engines:
         for order in engine.orders:
-            holders = store.holders.get(order["fence"], set())
+            holders = store.holders.get(
+                divmod(order["fence"], FENCING_NUMBERS_PER_ERA), set()
+            )
             names = {holder.partition("/")[0] for holder in holders}
             if order["holder"] not in names:
                 raise ViolationError(
