Play leaving engines, Retry-After and restored stores in the soak

Engines say in their responses that they leave, or want no requests for a time, and the store comes back from a copy whose lost records are written again, in series and overlapping with the other faults. An engine that was drained comes back with a new start, as the platform's do.

The soak checks answers, runs, handles, versions and orders as before; that an engine gets nothing within its Retry-After, or after it says that it leaves, is checked by test_gateway_backoff and test_gateway_leaving only.

--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -155,7 +155,16 @@
         return soak.summarise()
 
 
-def main(seed=1, duration=8.0, seeds=1, seconds=0, faults="all", endless=True, logs=""):
+def main(
+    seed=1,
+    duration=8.0,
+    seeds=1,
+    seconds=0,
+    faults="all",
+    endless=True,
+    notices=True,
+    logs="",
+):
     """Run consecutive seeds, odd ones with slow links.
 
     :param seed: first seed.
@@ -164,6 +173,8 @@
     :param seconds: total duration in seconds, instead of the number of seeds.
     :param faults: whose responses are repeated: "none", "engines", or "all".
     :param endless: whether some responses have no end.
+    :param notices: whether engines say that they leave or want no requests for a time,
+        and the store comes back from older copies.
     :param logs: directory in which the logs of the gateways are kept.
     """
     if faults not in RESPONSE_FAULTS:
@@ -177,6 +188,7 @@
                 slow_links=number % 2 == 1,
                 response_faults=faults,
                 endless=endless,
+                notices=notices,
                 logs=logs,
             )
             text = " ".join(f"{name}={count}" for name, count in counts.items())
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -263,6 +263,7 @@
         self.delay_s = 0.0
         self.request_limit = ""
         self.leaving = False
+        self.born = 1
         self.retry_after = "1"
         self.arrivals = []
         self.control_arrivals = []
@@ -287,7 +288,7 @@
             "state": state,
             "cold_remaining_ms": 0,
             "sequence": 1,
-            "born": 1,
+            "born": self.born,
         }
         if self.stage:
             fields["stage"] = self.stage
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -43,6 +43,9 @@
             faults += [self.change_stage, self.configure, self.configure]
         if self.fleet.endless:
             faults += [self.send_endlessly] * 3
+        if self.fleet.notices:
+            faults += [self.restore_store, self.leave_engine, self.leave_engine]
+            faults += [self.turn_requests_away] * 3
         return faults
 
     async def run(self, ends_at):
@@ -163,8 +166,38 @@
         engine = self.random.choice(self.fleet.engines)
         self.fleet.put_entry(engine, "draining")
         await asyncio.sleep(self.random.uniform(0.1, 1.0))
+        engine.born += 1
         self.fleet.put_entry(engine)
 
+    async def leave_engine(self):
+        """Let an engine say that it leaves, and start again."""
+        engine = self.random.choice(self.fleet.engines)
+        engine.leaving = True
+        await asyncio.sleep(self.random.uniform(0.3, 2.0))
+        engine.leaving = False
+        engine.born += 1
+        self.fleet.put_entry(engine)
+
+    async def turn_requests_away(self):
+        engine = self.random.choice(self.fleet.engines)
+        engine.behaviour = "turn_away"
+        engine.retry_after = self.random.choice(("0.3", "1", "2", "soon"))
+        await asyncio.sleep(self.random.uniform(0.2, 1.5))
+        engine.behaviour = "answer"
+
+    async def restore_store(self):
+        """Restore the store from a copy; what was written since is written again."""
+        copy = self.fleet.store.make_copy()
+        await asyncio.sleep(self.random.uniform(0.3, 2.0))
+        self.fleet.store_outages += 1
+        self.fleet.store.restore(copy)
+        await asyncio.sleep(self.random.uniform(0.1, 1.0))
+        self.fleet.publish_configuration()
+        for engine in self.fleet.engines:
+            self.fleet.rewrite_entry(engine)
+        self.fleet.store_outages -= 1
+        self.fleet.store_failed_at = self.fleet.now()
+
     async def change_stage(self):
         self.fleet.put_entry(self.fleet.prefiller, stage="decode")
         await asyncio.sleep(self.random.uniform(2.0, 4.0))
--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -30,11 +30,18 @@
     With ``slow_links``, large configurations are read over slow links, engines name
     limits, and fewer faults leave versions in peace long enough to be checked.
     ``response_faults`` is one of ``RESPONSE_FAULTS``, and ``endless`` whether some
-    responses have no end.
+    responses have no end. With ``notices``, engines also say that they leave or want no
+    requests for a time, and the store comes back from older copies.
     """
 
     def __init__(
-        self, seed, directory, slow_links=False, response_faults="none", endless=False
+        self,
+        seed,
+        directory,
+        slow_links=False,
+        response_faults="none",
+        endless=False,
+        notices=False,
     ):
         self.random = random.Random(seed)
         self.slow_links = slow_links
@@ -45,6 +52,8 @@
         )
         self.response_faults = response_faults
         self.endless = endless
+        self.notices = notices
+        self.entry_changes = {}
         self.directory = directory
         self.store = FakeStore()
         self.engines = [FakeEngine(f"app-{n}") for n in range(3)]
@@ -107,6 +116,11 @@
 
     def put_entry(self, engine, state="ready", **changes):
         """Write an engine's entry of the registry."""
+        self.entry_changes[engine] = (state, changes)
+        self.rewrite_entry(engine)
+
+    def rewrite_entry(self, engine):
+        state, changes = self.entry_changes[engine]
         entry = engine.entry(state, **changes)
         self.store.put("keyed.servers", engine.engine_id, entry)
 
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -30,3 +30,10 @@
     assert counts["answers"] > 0
     assert counts["repeated"] > 0
     assert counts["handles"] > 0
+
+
+def test_guarantees_hold_while_engines_leave_and_the_store_comes_back():
+    options = {"response_faults": "all", "endless": True, "notices": True}
+    counts = run_soak(500, DURATION_S, **options)
+    assert counts["answers"] > 0
+    assert counts["repeated"] > 0
