--- a/tests/test_endless_engines.py
+++ b/tests/test_endless_engines.py
@@ -39,10 +39,7 @@
 async def harness(tmp_path):
     harness = GatewayHarness(tmp_path)
     yield harness
-    harness.daemon.stopping.set()
-    harness.task.cancel()
-    for task in harness.daemon.tasks:
-        task.cancel()
+    harness.stop()
 
 
 async def send_timed(harness, path, **headers):
--- a/tests/test_gateway_backoff.py
+++ b/tests/test_gateway_backoff.py
@@ -23,11 +23,7 @@
 async def harness(tmp_path):
     harness = GatewayHarness(tmp_path)
     yield harness
-    if hasattr(harness, "task"):
-        harness.daemon.stopping.set()
-        harness.task.cancel()
-        for task in harness.daemon.tasks:
-            task.cancel()
+    harness.stop()
 
 
 def now():
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -71,6 +71,16 @@
         # The gateway reads the list of gateways two seconds after its start.
         self.daemon.peers.peers_known = True
 
+    def stop(self):
+        """Cancel the gateway's tasks; print its log, which a failing test shows."""
+        if not hasattr(self, "task"):
+            return
+        self.daemon.stopping.set()
+        for task in (self.task, *self.daemon.tasks):
+            task.cancel()
+        self.daemon.log.flush()
+        print(b"".join(self.log_output).decode())
+
     def write_settings(self, **overrides):
         text = SETTINGS.format(
             peer=allocate_port(),
@@ -112,11 +122,7 @@
 async def harness(tmp_path):
     harness = GatewayHarness(tmp_path)
     yield harness
-    if hasattr(harness, "task"):
-        harness.daemon.stopping.set()
-        harness.task.cancel()
-        for task in harness.daemon.tasks:
-            task.cancel()
+    harness.stop()
 
 
 def make_plain_engines(count=2):
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -30,11 +30,7 @@
 async def harness(tmp_path):
     harness = GatewayHarness(tmp_path)
     yield harness
-    if hasattr(harness, "task"):
-        harness.daemon.stopping.set()
-        harness.task.cancel()
-        for task in harness.daemon.tasks:
-            task.cancel()
+    harness.stop()
 
 
 @pytest.fixture
--- a/tests/test_gateway_trust.py
+++ b/tests/test_gateway_trust.py
@@ -21,9 +21,7 @@
 async def gateway(tmp_path):
     gateway = GatewayHarness(tmp_path)
     yield gateway
-    gateway.daemon.stopping.set()
-    for task in (gateway.task, *gateway.daemon.tasks):
-        task.cancel()
+    gateway.stop()
 
 
 def announce(sender, now):
