Send no SIGHUP in the soak before the first line of a gateway runs

A SIGHUP within some 50 ms of a process's start ends it with -1, whatever the package does: until then the interpreter starts, and the signal has its default action. Shown by ten processes started by hand (up to 0.05 s: -1; from 0.1 s on: it goes on).

The soak now sends SIGHUP once the process has ignored or caught it, by the masks in /proc, and to the end of the process from then on.

--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -103,7 +103,8 @@
 
     async def reload(self):
         gateway = self.random.choice(self.fleet.gateways)
-        gateway.signal(signal.SIGHUP)
+        if gateway.process.poll() is None and gateway.handles_hangup():
+            gateway.signal(signal.SIGHUP)
 
     async def break_engine(self):
         engine = self.random.choice(self.fleet.engines)
--- a/tests/soak_processes.py
+++ b/tests/soak_processes.py
@@ -1,6 +1,7 @@
 """Gateway processes of the soak, and what was observed of them."""
 
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -19,6 +20,8 @@
 MAX_MEMORY_BYTES = 300_000_000
 # Seconds after a fault of a process during which it may not answer.
 RECOVERY_S = 1.0
+# Bit of SIGHUP in the masks of signals of a process.
+HANGUP_BIT = 1 << (signal.SIGHUP - 1)
 
 
 @attrs.define(eq=False)
@@ -37,6 +40,7 @@
     stopping: bool = False
     pauses: int = 0
     served: bool = False
+    handled_hangup: bool = False
     peak_memory_bytes: int = 0
 
     def start(self):
@@ -65,11 +69,23 @@
                 stderr=log,
             )
         self.observed_version, self.stopping, self.served = 0, False, False
+        self.handled_hangup = False
 
     def signal(self, number):
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
+    def handles_hangup(self):
+        """Return whether SIGHUP has lost its default action, which ends a process.
+
+        It has that action until the first line of the package runs.
+        """
+        if not self.handled_hangup:
+            text = Path(f"/proc/{self.process.pid}/status").read_text(encoding="ascii")
+            masks = re.findall(r"^Sig(?:Ign|Cgt):\s*(\w+)$", text, re.MULTILINE)
+            self.handled_hangup = any(int(mask, 16) & HANGUP_BIT for mask in masks)
+        return self.handled_hangup
+
     def kill(self):
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -867,6 +867,22 @@
     yield task
 
 
+def test_hangup_is_ignored_before_the_gateway_imports_its_modules():
+    script = (
+        "import importlib.abc, signal, sys\n"
+        "class Finder(importlib.abc.MetaPathFinder):\n"
+        "    def find_spec(self, name, path, target=None):\n"
+        "        if name == 'asyncio':\n"
+        "            print(signal.getsignal(signal.SIGHUP) == signal.SIG_IGN)\n"
+        "sys.meta_path.insert(0, Finder())\n"
+        "import jasminewalk.gateway.__main__\n"
+    )
+    result = subprocess.run(
+        [sys.executable, "-c", script], capture_output=True, text=True, check=True
+    )
+    assert result.stdout == "True\n"
+
+
 @pytest.mark.anyio
 async def test_shutdown_drains_requests_and_fails_readiness(harness):
     await harness.start(*make_plain_engines())
