--- a/src/jasminewalk/gateway/fleet.py
+++ b/src/jasminewalk/gateway/fleet.py
@@ -581,7 +581,8 @@
             "engine_listed",
             entry.engine_id,
             f"service={entry.service} address={entry.address} "
-            f"zone={entry.failure_domain} stage={entry.stage or '-'}",
+            f"zone={entry.failure_domain} stage={entry.stage or '-'} "
+            f"started={entry.started_ms or '-'}",
         )
 
     def _change_entry(
