--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -462,6 +462,14 @@
     async def misdirect(self, connection, request, headers):
         connection.send_response(421, self.build_headers(headers), b"")
 
+    async def reject_stage(self, connection, request, headers):
+        """Refuse a request of another stage; the response names this engine."""
+        response_headers = [
+            *self.build_headers(headers),
+            (b"x-jasminewalk-instance-id", self.engine_id.encode()),
+        ]
+        connection.send_response(421, response_headers, b"")
+
     async def overloaded_without_not_executed(self, connection, request, headers):
         connection.send_response(503, self.build_headers(headers), b"")
 
