Keep an engine's state when an entry names no start, and skip entries with an unreadable one

What callers saw: a request reached an engine more than two seconds after its notice that it leaves. Cause: an entry whose start is missing or of another type was read as one with the start 0, another incarnation, so a new state replaced the engine's, and with it the notice, its failures and its load. Why this works: an entry without a start cannot prove a new incarnation. One with a start of another type is not an engine's own entry, and names no engine to use (the entry before it holds).

--- a/src/jasminewalk/gateway/fleet.py
+++ b/src/jasminewalk/gateway/fleet.py
@@ -13,6 +13,7 @@
 from jasminewalk.platform.configuration import EngineTraits, Service
 from jasminewalk.platform.registry import (
     PREFILL,
+    UNKNOWN_START_MS,
     EngineEntry,
     decode_engine_entry,
 )
@@ -559,11 +560,13 @@
 
     def _update_entry(self, now: float, entry: EngineEntry) -> Iterator[FleetEvent]:
         known = self.engines.get(entry.engine_id)
+        gone = self.gone.get(entry.engine_id)
+        newest = known or gone
+        if newest is not None and entry.started_ms == UNKNOWN_START_MS:
+            entry = attrs.evolve(entry, started_ms=newest.entry.started_ms)
         if known is not None and known.entry.started_ms == entry.started_ms:
             yield from self._change_entry(known, entry)
             return
-        gone = self.gone.get(entry.engine_id)
-        newest = known or gone
         if newest is not None and self._is_outdated(newest, entry):
             detail = f"started at {entry.started_ms}, known {newest.entry.started_ms}"
             yield FleetEvent("entry_outdated", entry.engine_id, detail)
--- a/src/jasminewalk/platform/registry.py
+++ b/src/jasminewalk/platform/registry.py
@@ -7,13 +7,20 @@
 
 from jasminewalk.exceptions import BadMessageError
 
-__all__ = ["DECODE", "PREFILL", "EngineEntry", "decode_engine_entry"]
+__all__ = [
+    "DECODE",
+    "PREFILL",
+    "UNKNOWN_START_MS",
+    "EngineEntry",
+    "decode_engine_entry",
+]
 
 READY = "ready"
 DRAINING = "draining"
 PREFILL = "prefill"
 DECODE = "decode"
 NO_STAGE = ""
+UNKNOWN_START_MS = 0
 
 
 @attrs.frozen
@@ -27,7 +34,8 @@
     :param slots: number of requests that the engine runs concurrently.
     :param leaving: whether the engine is draining.
     :param stage: ``prefill``, ``decode`` or empty.
-    :param started_ms: Unix time at which the engine started, in milliseconds.
+    :param started_ms: Unix time at which the engine started, in milliseconds; 0 if the
+        entry names none.
     """
 
     engine_id: str
@@ -73,7 +81,7 @@
         slots=max(1, _get_typed_field(document, "slots", int, engine_id)),
         leaving=state == DRAINING,
         stage=stage,
-        started_ms=_get_started_ms(document),
+        started_ms=_get_started_ms(document, engine_id),
     )
 
 
@@ -86,6 +94,8 @@
     return value
 
 
-def _get_started_ms(document: dict[str, Any]) -> int:
-    value = document.get("born", 0)
-    return value if isinstance(value, int) else 0
+def _get_started_ms(document: dict[str, Any], engine_id: str) -> int:
+    if "born" not in document:
+        return UNKNOWN_START_MS
+    started_ms: int = _get_typed_field(document, "born", int, engine_id)
+    return started_ms
