Read the notices in a response with status 421 that names the engine itself

What callers saw: a request reached an engine more than two seconds after its notice that it leaves. Cause: a 421 was taken for another engine's response whatever it said. An engine also answers so when the request is of another stage; its notices and limits were then dropped. Why this works: a 421 bears the id of the engine that answers. If it is the expected one, its headers are its own. A 421 that names another engine, or none, still says nothing.

--- a/src/jasminewalk/gateway/engine_clients.py
+++ b/src/jasminewalk/gateway/engine_clients.py
@@ -200,7 +200,10 @@
     def _record_response(
         self, engine: EngineState, response: Response, sent_at: float
     ) -> None:
-        if response.status == MISDIRECTED_REQUEST:
+        named_id = response.head.engine_id
+        if response.status == MISDIRECTED_REQUEST and (
+            named_id != engine.entry.engine_id
+        ):
             # Another engine may have answered.
             return
         if response.head.leaving:
--- a/src/jasminewalk/platform/headers.py
+++ b/src/jasminewalk/platform/headers.py
@@ -33,6 +33,7 @@
 RETRY_AFTER = b"retry-after"
 STORE_ERA = b"store-era"
 EXPECT_INSTANCE = b"x-jasminewalk-expect-instance"
+INSTANCE_ID = b"x-jasminewalk-instance-id"
 REQUEST_PRIORITY = b"x-jasminewalk-request-priority"
 STAGE = b"x-jasminewalk-stage"
 KV_SOURCE = b"x-jasminewalk-kv-source"
@@ -139,6 +140,7 @@
         from this gateway; None if it does not say.
     :param unreadable_retry_after: that time as received, if it is not a number of
         seconds; else empty.
+    :param engine_id: id of the engine that answers; empty if the response names none.
     """
 
     request_id: str
@@ -152,6 +154,7 @@
     leaving: bool = False
     retry_after_s: float | None = None
     unreadable_retry_after: str = ""
+    engine_id: str = ""
 
 
 def decode_request_head(headers: Iterable[Header]) -> RequestHead:
@@ -220,6 +223,7 @@
         leaving=values.get(LEAVING, b"").strip() == b"1",
         retry_after_s=retry_after_s,
         unreadable_retry_after="" if retry_after_s is not None else retry_after_text,
+        engine_id=_decode_text(values.get(INSTANCE_ID, b"")),
     )
 
 
