--- a/src/jasminewalk/gateway/placement.py
+++ b/src/jasminewalk/gateway/placement.py
@@ -68,6 +68,11 @@
     parts: tuple[PromptPart, ...]
     tokens: int
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """Ids of the parts that other requests may share: all but the last."""
+        return tuple(part.part_id for part in self.parts[:-1])
+
     @property
     def shared_prefix_id(self) -> str:
         """Id of the last part of the shared prefix; empty if no part is shared."""
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -28,6 +28,8 @@
 MIN_SEND_TIME_S = 0.02
 # Events of a stream in addition to one for each token that the caller asked for.
 MAX_EXTRA_EVENTS = 16
+# Ids of prompt parts in a log line.
+MAX_LOGGED_PARTS = 8
 
 
 class StreamRun(GenerationRun):
@@ -43,6 +45,7 @@
         )
         self.error_response: tuple[Response, bytes] | None = None
         self.retry_reserved = False
+        self.response_begun = False
         self.first_event_at: float | None = None
         try:
             async with asyncio.timeout(max(0.0, self.remaining_s)):
@@ -117,6 +120,7 @@
     async def _attempt(
         self, engine: EngineState, estimate: PrefillEstimate, priority: int
     ) -> StreamAttemptResult:
+        self.response_begun = False
         prompt = self.prefilled_prompt
         prefill_s = estimate.prefill_s if prompt is None else 0.0
         alone = engine.prefill_s == 0.0
@@ -173,6 +177,7 @@
                 return await self._handle_error_response(sent, response, engine)
             if response.head.encoded or not response.head.signed:
                 return self._fail_attempt(engine, "answer is not the engine's")
+            self.response_begun = True
             self.may_have_run = True
             if self.prefilled_prompt is not None:
                 self.prefilled_prompt.transferred = True
@@ -236,6 +241,8 @@
             engine=engine.entry.engine_id,
             reason=reason,
             events=self.last_event_id,
+            begun=self.response_begun,
+            shared_parts=self.prompt_profile.shared_part_ids[:MAX_LOGGED_PARTS],
         )
         return StreamAttemptResult.BROKEN
 
