Refuse requests with a part of a prompt that crashes engines

Cause: a crash counted against the engine alone. Change: a gateway whose stream breaks off asks whether the engine's process has ended (nothing listens there). If so, the crash speaks against the shared parts of all prompts on which the engine began to write. Three crashes, one after the other and without a complete answer in between at any gateway, put a part into quarantine: its requests are refused at once with the time that is left. A complete answer clears all parts of its prompt. Gateways tell each other crashes, cleared parts and quarantines in their messages; a later one learns of it with the first. Why this works: the part is in every crash and in no complete answer; any other part is sooner or later in one.

--- a/src/jasminewalk/gateway/daemon.py
+++ b/src/jasminewalk/gateway/daemon.py
@@ -9,15 +9,18 @@
 
 from jasminewalk.exceptions import BadSettingsError
 from jasminewalk.gateway.admission import AdmissionPolicy
+from jasminewalk.gateway.crash_watch import CrashWatch
 from jasminewalk.gateway.decision_log import DecisionLog
 from jasminewalk.gateway.engine_clients import EngineClients
 from jasminewalk.gateway.fleet import Fleet, FleetEvent
 from jasminewalk.gateway.holder_lease import HolderLease
 from jasminewalk.gateway.metrics import GatewayMetrics
+from jasminewalk.gateway.part_quarantine import PartQuarantine
 from jasminewalk.gateway.peer_link import GatewaysFollower, PeerLink
 from jasminewalk.gateway.peers import PeerExchange
 from jasminewalk.gateway.placement import PlacementPolicy
 from jasminewalk.gateway.plain_run import PlainRun
+from jasminewalk.gateway.quarantine_news import QuarantineExchange
 from jasminewalk.gateway.routes import RouteTable
 from jasminewalk.gateway.run import GatewayContext
 from jasminewalk.gateway.stage_controller import SESSION_S, StageController
@@ -77,6 +80,15 @@
         self.peers = PeerExchange(
             self.settings.name, peer_address, self.started_ms, self.fleet
         )
+        quarantine = PartQuarantine()
+        self.crash_watch = CrashWatch(
+            self.clients,
+            quarantine,
+            QuarantineExchange(quarantine),
+            self.log,
+            self.metrics,
+            self.clock,
+        )
         self.context = GatewayContext(
             settings=self.settings,
             fleet=self.fleet,
@@ -84,6 +96,7 @@
             placement=PlacementPolicy(self.settings.failure_domain),
             admission=AdmissionPolicy(),
             peers=self.peers,
+            crash_watch=self.crash_watch,
             log=self.log,
             metrics=self.metrics,
             clock=self.clock,
@@ -123,7 +136,12 @@
         )
         self.gateways = GatewaysFollower(self.store, self.log, self.clock, self.peers)
         self.peer_link = PeerLink(
-            self.peers, self.configuration, self.registry, self.log, self.clock
+            self.peers,
+            self.configuration,
+            self.registry,
+            self.crash_watch,
+            self.log,
+            self.clock,
         )
         self.configuration.on_read = self.registry.on_read = self.peer_link.announce
         self.stage_controller = StageController(
--- a/src/jasminewalk/gateway/engine_clients.py
+++ b/src/jasminewalk/gateway/engine_clients.py
@@ -39,10 +39,12 @@
     """No connection to the engine could be opened, so nothing was sent.
 
     :param reason: error for the log.
+    :param refused: whether nothing listened at the address.
     """
 
-    def __init__(self, reason: str) -> None:
+    def __init__(self, reason: str, *, refused: bool = False) -> None:
         self.reason = reason
+        self.refused = refused
         super().__init__(reason)
 
 
@@ -160,6 +162,18 @@
             finally:
                 connection.abort()
 
+    async def is_refused(self, engine: EngineState) -> bool:
+        """Return whether nothing listens at an engine's address, so its process ended.
+
+        :param engine: the engine.
+        """
+        try:
+            connection = await self._connect(engine, CONNECT_TIMEOUT_S)
+        except NotSentError as error:
+            return error.refused
+        connection.abort()
+        return False
+
     def get_pool(self, engine: EngineState) -> ConnectionPool:
         """Return the connection pool of an engine; create it if there is none.
 
@@ -254,7 +268,7 @@
                 self.budget,
             )
         except ExchangeBrokenError as error:
-            raise NotSentError(error.reason) from error
+            raise NotSentError(error.reason, refused=error.refused) from error
         connection.on_discarded = partial(
             self._record_discarded, engine.entry.engine_id
         )
--- a/src/jasminewalk/gateway/generation_run.py
+++ b/src/jasminewalk/gateway/generation_run.py
@@ -49,7 +49,9 @@
         self.reason = ""
         self.prefilled_prompt: PrefilledPrompt | None = None
         self.failed_prefills = 0
-        self._record_demand()
+        self.is_trial = False
+        if not self.is_quarantined():
+            self._record_demand()
 
     @abstractmethod
     def finish_incomplete(self, reason: str, status: int) -> None:
@@ -64,6 +66,11 @@
     def last_event_id(self) -> str:
         """Id of the last complete event sent to the caller; empty if there is none."""
 
+    def is_quarantined(self) -> bool:
+        """Return whether a quarantine holds for the prompt."""
+        quarantine = self.context.crash_watch.quarantine
+        return quarantine.find(self.prompt_profile.shared_part_ids) is not None
+
     def _record_demand(self) -> None:
         now = self.context.clock()
         engines = self.context.fleet.list_usable(self.service, now)
@@ -78,6 +85,8 @@
         Return None if the request was ended instead: refused, or failed if it may have
         been executed.
         """
+        if self.refuse_quarantined():
+            return None
         now = self.context.clock()
         engines = [
             engine
@@ -122,6 +131,23 @@
             self._refuse_overloaded(decision.retry_after_s, inputs)
         return None
 
+    def refuse_quarantined(self) -> bool:
+        """End the request and return True if a part of its prompt crashes engines.
+
+        Once a quarantine is over, the request may be the one that is tried.
+        """
+        if self.is_trial or not self.is_quarantined():
+            return False
+        watch, parts = self.context.crash_watch, self.prompt_profile.shared_part_ids
+        may_try = not self.context.peers.compute_rank(self.context.clock())
+        quarantine = watch.find_quarantine(parts, may_try=may_try)
+        if quarantine is None:
+            self.is_trial = True
+            return False
+        self.retry_after_s = watch.compute_wait_s(quarantine)
+        self.finish_incomplete("crashing prompt part", BAD_GATEWAY)
+        return True
+
     def _refuse_overloaded(
         self, retry_after_s: float, inputs: dict[str, object]
     ) -> None:
--- a/src/jasminewalk/gateway/metrics.py
+++ b/src/jasminewalk/gateway/metrics.py
@@ -31,6 +31,16 @@
         self.first_event_latency = self._create_histogram(
             "first_event_seconds", "Until the first event."
         )
+        self.engine_crashes = Counter(
+            "jasminewalk_engine_crashes",
+            "Engines whose process ended under streams of this gateway.",
+            registry=self.registry,
+        )
+        self.quarantined_parts = Gauge(
+            "jasminewalk_quarantined_parts",
+            "Quarantines of prompt parts that crash engines.",
+            registry=self.registry,
+        )
         self.configuration_version = Gauge(
             "jasminewalk_configuration_version",
             "Version of the configuration in force.",
--- /dev/null
+++ b/src/jasminewalk/gateway/part_quarantine.py
@@ -0,0 +1,348 @@
+"""Evidence against the parts of prompts that crash engines, and their quarantine."""
+
+from collections import OrderedDict
+from collections.abc import Collection, Iterator, Mapping
+
+import attrs
+
+__all__ = ["EngineCrash", "PartQuarantine", "Quarantine", "QuarantineEvent"]
+
+# Crashes, one after the other and without an answer in between, that prove a part
+# guilty, and those that prove one of which an answer was completed recently: engines
+# may all crash for another cause while a part that most requests share is in flight.
+GUILTY_CRASHES = 3
+GUILTY_CRASHES_IF_SOUND = 8
+# Crashes that prove two parts guilty that are in different crashes; with fewer, the
+# next crash may tell them apart.
+AMBIGUOUS_CRASHES = 5
+# Seconds for which a completed answer counts, and for which a crash does.
+SOUND_S = 60.0
+CRASH_KEPT_S = 300.0
+# Seconds of the first quarantine; doubled with each trial that crashes an engine.
+MIN_QUARANTINE_S = 60.0
+MAX_QUARANTINE_S = 3600.0
+# Seconds without an outcome of a trial after which another one is allowed.
+TRIAL_INTERVAL_S = 10.0
+# Seconds after its end for which a quarantine waits for a request to try.
+FORGOTTEN_AFTER_S = 600.0
+# Most entries in memory. The oldest are dropped first.
+MAX_CRASHES = 64
+MAX_PARTS_PER_CRASH = 64
+MAX_SOUND_PARTS = 4096
+MAX_QUARANTINES = 64
+
+
+@attrs.define
+class EngineCrash:
+    """Crash of one incarnation of an engine, and the parts that may have caused it.
+
+    :param crashed_at: monotonic time at which the crash was noticed.
+    :param sent_at: monotonic time at which the last request with a part was sent to the
+        engine, by the part's id.
+    """
+
+    crashed_at: float
+    sent_at: dict[str, float] = attrs.field(factory=dict)
+
+
+@attrs.define
+class Quarantine:
+    """Parts whose requests are refused, because they crashed engines.
+
+    Several parts are in one quarantine if the same crashes speak against all of them;
+    then only requests that have all of them are refused.
+
+    :param parts: ids of the parts.
+    :param crashes: engines that crashed under them.
+    :param until: monotonic time from which a request with them may be tried.
+    :param duration_s: length of the quarantine in seconds.
+    :param tried_at: monotonic time of the last trial.
+    :param refused: requests that this gateway refused.
+    """
+
+    parts: frozenset[str]
+    crashes: int
+    until: float
+    duration_s: float = MIN_QUARANTINE_S
+    tried_at: float = float("-inf")
+    refused: int = 0
+
+
+@attrs.frozen
+class QuarantineEvent:
+    """A change of the quarantine, for the log and the store.
+
+    :param event: name of the log event.
+    :param parts: ids of the parts.
+    :param detail: reason, with the inputs of the decision.
+    :param ended: parts of the quarantine that ended or was replaced, if one was.
+    """
+
+    event: str
+    parts: frozenset[str]
+    detail: str
+    ended: frozenset[str] = frozenset()
+
+
+class PartQuarantine:
+    """Decides which parts of prompts crash engines, and refuses requests with them.
+
+    A crash speaks against the parts of all requests that may have caused it. A part
+    that goes on to crash engines is in all of these crashes; any other part is sooner
+    or later in an answer that an engine completes, which clears it. A crash counts for
+    a part only if a request with the part was sent after the crash counted before, so
+    engines that fail together count once.
+
+    >>> quarantine = PartQuarantine()
+    >>> for number in (1, 2, 3):
+    ...     sent_at = {"rules": number, "menu": number}
+    ...     _ = list(quarantine.record_crash(number + 0.5, number, sent_at))
+    ...     _ = list(quarantine.record_sound(number + 0.6, ["rules"]))
+    >>> sorted(quarantine.find(["rules", "menu"]).parts)
+    ['menu']
+    >>> quarantine.find(["rules"]) is None
+    True
+    """
+
+    def __init__(self) -> None:
+        self.crashes: OrderedDict[int, EngineCrash] = OrderedDict()
+        self.explained: OrderedDict[int, None] = OrderedDict()
+        self.sound_at: OrderedDict[str, float] = OrderedDict()
+        self.quarantines: dict[frozenset[str], Quarantine] = {}
+
+    # Evidence.
+
+    def record_crash(
+        self,
+        now: float,
+        engine_key: int,
+        sent_at: Mapping[str, float],
+        age_s: float = 0,
+    ) -> Iterator[QuarantineEvent]:
+        """Record a crash, and yield an event for each quarantine that begins or lasts.
+
+        The same crash may be recorded several times, by several gateways.
+
+        :param now: current monotonic time in seconds.
+        :param engine_key: identifies the incarnation of the engine.
+        :param sent_at: monotonic time at which a request was sent to the engine, by the
+            ids of the request's parts.
+        :param age_s: seconds since the crash.
+        """
+        if engine_key in self.explained:
+            return
+        crash = self.crashes.setdefault(engine_key, EngineCrash(now - age_s))
+        for part, at in sent_at.items():
+            has_room = part in crash.sent_at or (
+                len(crash.sent_at) < MAX_PARTS_PER_CRASH
+            )
+            if has_room and self.sound_at.get(part, at) <= crash.crashed_at:
+                crash.sent_at[part] = max(at, crash.sent_at.get(part, at))
+        while len(self.crashes) > MAX_CRASHES:
+            self.crashes.popitem(last=False)
+        yield from self._explain_crash(now, engine_key, crash)
+        yield from self._convict(now)
+
+    def record_sound(
+        self, now: float, parts: Collection[str]
+    ) -> Iterator[QuarantineEvent]:
+        """Record that an engine completed an answer, which clears all of its parts.
+
+        Yield an event for each quarantine that ends or gets narrower.
+
+        :param now: current monotonic time in seconds.
+        :param parts: ids of the parts.
+        """
+        for part in parts:
+            self.sound_at[part] = now
+            self.sound_at.move_to_end(part)
+        while len(self.sound_at) > MAX_SOUND_PARTS:
+            self.sound_at.popitem(last=False)
+        if self.crashes:
+            for crash in self.crashes.values():
+                for part in parts:
+                    crash.sent_at.pop(part, None)
+        if self.quarantines:
+            yield from self._clear(parts)
+
+    def expire(self, now: float) -> Iterator[QuarantineEvent]:
+        """Drop old crashes, and quarantines that no request has tried for long.
+
+        :param now: current monotonic time in seconds.
+        """
+        for key, crash in list(self.crashes.items()):
+            if now - crash.crashed_at >= CRASH_KEPT_S:
+                del self.crashes[key]
+        for parts, quarantine in list(self.quarantines.items()):
+            if now - quarantine.until >= FORGOTTEN_AFTER_S:
+                del self.quarantines[parts]
+                detail = f"no request tried it for {FORGOTTEN_AFTER_S:g} s"
+                yield QuarantineEvent("part_forgotten", parts, detail, ended=parts)
+
+    def list_sound(self, now: float, parts: Collection[str]) -> list[str]:
+        """Return the parts of which an answer was completed recently.
+
+        :param now: current monotonic time in seconds.
+        :param parts: ids of the parts.
+        """
+        return [
+            part
+            for part in parts
+            if now - self.sound_at.get(part, float("-inf")) < SOUND_S
+        ]
+
+    # Decisions.
+
+    def find(self, parts: Collection[str]) -> Quarantine | None:
+        """Return the quarantine that holds for a request, or None.
+
+        :param parts: ids of the request's parts.
+        """
+        if not self.quarantines:
+            return None
+        held = set(parts)
+        for quarantine in self.quarantines.values():
+            if quarantine.parts <= held:
+                return quarantine
+        return None
+
+    def try_begin_trial(self, now: float, quarantine: Quarantine) -> bool:
+        """Return whether one request may be tried, as the quarantine is over.
+
+        :param now: current monotonic time in seconds.
+        :param quarantine: the quarantine that holds for the request.
+        """
+        if now < quarantine.until or now - quarantine.tried_at < TRIAL_INTERVAL_S:
+            return False
+        quarantine.tried_at = now
+        return True
+
+    def compute_wait_s(self, now: float, quarantine: Quarantine) -> float:
+        """Return the seconds until a request may be tried.
+
+        :param now: current monotonic time in seconds.
+        :param quarantine: the quarantine that holds for the request.
+        """
+        return max(
+            quarantine.until - now, quarantine.tried_at + TRIAL_INTERVAL_S - now, 0.0
+        )
+
+    def adopt(self, now: float, told: Quarantine) -> Iterator[QuarantineEvent]:
+        """Adopt a quarantine of another gateway; yield an event if it is news.
+
+        :param now: current monotonic time in seconds.
+        :param told: the quarantine, as the other gateway or the store has it.
+        """
+        parts = told.parts.difference(self.list_sound(now, told.parts))
+        if not parts or now - told.until >= FORGOTTEN_AFTER_S:
+            return
+        known = self.quarantines.get(parts)
+        if known is not None:
+            known.crashes = max(known.crashes, told.crashes)
+            if told.until > known.until:
+                known.until, known.duration_s = told.until, told.duration_s
+            return
+        if any(held <= parts for held in self.quarantines):
+            return
+        self._add(attrs.evolve(told, parts=parts, refused=0))
+        for key, crash in list(self.crashes.items()):
+            if parts <= crash.sent_at.keys():
+                self._mark_explained(key)
+        yield QuarantineEvent("part_quarantined", parts, "another gateway found it")
+
+    # Verdicts.
+
+    def _convict(self, now: float) -> Iterator[QuarantineEvent]:
+        while True:
+            parts, count = self._find_guilty(now)
+            if not parts:
+                return
+            quarantine = Quarantine(parts, count, now + MIN_QUARANTINE_S)
+            self._add(quarantine)
+            for key, crash in list(self.crashes.items()):
+                if parts <= crash.sent_at.keys():
+                    self._mark_explained(key)
+            yield QuarantineEvent(
+                "part_quarantined",
+                parts,
+                f"{count} engines crashed one after the other, no answer in between; "
+                f"refused for {quarantine.duration_s:g} s",
+            )
+
+    def _find_guilty(self, now: float) -> tuple[frozenset[str], int]:
+        """Return the parts against which most crashes speak, and their number."""
+        counts, keys = self._count_crashes()
+        suspects = {
+            part: count
+            for part, count in counts.items()
+            if count >= self._get_needed_crashes(now, part)
+        }
+        if not suspects:
+            return frozenset(), 0
+        most = max(suspects.values())
+        leaders = [part for part, count in suspects.items() if count == most]
+        group = frozenset(part for part in leaders if keys[part] == keys[leaders[0]])
+        if len(group) < len(leaders) and most < AMBIGUOUS_CRASHES:
+            return frozenset(), 0
+        return group, most
+
+    def _count_crashes(self) -> tuple[dict[str, int], dict[str, list[int]]]:
+        counts: dict[str, int] = {}
+        counted_at: dict[str, float] = {}
+        keys: dict[str, list[int]] = {}
+        ordered = sorted(self.crashes.items(), key=lambda item: item[1].crashed_at)
+        for key, crash in ordered:
+            for part, sent_at in crash.sent_at.items():
+                keys.setdefault(part, []).append(key)
+                if sent_at > counted_at.get(part, float("-inf")):
+                    counts[part] = counts.get(part, 0) + 1
+                    counted_at[part] = crash.crashed_at
+        return counts, keys
+
+    def _get_needed_crashes(self, now: float, part: str) -> int:
+        if self.list_sound(now, [part]):
+            return GUILTY_CRASHES_IF_SOUND
+        return GUILTY_CRASHES
+
+    def _explain_crash(
+        self, now: float, engine_key: int, crash: EngineCrash
+    ) -> Iterator[QuarantineEvent]:
+        for quarantine in list(self.quarantines.values()):
+            if not quarantine.parts <= crash.sent_at.keys():
+                continue
+            quarantine.crashes += 1
+            if crash.crashed_at > quarantine.until:
+                quarantine.duration_s = min(MAX_QUARANTINE_S, 2 * quarantine.duration_s)
+                detail = f"tried again; refused for {quarantine.duration_s:g} s"
+                yield QuarantineEvent("part_quarantined", quarantine.parts, detail)
+            quarantine.until = max(
+                quarantine.until, crash.crashed_at + quarantine.duration_s
+            )
+            self._mark_explained(engine_key)
+            return
+
+    def _mark_explained(self, engine_key: int) -> None:
+        self.crashes.pop(engine_key, None)
+        self.explained[engine_key] = None
+        while len(self.explained) > MAX_CRASHES:
+            self.explained.popitem(last=False)
+
+    def _add(self, quarantine: Quarantine) -> None:
+        if len(self.quarantines) >= MAX_QUARANTINES:
+            first = min(self.quarantines.values(), key=lambda held: held.until)
+            del self.quarantines[first.parts]
+        self.quarantines[quarantine.parts] = quarantine
+
+    def _clear(self, parts: Collection[str]) -> Iterator[QuarantineEvent]:
+        for held, quarantine in list(self.quarantines.items()):
+            left = held.difference(parts)
+            if left == held:
+                continue
+            del self.quarantines[held]
+            if not left:
+                detail = f"an answer was completed; {quarantine.refused} refused here"
+                yield QuarantineEvent("part_released", held, detail, ended=held)
+            elif left not in self.quarantines:
+                self._add(attrs.evolve(quarantine, parts=left))
+                detail = "an answer cleared the other parts"
+                yield QuarantineEvent("part_quarantined", left, detail, ended=held)
--- a/src/jasminewalk/gateway/peer_link.py
+++ b/src/jasminewalk/gateway/peer_link.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from jasminewalk.exceptions import LogUnavailableError
+from jasminewalk.gateway.crash_watch import CrashWatch
 from jasminewalk.gateway.decision_log import DecisionLog
 from jasminewalk.gateway.peers import PeerExchange, decode_peer_message
 from jasminewalk.gateway.store_follower import (
@@ -125,6 +126,7 @@
     :param exchange: builds and applies the messages.
     :param configuration: follower of the configuration.
     :param registry: follower of the registry.
+    :param crash_watch: builds and applies the news of crashes.
     :param log: decision log.
     :param clock: returns the monotonic time in seconds.
     """
@@ -134,12 +136,14 @@
         exchange: PeerExchange,
         configuration: ConfigurationFollower,
         registry: RegistryFollower,
+        crash_watch: CrashWatch,
         log: DecisionLog,
         clock: Callable[[], float],
     ) -> None:
         self.exchange = exchange
         self.configuration = configuration
         self.registry = registry
+        self.crash_watch = crash_watch
         self.log = log
         self.clock = clock
         self.socket: asyncio.DatagramTransport | None = None
@@ -175,6 +179,7 @@
             self.configuration.compute_progress(now),
             self.registry.compute_progress(now),
             self.registry.announced_era,
+            self.crash_watch.build_news(),
         )
         for peer in list(self.exchange.peers.values()):
             host, _, port = peer.address.rpartition(":")
@@ -195,6 +200,7 @@
             era = message.store_era
             self.configuration.record_peer_progress(now, message.configuration, era)
             self.registry.record_peer_progress(now, message.registry, era)
+            self.crash_watch.apply_news(message.quarantine)
             for event in chain(
                 self.exchange.apply_limits(now, message),
                 self.exchange.apply_leaving(message),
--- a/src/jasminewalk/gateway/peers.py
+++ b/src/jasminewalk/gateway/peers.py
@@ -15,6 +15,7 @@
     Load,
     Outcomes,
 )
+from jasminewalk.gateway.quarantine_news import QuarantineNews
 from jasminewalk.gateway.request_limit import compute_share
 from jasminewalk.platform.headers import PromptPart
 
@@ -82,6 +83,7 @@
         milliseconds since that was observed.
     :param leaving: engines that said in a response that they are leaving.
     :param store_era: era of the store in which it has read the topics.
+    :param quarantine: what it knows of prompt parts that crash engines, if anything.
     """
 
     node: str
@@ -101,6 +103,7 @@
     limits: list[tuple[int, int, int]] = []
     leaving: list[int] = []
     store_era: int = UNKNOWN_ERA
+    quarantine: QuarantineNews | None = None
 
 
 def decode_peer_message(data: bytes) -> PeerMessage | None:
@@ -271,6 +274,7 @@
         configuration: TopicProgress,
         registry: TopicProgress,
         store_era: int = UNKNOWN_ERA,
+        quarantine: QuarantineNews | None = None,
     ) -> bytes:
         """Build the next message to the other gateways, and decay the failure rates.
 
@@ -278,6 +282,8 @@
         :param configuration: how far this gateway has read the configuration.
         :param registry: how far this gateway has read the registry.
         :param store_era: era of the store in which it has read them.
+        :param quarantine: what it knows of prompt parts that crash engines, if
+            anything.
         """
         self.number += 1
         self._decay_failure_rates(now)
@@ -314,6 +320,7 @@
                 compute_engine_key(engine) for engine in engines if engine.said_leaving
             ],
             store_era=store_era,
+            quarantine=quarantine,
         )
         return msgspec.msgpack.encode(message)
 
--- a/src/jasminewalk/gateway/run.py
+++ b/src/jasminewalk/gateway/run.py
@@ -8,6 +8,7 @@
 import attrs
 
 from jasminewalk.gateway.admission import AdmissionPolicy
+from jasminewalk.gateway.crash_watch import CrashWatch
 from jasminewalk.gateway.decision_log import DecisionLog
 from jasminewalk.gateway.engine_clients import EngineClients
 from jasminewalk.gateway.fleet import EngineState, Fleet
@@ -54,6 +55,7 @@
     :param placement: chooses engines.
     :param admission: admits or refuses generations.
     :param peers: exchanges loads, speeds and cached parts with other gateways.
+    :param crash_watch: finds the prompt parts that crash engines.
     :param log: decision log.
     :param metrics: counters and histograms.
     :param clock: returns the monotonic time in seconds.
@@ -66,6 +68,7 @@
     placement: PlacementPolicy
     admission: AdmissionPolicy
     peers: PeerExchange
+    crash_watch: CrashWatch
     log: DecisionLog
     metrics: GatewayMetrics
     clock: Callable[[], float]
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -28,6 +28,8 @@
 MIN_SEND_TIME_S = 0.02
 # Events of a stream in addition to one for each token that the caller asked for.
 MAX_EXTRA_EVENTS = 16
+# Seconds after the first event in which a prompt that crashes engines does so.
+WRITING_BEGINS_S = 0.5
 # Ids of prompt parts in a log line.
 MAX_LOGGED_PARTS = 8
 
@@ -72,6 +74,8 @@
                 estimate, priority
             ):
                 continue
+            if option.disaggregated and self.refuse_quarantined():
+                return
             engine = (
                 self.choose_decode_engine() if option.disaggregated else estimate.engine
             )
@@ -121,6 +125,7 @@
         self, engine: EngineState, estimate: PrefillEstimate, priority: int
     ) -> StreamAttemptResult:
         self.response_begun = False
+        self.writing_since: float | None = None
         prompt = self.prefilled_prompt
         prefill_s = estimate.prefill_s if prompt is None else 0.0
         alone = engine.prefill_s == 0.0
@@ -140,6 +145,11 @@
                 sent.close()
         if result is StreamAttemptResult.DONE:
             engine.observe_residence(self.context.clock() - started_at)
+            self.context.crash_watch.record_answer(self.prompt_profile.shared_part_ids)
+        elif sent.exchange.ended_by_peer and not self._has_written_for_long:
+            self.context.crash_watch.record_broken_stream(
+                engine, self.prompt_profile.shared_part_ids, started_at
+            )
         response = sent.exchange.response
         turned_away = response is not None and response.head.retry_after_s is not None
         if result is not StreamAttemptResult.NOT_EXECUTED and not turned_away:
@@ -246,7 +256,16 @@
         )
         return StreamAttemptResult.BROKEN
 
+    @property
+    def _has_written_for_long(self) -> bool:
+        """Whether the engine began to write the answer some time ago."""
+        if self.writing_since is None:
+            return False
+        return self.context.clock() - self.writing_since > WRITING_BEGINS_S
+
     def _relay_event(self, response: Response, event: bytes) -> None:
+        if self.writing_since is None:
+            self.writing_since = self.context.clock()
         if not self.stream_started:
             self.stream_started = True
             self.first_event_at = self.context.clock()
--- a/src/jasminewalk/http1/client.py
+++ b/src/jasminewalk/http1/client.py
@@ -192,12 +192,15 @@
 
     def eof_received(self) -> bool:
         """Complete a response whose body ends with the connection."""
+        self._record_end_by_peer()
         if self.ends_at_close and not self.skipping_response:
             self._complete()
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the exchange in progress."""
+        if not self.closed:
+            self._record_end_by_peer()
         self.closed = True
         self.budget.connections.discard(self)
         self._fail("connection reset" if error else "connection closed")
@@ -287,6 +290,10 @@
             DiscardedBytes(reason, request_id, expected_id, self.exchange_count)
         )
 
+    def _record_end_by_peer(self) -> None:
+        if self.exchange is not None and not self.exchange.complete:
+            self.exchange.ended_by_peer = True
+
     def _complete(self) -> None:
         exchange = self.exchange
         if exchange is not None and not exchange.complete and not exchange.failure:
@@ -324,7 +331,9 @@
     except TimeoutError as error:
         raise ExchangeBrokenError("connect timeout") from error
     except OSError as error:
-        raise ExchangeBrokenError(f"connect failed: {error.strerror}") from error
+        reason = f"connect failed: {error.strerror}"
+        refused = isinstance(error, ConnectionRefusedError)
+        raise ExchangeBrokenError(reason, refused=refused) from error
     return connection
 
 
--- a/src/jasminewalk/http1/exchange.py
+++ b/src/jasminewalk/http1/exchange.py
@@ -19,10 +19,12 @@
     """The connection failed or sent invalid HTTP before the response was complete.
 
     :param reason: description of the failure, for logs and metrics.
+    :param refused: whether nothing listened at the address.
     """
 
-    def __init__(self, reason: str) -> None:
+    def __init__(self, reason: str, *, refused: bool = False) -> None:
         self.reason = reason
+        self.refused = refused
         super().__init__(reason)
 
 
@@ -70,6 +72,8 @@
     :param response: status and headers of the response, once received.
     :param complete: whether the whole response was received.
     :param failure: reason for the failure; empty if there is none.
+    :param ended_by_peer: whether the peer ended the connection, whatever of the
+        response was received before.
     :param chunks: received bytes of the body that were not read yet.
     :param body_bytes: number of bytes of the body received so far.
     :param skipped_bytes: number of bytes of the bodies of skipped responses.
@@ -88,6 +92,7 @@
     response: Response | None = None
     complete: bool = False
     failure: str = ""
+    ended_by_peer: bool = False
     chunks: deque[bytes] = attrs.field(factory=deque)
     body_bytes: int = 0
     skipped_bytes: int = 0
--- a/tests/test_gateway_store_era.py
+++ b/tests/test_gateway_store_era.py
@@ -14,6 +14,7 @@
 from jasminewalk.gateway.holder_lease import USABLE_SESSION_SHARE, HolderLease
 from jasminewalk.gateway.peers import (
     PeerExchange,
+    PeerMessage,
     TopicProgress,
     decode_peer_message,
 )
@@ -151,7 +152,8 @@
     exchange = PeerExchange("front-1", "h:1", 1, Fleet())
     data = exchange.build_message(1.0, TopicProgress(5, 7), TopicProgress(), 3)
     assert decode_peer_message(data).store_era == 3
-    fields = msgspec.msgpack.decode(data)[:-1]
+    count = PeerMessage.__struct_fields__.index("store_era")
+    fields = msgspec.msgpack.decode(data)[:count]
     previous = decode_peer_message(msgspec.msgpack.encode(fields))
     assert (previous.configuration, previous.store_era) == (TopicProgress(5, 7), -1)
 
--- a/tests/test_wire_bytes.py
+++ b/tests/test_wire_bytes.py
@@ -20,6 +20,7 @@
     generated_standins,
 )
 from jasminewalk.gateway.peers import PeerMessage, decode_peer_message
+from jasminewalk.gateway.quarantine_news import QuarantineNews
 from jasminewalk.transport.codec import PositionalCodec, decode_record, encode_record
 
 BYTES_FILE = Path(__file__).parent / "data" / "wire_bytes.yaml"
@@ -104,10 +105,10 @@
     fields = msgspec.msgpack.decode(written)
     message = decode_peer_message(written)
     assert isinstance(message, PeerMessage)
-    added = ("limits", "leaving", "store_era")
+    added = ("limits", "leaving", "store_era", "quarantine")
     assert PeerMessage.__struct_fields__[len(fields) :] == added
     assert msgspec.msgpack.encode(message) == msgspec.msgpack.encode(
-        [*fields, [], [], -1]
+        [*fields, [], [], -1, None]
     )
 
 
@@ -123,7 +124,11 @@
         array_like=True,
     )
     message = msgspec.structs.replace(
-        decode_peer_message(written), limits=[(1, 4000, 250)], leaving=[1], store_era=4
+        decode_peer_message(written),
+        limits=[(1, 4000, 250)],
+        leaving=[1],
+        store_era=4,
+        quarantine=QuarantineNews([(1, 20, {"a": 80})], ["b"], [(["c"], 3, 60, 60)]),
     )
     received = msgspec.msgpack.decode(
         msgspec.msgpack.encode(message), type=earlier_type
