Keep quarantines in the store, and read them before serving callers

Cause: quarantines lived in the memory of the gateways alone, and a new gateway served before it heard of them. Change: the gateway of lowest name writes each quarantine to a keyed topic and deletes ended ones; all read it every 30 s, after the store came back from an older copy, and before they are ready. A store that fails does not keep a gateway from starting. A record that says that parts are released ends their quarantine.

--- a/src/jasminewalk/gateway/crash_watch.py
+++ b/src/jasminewalk/gateway/crash_watch.py
@@ -1,7 +1,7 @@
 """Watches broken streams for engines that crash, and refuses what crashes them."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from jasminewalk.gateway.decision_log import DecisionLog
 from jasminewalk.gateway.engine_clients import EngineClients
@@ -135,6 +135,14 @@
         """
         self._handle(self.quarantine.adopt(self.clock(), quarantine))
 
+    def release(self, parts: Collection[str]) -> None:
+        """End the quarantines of parts that an operator says are sound.
+
+        :param parts: ids of the parts.
+        """
+        self.log.warning("part_declared_sound", parts=_list_parts(parts))
+        self.record_answer(tuple(parts))
+
     async def _confirm(self, engine: EngineState) -> None:
         await asyncio.sleep(CONFIRMATION_DELAY_S)
         has_ended = await self.clients.is_refused(engine)
--- a/src/jasminewalk/gateway/daemon.py
+++ b/src/jasminewalk/gateway/daemon.py
@@ -21,6 +21,7 @@
 from jasminewalk.gateway.placement import PlacementPolicy
 from jasminewalk.gateway.plain_run import PlainRun
 from jasminewalk.gateway.quarantine_news import QuarantineExchange
+from jasminewalk.gateway.quarantine_store import QuarantineFollower
 from jasminewalk.gateway.routes import RouteTable
 from jasminewalk.gateway.run import GatewayContext
 from jasminewalk.gateway.stage_controller import SESSION_S, StageController
@@ -135,6 +136,14 @@
             self.clock()
         )
         self.gateways = GatewaysFollower(self.store, self.log, self.clock, self.peers)
+        self.quarantines = QuarantineFollower(
+            self.store,
+            self.log,
+            self.clock,
+            time.time,
+            self.crash_watch,
+            lambda: not self.peers.compute_rank(self.clock()),
+        )
         self.peer_link = PeerLink(
             self.peers,
             self.configuration,
@@ -181,6 +190,8 @@
             self.configuration.run,
             self.registry.run,
             self.gateways.register_and_run,
+            self.quarantines.run,
+            self.quarantines.write_forever,
             self.peer_link.run,
             self._watch_settings,
             self.stage_controller.run,
@@ -204,8 +215,13 @@
     @property
     def is_ready(self) -> bool:
         """Whether this process can serve callers."""
+        return self.has_started and not self.stopping.is_set()
+
+    @property
+    def has_started(self) -> bool:
+        """Whether this process knows what it needs to serve callers."""
         return (
-            self.routes is not None and self.fleet.loaded and not self.stopping.is_set()
+            self.routes is not None and self.fleet.loaded and self.quarantines.was_read
         )
 
     # Requests.
@@ -219,7 +235,7 @@
         :param request: the request.
         """
         head = decode_request_head(request.headers)
-        if self.routes is None or not self.fleet.loaded:
+        if self.routes is None or not self.has_started:
             headers = [(b"retry-after", b"%.1f" % STARTING_RETRY_AFTER_S)]
             connection.send_response(UNAVAILABLE, headers, b"")
             self.log.warning("refused", request=head.request_id, reason="starting")
@@ -299,7 +315,12 @@
     def _handle_new_era(self, previous: int | None, era: int) -> None:
         """Treat what was learned from the store, and written there, as unproved."""
         if previous is not None:
-            for follower in (self.configuration, self.registry, self.gateways):
+            for follower in (
+                self.configuration,
+                self.registry,
+                self.gateways,
+                self.quarantines,
+            ):
                 follower.forget_offsets()
             self.fleet.record_new_era(self.clock())
         # A process that just started does not know whether the era is new.
--- /dev/null
+++ b/src/jasminewalk/gateway/quarantine_store.py
@@ -0,0 +1,159 @@
+"""Quarantines of prompt parts in the store, where they outlive all gateways."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+import xxhash
+
+from jasminewalk.exceptions import LogUnavailableError
+from jasminewalk.gateway.crash_watch import CrashWatch
+from jasminewalk.gateway.decision_log import DecisionLog
+from jasminewalk.gateway.part_quarantine import MAX_QUARANTINE_S, Quarantine
+from jasminewalk.gateway.store_follower import TopicFollower
+from jasminewalk.platform.store import QUARANTINE_TOPIC, RecordsPage, StoreClient
+
+__all__ = ["QuarantineFollower"]
+
+# Seconds between two reads. It can be long because gateways also tell each other.
+READ_INTERVAL_S = 30.0
+# Seconds between two comparisons of the quarantines with those in the store.
+COMPARISON_INTERVAL_S = 0.5
+# Seconds by which an end in the store may differ without being written again.
+END_TOLERANCE_S = 2.0
+
+
+class StoredQuarantine(msgspec.Struct, frozen=True):
+    """Record of one quarantine.
+
+    :param parts: ids of the parts.
+    :param crashes: engines that crashed under them.
+    :param until_ms: Unix time from which a request may be tried, in milliseconds.
+    :param duration_ms: length of the quarantine in milliseconds.
+    :param released: whether an operator says that the parts are sound.
+    """
+
+    parts: list[str]
+    crashes: int = 0
+    until_ms: int = 0
+    duration_ms: int = 0
+    released: bool = False
+
+
+class QuarantineFollower(TopicFollower):
+    """Adopts the quarantines in the store, and writes those that are missing there.
+
+    :param store: the metadata store.
+    :param log: decision log.
+    :param clock: returns the monotonic time in seconds.
+    :param wall_clock: returns the Unix time in seconds.
+    :param crash_watch: has the quarantines.
+    :param is_writer: returns whether this gateway is the one that writes.
+    """
+
+    def __init__(
+        self,
+        store: StoreClient,
+        log: DecisionLog,
+        clock: Callable[[], float],
+        wall_clock: Callable[[], float],
+        crash_watch: CrashWatch,
+        is_writer: Callable[[], bool],
+    ) -> None:
+        super().__init__(QUARANTINE_TOPIC, store, log, clock, READ_INTERVAL_S)
+        self.wall_clock = wall_clock
+        self.crash_watch = crash_watch
+        self.is_writer = is_writer
+        self.stored: dict[str, StoredQuarantine] = {}
+        self.was_read = False
+
+    async def read_once(self) -> None:
+        """Read once and adopt the quarantines.
+
+        :raises LogUnavailableError: if the store does not answer as expected.
+        """
+        try:
+            await super().read_once()
+        finally:
+            self.was_read = True
+
+    def apply_snapshot(self, page: RecordsPage) -> bool:
+        """Adopt the quarantines that the store has."""
+        self.stored.clear()
+        return self.apply_changes(page)
+
+    def apply_changes(self, page: RecordsPage) -> bool:
+        """Adopt new quarantines, and release those that an operator released."""
+        for record in page.records:
+            if record.value is None:
+                self.stored.pop(record.key, None)
+                continue
+            try:
+                stored = msgspec.json.decode(record.value, type=StoredQuarantine)
+            except msgspec.DecodeError as error:
+                self.log.warning(
+                    "quarantine_unreadable", key=record.key, reason=str(error)
+                )
+                continue
+            self.stored[record.key] = stored
+            if stored.released:
+                self.crash_watch.release(stored.parts)
+            else:
+                self.crash_watch.adopt(self._decode(stored))
+        return bool(page.records)
+
+    async def write_forever(self) -> None:
+        """Write quarantines that the store does not have, until cancelled."""
+        while True:
+            await asyncio.sleep(COMPARISON_INTERVAL_S)
+            if self.offset is None or not self.is_writer():
+                continue
+            try:
+                await self._write_changes()
+            except (LogUnavailableError, OSError, TimeoutError) as error:
+                self.log.warning("quarantine_not_stored", reason=repr(error))
+
+    async def _write_changes(self) -> None:
+        quarantines = {
+            _build_key(quarantine): quarantine
+            for quarantine in self.crash_watch.quarantine.quarantines.values()
+        }
+        for key in self.stored.keys() - quarantines.keys():
+            await self.store.put(self.topic, key, b"")
+            self.stored.pop(key, None)
+        for key, quarantine in quarantines.items():
+            wanted, known = self._encode(quarantine), self.stored.get(key)
+            if known is not None and not _differs(wanted, known):
+                continue
+            await self.store.put(self.topic, key, msgspec.json.encode(wanted))
+            self.stored[key] = wanted
+            self.log.info("quarantine_stored", parts=wanted.parts, era=self.store.era)
+
+    def _encode(self, quarantine: Quarantine) -> StoredQuarantine:
+        until = self.wall_clock() + quarantine.until - self.clock()
+        return StoredQuarantine(
+            sorted(quarantine.parts),
+            quarantine.crashes,
+            round(until * 1e3),
+            round(quarantine.duration_s * 1e3),
+        )
+
+    def _decode(self, stored: StoredQuarantine) -> Quarantine:
+        duration_s = min(MAX_QUARANTINE_S, max(0.0, stored.duration_ms / 1e3))
+        # The time of day may differ between instances.
+        left_s = min(stored.until_ms / 1e3 - self.wall_clock(), duration_s)
+        return Quarantine(
+            frozenset(stored.parts), stored.crashes, self.clock() + left_s, duration_s
+        )
+
+
+def _build_key(quarantine: Quarantine) -> str:
+    return xxhash.xxh64_hexdigest(",".join(sorted(quarantine.parts)).encode())
+
+
+def _differs(wanted: StoredQuarantine, known: StoredQuarantine) -> bool:
+    return (
+        known.released
+        or known.duration_ms != wanted.duration_ms
+        or abs(known.until_ms - wanted.until_ms) > END_TOLERANCE_S * 1e3
+    )
--- a/src/jasminewalk/platform/store.py
+++ b/src/jasminewalk/platform/store.py
@@ -16,6 +16,7 @@
     "CONFIGURATION_KEY",
     "CONFIGURATION_TOPIC",
     "GATEWAYS_TOPIC",
+    "QUARANTINE_TOPIC",
     "REGISTRY_TOPIC",
     "KeyedRecord",
     "GroupMembership",
@@ -31,6 +32,8 @@
 REGISTRY_TOPIC = "keyed.servers"
 # Written by the gateways: the address of each, with its instance's name as the key.
 GATEWAYS_TOPIC = "keyed.gateways"
+# Written by the gateways: prompt parts that crash engines, with a hash of them as key.
+QUARANTINE_TOPIC = "keyed.quarantine"
 # A keyed topic has a single partition.
 PARTITION = 0
 OK = 200
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -204,7 +204,7 @@
     async def log_append(self, connection, query, body):
         size = body[4]
         key, value = body[5 : 5 + size].decode(), body[5 + size :]
-        self.topics.setdefault(query["topic"], []).append((key, value))
+        self.topics.setdefault(query["topic"], []).append((key, value or None))
         self.respond(connection, 200, b'{"offset":0,"end":1}')
 
     async def log_join(self, connection, query, body):
