Take no response without a length for whole if it has no event, or its engine ended with it

What callers would see: a complete answer (200) from an engine that had crashed under it, as the end of its connection looks like the end of the answer. Nobody reported it. Cause: the end of the connection counted as the end of such a response, whatever ended it. A stream that ended inside an event was already broken off, and one without a length whole. Why this works: before such a response counts, the gateway asks whether the engine still listens. One that had said that it leaves may end after its last response.

--- a/src/jasminewalk/gateway/plain_run.py
+++ b/src/jasminewalk/gateway/plain_run.py
@@ -8,6 +8,7 @@
 from jasminewalk.gateway.fleet import EngineState
 from jasminewalk.gateway.run import (
     BAD_GATEWAY,
+    ENGINE_ENDED,
     GATEWAY_TIMEOUT,
     RequestRun,
 )
@@ -133,12 +134,12 @@
                 latency_ms=round(engine.latency_s * 1e3, 1),
             )
             started_at = self.context.clock()
-            result = await self._receive(sent, slow_after_s)
+            result = await self._receive(sent, engine, slow_after_s)
         self._record_outcome(engine, result, self.context.clock() - started_at)
         return result
 
     async def _receive(
-        self, sent: OpenExchange, slow_after_s: float
+        self, sent: OpenExchange, engine: EngineState, slow_after_s: float
     ) -> PlainAttemptResult:
         try:
             async with asyncio.timeout(max(self.engine_remaining_s, 0)):
@@ -148,6 +149,8 @@
                     )
                 response = await sent.exchange.head()
                 body = await sent.exchange.body()
+                if sent.exchange.ended_by_peer and await self.has_ended(engine):
+                    return PlainAttemptResult(None, reason=ENGINE_ENDED)
         except TimeoutError:
             return PlainAttemptResult(None, reason=NO_RESPONSE)
         except ExchangeBrokenError as error:
--- a/src/jasminewalk/gateway/run.py
+++ b/src/jasminewalk/gateway/run.py
@@ -27,6 +27,8 @@
 # Seconds of a request's deadline reserved for sending the response to the caller.
 RESPONSE_MARGIN_S = 0.02
 UNAVAILABLE, BAD_GATEWAY, GATEWAY_TIMEOUT = 503, 502, 504
+# Reason of an attempt whose engine ended with its response.
+ENGINE_ENDED = "engine ended with its response"
 # Status codes that tell the caller that the request was not executed.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 # ``Retry-After`` in seconds when no engine ran the request.
@@ -193,6 +195,16 @@
         self.retry_after_s = min(limit_wait_s, MAX_LIMIT_RETRY_AFTER_S)
         return "engine limit"
 
+    async def has_ended(self, engine: EngineState) -> bool:
+        """Return whether the process of an engine ended with its connection.
+
+        A response without a length may then be incomplete. An engine that leaves may
+        end after its last response.
+
+        :param engine: the engine.
+        """
+        return not engine.leaving and await self.context.clients.is_refused(engine)
+
     @contextmanager
     def track_load(
         self, engine: EngineState, prefill_s: float = 0.0
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -10,6 +10,7 @@
 from jasminewalk.gateway.prefilled_prompt import PrefilledPrompt
 from jasminewalk.gateway.run import (
     BAD_GATEWAY,
+    ENGINE_ENDED,
     GATEWAY_TIMEOUT,
     StreamAttemptResult,
     TrackedLoad,
@@ -209,6 +210,11 @@
             return self._fail_attempt(engine, str(error))
         if not self.splitter.at_event_boundary:
             return self._fail_attempt(engine, "stream ended within an event")
+        if sent.exchange.ended_by_peer:
+            if not self.stream_started and not self.head.last_event_id:
+                return self._fail_attempt(engine, "stream ended without an event")
+            if await self.has_ended(engine):
+                return self._fail_attempt(engine, ENGINE_ENDED)
         self._end_stream(response, engine)
         return StreamAttemptResult.DONE
 
