Make one attempt in a trial of a quarantined part, and test what blames and clears a part

BUDGET, found while its tests were written: a trial on a route that may be resumed went on to a second engine; a gateway that makes no trials named 0 s as Retry-After once a quarantine was over; a response with an error status that ended with its connection started a check of the engine.

--- a/src/jasminewalk/gateway/generation_run.py
+++ b/src/jasminewalk/gateway/generation_run.py
@@ -136,10 +136,13 @@
 
         Once a quarantine is over, the request may be the one that is tried.
         """
-        if self.is_trial or not self.is_quarantined():
+        in_trial = self.is_trial and not self.attempts
+        if in_trial or not self.is_quarantined():
             return False
         watch, parts = self.context.crash_watch, self.prompt_profile.shared_part_ids
-        may_try = not self.context.peers.compute_rank(self.context.clock())
+        rank = self.context.peers.compute_rank(self.context.clock())
+        # A second attempt could crash a second engine.
+        may_try = not rank and not self.attempts
         quarantine = watch.find_quarantine(parts, may_try=may_try)
         if quarantine is None:
             self.is_trial = True
--- a/src/jasminewalk/gateway/part_quarantine.py
+++ b/src/jasminewalk/gateway/part_quarantine.py
@@ -23,6 +23,8 @@
 MAX_QUARANTINE_S = 3600.0
 # Seconds without an outcome of a trial after which another one is allowed.
 TRIAL_INTERVAL_S = 10.0
+# Least seconds until a request should come again. Only one gateway makes trials.
+MIN_WAIT_S = 1.0
 # Seconds after its end for which a quarantine waits for a request to try.
 FORGOTTEN_AFTER_S = 600.0
 # Most entries in memory. The oldest are dropped first.
@@ -63,7 +65,7 @@
     parts: frozenset[str]
     crashes: int
     until: float
-    duration_s: float = MIN_QUARANTINE_S
+    duration_s: float
     tried_at: float = float("-inf")
     refused: int = 0
 
@@ -224,7 +226,9 @@
         :param quarantine: the quarantine that holds for the request.
         """
         return max(
-            quarantine.until - now, quarantine.tried_at + TRIAL_INTERVAL_S - now, 0.0
+            quarantine.until - now,
+            quarantine.tried_at + TRIAL_INTERVAL_S - now,
+            MIN_WAIT_S,
         )
 
     def adopt(self, now: float, told: Quarantine) -> Iterator[QuarantineEvent]:
@@ -257,7 +261,8 @@
             parts, count = self._find_guilty(now)
             if not parts:
                 return
-            quarantine = Quarantine(parts, count, now + MIN_QUARANTINE_S)
+            duration_s = MIN_QUARANTINE_S
+            quarantine = Quarantine(parts, count, now + duration_s, duration_s)
             self._add(quarantine)
             for key, crash in list(self.crashes.items()):
                 if parts <= crash.sent_at.keys():
@@ -266,7 +271,7 @@
                 "part_quarantined",
                 parts,
                 f"{count} engines crashed one after the other, no answer in between; "
-                f"refused for {quarantine.duration_s:g} s",
+                f"refused for {duration_s:g} s",
             )
 
     def _find_guilty(self, now: float) -> tuple[frozenset[str], int]:
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -147,11 +147,11 @@
         if result is StreamAttemptResult.DONE:
             engine.observe_residence(self.context.clock() - started_at)
             self.context.crash_watch.record_answer(self.prompt_profile.shared_part_ids)
-        elif sent.exchange.ended_by_peer and not self._has_written_for_long:
+        response = sent.exchange.response
+        if self._may_have_crashed(sent, result):
             self.context.crash_watch.record_broken_stream(
                 engine, self.prompt_profile.shared_part_ids, started_at
             )
-        response = sent.exchange.response
         turned_away = response is not None and response.head.retry_after_s is not None
         if result is not StreamAttemptResult.NOT_EXECUTED and not turned_away:
             engine.record_outcome(result is StreamAttemptResult.BROKEN)
@@ -262,12 +262,21 @@
         )
         return StreamAttemptResult.BROKEN
 
-    @property
-    def _has_written_for_long(self) -> bool:
-        """Whether the engine began to write the answer some time ago."""
-        if self.writing_since is None:
-            return False
-        return self.context.clock() - self.writing_since > WRITING_BEGINS_S
+    def _may_have_crashed(
+        self, sent: OpenExchange, result: StreamAttemptResult
+    ) -> bool:
+        """Return whether the engine may have crashed as it began to write the answer.
+
+        :param sent: the request that was sent.
+        :param result: result of the attempt.
+        """
+        response, since = sent.exchange.response, self.writing_since
+        return (
+            result is StreamAttemptResult.BROKEN
+            and sent.exchange.ended_by_peer
+            and (response is None or response.status == OK)
+            and (since is None or self.context.clock() - since <= WRITING_BEGINS_S)
+        )
 
     def _relay_event(self, response: Response, event: bytes) -> None:
         if self.writing_since is None:
--- a/tests/crashing_engines.py
+++ b/tests/crashing_engines.py
@@ -38,6 +38,8 @@
         self.crash_point = crash_point
         self.event_count = 5
         self.bad_part = BAD_PART
+        self.crashes_reading = False
+        self.reading_s = READING_S
         self.bad_arrivals = []
         self.on_crash = lambda engine: None
 
@@ -45,8 +47,10 @@
         """Read the prompt, then write events; crash if the prompt has the bad part."""
         if self.has_bad_part(headers):
             self.bad_arrivals.append(asyncio.get_running_loop().time())
-        await asyncio.sleep(READING_S)
+        await asyncio.sleep(self.reading_s)
         if headers.get(b"x-jasminewalk-stage") == b"prefill":
+            if self.crashes_reading:
+                self.on_crash(self)
             await self.answer(connection, request, headers)
             return
         if self.has_bad_part(headers):
@@ -104,8 +108,8 @@
         self.request_count = 0
         self.tasks = set()
 
-    def make_engine(self, number):
-        engine = CrashingEngine(f"decoder-{number}", self.crash_point)
+    def make_engine(self, number, stage="decode"):
+        engine = CrashingEngine(f"{stage}-{number}", self.crash_point, stage)
         engine.on_crash = self.handle_crash
         engine.bad_arrivals = self.bad_arrivals
         return engine
@@ -116,15 +120,20 @@
     async def start(self):
         await self.store.start(allocate_port())
         self.store.put("keyed.op", "config", configuration())
-        for engine in self.engines:
-            await engine.start(allocate_port())
-            self.put_entry(engine)
+        engines, self.engines = self.engines, []
+        for engine in engines:
+            await self.add_engine(engine)
         for number in range(self.gateway_count):
             self.add_gateway(number)
         for gateway in self.gateways:
             await self.wait_until_ready(gateway)
         await asyncio.sleep(SETTLING_S)
 
+    async def add_engine(self, engine):
+        await engine.start(allocate_port())
+        self.engines.append(engine)
+        self.put_entry(engine)
+
     def add_gateway(self, number):
         ip = f"127.0.0.{number + 2}"
         gateway = Gateway(f"front-{number}", ip, self.directory, self.store.address)
@@ -161,8 +170,9 @@
         self.store.put("keyed.servers", engine.engine_id, None)
         await asyncio.sleep(self.random.uniform(*DOWN_S) - ENTRY_EXPIRY_S)
         self.engine_count += 1
-        started = self.make_engine(self.engine_count)
+        started = self.make_engine(self.engine_count, engine.stage)
         started.born = self.engine_count
+        started.crashes_reading = engine.crashes_reading
         await started.start(int(engine.address.rpartition(":")[2]))
         self.engines.append(started)
         self.put_entry(started)
@@ -173,6 +183,21 @@
         task.add_done_callback(self.tasks.discard)
         return task
 
+    async def crash_randomly(self, interval_s):
+        """Crash an engine at each interval, whatever it runs."""
+        with suppress(asyncio.CancelledError):
+            while True:
+                await asyncio.sleep(interval_s)
+                if len(self.engines) > 1:
+                    self.handle_crash(self.random.choice(self.engines))
+
+    def read_log_lines(self, event):
+        """Return the lines of an event in the logs of all gateways."""
+        text = "".join(
+            path.read_text(encoding="utf-8") for path in self.directory.glob("*.log")
+        )
+        return [line for line in text.splitlines() if f'"event":"{event}"' in line]
+
     # Requests.
 
     def build_prompt(self, *shared):
@@ -187,18 +212,18 @@
     async def send_sound(self, gateway, counted=True):
         sent_at = self.now()
         prompt = self.build_prompt()
-        answer = await self.callers.send(gateway, "/help/x", b"", 2.5, **prompt)
+        answer = await self.send_prompt(gateway, "/help/x", prompt)
         if counted:
             served = answer.status == 200 and answer.complete
             self.sound_answers.append((sent_at, served))
         return answer.status
 
     async def send_bad(self, gateway):
-        return await self.send_parts(gateway, f"{BAD_PART}:50")
+        prompt = self.build_prompt(f"{BAD_PART}:50")
+        return await self.send_prompt(gateway, "/help/x", prompt)
 
-    async def send_parts(self, gateway, *parts):
-        prompt = self.build_prompt(*parts)
-        return await self.callers.send(gateway, "/help/x", b"", 2.5, **prompt)
+    async def send_prompt(self, gateway, path, prompt):
+        return await self.callers.send(gateway, path, b"", 2.5, **prompt)
 
     async def send_repeatedly(self, send, interval_s):
         """Send a request at each interval, to any gateway, without waiting for it."""
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -4,7 +4,9 @@
 
 import pytest
 
-from crashing_engines import CRASH_POINTS, CrashFleet
+from crashing_engines import BAD_PART, CRASH_POINTS, CrashFleet, CrashingEngine
+from jasminewalk.gateway import part_quarantine
+from test_gateway_daemon import GatewayHarness
 
 # Crashes under one part, and seconds after the last of them, from which at most as many
 # more requests with the part may reach engines.
@@ -19,6 +21,8 @@
 COUNTED_S = 4.0
 # Seconds in which a quarantine is written to the store.
 STORED_S = 2.0
+# Seconds that an engine takes to read a long prompt and write the answer.
+LONG_READING_S = 0.35
 # Least share of sound requests that are served, of the share before.
 MIN_SOUND_SHARE = 0.5
 
@@ -119,3 +123,124 @@
         await fleet.wait_until_ready(gateway)
         assert await count_refused(fleet, gateway) == 5
     assert len(fleet.bad_arrivals) == count
+
+
+@pytest.mark.anyio
+async def test_engines_that_crash_for_other_causes_blame_no_part(start_fleet):
+    fleet = await start_fleet()
+    began_at = fleet.now()
+    fleet.spawn(fleet.send_repeatedly(fleet.send_sound, SOUND_INTERVAL_S))
+    fleet.spawn(fleet.crash_randomly(0.3))
+    await asyncio.sleep(COUNTED_S + STABLE_WINDOW_S)
+    assert len(fleet.crashes) > 2 * CRASHES
+    assert len(fleet.read_log_lines("engine_crashed")) > CRASHES
+    assert fleet.read_log_lines("part_quarantined") == []
+    assert fleet.compute_sound_share(began_at, fleet.now() - 0.5) > MIN_SOUND_SHARE
+
+
+async def send_long_prompt(fleet):
+    """Send a prompt that is read on a separate engine, as its own part is new."""
+    fleet.request_count += 1
+    prompt = {
+        "X-Jasminewalk-Token-Usage": "9000,40",
+        "X-Jasminewalk-Prompt-Prefix": f"rules:2000,own-{fleet.request_count}:7000",
+    }
+    return await fleet.send_prompt(fleet.gateways[0], "/verdict/x", prompt)
+
+
+@pytest.mark.anyio
+async def test_crash_while_the_prompt_is_read_blames_no_part(start_fleet):
+    fleet = await start_fleet()
+    for engine in fleet.engines:
+        # Slow enough that a separate engine reads long prompts.
+        engine.reading_s = LONG_READING_S
+    for number in range(2):
+        reader = fleet.make_engine(90 + number, "prefill")
+        reader.bad_part, reader.crashes_reading = "", True
+        await fleet.add_engine(reader)
+    await asyncio.sleep(STABLE_WINDOW_S)
+    async with asyncio.timeout(4 * STABLE_WINDOW_S):
+        while len(fleet.crashes) < CRASHES:
+            await send_long_prompt(fleet)
+            await asyncio.sleep(BAD_INTERVAL_S)
+    assert fleet.read_log_lines("part_quarantined") == []
+    answer = await send_long_prompt(fleet)
+    assert (answer.status, answer.complete) == (200, True)
+
+
+@pytest.fixture
+async def harness(tmp_path):
+    harness = GatewayHarness(tmp_path)
+    yield harness
+    harness.stop()
+
+
+PROMPT = {
+    "x_jasminewalk_token_usage": "380,40",
+    "x_jasminewalk_prompt_prefix": f"school:80,{BAD_PART}:80,own:220",
+}
+
+
+async def start_with_quarantine(harness):
+    """Start a gateway and crash engines until it refuses the part."""
+    engines = [CrashingEngine(f"decoder-{n}", "after_head") for n in range(6)]
+
+    def end(engine):
+        engine.crash()
+        harness.store.put("keyed.servers", engine.engine_id, None)
+
+    for engine in engines:
+        engine.on_crash = end
+    await harness.start(*engines)
+    async with asyncio.timeout(STABLE_WINDOW_S):
+        while (await harness.send_request("/help/x", **PROMPT))[0] != 503:
+            await asyncio.sleep(0.05)
+    (line,) = harness.read_log_lines("part_quarantined")
+    # Nothing else was answered, so the first part may be guilty as well.
+    assert line["parts"] == ["bad", "school"]
+    for engine in engines:
+        engine.bad_part = ""
+    return engines
+
+
+@pytest.mark.anyio
+async def test_quarantine_ends_with_a_trial(harness, monkeypatch):
+    monkeypatch.setattr(part_quarantine, "MIN_QUARANTINE_S", 1.0)
+    await start_with_quarantine(harness)
+    status, head, _ = await harness.send_request("/help/x", **PROMPT)
+    assert (status, "retry-after: 1.00" in head) == (503, True)
+    await asyncio.sleep(1.0)
+    assert (await harness.send_request("/help/x", **PROMPT))[0] == 200
+    assert harness.read_log_lines("quarantine_trial")
+    assert harness.read_log_lines("part_released")
+    metrics = harness.daemon.metrics.render().decode()
+    assert "jasminewalk_quarantined_parts 0.0" in metrics
+    assert "jasminewalk_engine_crashes_total 3.0" in metrics
+    assert 'reason="crashing prompt part"' in metrics
+
+
+@pytest.mark.anyio
+async def test_operator_releases_a_part(harness):
+    await start_with_quarantine(harness)
+    harness.daemon.quarantines.read_interval_s = 0.1
+    async with asyncio.timeout(2 * STORED_S):
+        while not harness.read_log_lines("quarantine_stored"):
+            await asyncio.sleep(0.05)
+    record = {"parts": [BAD_PART, "school"], "released": True}
+    harness.store.put("keyed.quarantine", "release", record)
+    harness.daemon.quarantines.forget_offsets()
+    async with asyncio.timeout(2 * STORED_S):
+        while (await harness.send_request("/help/x", **PROMPT))[0] != 200:
+            await asyncio.sleep(0.05)
+        while harness.store.topics["keyed.quarantine"][-1][1] is not None:
+            await asyncio.sleep(0.05)
+    assert harness.read_log_lines("part_declared_sound")
+
+
+@pytest.mark.anyio
+async def test_unreadable_quarantine_is_logged_and_changes_nothing(harness):
+    for value in ("x", {"parts": 3}, {"parts": ["a"], "until_ms": "soon"}):
+        harness.store.put("keyed.quarantine", str(value), value)
+    await harness.start(CrashingEngine("decoder-1", "after_head"))
+    assert len(harness.read_log_lines("quarantine_unreadable")) == 3
+    assert harness.daemon.crash_watch.quarantine.quarantines == {}
