--- a/src/jasminewalk/gateway/crash_watch.py
+++ b/src/jasminewalk/gateway/crash_watch.py
@@ -161,6 +161,8 @@
             parts=unproved[:MAX_LOGGED_PARTS],
             parts_count=len(sent_at),
         )
+        event = self.clients.fleet.suspect(now, engine, "its process ended")
+        self.log.warning(event.event, **event.fields)
         key = compute_engine_key(engine)
         self.exchange.announce_crash(now, key, sent_at)
         self._handle(self.quarantine.record_crash(now, key, sent_at))
