--- a/src/jasminewalk/cli.py
+++ b/src/jasminewalk/cli.py
@@ -198,6 +198,18 @@
 
         return Action(execute)
 
+    @text_arguments("store", "release")
+    def quarantine(self, store: str, release: str = "") -> Action:
+        """List the parts of prompts that gateways refuse because they crash engines.
+
+        :param store: address of the platform's store, as HOST:PORT.
+        :param release: ids of parts, separated by commas, to serve again instead. All
+            gateways know it within 30 seconds.
+        """
+        from jasminewalk.operators.quarantines import show_or_release
+
+        return Action(lambda: run_async(lambda: show_or_release(store, release, print)))
+
     @text_arguments("file", "out")
     def load(self, file: str, out: str = "reports/load") -> Action:
         """Send an open-loop load to a fleet and report percentiles and goodput.
--- a/src/jasminewalk/gateway/quarantine_store.py
+++ b/src/jasminewalk/gateway/quarantine_store.py
@@ -1,7 +1,8 @@
 """Quarantines of prompt parts in the store, where they outlive all gateways."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
+from contextlib import suppress
 
 import msgspec
 import xxhash
@@ -13,7 +14,12 @@
 from jasminewalk.gateway.store_follower import TopicFollower
 from jasminewalk.platform.store import QUARANTINE_TOPIC, RecordsPage, StoreClient
 
-__all__ = ["QuarantineFollower"]
+__all__ = [
+    "QuarantineFollower",
+    "StoredQuarantine",
+    "read_quarantines",
+    "release_parts",
+]
 
 # Seconds between two reads. It can be long because gateways also tell each other.
 READ_INTERVAL_S = 30.0
@@ -147,8 +153,39 @@
         )
 
 
+async def read_quarantines(store: StoreClient) -> list[StoredQuarantine]:
+    """Return the quarantines in the store that can be read.
+
+    :param store: the metadata store.
+    :raises LogUnavailableError: if the store does not answer as expected.
+    """
+    stored = []
+    for record in (await store.read_newest(QUARANTINE_TOPIC)).records:
+        with suppress(msgspec.DecodeError):
+            stored.append(
+                msgspec.json.decode(record.value or b"", type=StoredQuarantine)
+            )
+    return [quarantine for quarantine in stored if not quarantine.released]
+
+
+async def release_parts(store: StoreClient, parts: Collection[str]) -> None:
+    """Tell all gateways that parts are sound, which ends their quarantines.
+
+    :param store: the metadata store.
+    :param parts: ids of the parts.
+    :raises LogUnavailableError: if the store does not confirm the write.
+    """
+    released = StoredQuarantine(sorted(parts), released=True)
+    key = f"released-{_hash_parts(parts)}"
+    await store.put(QUARANTINE_TOPIC, key, msgspec.json.encode(released))
+
+
 def _build_key(quarantine: Quarantine) -> str:
-    return xxhash.xxh64_hexdigest(",".join(sorted(quarantine.parts)).encode())
+    return _hash_parts(quarantine.parts)
+
+
+def _hash_parts(parts: Collection[str]) -> str:
+    return xxhash.xxh64_hexdigest(",".join(sorted(parts)).encode())
 
 
 def _differs(wanted: StoredQuarantine, known: StoredQuarantine) -> bool:
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -6,6 +6,7 @@
 
 from crashing_engines import BAD_PART, CRASH_POINTS, CrashFleet, CrashingEngine
 from jasminewalk.gateway import part_quarantine
+from jasminewalk.operators.quarantines import show_or_release
 from test_gateway_daemon import GatewayHarness
 
 # Crashes under one part, and seconds after the last of them, from which at most as many
@@ -226,8 +227,11 @@
     async with asyncio.timeout(2 * STORED_S):
         while not harness.read_log_lines("quarantine_stored"):
             await asyncio.sleep(0.05)
-    record = {"parts": [BAD_PART, "school"], "released": True}
-    harness.store.put("keyed.quarantine", "release", record)
+    lines = []
+    await show_or_release(harness.store.address, "", lines.append)
+    assert len(lines) == 1
+    assert lines[0].startswith("bad and school: 3 engines crashed, refused for ")
+    await show_or_release(harness.store.address, f"{BAD_PART},school", lines.append)
     harness.daemon.quarantines.forget_offsets()
     async with asyncio.timeout(2 * STORED_S):
         while (await harness.send_request("/help/x", **PROMPT))[0] != 200:
@@ -235,6 +239,8 @@
         while harness.store.topics["keyed.quarantine"][-1][1] is not None:
             await asyncio.sleep(0.05)
     assert harness.read_log_lines("part_declared_sound")
+    await show_or_release(harness.store.address, "", lines.append)
+    assert lines[1:] == ["released: bad, school", "no part is refused"]
 
 
 @pytest.mark.anyio
