Blame no part, and believe the last response, if an engine without an entry ends

Some engines never say that they leave: their entry is removed, they serve for a while and end. Their last response without a length failed, and a stream that they broke off counted as a crash. Found by reading, with tests that failed before (a plain answer got 502; a crash was recorded).

--- a/src/jasminewalk/gateway/crash_watch.py
+++ b/src/jasminewalk/gateway/crash_watch.py
@@ -28,7 +28,7 @@
 
     A stream that the engine broke off is evidence only if the engine's process has
     ended: nothing listens at its address. An engine that only resets connections, that
-    does not answer, or that had said that it leaves speaks against no part.
+    does not answer, or that was to end speaks against no part.
 
     :param clients: connections to the engines.
     :param quarantine: decides on the evidence.
@@ -65,7 +65,7 @@
         :param parts: ids of the prompt's parts that other requests may share.
         :param sent_at: monotonic time at which the request was sent.
         """
-        if engine.leaving:
+        if engine.may_end:
             return
         if engine not in self.suspects:
             self.suspects[engine] = {}
@@ -148,7 +148,7 @@
         has_ended = await self.clients.is_refused(engine)
         sent_at = self.suspects.pop(engine)
         engine_id = engine.entry.engine_id
-        if not has_ended or engine.leaving:
+        if not has_ended or engine.may_end:
             self.log.info("engine_not_crashed", engine=engine_id, parts=len(sent_at))
             return
         now = self.clock()
--- a/src/jasminewalk/gateway/fleet.py
+++ b/src/jasminewalk/gateway/fleet.py
@@ -169,6 +169,11 @@
         """Whether it is leaving, by its registry entry or by what it said."""
         return self.entry.leaving or self.said_leaving
 
+    @property
+    def may_end(self) -> bool:
+        """Whether its process may end by itself: it is leaving, or has no entry."""
+        return self.leaving or self.expires_at is not None
+
     @property
     def requests(self) -> int:
         """Requests in flight from all gateways."""
--- a/src/jasminewalk/gateway/run.py
+++ b/src/jasminewalk/gateway/run.py
@@ -198,12 +198,12 @@
     async def has_ended(self, engine: EngineState) -> bool:
         """Return whether the process of an engine ended with its connection.
 
-        A response without a length may then be incomplete. An engine that leaves may
-        end after its last response.
+        A response without a length may then be incomplete. An engine that may end by
+        itself does so after its last response.
 
         :param engine: the engine.
         """
-        return not engine.leaving and await self.context.clients.is_refused(engine)
+        return not engine.may_end and await self.context.clients.is_refused(engine)
 
     @contextmanager
     def track_load(
--- a/tests/test_answers_without_length.py
+++ b/tests/test_answers_without_length.py
@@ -117,6 +117,15 @@
     assert (await harness.send_request("/book/x"))[0] == 502
 
 
+async def test_last_plain_answer_of_an_engine_without_an_entry_is_relayed(harness):
+    engine = UnframedEngine("app-0", "app", ends=True)
+    await harness.start(engine)
+    # The gateway goes on using it for a moment.
+    harness.daemon.fleet.engines["app-0"].expires_at = harness.daemon.clock() + 60
+    status, _, body = await harness.send_request("/book/x", b"a")
+    assert (status, body) == (200, b"served by a")
+
+
 # The product's own stack.
 
 
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -243,6 +243,22 @@
     assert lines[1:] == ["released: bad, school", "no part is refused"]
 
 
+@pytest.mark.anyio
+async def test_engines_that_were_to_end_blame_no_part(harness):
+    engines = [CrashingEngine(f"decoder-{n}", "after_head") for n in range(6)]
+    for engine in engines:
+        engine.on_crash = CrashingEngine.crash
+    await harness.start(*engines)
+    for number, engine in enumerate(harness.daemon.fleet.engines.values()):
+        engine.said_leaving = number >= 3
+        engine.expires_at = harness.daemon.clock() + 60
+    for _ in range(3):
+        assert (await harness.send_request("/help/x", **PROMPT))[0] == 502
+    assert not any(engine.server.server.is_serving() for engine in engines[:3])
+    assert not harness.read_log_lines("engine_crashed")
+    assert not harness.daemon.crash_watch.quarantine.crashes
+
+
 @pytest.mark.anyio
 async def test_unreadable_quarantine_is_logged_and_changes_nothing(harness):
     for value in ("x", {"parts": 3}, {"parts": ["a"], "until_ms": "soon"}):
