--- a/src/jasminewalk/gateway/part_quarantine.py
+++ b/src/jasminewalk/gateway/part_quarantine.py
@@ -286,6 +286,7 @@
             return frozenset(), 0
         most = max(suspects.values())
         leaders = [part for part, count in suspects.items() if count == most]
+        leaders.sort(key=lambda part: len(keys[part]), reverse=True)
         group = frozenset(part for part in leaders if keys[part] == keys[leaders[0]])
         if len(group) < len(leaders) and most < AMBIGUOUS_CRASHES:
             return frozenset(), 0
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -5,6 +5,7 @@
 import pytest
 
 from jasminewalk.gateway.part_quarantine import (
+    AMBIGUOUS_CRASHES,
     FORGOTTEN_AFTER_S,
     GUILTY_CRASHES,
     MAX_CRASHES,
@@ -86,6 +87,16 @@
     assert quarantine.find(["other", "bad"]) is not None
 
 
+def test_part_in_most_crashes_is_guilty_if_another_has_as_many_in_a_row():
+    quarantine = PartQuarantine()
+    for number in range(AMBIGUOUS_CRASHES):
+        assert list_quarantined(quarantine) == []
+        crash(quarantine, number, number, "unit", "bad", sent_at=number - 0.1)
+        # Another engine crashes with it at the same time, which counts as one.
+        crash(quarantine, number, number + 100, "bad", sent_at=number - 0.1)
+    assert list_quarantined(quarantine) == [["bad"]]
+
+
 def test_crash_that_a_quarantine_explains_speaks_against_no_other_part():
     quarantine = PartQuarantine()
     now = convict(quarantine)
