--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from crash_soak import run_crash_soak
 from crashing_engines import BAD_PART, CRASH_POINTS, CrashFleet, CrashingEngine
 from jasminewalk.gateway import part_quarantine
 from jasminewalk.operators.quarantines import show_or_release
@@ -266,3 +267,10 @@
     await harness.start(CrashingEngine("decoder-1", "after_head"))
     assert len(harness.read_log_lines("quarantine_unreadable")) == 3
     assert harness.daemon.crash_watch.quarantine.quarantines == {}
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_crashing_part_is_refused_under_other_faults(seed):
+    counts = run_crash_soak(seed, 2 * COUNTED_S)
+    assert counts["crashes"] > 0
+    assert counts["bad_sent"] > 0
