--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -244,6 +244,22 @@
     assert lines[1:] == ["released: bad, school", "no part is refused"]
 
 
+@pytest.mark.anyio
+async def test_engines_that_reset_connections_blame_no_part(harness):
+    engines = [CrashingEngine(f"decoder-{n}", "after_head") for n in range(3)]
+    for engine in engines:
+        engine.behaviour = "break_stream"
+    await harness.start(*engines)
+    for _ in range(2 * CRASHES):
+        await harness.send_request("/help/x", **PROMPT)
+        await asyncio.sleep(0.05)
+    assert harness.read_log_lines("engine_not_crashed")
+    assert not harness.read_log_lines("engine_crashed")
+    for engine in engines:
+        engine.behaviour = "answer"
+    assert (await harness.send_request("/help/x", **PROMPT))[0] == 200
+
+
 @pytest.mark.anyio
 async def test_engines_that_were_to_end_blame_no_part(harness):
     engines = [CrashingEngine(f"decoder-{n}", "after_head") for n in range(6)]
