Log what a broken plain request and a broken stream have in common with their repeats

On call nobody could tell whether engines that ended one after the other had run the same request: a plain request whose engine broke off left only its id and the reason. response_broken has the engine, whether it ended the connection, and a fingerprint of method, host, path, query and body; stream_broken has the fingerprint, too. It is computed only when a request breaks. No decision changes.

--- a/src/jasminewalk/gateway/plain_run.py
+++ b/src/jasminewalk/gateway/plain_run.py
@@ -154,6 +154,13 @@
         except TimeoutError:
             return PlainAttemptResult(None, reason=NO_RESPONSE)
         except ExchangeBrokenError as error:
+            self.warn(
+                "response_broken",
+                engine=engine.entry.engine_id,
+                reason=error.reason,
+                ended_by_engine=sent.exchange.ended_by_peer,
+                fingerprint=self.fingerprint,
+            )
             return PlainAttemptResult(None, reason=error.reason)
         finally:
             sent.close()
--- a/src/jasminewalk/gateway/run.py
+++ b/src/jasminewalk/gateway/run.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from enum import Enum, auto
+from functools import cached_property
 
 import attrs
 
@@ -15,6 +16,7 @@
 from jasminewalk.gateway.metrics import GatewayMetrics
 from jasminewalk.gateway.peers import PeerExchange
 from jasminewalk.gateway.placement import PlacementPolicy
+from jasminewalk.gateway.request_fingerprint import compute_request_fingerprint
 from jasminewalk.gateway.retry_budget import RetryBudget
 from jasminewalk.http1 import Response
 from jasminewalk.http1.server import CallerConnection, CallerRequest
@@ -147,6 +149,11 @@
             timeout_s = min(timeout_s, head.deadline_s)
         self.deadline = request.arrived_s + timeout_s
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """Fingerprint of the request, which its repeats share."""
+        return compute_request_fingerprint(self.request)
+
     @property
     def remaining_s(self) -> float:
         """Seconds until the request's deadline or its route's timeout, if earlier."""
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -259,6 +259,7 @@
             events=self.last_event_id,
             begun=self.response_begun,
             shared_parts=self.prompt_profile.shared_part_ids[:MAX_LOGGED_PARTS],
+            fingerprint=self.fingerprint,
         )
         return StreamAttemptResult.BROKEN
 
