--- a/tests/crashing_engines.py
+++ b/tests/crashing_engines.py
@@ -1,4 +1,4 @@
-"""Engines that crash when they begin to write an answer on one part of a prompt."""
+"""Engines that crash under one part of a prompt, or under one whole request."""
 
 import asyncio
 import random
@@ -9,9 +9,10 @@
 from soak_callers import SoakCallers
 from soak_processes import Gateway
 
-__all__ = ["BAD_PART", "CRASH_POINTS", "CrashFleet", "CrashingEngine"]
+__all__ = ["BAD_BODY", "BAD_PART", "CRASH_POINTS", "CrashFleet", "CrashingEngine"]
 
 BAD_PART = "bad"
+BAD_BODY = b"crash"
 # How far the response to a request with the bad part gets.
 CRASH_POINTS = ("before_head", "after_head", "in_event")
 # Seconds that an engine reads a prompt, writes before it crashes, and until it serves
@@ -26,15 +27,15 @@
 
 
 class CrashingEngine(FakeEngine):
-    """Engine whose process ends with a request that has the bad part.
+    """Engine whose process ends with a request that has the bad part or body.
 
     ``on_crash`` is called with the engine at each crash. All requests that run break
     off, and nothing listens at the address until the engine is back.
     """
 
-    def __init__(self, engine_id, crash_point, stage="decode"):
-        super().__init__(engine_id, "llm", stage)
-        self.behaviour = "write"
+    def __init__(self, engine_id, crash_point, stage="decode", service="llm"):
+        super().__init__(engine_id, service, stage)
+        self.behaviour = "write" if service == "llm" else "work"
         self.crash_point = crash_point
         self.event_count = 5
         self.bad_part = BAD_PART
@@ -43,9 +44,21 @@
         self.bad_arrivals = []
         self.on_crash = lambda engine: None
 
+    async def work(self, connection, request, headers):
+        """Answer a plain request; crash if it has the bad body."""
+        is_bad = request.body == BAD_BODY
+        if is_bad:
+            self.bad_arrivals.append(asyncio.get_running_loop().time())
+        await asyncio.sleep(self.reading_s)
+        if is_bad:
+            await self.crash_with(connection, headers)
+            return
+        connection.send_response(200, self.build_headers(headers), b"done")
+
     async def write(self, connection, request, headers):
-        """Read the prompt, then write events; crash if the prompt has the bad part."""
-        if self.has_bad_part(headers):
+        """Read the prompt, then write events; crash if the request is bad."""
+        is_bad = self.has_bad_part(headers) or request.body == BAD_BODY
+        if is_bad:
             self.bad_arrivals.append(asyncio.get_running_loop().time())
         await asyncio.sleep(self.reading_s)
         if headers.get(b"x-jasminewalk-stage") == b"prefill":
@@ -53,7 +66,7 @@
                 self.on_crash(self)
             await self.answer(connection, request, headers)
             return
-        if self.has_bad_part(headers):
+        if is_bad:
             await self.crash_with(connection, headers)
             return
         connection.start_stream(200, self.build_headers(headers))
@@ -88,11 +101,19 @@
     :param crash_point: how far the response of a crashing request gets.
     :param engines: number of engines.
     :param gateways: number of gateways.
+    :param service: service of the engines.
     """
 
     def __init__(
-        self, directory, crash_point="after_head", engines=6, gateways=3, seed=1
+        self,
+        directory,
+        crash_point="after_head",
+        engines=6,
+        gateways=3,
+        seed=1,
+        service="llm",
     ):
+        self.service = service
         self.directory = directory
         self.random = random.Random(seed)
         self.crashes = []
@@ -109,7 +130,9 @@
         self.tasks = set()
 
     def make_engine(self, number, stage="decode"):
-        engine = CrashingEngine(f"{stage}-{number}", self.crash_point, stage)
+        engine = CrashingEngine(
+            f"{stage}-{number}", self.crash_point, stage, self.service
+        )
         engine.on_crash = self.handle_crash
         engine.bad_arrivals = self.bad_arrivals
         return engine
@@ -211,8 +234,13 @@
 
     async def send_sound(self, gateway, counted=True):
         sent_at = self.now()
-        prompt = self.build_prompt()
-        answer = await self.send_prompt(gateway, "/help/x", prompt)
+        if self.service == "llm":
+            prompt = self.build_prompt()
+            answer = await self.send_prompt(gateway, "/help/x", prompt)
+        else:
+            self.request_count += 1
+            body = b"seat %d" % self.request_count
+            answer = await self.callers.send(gateway, "/look/x", body, 2.5)
         if counted:
             served = answer.status == 200 and answer.complete
             self.sound_answers.append((sent_at, served))
@@ -222,6 +250,15 @@
         prompt = self.build_prompt(f"{BAD_PART}:50")
         return await self.send_prompt(gateway, "/help/x", prompt)
 
+    async def send_bad_body(self, gateway, path):
+        """Send the request that crashes engines as a whole, under a new id."""
+        prompt = {
+            "X-Jasminewalk-Token-Usage": "380,40",
+            "X-Jasminewalk-Prompt-Prefix": "school:80,unit-1:40,own:260",
+        }
+        headers = prompt if self.service == "llm" else {}
+        return await self.callers.send(gateway, path, BAD_BODY, 2.5, **headers)
+
     async def send_prompt(self, gateway, path, prompt):
         return await self.callers.send(gateway, path, b"", 2.5, **prompt)
 
