Log the software version of the engines of a stream, and what a caller takes up

A stream that went on at another version could not be found in the logs: no line named the version of an engine, nor what Resumes said. engine_listed, placed, prompt_read, handed_over and stream_broken name it; taken_up has resumes and the last event. An entry with a version of another type names no engine, like other fields of the wrong type. No decision changes.

--- a/src/jasminewalk/gateway/fleet.py
+++ b/src/jasminewalk/gateway/fleet.py
@@ -597,7 +597,7 @@
             entry.engine_id,
             f"service={entry.service} address={entry.address} "
             f"zone={entry.failure_domain} stage={entry.stage or '-'} "
-            f"started={entry.started_ms or '-'}",
+            f"started={entry.started_ms or '-'} version={entry.version or '-'}",
         )
 
     def _change_entry(
--- a/src/jasminewalk/gateway/generation_run.py
+++ b/src/jasminewalk/gateway/generation_run.py
@@ -100,6 +100,7 @@
         estimate = option.estimate
         inputs = {
             "engine": estimate.engine.entry.engine_id,
+            "version": estimate.engine.entry.version,
             "split": option.disaggregated,
             "predicted_ms": round(option.predicted_s * 1e3, 1),
             "wait_ms": round(estimate.wait_s * 1e3, 1),
@@ -248,6 +249,7 @@
             "prompt_read",
             engine=engine.entry.engine_id,
             handle=handle.handle_id,
+            version=engine.entry.version,
             named=response.head.request_id,
             reused=sent.reused,
             taken_ms=round(elapsed_s * 1e3, 1),
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -41,6 +41,10 @@
     async def run(self) -> None:
         """Run the request and send the response to the caller."""
         self.prepare()
+        if self.head.last_event_id:
+            self.log(
+                "taken_up", resumes=self.head.resumes, events=self.head.last_event_id
+            )
         max_tokens = self.head.output_tokens
         self.splitter = EventSplitter(
             self.head.last_event_id.encode(),
@@ -102,7 +106,12 @@
             return None
         if option.disaggregated:
             source = self.prefilled_prompt.source if self.prefilled_prompt else ""
-            self.log("handed_over", engine=engine.entry.engine_id, source=source)
+            self.log(
+                "handed_over",
+                engine=engine.entry.engine_id,
+                version=engine.entry.version,
+                source=source,
+            )
         return await self._attempt(engine, estimate, priority)
 
     def _try_resume(self, result: StreamAttemptResult) -> bool:
@@ -262,6 +271,7 @@
         self.warn(
             "stream_broken",
             engine=engine.entry.engine_id,
+            version=engine.entry.version,
             reason=reason,
             events=self.last_event_id,
             begun=self.response_begun,
--- a/src/jasminewalk/platform/headers.py
+++ b/src/jasminewalk/platform/headers.py
@@ -26,6 +26,7 @@
 TOKEN_USAGE = b"x-jasminewalk-token-usage"
 MODEL = b"x-jasminewalk-model"
 LAST_EVENT_ID = b"last-event-id"
+RESUMES = b"resumes"
 RESPONSE_SIGNATURE = b"x-jasminewalk-response-signature"
 NOT_EXECUTED = b"x-jasminewalk-not-executed"
 REQUEST_LIMIT = b"server-limit"
@@ -109,6 +110,8 @@
     :param prompt_tokens: length of the prompt in tokens.
     :param output_tokens: maximum number of tokens to generate.
     :param last_event_id: id of the last event that the caller received; empty if none.
+    :param resumes: id of the caller's attempt that brought the first event of the
+        stream that it takes up; empty if it names none.
     """
 
     request_id: str
@@ -118,6 +121,7 @@
     prompt_tokens: int
     output_tokens: int
     last_event_id: str
+    resumes: str = ""
 
 
 @attrs.frozen
@@ -175,6 +179,7 @@
         prompt_tokens=_parse_count(tokens) or sum(part.tokens for part in prompt),
         output_tokens=_parse_count(output),
         last_event_id=_decode_text(values.get(LAST_EVENT_ID, b"")),
+        resumes=_decode_text(values.get(RESUMES, b"")),
     )
 
 
--- a/src/jasminewalk/platform/registry.py
+++ b/src/jasminewalk/platform/registry.py
@@ -34,6 +34,7 @@
     :param slots: number of requests that the engine runs concurrently.
     :param leaving: whether the engine is draining.
     :param stage: ``prefill``, ``decode`` or empty.
+    :param version: version of its software; empty if the entry names none.
     :param started_ms: Unix time at which the engine started, in milliseconds; 0 if the
         entry names none.
     """
@@ -46,6 +47,7 @@
     leaving: bool
     stage: str
     started_ms: int
+    version: str = ""
 
 
 def decode_engine_entry(engine_id: str, text: bytes) -> EngineEntry:
@@ -82,6 +84,7 @@
         leaving=state == DRAINING,
         stage=stage,
         started_ms=_get_started_ms(document, engine_id),
+        version=_get_version(document, engine_id),
     )
 
 
@@ -99,3 +102,10 @@
         return UNKNOWN_START_MS
     started_ms: int = _get_typed_field(document, "born", int, engine_id)
     return started_ms
+
+
+def _get_version(document: dict[str, Any], engine_id: str) -> str:
+    if "version" not in document:
+        return ""
+    version: str = _get_typed_field(document, "version", str, engine_id)
+    return version
