Add failing tests: streams go on at another software version of their engines

Real gateway processes and sockets, engines of two versions that write it into their events. Prompts are handed over between versions, and a stream that no gateway knows is taken up.

--- /dev/null
+++ b/tests/test_stream_versions.py
@@ -0,0 +1,122 @@
+"""Streams of engines of several software versions, which don't fit together."""
+
+import asyncio
+
+import pytest
+
+from versioned_engines import VersionedEngine, VersionFleet
+
+INTERVAL_S = 0.03
+DURATION_S = 4.0
+# Least streams that break off, for the checks to mean something.
+MIN_BROKEN = 12
+# Streams that go on, as a share of new ones that begin, at least.
+MIN_RESUMED_SHARE = 0.5
+VERSIONS = {"v1": 3, "v2": 3}
+
+
+@pytest.fixture
+async def start_fleet(tmp_path):
+    fleets = []
+
+    async def start(versions=VERSIONS, **options):
+        fleet = VersionFleet(tmp_path, versions, **options)
+        fleets.append(fleet)
+        await fleet.start()
+        return fleet
+
+    yield start
+    for fleet in fleets:
+        fleet.stop()
+
+
+def check_streams(fleet):
+    assert fleet.count_mixed() == 0
+    broken, resumed_share, began_share = fleet.compute_shares()
+    assert broken >= MIN_BROKEN
+    assert resumed_share >= MIN_RESUMED_SHARE * began_share
+
+
+@pytest.mark.anyio
+async def test_stream_goes_on_within_one_response_only_at_its_version(start_fleet):
+    fleet = await start_fleet()
+    for engine in fleet.engines:
+        engine.breaks = lambda: fleet.random.random() < 0.3
+    await fleet.stream_repeatedly(INTERVAL_S, DURATION_S)
+    assert fleet.count_mixed() == 0
+    assert fleet.read_log().count('"event":"retried"') >= MIN_BROKEN
+    completed = sum(stream.complete for stream in fleet.streams)
+    assert completed >= MIN_RESUMED_SHARE * len(fleet.streams)
+
+
+@pytest.mark.anyio
+async def test_stream_of_a_killed_gateway_goes_on_only_at_its_version(start_fleet):
+    fleet = await start_fleet()
+    streams = fleet.spawn(fleet.stream_repeatedly(INTERVAL_S, DURATION_S))
+    for gateway in fleet.gateways[:2]:
+        await asyncio.sleep(DURATION_S / 4)
+        gateway.kill()
+        gateway.start()
+    await streams
+    check_streams(fleet)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("keeps_id", [False, True])
+async def test_address_that_comes_back_with_another_version_writes_no_foreign_stream(
+    start_fleet, keeps_id
+):
+    fleet = await start_fleet()
+    streams = fleet.spawn(fleet.stream_repeatedly(INTERVAL_S, 2 * DURATION_S))
+    for number in range(6):
+        await asyncio.sleep(DURATION_S / 4)
+        engine = fleet.engines.pop(0)
+        engine.crash()
+        await asyncio.sleep(0.1)
+        version = "v2" if engine.version == "v1" else "v1"
+        engine_id = engine.engine_id if keeps_id else f"again-{number}"
+        started = VersionedEngine(engine_id, version)
+        started.born = engine.born + 1
+        fleet.engines.append(started)
+        await started.start(int(engine.address.rpartition(":")[2]))
+        # The entry follows later than the first requests may.
+        await asyncio.sleep(0.5)
+        fleet.put_entry(started)
+    await streams
+    check_streams(fleet)
+
+
+@pytest.mark.anyio
+async def test_prompt_is_handed_over_only_between_engines_of_one_version(start_fleet):
+    fleet = await start_fleet()
+    for version in VERSIONS:
+        for number in range(2):
+            reader = VersionedEngine(f"reader-{version}-{number}", version, "prefill")
+            fleet.engines.append(reader)
+            await fleet.start_engine(reader)
+    for engine in fleet.engines:
+        # Slow enough that a separate engine reads long prompts.
+        engine.reading_s = 0.2
+    await asyncio.sleep(2.0)
+    await fleet.stream_repeatedly(3 * INTERVAL_S, DURATION_S, tokens=9000)
+    versions = {engine.address: engine.version for engine in fleet.engines}
+    pairs = [
+        (versions[source.partition("/")[0]], engine.version)
+        for engine in fleet.engines
+        for source in engine.kv_sources
+    ]
+    assert len(pairs) >= MIN_BROKEN
+    assert all(source == version for source, version in pairs)
+
+
+@pytest.mark.anyio
+async def test_stream_that_no_gateway_knows_is_not_taken_up_by_guess(start_fleet):
+    fleet = await start_fleet()
+    headers = {
+        "X-Jasminewalk-Token-Usage": "380,8",
+        "X-Jasminewalk-Prompt-Prefix": "own:380",
+        "Last-Event-Id": "2",
+    }
+    for named in ({}, {"Resumes": "made-up"}):
+        answer = await fleet.send(fleet.gateways[0], "q1", headers | named)
+        assert (answer.status, b"retry-after" in answer.headers) == (503, True)
