Let streams go on only at the software version of the engines that began them

Callers got streams with events of two software versions of an engine, which don't fit together.

Cause: nothing read the version of an entry. Class of fault: state of one incarnation is used with another; the same as handles of a restarted engine.

Change: the version is a condition of placement for continuations and take-ups. Before a gateway relays the first event it tells three others the version; one that doesn't know asks them, and refuses what none knows. Prompts are handed over within a version. An engine that goes on with a stream must report the start that its entry names.

Memory: 20,000 streams of 30 s at a gateway; three datagrams for a stream that begins.

--- a/src/jasminewalk/gateway/daemon.py
+++ b/src/jasminewalk/gateway/daemon.py
@@ -32,6 +32,7 @@
     RegistryFollower,
 )
 from jasminewalk.gateway.stream_run import StreamRun
+from jasminewalk.gateway.stream_versions import StreamVersions
 from jasminewalk.http1.server import CallerConnection, CallerRequest, CallerServer
 from jasminewalk.platform.configuration import ServingConfiguration
 from jasminewalk.platform.headers import decode_request_head, find_ambiguous_header
@@ -98,9 +99,11 @@
             admission=AdmissionPolicy(),
             peers=self.peers,
             crash_watch=self.crash_watch,
+            stream_versions=StreamVersions(self.peers, self.clock),
             log=self.log,
             metrics=self.metrics,
             clock=self.clock,
+            wall_clock=time.time,
         )
         self.caller_server = CallerServer(
             self.handle_request,
@@ -149,6 +152,7 @@
             self.configuration,
             self.registry,
             self.crash_watch,
+            self.context.stream_versions,
             self.log,
             self.clock,
         )
--- a/src/jasminewalk/gateway/fleet.py
+++ b/src/jasminewalk/gateway/fleet.py
@@ -30,6 +30,9 @@
 # an older copy that still lists it. If it is alive, it writes its entry again by then;
 # if not, the store removes the entry again.
 RELISTED_HOLD_S = 5.0
+# Seconds for which all engines of a service must have had the same version for it to be
+# that of any stream.
+ONLY_VERSION_S = 30.0
 # Seconds that an engine is avoided after its first failure to connect or answer;
 # doubled with each further one, up to the maximum.
 MIN_SUSPICION_S = 0.5
@@ -303,6 +306,8 @@
         self.loaded = False
         self.store_recovered_at = float("-inf")
         self.reads_older_copy = False
+        self.loaded_at = float("inf")
+        self.former_versions: dict[tuple[str, str], float] = {}
 
     def is_replaced(self, engine: EngineState) -> bool:
         """Return whether another incarnation is listed under the id of an engine.
@@ -329,7 +334,9 @@
         """
         return _prefer_trusted(self._list_present(service, now), now)
 
-    def list_available(self, service: str, now: float) -> list[EngineState]:
+    def list_available(
+        self, service: str, now: float, version: str | None = None
+    ) -> list[EngineState]:
         """Return the usable engines of a service that take another request now.
 
         An engine that turned requests away for a time is left out, and so is one whose
@@ -337,15 +344,48 @@
 
         :param service: name of the service.
         :param now: current monotonic time in seconds.
+        :param version: version of the software that they must have; None for any.
         """
         present = [
             engine
             for engine in self._list_present(service, now)
             if not engine.compute_backoff_wait_s(now)
+            and (version is None or engine.entry.version == version)
         ]
         usable = _prefer_trusted(present, now)
         return [engine for engine in usable if engine.limit.has_room(now)]
 
+    def find_only_version(self, service: str, now: float) -> str:
+        """Return the version that all engines of a service had for some time.
+
+        Return an empty string if there were several, or this gateway began to read the
+        registry later.
+
+        :param service: name of the service.
+        :param now: current monotonic time in seconds.
+        """
+        if now - self.loaded_at < ONLY_VERSION_S:
+            return ""
+        versions = {
+            engine.entry.version
+            for engine in self.engines.values()
+            if engine.entry.service == service
+        }
+        versions.update(
+            version
+            for (held, version), seen_at in self.former_versions.items()
+            if held == service and now - seen_at < ONLY_VERSION_S
+        )
+        return versions.pop() if len(versions) == 1 else ""
+
+    def _record_former_version(self, now: float, entry: EngineEntry) -> None:
+        self.former_versions = {
+            key: seen_at
+            for key, seen_at in self.former_versions.items()
+            if now - seen_at < ONLY_VERSION_S
+        }
+        self.former_versions[entry.service, entry.version] = now
+
     def find_shortest_backoff(self, service: str, now: float) -> EngineState | None:
         """Return the first engine to come back of those that turned requests away.
 
@@ -418,6 +458,8 @@
         yield from self.apply_changes(now, records)
         for engine_id in set(self.engines) - listed:
             yield from self._mark_missing(now, engine_id)
+        if not self.loaded:
+            self.loaded_at = now
         self.loaded, self.reads_older_copy = True, False
 
     def apply_changes(
@@ -447,6 +489,7 @@
         for engine_id, engine in list(self.engines.items()):
             if engine.expires_at is not None and now >= engine.expires_at:
                 self.gone[engine_id] = self.engines.pop(engine_id)
+                self._record_former_version(now, engine.entry)
                 yield FleetEvent("engine_gone", engine_id, "entry is missing")
         self.gone = {
             engine_id: engine
@@ -577,6 +620,8 @@
         if newest is not None and entry.started_ms == UNKNOWN_START_MS:
             entry = attrs.evolve(entry, started_ms=newest.entry.started_ms)
         if known is not None and known.entry.started_ms == entry.started_ms:
+            if known.entry.version != entry.version:
+                self._record_former_version(now, known.entry)
             yield from self._change_entry(known, entry)
             return
         if newest is not None and self._is_outdated(newest, entry):
@@ -591,6 +636,7 @@
         state = EngineState(entry, PromptCache(traits.kv_cache_tokens if traits else 0))
         if known is not None:
             state.copy_estimates(known)
+            self._record_former_version(now, known.entry)
         self.engines[entry.engine_id] = state
         yield FleetEvent(
             "engine_listed",
--- a/src/jasminewalk/gateway/generation_run.py
+++ b/src/jasminewalk/gateway/generation_run.py
@@ -34,6 +34,8 @@
 # arrive after the head.
 MAX_SMALL_BODY_BYTES = 1024 * 1024
 SMALL_BODY_TIMEOUT_S = 1.2
+# ``Retry-After`` in seconds if no engine can go on with a stream.
+VERSION_RETRY_AFTER_S = 0.3
 # Engine priority of a resumed stream, which its caller already has part of.
 RESUMED_PRIORITY = 0
 
@@ -167,8 +169,18 @@
     def choose_decode_engine(self) -> EngineState | None:
         """Return the engine that decodes after a separate prefill, or None."""
         engines = self.list_available_engines()
+        if self.prefilled_prompt is not None:
+            version = self.prefilled_prompt.engine.entry.version
+            engines = [held for held in engines if held.entry.version == version]
         return self.context.placement.choose_decode_engine(engines, self.tried_engines)
 
+    def explain_missing_engine(self) -> str:
+        """Return why there is no engine to choose, and set when to come back."""
+        if self.version is None:
+            return super().explain_missing_engine()
+        self.retry_after_s = VERSION_RETRY_AFTER_S
+        return "no engine of the stream's version"
+
     @contextmanager
     def track_prompt_load(
         self, engine: EngineState, prefill_s: float
--- a/src/jasminewalk/gateway/peer_link.py
+++ b/src/jasminewalk/gateway/peer_link.py
@@ -17,6 +17,7 @@
     RegistryFollower,
     TopicFollower,
 )
+from jasminewalk.gateway.stream_versions import DATAGRAM_MARK, StreamVersions
 from jasminewalk.platform.store import GATEWAYS_TOPIC, RecordsPage, StoreClient
 
 __all__ = ["GatewaysFollower", "PeerLink"]
@@ -127,6 +128,7 @@
     :param configuration: follower of the configuration.
     :param registry: follower of the registry.
     :param crash_watch: builds and applies the news of crashes.
+    :param stream_versions: exchanges the versions that began streams.
     :param log: decision log.
     :param clock: returns the monotonic time in seconds.
     """
@@ -137,6 +139,7 @@
         configuration: ConfigurationFollower,
         registry: RegistryFollower,
         crash_watch: CrashWatch,
+        stream_versions: StreamVersions,
         log: DecisionLog,
         clock: Callable[[], float],
     ) -> None:
@@ -144,6 +147,8 @@
         self.configuration = configuration
         self.registry = registry
         self.crash_watch = crash_watch
+        self.stream_versions = stream_versions
+        self.stream_versions.send = self.send
         self.log = log
         self.clock = clock
         self.socket: asyncio.DatagramTransport | None = None
@@ -182,15 +187,27 @@
             self.crash_watch.build_news(),
         )
         for peer in list(self.exchange.peers.values()):
-            host, _, port = peer.address.rpartition(":")
-            if self.socket is not None:
-                self.socket.sendto(data, (host, int(port)))
+            self.send(peer.address, data)
+
+    def send(self, address: str, data: bytes) -> None:
+        """Send a datagram to another gateway.
+
+        :param address: ``host:port`` of its UDP socket.
+        :param data: payload.
+        """
+        host, _, port = address.rpartition(":")
+        if self.socket is not None:
+            self.socket.sendto(data, (host, int(port)))
 
     def receive(self, data: bytes) -> None:
         """Decode and apply a datagram.
 
         :param data: payload of the datagram.
         """
+        if data.startswith(DATAGRAM_MARK):
+            if not self.stream_versions.receive(data):
+                self.log.warning("peer_unreadable", size=len(data))
+            return
         message = decode_peer_message(data)
         if message is None or not _is_peer_address(message.address):
             self.log.warning("peer_unreadable", size=len(data))
--- a/src/jasminewalk/gateway/peers.py
+++ b/src/jasminewalk/gateway/peers.py
@@ -201,6 +201,12 @@
         ]
         return [*members, self.node]
 
+    def list_live(self) -> list[Peer]:
+        """Return the other gateways that are heard."""
+        return [
+            peer for peer in self.peers.values() if peer.received_at > float("-inf")
+        ]
+
     def assign_limit_shares(self, now: float) -> None:
         """Set this gateway's share of each engine's limit.
 
--- a/src/jasminewalk/gateway/placement.py
+++ b/src/jasminewalk/gateway/placement.py
@@ -169,11 +169,20 @@
         if (
             allow_disaggregated and prompt.tokens >= MIN_DISAGGREGATED_TOKENS
         ) or local is None:
-            remote = self._choose_best(
-                prompt, filter_by_stage(engines, PREFILL), excluded, most_cached
-            )
+            # Versions of the engines' software can't read each other's KV cache.
+            versions = {
+                engine.entry.version
+                for engine in filter_by_stage(engines, DECODE)
+                if engine.entry.engine_id not in excluded
+            }
+            readers = [
+                engine
+                for engine in filter_by_stage(engines, PREFILL)
+                if engine.entry.version in versions
+            ]
+            remote = self._choose_best(prompt, readers, excluded, most_cached)
         options = []
-        if remote is not None and filter_by_stage(engines, DECODE):
+        if remote is not None:
             options.append(
                 PlacementOption(remote, True, remote.total_s + KV_TRANSFER_S)
             )
--- a/src/jasminewalk/gateway/run.py
+++ b/src/jasminewalk/gateway/run.py
@@ -19,6 +19,7 @@
 from jasminewalk.gateway.placement import PlacementPolicy
 from jasminewalk.gateway.request_fingerprint import compute_request_fingerprint
 from jasminewalk.gateway.retry_budget import RetryBudget
+from jasminewalk.gateway.stream_versions import StreamVersions
 from jasminewalk.http1 import Response
 from jasminewalk.http1.server import CallerConnection, CallerRequest
 from jasminewalk.platform.configuration import Route
@@ -64,10 +65,12 @@
     :param placement: chooses engines.
     :param admission: admits or refuses generations.
     :param peers: exchanges loads, speeds and cached parts with other gateways.
-    :param crash_watch: finds the prompt parts that crash engines.
+    :param crash_watch: finds the prompt parts and requests that crash engines.
+    :param stream_versions: knows the versions that began streams.
     :param log: decision log.
     :param metrics: counters and histograms.
     :param clock: returns the monotonic time in seconds.
+    :param wall_clock: returns the Unix time in seconds.
     :param retry_budgets: retry budget of each service, by its name.
     """
 
@@ -78,9 +81,11 @@
     admission: AdmissionPolicy
     peers: PeerExchange
     crash_watch: CrashWatch
+    stream_versions: StreamVersions
     log: DecisionLog
     metrics: GatewayMetrics
     clock: Callable[[], float]
+    wall_clock: Callable[[], float]
     retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
 
     def get_retry_budget(self, service: str) -> RetryBudget:
@@ -150,6 +155,8 @@
         self.retry_after_s = ENGINE_FULL_RETRY_AFTER_S
         self.awaited_engine = ""
         self.is_trial = False
+        # Version of the engines that may go on with the stream; None if any may begin.
+        self.version: str | None = None
         timeout_s = route.timeout_s
         if head.deadline_s is not None:
             timeout_s = min(timeout_s, head.deadline_s)
@@ -215,7 +222,8 @@
         """Return the engines of the service that may get the request now."""
         now = self.context.clock()
         return self.context.crash_watch.prefer_undisturbed(
-            self.context.fleet.list_available(self.service, now), self.tried_engines
+            self.context.fleet.list_available(self.service, now, self.version),
+            self.tried_engines,
         )
 
     def is_quarantined(self) -> bool:
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -2,10 +2,16 @@
 
 import asyncio
 
+from jasminewalk.exceptions import BadMessageError
 from jasminewalk.gateway.engine_clients import NotSentError, OpenExchange
 from jasminewalk.gateway.event_stream import EventSplitter, InvalidStreamError
 from jasminewalk.gateway.fleet import EngineState
-from jasminewalk.gateway.generation_run import OK, GenerationRun, receive_small_body
+from jasminewalk.gateway.generation_run import (
+    OK,
+    VERSION_RETRY_AFTER_S,
+    GenerationRun,
+    receive_small_body,
+)
 from jasminewalk.gateway.placement import PrefillEstimate
 from jasminewalk.gateway.prefilled_prompt import PrefilledPrompt
 from jasminewalk.gateway.run import (
@@ -15,8 +21,11 @@
     StreamAttemptResult,
     TrackedLoad,
 )
+from jasminewalk.gateway.stream_versions import StreamOrigin
 from jasminewalk.http1 import ExchangeBrokenError, Response
-from jasminewalk.platform.headers import filter_relayed_headers
+from jasminewalk.platform.engines import REPORT_PATH, decode_report
+from jasminewalk.platform.headers import EXPECT_INSTANCE, filter_relayed_headers
+from jasminewalk.platform.registry import UNKNOWN_START_MS
 
 __all__ = ["StreamRun"]
 
@@ -31,6 +40,11 @@
 MAX_EXTRA_EVENTS = 16
 # Seconds after the first event in which a prompt that crashes engines does so.
 WRITING_BEGINS_S = 0.5
+# Milliseconds before an engine's start, by its clock, up to which a stream surely began
+# at its former start.
+CLOCK_MARGIN_MS = 500
+# Seconds for the report of an engine that goes on with a stream.
+REPORT_TIMEOUT_S = 0.3
 # Ids of prompt parts in a log line.
 MAX_LOGGED_PARTS = 8
 
@@ -54,9 +68,11 @@
         self.retry_reserved = False
         self.response_begun = False
         self.first_event_at: float | None = None
+        self.origin: StreamOrigin | None = None
         try:
             async with asyncio.timeout(max(0.0, self.remaining_s)):
-                await self._run()
+                if not self.head.last_event_id or await self._find_version():
+                    await self._run()
         except TimeoutError:
             self.finish_incomplete("no answer in time", GATEWAY_TIMEOUT)
         finally:
@@ -67,6 +83,38 @@
         """Id of the last complete event sent to the caller; empty if there is none."""
         return self.splitter.last_id.decode("latin-1")
 
+    async def _find_version(self) -> bool:
+        """Find the version that began the stream; refuse the request if unknown."""
+        context = self.context
+        if self.head.resumes:
+            self.origin = await context.stream_versions.find(self.head.resumes)
+        if self.origin is not None:
+            self.version = self.origin.version
+        else:
+            now = context.clock()
+            self.version = context.fleet.find_only_version(self.service, now)
+        return not self._refuse_uncertain_version()
+
+    def _refuse_uncertain_version(self) -> bool:
+        """End the request and return True if its stream's version is not certain."""
+        is_certain = self.version != "" and not self._may_be_of_later_start()
+        if not is_certain:
+            self.retry_after_s = VERSION_RETRY_AFTER_S
+            self.finish_incomplete("version of the stream is unknown", BAD_GATEWAY)
+        return not is_certain
+
+    def _may_be_of_later_start(self) -> bool:
+        """Return whether the engine may have had another version than was listed.
+
+        It may have restarted under its id before its new entry was read.
+        """
+        if self.origin is None:
+            return False
+        listed = self.context.fleet.engines.get(self.origin.engine_id)
+        if listed is None or listed.entry.version == self.version:
+            return False
+        return self.origin.began_ms > listed.entry.started_ms - CLOCK_MARGIN_MS
+
     async def _run(self) -> None:
         connect_failures = 0
         while True:
@@ -89,6 +137,8 @@
 
     async def _place_and_attempt(self) -> StreamAttemptResult | None:
         """Return the result of an attempt; None if the request was ended instead."""
+        if self.stream_started and self._refuse_uncertain_version():
+            return None
         placement = self.place()
         if placement is None:
             return None
@@ -204,6 +254,8 @@
                 return await self._handle_error_response(sent, response, engine)
             if response.head.encoded or not response.head.signed:
                 return self._fail_attempt(engine, "answer is not the engine's")
+            if self.version is not None and not await self._is_same_start(engine):
+                return self._fail_attempt(engine, "engine may have restarted")
             self.response_begun = True
             self.may_have_run = True
             if self.prefilled_prompt is not None:
@@ -217,7 +269,7 @@
                 load.complete_prefill()
                 if events := self.splitter.feed(chunk):
                     for event in events:
-                        self._relay_event(response, event)
+                        self._relay_event(engine, response, event)
                     await self.connection.drain()
                     self._postpone_silence_timeout()
         except ExchangeBrokenError as error:
@@ -234,6 +286,24 @@
         self._end_stream(response, engine)
         return StreamAttemptResult.DONE
 
+    async def _is_same_start(self, engine: EngineState) -> bool:
+        """Return whether an engine that responds has not restarted since its entry.
+
+        It may have restarted under its id, with another version, and the registry
+        still lists what it was.
+
+        :param engine: the engine.
+        """
+        expected = [(EXPECT_INSTANCE, engine.entry.engine_id.encode())]
+        try:
+            status, body = await self.context.clients.call(
+                engine, b"GET", REPORT_PATH, expected, b"", REPORT_TIMEOUT_S
+            )
+            started_ms = decode_report(body).started_ms if status == OK else None
+        except (NotSentError, ExchangeBrokenError, TimeoutError, BadMessageError):
+            return False
+        return started_ms in (UNKNOWN_START_MS, engine.entry.started_ms)
+
     async def _next_chunk(self, sent: OpenExchange) -> bytes:
         if not self.stream_started:
             return await sent.exchange.next_chunk()
@@ -290,18 +360,32 @@
             since is None or self.context.clock() - since <= WRITING_BEGINS_S
         )
 
-    def _relay_event(self, response: Response, event: bytes) -> None:
+    def _relay_event(
+        self, engine: EngineState, response: Response, event: bytes
+    ) -> None:
         if self.writing_since is None:
             self.writing_since = self.context.clock()
         if not self.stream_started:
             self.stream_started = True
             self.first_event_at = self.context.clock()
+            self._record_origin(engine)
             self.context.metrics.record_first_event(self.route.name, self.age_s)
             self.connection.start_stream(
                 response.status, filter_relayed_headers(response.headers)
             )
         self.connection.send_chunk(event)
 
+    def _record_origin(self, engine: EngineState) -> None:
+        """Record which engine began the stream, before its caller has an event."""
+        if self.origin is None:
+            version = self.version or engine.entry.version
+            began_ms = int(self.context.wall_clock() * 1e3)
+            self.origin = StreamOrigin(version, engine.entry.engine_id, began_ms)
+        self.version = self.origin.version
+        if self.route.resumable and self.version:
+            request_id = self.head.resumes or self.head.request_id
+            self.context.stream_versions.record(request_id, self.origin)
+
     def _end_stream(self, response: Response, engine: EngineState) -> None:
         event = self.context.fleet.trust(engine)
         if event is not None:
--- a/src/jasminewalk/platform/headers.py
+++ b/src/jasminewalk/platform/headers.py
@@ -78,6 +78,7 @@
         TOKEN_USAGE,
         PROMPT_PREFIX,
         LAST_EVENT_ID,
+        RESUMES,
     )
 )
 MISDIRECTED_REQUEST = 421
--- a/tests/versioned_engines.py
+++ b/tests/versioned_engines.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import re
+import time
 
 import attrs
 
@@ -35,11 +36,16 @@
     def __init__(self, engine_id, version, stage="decode"):
         super().__init__(engine_id, "llm", stage)
         self.version = version
+        self.born = int(time.time() * 1e3)
         self.behaviour = "write"
         self.breaks = lambda: False
         self.reading_s = READING_S
         self.kv_sources = []
 
+    async def handle_control_call(self, connection, request):
+        self.report_changes["born"] = self.born
+        await super().handle_control_call(connection, request)
+
     def entry(self, state="ready", **changes):
         return super().entry(state, **{"version": self.version, **changes})
 
