--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -279,3 +279,77 @@
     counts = run_crash_soak(seed, 2 * COUNTED_S, path=path)
     assert counts["crashes"] > 0
     assert counts["bad_sent"] > 0
+
+
+@pytest.mark.anyio
+async def test_repeats_of_a_suspect_run_one_at_a_time(harness):
+    engines = [CrashingEngine(f"app-{n}", "after_head", "", "app") for n in range(4)]
+    for engine in engines:
+        engine.on_crash = CrashingEngine.crash
+    await harness.start(*engines)
+    assert (await harness.send_request("/book/x", BAD_BODY))[0] == 502
+    most_running = 0
+
+    async def work(connection, request, headers):
+        nonlocal most_running
+        running = sum(len(engine.running_requests) for engine in engines)
+        most_running = max(most_running, running)
+        await asyncio.sleep(0.1)
+        await engines[0].answer(connection, request, headers)
+
+    for engine in engines:
+        engine.work = work
+    async with asyncio.timeout(STABLE_WINDOW_S):
+        while not harness.read_log_lines("engine_crashed"):
+            await asyncio.sleep(0.01)
+    repeats = [harness.send_request("/book/x", BAD_BODY) for _ in range(3)]
+    answers = await asyncio.gather(*repeats)
+    assert [status for status, _, _ in answers] == [200] * 3
+    assert most_running < 3
+    # The first answer clears the request, and the others need no turn.
+    assert not harness.daemon.crash_watch.quarantine.watches_requests
+
+
+@pytest.mark.anyio
+async def test_other_requests_get_engines_that_run_no_suspect(harness):
+    engines = [CrashingEngine(f"app-{n}", "after_head", "", "app") for n in range(3)]
+    for engine in engines:
+        engine.on_crash = CrashingEngine.crash
+    await harness.start(*engines)
+    assert (await harness.send_request("/book/x", BAD_BODY))[0] == 502
+    async with asyncio.timeout(STABLE_WINDOW_S):
+        while not harness.read_log_lines("engine_crashed"):
+            await asyncio.sleep(0.01)
+    alive = [engine for engine in engines if engine.server.server.is_serving()]
+    for engine in alive:
+        engine.reading_s = 0.3
+    suspect = asyncio.create_task(harness.send_request("/book/x", BAD_BODY))
+    await asyncio.sleep(0.05)
+    sound = [harness.send_request("/book/x", b"seat %d" % n) for n in range(6)]
+    assert [status for status, _, _ in await asyncio.gather(*sound)] == [200] * 6
+    assert (await suspect)[0] == 502
+
+
+@pytest.mark.anyio
+async def test_gateway_that_found_a_quarantine_writes_and_tells_it_at_once(harness):
+    engines = [CrashingEngine(f"app-{n}", "after_head", "", "app") for n in range(6)]
+    for engine in engines:
+        engine.on_crash = CrashingEngine.crash
+    await harness.start(*engines)
+    # Another gateway writes what is missing in the store.
+    harness.daemon.quarantines.is_writer = lambda: False
+    told = []
+    harness.daemon.peer_link.send = lambda address, data: told.append(data)
+    harness.daemon.peers.record_address(0.0, "front-0", "127.0.0.9:9")
+    harness.daemon.peer_link.announce()
+    for number in range(CRASHES):
+        assert (await harness.send_request("/book/x", BAD_BODY))[0] == 502
+        async with asyncio.timeout(STABLE_WINDOW_S):
+            while len(harness.read_log_lines("engine_crashed")) == number:
+                await asyncio.sleep(0.001)
+        crashes = harness.daemon.crash_watch.exchange.crashes
+        key = format(next(reversed(crashes)), "x")
+        assert any(bytes.fromhex(key.zfill(8)) in data for data in told[-1:])
+    async with asyncio.timeout(STORED_S):
+        while not harness.read_log_lines("quarantine_stored"):
+            await asyncio.sleep(0.01)
