--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -1,9 +1,13 @@
 """Streams of engines of several software versions, which don't fit together."""
 
 import asyncio
+import time
 
 import pytest
 
+from platform_fakes import FakeEngine
+from ports import allocate_port
+from test_gateway_daemon import GatewayHarness
 from version_soak import run_version_soak
 from versioned_engines import VersionedEngine, VersionFleet
 
@@ -57,7 +61,7 @@
 @pytest.mark.anyio
 async def test_stream_of_a_killed_gateway_goes_on_only_at_its_version(start_fleet):
     fleet = await start_fleet()
-    streams = fleet.spawn(fleet.stream_repeatedly(INTERVAL_S, DURATION_S))
+    streams = fleet.spawn(fleet.stream_repeatedly(INTERVAL_S / 2, DURATION_S))
     for gateway in fleet.gateways[:2]:
         await asyncio.sleep(DURATION_S / 4)
         gateway.kill()
@@ -137,6 +141,63 @@
         assert (answer.status, b"retry-after" in answer.headers) == (503, True)
 
 
+@pytest.fixture
+async def harness(tmp_path):
+    harness = GatewayHarness(tmp_path)
+    yield harness
+    harness.stop()
+
+
+async def start_breaking(harness, *others):
+    """Start a gateway; the engine that begins a stream breaks it off."""
+    first = FakeEngine("first", "llm", "decode")
+    first.behaviour = "break_stream"
+    await harness.start(first, *others)
+    for engine in others:
+        harness.daemon.fleet.engines[engine.engine_id].own_load.requests = 1
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(("born", "goes_on"), [(1, True), (2, False)])
+async def test_stream_goes_on_only_at_the_start_that_an_entry_names(
+    harness, born, goes_on
+):
+    second = FakeEngine("second", "llm", "decode")
+    second.report_changes["born"] = born
+    await start_breaking(harness, second)
+    _, _, body = await harness.send_request(
+        "/verdict/x", x_jasminewalk_token_usage="9,4"
+    )
+    assert len(second.requests) == 1
+    assert (b"id: 3" in body) == goes_on
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(("born_s_ago", "status"), [(0.0, 503), (-3600.0, 200)])
+async def test_stream_of_an_engine_that_restarted_with_another_version(
+    harness, born_s_ago, status
+):
+    second = FakeEngine("second", "llm", "decode")
+    await start_breaking(harness)
+    await harness.send_request("/verdict/x", x_jasminewalk_token_usage="9,4")
+    (line,) = harness.read_log_lines("stream_cut")
+    first = harness.engines["first"]
+    first.born = int((time.time() - born_s_ago) * 1e3) - 1000
+    harness.store.put("keyed.servers", "first", first.entry(version="v2"))
+    await second.start(allocate_port())
+    harness.store.put("keyed.servers", "second", second.entry())
+    async with asyncio.timeout(DURATION_S):
+        while len(harness.daemon.fleet.engines) < 2:
+            await asyncio.sleep(0.02)
+    answer = await harness.send_request(
+        "/verdict/x",
+        resumes=line["request"],
+        last_event_id="1",
+        x_jasminewalk_token_usage="9,4",
+    )
+    assert answer[0] == status
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_streams_keep_to_their_version_under_other_faults(seed):
     counts = run_version_soak(seed, DURATION_S)
