Let enough streams break off in two tests of versions

Traced: two kills cut a third of the streams each, 33 a second of half a second, about 11 in all, so it fails in some runs whatever the load. The bound stays; twice as many streams begin, and a gateway is killed in each of four turns (33 to 37 break off then). What both check is unchanged.

--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -61,7 +61,7 @@
 @pytest.mark.anyio
 async def test_stream_of_a_killed_gateway_goes_on_only_at_its_version(start_fleet):
     fleet = await start_fleet()
-    streams = fleet.spawn(fleet.stream_repeatedly(INTERVAL_S / 2, DURATION_S))
+    streams = fleet.spawn(fleet.stream_repeatedly(INTERVAL_S / 3, DURATION_S))
     for gateway in fleet.gateways[:2]:
         await asyncio.sleep(DURATION_S / 4)
         gateway.kill()
@@ -78,12 +78,12 @@
     start_fleet, keeps_id, down_s
 ):
     fleet = await start_fleet()
-    streams = fleet.spawn(fleet.stream_repeatedly(INTERVAL_S, 3 * DURATION_S))
+    streams = fleet.spawn(fleet.stream_repeatedly(INTERVAL_S / 2, 3 * DURATION_S))
     for number in range(4):
         await asyncio.sleep(ENTRY_READ_S)
-        if number % 2:
-            fleet.gateways[number // 2].kill()
-            fleet.gateways[number // 2].start()
+        gateway = fleet.gateways[number % len(fleet.gateways)]
+        gateway.kill()
+        gateway.start()
         # Two engines of each version go on serving.
         versions = [held.version for held in fleet.engines]
         index = versions.index(max(sorted(VERSIONS), key=versions.count))
