--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -84,7 +84,6 @@
         gateway = fleet.gateways[number % len(fleet.gateways)]
         gateway.kill()
         gateway.start()
-        # Two engines of each version go on serving.
         versions = [held.version for held in fleet.engines]
         index = versions.index(max(sorted(VERSIONS), key=versions.count))
         engine = fleet.engines.pop(index)
@@ -95,7 +94,6 @@
         started = VersionedEngine(engine_id, version)
         fleet.engines.append(started)
         await started.start(int(engine.address.rpartition(":")[2]))
-        # The entry follows later than the first requests may.
         await asyncio.sleep(0.5)
         fleet.put_entry(started)
     await streams
