Answer what a gateway has read when it is stopped

A gateway that got SIGTERM closed a connection after the response that ran, also when further requests had been read behind it or had just been sent. It answers those now and keeps young connections open for 0.3 s.

See docs/incidents/requests-cut-by-a-planned-stop.md and tests/test_planned_stop.py.

--- a/src/jasminewalk/http1/server.py
+++ b/src/jasminewalk/http1/server.py
@@ -30,6 +30,8 @@
 # Bytes of complete responses that callers have not read. Over it, the connection with
 # most of them is aborted.
 MAX_UNSENT_BYTES = 32 * 1024 * 1024
+# Seconds in which a request may arrive on a connection that a caller believes to last.
+ARRIVAL_S = 0.3
 # Seconds between two checks for idle connections and slow requests.
 SWEEP_INTERVAL_S = 0.25
 BAD_REQUEST = 400
@@ -110,6 +112,7 @@
         self.task: asyncio.Task[None] | None = None
         self.closed = False
         self.closing = False
+        self.end_announced = False
         self.writable: asyncio.Future[None] | None = None
         self.response_started = False
         self.response_ended = False
@@ -279,6 +282,18 @@
             len(pending) >= MAX_PIPELINED or body_bytes >= self.server.limits.body_bytes
         )
 
+    @property
+    def _has_further_requests(self) -> bool:
+        """Whether a request arrived, or begins to, behind the current one.
+
+        Requests that arrive long after the end of listening do not count, so that a
+        caller who never stops sending does not keep the server.
+        """
+        arrivals = [request.arrived_s for request in self.pending_requests]
+        if self.request_started_s is not None:
+            arrivals.append(self.request_started_s)
+        return any(arrived_s <= self.server.ends_at for arrived_s in arrivals)
+
     def _start_next_request(self) -> None:
         if not self.pending_requests or self.closed or self.closing:
             self.idle_since = self.server.clock()
@@ -314,7 +329,7 @@
             return
         if not self.response_started:
             self.send_response(502, [], b"")
-        if not request.keep_alive or self.closing or self.server.draining:
+        if not request.keep_alive or self.closing or self.end_announced:
             self.close()
             return
         self._start_next_request()
@@ -437,7 +452,10 @@
             phrase = b"Status"
         lines = [b"HTTP/1.1 %d %s\r\n" % (status, phrase)]
         lines.extend(b"%s: %s\r\n" % header for header in headers)
-        if self.server.draining or self.closing:
+        # What was received already is answered, so the last response announces the end.
+        ends = self.server.draining and not self._has_further_requests
+        self.end_announced = ends or self.closing
+        if self.end_announced:
             lines.append(b"connection: close\r\n")
         else:
             idle_s = int(self.server.limits.idle_timeout_s)
@@ -479,6 +497,7 @@
         self.max_held_bytes = MAX_HELD_BYTES
         self.max_unsent_bytes = MAX_UNSENT_BYTES
         self.draining = False
+        self.ends_at = float("inf")
         self.server: asyncio.Server | None = None
 
     async def listen(self, address: str) -> None:
@@ -535,12 +554,19 @@
             largest.abort_unread()
 
     def stop_listening(self) -> None:
-        """Stop accepting connections."""
+        """Stop accepting connections, and soon also further requests on open ones."""
+        self.ends_at = self.clock() + ARRIVAL_S
         if self.server is not None:
             self.server.close()
 
     def close_idle(self) -> None:
-        """Close connections on which no request is being read or handled."""
+        """Close connections on which no request is being read or handled.
+
+        A connection that was accepted, or whose last response was sent, within
+        ``ARRIVAL_S`` is left open, as a request may be on its way.
+        """
+        latest_s = self.clock() - ARRIVAL_S
         for connection in list(self.connections):
-            if connection.task is None and connection.request_started_s is None:
+            is_idle = connection.task is None and connection.request_started_s is None
+            if is_idle and connection.idle_since <= latest_s:
                 connection.close()
