Give an attempt to connect more time after a stalled event loop

A gateway whose event loop stalled gave up connections to engines that had been accepted meanwhile. An attempt whose timer fires late has 0.1 s more.

--- a/src/jasminewalk/http1/client.py
+++ b/src/jasminewalk/http1/client.py
@@ -26,6 +26,10 @@
 MAX_UNREAD_BYTES = 64 * 1024
 # Discarded bytes of one connection that are each reported.
 MAX_DISCARD_REPORTS = 10
+# A timer that fires later than this many seconds tells that the event loop, or the
+# whole machine, was held up. Connecting then has this many seconds more.
+MAX_TIMER_DELAY_S = 0.05
+STALL_GRACE_S = 0.1
 MIN_FINAL_STATUS = 200
 MIN_FAILURE_STATUS = 300
 CONTENT_LENGTH = b"content-length"
@@ -51,6 +55,7 @@
         self.closed = False
         self.paused = False
         self.reusable = True
+        self.opened_at = clock()
         self.idle_since = 0.0
         self.idle_timeout_s: float | None = None
         self.exchange_count = 0
@@ -324,10 +329,16 @@
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeout_s):
-            _, connection = await loop.create_connection(
-                lambda: Connection(clock, budget), host, int(port)
+        async with asyncio.timeout(None) as limit:
+            timer = loop.call_later(
+                timeout_s, _end_connecting, limit, loop.time() + timeout_s
             )
+            try:
+                _, connection = await loop.create_connection(
+                    lambda: Connection(clock, budget), host, int(port)
+                )
+            finally:
+                timer.cancel()
     except TimeoutError as error:
         raise ExchangeBrokenError("connect timeout") from error
     except OSError as error:
@@ -337,6 +348,13 @@
     return connection
 
 
+def _end_connecting(limit: asyncio.Timeout, due: float) -> None:
+    """End an attempt to connect; later, if the loop has not seen what arrived."""
+    now = asyncio.get_running_loop().time()
+    was_stalled = now - due > MAX_TIMER_DELAY_S
+    limit.reschedule(now + STALL_GRACE_S if was_stalled else now)
+
+
 def encode_request(
     method: bytes, target: bytes, headers: Iterable[Header], body: bytes
 ) -> bytes:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+import time
 
 import pytest
 
@@ -529,3 +530,24 @@
     pool.release(connection)
     assert connection.closed
     assert pool.take_idle(1.0, "b") is None
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("listens", [True, False])
+async def test_connecting_outlasts_a_stall_of_the_event_loop(free_address, listens):
+    host, _, port = free_address.rpartition(":")
+    with (
+        socket.create_server((host, int(port)), backlog=64 if listens else 0),
+        # Where one may wait to be accepted, the next gets no response.
+        socket.create_connection((host, int(port))),
+    ):
+        started_s = get_time()
+        connecting = asyncio.create_task(connect(free_address, 0.2, get_time))
+        await asyncio.sleep(0)
+        time.sleep(0.4)
+        if listens:
+            (await connecting).abort()
+        else:
+            with pytest.raises(ExchangeBrokenError, match="connect timeout"):
+                await connecting
+            assert get_time() - started_s < 0.8
