Keep sums of what gateways announce as they change

Placing a long prompt added up what each gateway had said about each engine. Also: engine_sound is written below a lower rate than engine_failing, and an engine under suspicion takes what a limited one has no room for.

--- /dev/null
+++ b/src/jasminewalk/gateway/peer_message.py
@@ -0,0 +1,78 @@
+"""Message in which a gateway tells the others of its state."""
+
+import msgspec
+
+from jasminewalk.gateway.quarantine_news import QuarantineNews
+
+__all__ = ["UNKNOWN_ERA", "PeerMessage", "TopicProgress", "decode_peer_message"]
+
+# Era in a message whose sender knows none, or is of the previous version.
+UNKNOWN_ERA = -1
+
+
+class TopicProgress(msgspec.Struct, array_like=True, frozen=True):
+    """How far a gateway has read a topic of the store.
+
+    :param read_ms_ago: milliseconds since its last read; negative if unknown.
+    :param changed_offset: offset after the last record that had an effect.
+    """
+
+    read_ms_ago: int = -1
+    changed_offset: int = 0
+
+
+class PeerMessage(msgspec.Struct, array_like=True, frozen=True):
+    """State that one gateway sends to its peers.
+
+    :param node: name of the sending instance.
+    :param address: ``host:port`` of its UDP socket.
+    :param started_ms: Unix time of its process start in milliseconds.
+    :param number: number of the message, counted from the start of the process.
+    :param configuration: how far it has read the configuration.
+    :param registry: how far it has read the registry.
+    :param prefill_ms: its demand for prefill, in engine milliseconds per second.
+    :param decode_ms: its demand for decode, in engine milliseconds per second.
+    :param loads: engine, requests, and prefill left in milliseconds at speed 1.
+    :param speeds: engine, speed in hundredths, and number of samples.
+    :param prefills: engine, id of a prompt part, and its tokens; 0 tokens retract it.
+    :param changing: engine, and milliseconds until its change of stage is over.
+    :param outcomes: engine, requests that ended and failed since the last message.
+    :param limits: engine, its limit in requests per 1,000 seconds or -1 for none, and
+        milliseconds since that was observed.
+    :param leaving: engines that said in a response that they are leaving.
+    :param store_era: era of the store in which it has read the topics.
+    :param quarantine: what it knows of prompt parts that crash engines, if anything.
+    :param versions: how far it has read the shares of versions; None if it does not
+        begin streams by them.
+    """
+
+    node: str
+    address: str
+    started_ms: int
+    number: int
+    configuration: TopicProgress
+    registry: TopicProgress
+    prefill_ms: int
+    decode_ms: int
+    loads: list[tuple[int, int, int]]
+    speeds: list[tuple[int, int, int]]
+    prefills: list[tuple[int, str, int]]
+    changing: list[tuple[int, int]]
+    # Previous versions of the gateway do not send all of these fields.
+    outcomes: list[tuple[int, int, int]] = []
+    limits: list[tuple[int, int, int]] = []
+    leaving: list[int] = []
+    store_era: int = UNKNOWN_ERA
+    quarantine: QuarantineNews | None = None
+    versions: TopicProgress | None = None
+
+
+def decode_peer_message(data: bytes) -> PeerMessage | None:
+    """Decode a datagram; return None if it is not a valid message.
+
+    :param data: payload of the datagram.
+    """
+    try:
+        return msgspec.msgpack.decode(data, type=PeerMessage)
+    except msgspec.DecodeError:
+        return None
--- a/src/jasminewalk/gateway/peers.py
+++ b/src/jasminewalk/gateway/peers.py
@@ -5,16 +5,24 @@
 
 import attrs
 import msgspec
-import xxhash
 
 from jasminewalk.gateway.demand import Demand, DemandMeter
 from jasminewalk.gateway.fleet import (
     EngineState,
     Fleet,
     FleetEvent,
-    Load,
     Outcomes,
 )
+from jasminewalk.gateway.peer_membership import (
+    Peer,
+    PeerMembership,
+)
+from jasminewalk.gateway.peer_message import (
+    UNKNOWN_ERA,
+    PeerMessage,
+    TopicProgress,
+    decode_peer_message,
+)
 from jasminewalk.gateway.quarantine_news import QuarantineNews
 from jasminewalk.gateway.request_limit import compute_share
 from jasminewalk.platform.headers import PromptPart
@@ -28,16 +36,10 @@
     "compute_engine_key",
 ]
 
-# Seconds without a message after which the loads and speeds of a peer are dropped.
-PEER_TIMEOUT_S = 1.5
-# Seconds without a message for which a peer keeps its share of the limits that hold for
-# all gateways together. It is longer than the timeout above, because a gateway that
-# only lost contact goes on using its share.
-MEMBER_TIMEOUT_S = 20.0
+# Seconds after which the demands of the peers are added up again.
+DEMAND_SUM_INTERVAL_S = 0.1
 # Seconds for which the end of a limit is announced.
 LIMIT_END_ANNOUNCEMENT_S = 10.0
-# Era in a message whose sender knows none, or is of the previous version.
-UNKNOWN_ERA = -1
 # Limit in a message that stands for none.
 NO_LIMIT = -1
 # Messages that announce the same prefill, because single datagrams can be lost.
@@ -52,78 +54,12 @@
 MAX_ANNOUNCED_PREFILLS = 40
 
 
-class TopicProgress(msgspec.Struct, array_like=True, frozen=True):
-    """How far a gateway has read a topic of the store.
-
-    :param read_ms_ago: milliseconds since its last read; negative if unknown.
-    :param changed_offset: offset after the last record that had an effect.
-    """
-
-    read_ms_ago: int = -1
-    changed_offset: int = 0
-
-
-class PeerMessage(msgspec.Struct, array_like=True, frozen=True):
-    """State that one gateway sends to its peers.
-
-    :param node: name of the sending instance.
-    :param address: ``host:port`` of its UDP socket.
-    :param started_ms: Unix time of its process start in milliseconds.
-    :param number: number of the message, counted from the start of the process.
-    :param configuration: how far it has read the configuration.
-    :param registry: how far it has read the registry.
-    :param prefill_ms: its demand for prefill, in engine milliseconds per second.
-    :param decode_ms: its demand for decode, in engine milliseconds per second.
-    :param loads: engine, requests, and prefill left in milliseconds at speed 1.
-    :param speeds: engine, speed in hundredths, and number of samples.
-    :param prefills: engine, id of a prompt part, and its tokens; 0 tokens retract it.
-    :param changing: engine, and milliseconds until its change of stage is over.
-    :param outcomes: engine, requests that ended and failed since the last message.
-    :param limits: engine, its limit in requests per 1,000 seconds or -1 for none, and
-        milliseconds since that was observed.
-    :param leaving: engines that said in a response that they are leaving.
-    :param store_era: era of the store in which it has read the topics.
-    :param quarantine: what it knows of prompt parts that crash engines, if anything.
-    """
-
-    node: str
-    address: str
-    started_ms: int
-    number: int
-    configuration: TopicProgress
-    registry: TopicProgress
-    prefill_ms: int
-    decode_ms: int
-    loads: list[tuple[int, int, int]]
-    speeds: list[tuple[int, int, int]]
-    prefills: list[tuple[int, str, int]]
-    changing: list[tuple[int, int]]
-    # Previous versions of the gateway do not send all of these fields.
-    outcomes: list[tuple[int, int, int]] = []
-    limits: list[tuple[int, int, int]] = []
-    leaving: list[int] = []
-    store_era: int = UNKNOWN_ERA
-    quarantine: QuarantineNews | None = None
-
-
-def decode_peer_message(data: bytes) -> PeerMessage | None:
-    """Decode a datagram; return None if it is not a valid message.
-
-    :param data: payload of the datagram.
-    """
-    try:
-        return msgspec.msgpack.decode(data, type=PeerMessage)
-    except msgspec.DecodeError:
-        return None
-
-
 def compute_engine_key(engine: EngineState) -> int:
     """Return a 32-bit hash that identifies an engine's incarnation.
 
     :param engine: the engine.
     """
-    entry = engine.entry
-    return xxhash.xxh32_intdigest(f"{entry.engine_id} {entry.started_ms}".encode())
+    return engine.key
 
 
 @attrs.define
@@ -133,29 +69,7 @@
     sent_count: int = 0
 
 
-@attrs.define
-class Peer:
-    """State of another gateway.
-
-    :param address: ``host:port`` of its UDP socket.
-    :param started_ms: Unix time of its process start in milliseconds.
-    :param number: number of its last message; -1 before the first.
-    :param received_at: monotonic time of its last message; minus infinity before the
-        first and once its loads are dropped.
-    :param heard_at: monotonic time of its last message, or at which the list of
-        gateways named it; kept when its loads are dropped.
-    :param demand: demand of its callers.
-    """
-
-    address: str
-    started_ms: int = 0
-    number: int = -1
-    received_at: float = float("-inf")
-    heard_at: float = float("-inf")
-    demand: Demand = attrs.field(factory=Demand)
-
-
-class PeerExchange:
+class PeerExchange(PeerMembership):
     """Exchanges loads, speeds, cached parts, outcomes and demand with peers.
 
     :param node: name of this gateway's instance.
@@ -165,47 +79,22 @@
     """
 
     def __init__(self, node: str, address: str, started_ms: int, fleet: Fleet) -> None:
-        self.node = node
-        self.address = address
-        self.started_ms = started_ms
+        super().__init__(node, address, started_ms)
         self.fleet = fleet
-        self.peers: dict[str, Peer] = {}
-        self.number = 0
         self.announced_at = 0.0
         self.demand = DemandMeter()
         self.prefills: deque[_AnnouncedPrefill] = deque()
-        self.peers_known = False
-
-    def record_address(self, now: float, node: str, address: str) -> None:
-        """Record the address of a peer.
-
-        :param now: current monotonic time in seconds.
-        :param node: name of its instance.
-        :param address: ``host:port`` of its UDP socket.
-        """
-        if node == self.node:
-            return
-        peer = self.peers.setdefault(node, Peer(address, heard_at=now))
-        if peer.address != address:
-            peer.address, peer.heard_at = address, now
-
-    def list_members(self, now: float) -> list[str]:
-        """Return the names of all gateways that share limits, with this one.
-
-        :param now: current monotonic time in seconds.
-        """
-        members = [
-            node
-            for node, peer in self.peers.items()
-            if now - peer.heard_at < MEMBER_TIMEOUT_S
-        ]
-        return [*members, self.node]
-
-    def list_live(self) -> list[Peer]:
-        """Return the other gateways that are heard."""
-        return [
-            peer for peer in self.peers.values() if peer.received_at > float("-inf")
-        ]
+        self._peer_demand = Demand()
+        self._peer_demand_at = float("-inf")
+        self._engines_by_key: dict[int, EngineState] = {}
+        self._indexed_engines: list[EngineState] = []
+
+    def _index_engines(self) -> dict[int, EngineState]:
+        engines = list(self.fleet.engines.values())
+        if engines != self._indexed_engines:
+            self._indexed_engines = engines
+            self._engines_by_key = {engine.key: engine for engine in engines}
+        return self._engines_by_key
 
     def assign_limit_shares(self, now: float) -> None:
         """Set this gateway's share of each engine's limit.
@@ -223,26 +112,18 @@
             share_per_s = compute_share(per_s, key, self.node, members)
             engine.limit.assign_share(now, share_per_s if self.peers_known else 0.0)
 
-    def compute_rank(self, now: float) -> int:
-        """Return the rank of this gateway by name among the live ones, from 0.
-
-        :param now: current monotonic time in seconds.
-        """
-        return sum(
-            node < self.node and now - peer.received_at < PEER_TIMEOUT_S
-            for node, peer in self.peers.items()
-        )
-
     def compute_total_demand(self, now: float) -> Demand:
         """Return the total demand at all live gateways.
 
         :param now: current monotonic time in seconds.
         """
-        total = self.demand.compute_rate(now)
-        for peer in self.peers.values():
-            if now - peer.received_at < PEER_TIMEOUT_S:
-                total = total + peer.demand
-        return total
+        if not 0 <= now - self._peer_demand_at < DEMAND_SUM_INTERVAL_S:
+            self._peer_demand, self._peer_demand_at = Demand(), now
+            timeout_s = self.silence_timeout_s
+            for peer in self.peers.values():
+                if now - peer.received_at < timeout_s:
+                    self._peer_demand = self._peer_demand + peer.demand
+        return self.demand.compute_rate(now) + self._peer_demand
 
     def record_prefill(
         self, engine: EngineState, prompt: tuple[PromptPart, ...]
@@ -281,6 +162,7 @@
         registry: TopicProgress,
         store_era: int = UNKNOWN_ERA,
         quarantine: QuarantineNews | None = None,
+        versions: TopicProgress | None = None,
     ) -> bytes:
         """Build the next message to the other gateways, and decay the failure rates.
 
@@ -290,6 +172,7 @@
         :param store_era: era of the store in which it has read them.
         :param quarantine: what it knows of prompt parts that crash engines, if
             anything.
+        :param versions: how far this gateway has read the shares of versions.
         """
         self.number += 1
         self._decay_failure_rates(now)
@@ -327,6 +210,7 @@
             ],
             store_era=store_era,
             quarantine=quarantine,
+            versions=versions,
         )
         return msgspec.msgpack.encode(message)
 
@@ -390,14 +274,6 @@
             for prefill in announced
         ]
 
-    def _is_outdated(self, now: float, message: PeerMessage, peer: Peer) -> bool:
-        if message.started_ms == peer.started_ms:
-            return message.number <= peer.number
-        # The time of day may be set back before a restart, so an incarnation that
-        # seems to be older counts once the other one is silent.
-        is_silent = now - peer.received_at >= PEER_TIMEOUT_S
-        return message.started_ms < peer.started_ms and not is_silent
-
     def apply_message(self, now: float, message: PeerMessage) -> bool:
         """Apply a peer's message; return False if it is outdated or this gateway's own.
 
@@ -407,28 +283,22 @@
         if message.node == self.node:
             return False
         peer = self.peers.get(message.node)
-        if peer is not None and self._is_outdated(now, message, peer):
+        if peer is not None and self.is_outdated(
+            now, peer, message.started_ms, message.number
+        ):
             return False
         self.record_address(now, message.node, message.address)
         self.peers_known = True
         peer = self.peers[message.node]
         peer.started_ms, peer.number = message.started_ms, message.number
+        self.live_changes += peer.received_at == float("-inf")
         peer.received_at = peer.heard_at = now
-        engines_by_key = {
-            compute_engine_key(engine): engine for engine in self.fleet.engines.values()
-        }
-        for engine in engines_by_key.values():
-            engine.peer_loads.pop(message.node, None)
-        for key, requests, prefill_ms in message.loads:
-            if key in engines_by_key:
-                engines_by_key[key].peer_loads[message.node] = Load(
-                    requests, prefill_ms / 1e3
-                )
-        for key, speed, samples in message.speeds:
+        engines_by_key = self._index_engines()
+        self._apply_loads(peer, message)
+        for key, hundredths, samples in message.speeds:
             if key in engines_by_key:
-                engines_by_key[key].peer_speeds[message.node] = (
-                    speed / 100,
-                    samples,
+                engines_by_key[key].peer_speeds.replace(
+                    message.node, hundredths, samples
                 )
         peer.demand = Demand(message.prefill_ms / 1e3, message.decode_ms / 1e3)
         for key, remaining_ms in message.changing:
@@ -452,6 +322,18 @@
                 engines_by_key[key].cache.remove(part_id)
         return True
 
+    def _apply_loads(self, peer: Peer, message: PeerMessage) -> None:
+        engines_by_key = self._index_engines()
+        former, peer.loaded = peer.loaded, {}
+        for key, requests, prefill_ms in message.loads:
+            engine = engines_by_key.get(key)
+            if engine is not None:
+                engine.peer_loads.replace(message.node, requests, prefill_ms)
+                peer.loaded[key] = engine
+        for key, engine in former.items():
+            if key not in peer.loaded:
+                engine.peer_loads.remove(message.node)
+
     def apply_limits(self, now: float, message: PeerMessage) -> Iterator[FleetEvent]:
         """Apply the limits that a peer observed, and yield an event for each change.
 
@@ -460,9 +342,7 @@
         """
         if not message.limits:
             return
-        engines_by_key = {
-            compute_engine_key(engine): engine for engine in self.fleet.engines.values()
-        }
+        engines_by_key = self._index_engines()
         for key, per_1000_s, age_ms in message.limits:
             if key in engines_by_key and age_ms >= 0:
                 per_s = None if per_1000_s < 0 else per_1000_s / 1e3
@@ -493,11 +373,15 @@
 
         :param now: current monotonic time in seconds.
         """
+        timeout_s = self.silence_timeout_s
         for node, peer in self.peers.items():
-            if PEER_TIMEOUT_S <= now - peer.received_at < float("inf"):
+            if timeout_s <= now - peer.received_at < float("inf"):
                 # The number stays, so that a late message is still known as outdated.
                 peer.received_at, peer.demand = float("-inf"), Demand()
+                self.live_changes += 1
+                for engine in peer.loaded.values():
+                    engine.peer_loads.remove(node)
+                peer.loaded = {}
                 for engine in self.fleet.engines.values():
-                    engine.peer_loads.pop(node, None)
-                    engine.peer_speeds.pop(node, None)
+                    engine.peer_speeds.remove(node)
                 yield node
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -15,9 +15,8 @@
 from jasminewalk.gateway.demand import Demand
 from jasminewalk.gateway.fleet import Fleet
 from jasminewalk.gateway.holder_lease import HolderLease
+from jasminewalk.gateway.peer_membership import MEMBER_TIMEOUT_S, PEER_TIMEOUT_S
 from jasminewalk.gateway.peers import (
-    MEMBER_TIMEOUT_S,
-    PEER_TIMEOUT_S,
     PeerExchange,
     PeerMessage,
     TopicProgress,
@@ -315,6 +314,16 @@
     assert [event.event for event in fleet.detect_failure_changes()] == ["engine_sound"]
 
 
+def test_engine_that_fails_about_a_tenth_is_not_called_failing_and_sound_in_turn(fleet):
+    engine = fleet.engines["i-1"]
+    events = []
+    for number in range(600):
+        engine.record_outcome(number % 9 == 0)
+        engine.decay_failure_rate(0.01)
+        events += [event.event for event in fleet.detect_failure_changes()]
+    assert events == ["engine_failing"]
+
+
 def test_change_of_stage_is_announced(exchanges):
     sender, receiver = exchanges
     sender.fleet.engines["i-1"].changing_until = 4.0
@@ -467,3 +476,15 @@
         log.flush()
     assert len(log.buffer.lines) <= MAX_BUFFERED_LINES
     assert log.buffer.suppressed > 0
+
+
+def test_suspected_engine_takes_what_a_limited_one_has_no_room_for():
+    fleet = Fleet()
+    for name in ("limited", "suspected"):
+        fleet.engines[name] = make_engine(name)
+    limited, suspected = fleet.engines.values()
+    fleet.record_limit(0.0, limited, 1.0, 0.0)
+    fleet.suspect(0.0, suspected, "connect timeout")
+    assert fleet.list_available("llm", 0.1) == [suspected]
+    limited.limit.assign_share(0.1, 10.0)
+    assert fleet.list_available("llm", 0.3) == [limited]
