Admit late requests by the size of their prompts, and name the limit of a refusal

A late request may wait as long as its own prompt takes to read; a stream that its caller resumes is admitted whatever the load. A refusal's line has both sides of the comparison.

--- a/src/jasminewalk/gateway/admission.py
+++ b/src/jasminewalk/gateway/admission.py
@@ -2,13 +2,21 @@
 
 import attrs
 
-__all__ = ["AdmissionDecision", "AdmissionPolicy", "Admitted", "Refused"]
+__all__ = [
+    "RESUMED_PRIORITY",
+    "AdmissionDecision",
+    "AdmissionPolicy",
+    "Admitted",
+    "Refused",
+]
 
 # Seconds of network transfer and first decode step, added to the time of the prefill.
 FIRST_TOKEN_OVERHEAD_S = 0.035
 # Engine priority of requests that will miss their objective; 0 is served first, so they
 # run after all requests that can still meet theirs.
 LATE_PRIORITY = 8
+# Engine priority of a stream that its caller already has part of.
+RESUMED_PRIORITY = 0
 # Engine priorities of requests that can meet their objective; 0 is left to resumed
 # streams.
 HIGHEST_IN_TIME_PRIORITY, LOWEST_IN_TIME_PRIORITY = 1, 6
@@ -33,9 +41,25 @@
     """Decision to refuse a generation without running it.
 
     :param retry_after_s: seconds after which a retry is expected to be admitted.
+    :param limit: limit that was exceeded: ``wait`` until the prefill, or
+        ``first_token``.
+    :param needed_s: predicted seconds that the limit is compared with.
+    :param allowed_s: seconds that the limit allows.
     """
 
     retry_after_s: float
+    limit: str = attrs.field(default="", eq=False)
+    needed_s: float = attrs.field(default=0.0, eq=False)
+    allowed_s: float = attrs.field(default=0.0, eq=False)
+
+    @property
+    def fields(self) -> dict[str, object]:
+        """Fields of the log line."""
+        return {
+            "limit": self.limit,
+            "needed_ms": round(self.needed_s * 1e3, 1),
+            "allowed_ms": round(self.allowed_s * 1e3, 1),
+        }
 
 
 AdmissionDecision = Admitted | Refused
@@ -53,6 +77,9 @@
         Engines run prefills in the order of arrival, so late requests would delay
         requests that can still meet their objective.
     :param max_wait_s: the same limit while the engines keep up with demand on average.
+    :param late_wait_per_prefill: the same limit as a multiple of the request's own
+        prefill, if that is longer. A long prompt misses its objective after a wait that
+        a short one can bear, so one limit for all would refuse long prompts alone.
     :param late_disaggregated_share: largest share of the time to the deadline that a
         late request may use until its first token, if its prefill runs on a separate
         engine.
@@ -62,6 +89,7 @@
 
     max_wait_busy_s: float = 0.3
     max_wait_s: float = 1.2
+    late_wait_per_prefill: float = 1.0
     late_disaggregated_share: float = 0.45
     late_local_share: float = 0.12
 
@@ -96,9 +124,43 @@
         late_share = (
             self.late_disaggregated_share if disaggregated else self.late_local_share
         )
-        wait_limit_s = self.max_wait_busy_s if busy else self.max_wait_s
+        wait_limit_s = max(
+            self.max_wait_busy_s if busy else self.max_wait_s,
+            self.late_wait_per_prefill * (predicted_s - wait_s),
+        )
         latest_s = min(late_share * remaining_s, patience_remaining_s)
         if wait_s <= wait_limit_s and first_token_s <= latest_s:
             return Admitted(LATE_PRIORITY, in_time=False)
         excess_s = first_token_s - max(0.0, objective_remaining_s)
-        return Refused(min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, excess_s)))
+        if wait_s > wait_limit_s:
+            return _refuse(excess_s, "wait", wait_s, wait_limit_s)
+        return _refuse(excess_s, "first_token", first_token_s, latest_s)
+
+    def decide_resumed(
+        self,
+        predicted_s: float,
+        wait_s: float,
+        remaining_s: float,
+        patience_remaining_s: float,
+    ) -> AdmissionDecision:
+        """Decide whether to admit a stream that its caller resumes.
+
+        After a fault many callers do so at once. Each has part of its stream, which a
+        refusal would waste, and few tries, so load is no reason to refuse it. Engines
+        admit it before what waits there.
+
+        :param predicted_s: predicted seconds until its decode can start.
+        :param wait_s: part of ``predicted_s`` before the prefill starts.
+        :param remaining_s: seconds until its deadline.
+        :param patience_remaining_s: seconds until its caller abandons the request.
+        """
+        event_s = predicted_s - wait_s + FIRST_TOKEN_OVERHEAD_S
+        latest_s = min(remaining_s, patience_remaining_s)
+        if event_s <= latest_s:
+            return Admitted(RESUMED_PRIORITY, in_time=False)
+        return _refuse(event_s - latest_s, "first_token", event_s, latest_s)
+
+
+def _refuse(excess_s: float, limit: str, needed_s: float, allowed_s: float) -> Refused:
+    retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, excess_s))
+    return Refused(retry_after_s, limit, needed_s, allowed_s)
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -224,6 +224,21 @@
         assert decision == expected
 
 
+@pytest.mark.parametrize(
+    ("wait_s", "limit", "needed_s", "allowed_s"),
+    [(1.0, "wait", 1.0, 0.3), (0.1, "first_token", 1.135, 0.6)],
+)
+def test_refusal_has_both_sides_of_the_comparison(wait_s, limit, needed_s, allowed_s):
+    decision = AdmissionPolicy().decide(
+        1.1, wait_s, 0.5, 5.0, 2.0, 0, disaggregated=False, busy=True
+    )
+    assert decision.fields == {
+        "limit": limit,
+        "needed_ms": needed_s * 1e3,
+        "allowed_ms": allowed_s * 1e3,
+    }
+
+
 @pytest.mark.parametrize(("busy", "admitted"), [(True, False), (False, True)])
 def test_late_requests_are_queued_at_engines_only_while_not_busy(busy, admitted):
     decision = AdmissionPolicy().decide(
