--- a/src/jasminewalk/gateway/daemon.py
+++ b/src/jasminewalk/gateway/daemon.py
@@ -26,13 +26,18 @@
 from jasminewalk.gateway.run import GatewayContext
 from jasminewalk.gateway.stage_controller import SESSION_S, StageController
 from jasminewalk.gateway.stage_planner import StagePlanner
+from jasminewalk.gateway.start_check import StartCheck
 from jasminewalk.gateway.store_connections import StoreConnections
 from jasminewalk.gateway.store_follower import (
     ConfigurationFollower,
     RegistryFollower,
 )
+from jasminewalk.gateway.stream_history import StreamHistory
+from jasminewalk.gateway.stream_origins import StreamOriginLog
 from jasminewalk.gateway.stream_run import StreamRun
 from jasminewalk.gateway.stream_versions import StreamVersions
+from jasminewalk.gateway.version_shares import VersionShares
+from jasminewalk.gateway.version_store import VersionsFollower
 from jasminewalk.http1.server import CallerConnection, CallerRequest, CallerServer
 from jasminewalk.platform.configuration import ServingConfiguration
 from jasminewalk.platform.headers import decode_request_head, find_ambiguous_header
@@ -91,6 +96,14 @@
             self.metrics,
             self.clock,
         )
+        self.store_connections = StoreConnections(
+            self.settings.store_address, self.clock
+        )
+        self.store = StoreClient(self.store_connections.call)
+        self.store.on_new_era = self._handle_new_era
+        self.stream_versions = StreamVersions(self.peers, self.clock)
+        self.version_shares = VersionShares()
+        self.stream_origins = StreamOriginLog(self.store, self.log, self.clock)
         self.context = GatewayContext(
             settings=self.settings,
             fleet=self.fleet,
@@ -99,7 +112,14 @@
             admission=AdmissionPolicy(),
             peers=self.peers,
             crash_watch=self.crash_watch,
-            stream_versions=StreamVersions(self.peers, self.clock),
+            stream_history=StreamHistory(
+                self.stream_versions,
+                self.version_shares,
+                self.stream_origins,
+                self.fleet,
+                self.clock,
+            ),
+            start_check=StartCheck(self.fleet, self.clients, self.log, self.clock),
             log=self.log,
             metrics=self.metrics,
             clock=self.clock,
@@ -126,11 +146,6 @@
         self.caller_server.on_unread = lambda unsent_bytes: self.log.warning(
             "response_unread", unsent_bytes=unsent_bytes
         )
-        self.store_connections = StoreConnections(
-            self.settings.store_address, self.clock
-        )
-        self.store = StoreClient(self.store_connections.call)
-        self.store.on_new_era = self._handle_new_era
         self.configuration = ConfigurationFollower(
             self.store, self.log, self.clock, self._apply_configuration
         )
@@ -147,16 +162,27 @@
             self.crash_watch,
             lambda: not self.peers.compute_rank(self.clock()),
         )
+        self.versions = VersionsFollower(
+            self.store,
+            self.log,
+            self.clock,
+            self.fleet,
+            self.peers,
+            self.version_shares,
+        )
+        self.versions.on_moved = self.context.stream_history.store_moved
         self.peer_link = PeerLink(
             self.peers,
             self.configuration,
             self.registry,
+            self.versions,
             self.crash_watch,
-            self.context.stream_versions,
+            self.stream_versions,
             self.log,
             self.clock,
         )
         self.configuration.on_read = self.registry.on_read = self.peer_link.announce
+        self.versions.on_written = self.peer_link.announce
         self.crash_watch.on_urgent = self.peer_link.announce
         self.crash_watch.on_found = self.quarantines.found_here.set
         self.stage_controller = StageController(
@@ -198,6 +224,9 @@
             self.gateways.register_and_run,
             self.quarantines.run,
             self.quarantines.write_forever,
+            self.versions.run,
+            self.versions.write_forever,
+            self.stream_origins.write_forever,
             self.peer_link.run,
             self._watch_settings,
             self.stage_controller.run,
@@ -227,7 +256,10 @@
     def has_started(self) -> bool:
         """Whether this process knows what it needs to serve callers."""
         return (
-            self.routes is not None and self.fleet.loaded and self.quarantines.was_read
+            self.routes is not None
+            and self.fleet.loaded
+            and self.quarantines.was_read
+            and self.versions.was_read
         )
 
     # Requests.
@@ -326,8 +358,10 @@
                 self.registry,
                 self.gateways,
                 self.quarantines,
+                self.versions,
             ):
                 follower.forget_offsets()
+            self.stream_origins.write_again()
             self.fleet.record_new_era(self.clock())
         # A process that just started does not know whether the era is new.
         lease_dropped = self.stage_controller.distrust_lease(era)
--- a/src/jasminewalk/gateway/generation_run.py
+++ b/src/jasminewalk/gateway/generation_run.py
@@ -6,7 +6,11 @@
 from contextlib import contextmanager
 
 from jasminewalk.exceptions import BadMessageError
-from jasminewalk.gateway.admission import AdmissionDecision, Admitted
+from jasminewalk.gateway.admission import (
+    RESUMED_PRIORITY,
+    AdmissionDecision,
+    Admitted,
+)
 from jasminewalk.gateway.engine_clients import NotSentError, OpenExchange
 from jasminewalk.gateway.fleet import EngineState
 from jasminewalk.gateway.placement import (
@@ -36,8 +40,6 @@
 SMALL_BODY_TIMEOUT_S = 1.2
 # ``Retry-After`` in seconds if no engine can go on with a stream.
 VERSION_RETRY_AFTER_S = 0.3
-# Engine priority of a resumed stream, which its caller already has part of.
-RESUMED_PRIORITY = 0
 
 
 class GenerationRun(RequestRun, ABC):
@@ -86,19 +88,13 @@
             for engine in self.context.fleet.list_usable(self.service, now)
             if not engine.backoff.is_active(now)
         ]
-        options = self.context.placement.list_options(
-            self.prompt_profile,
-            self.list_available_engines(),
-            self.tried_engines,
-            # Another prefill on a separate engine would count against the retry budget.
-            allow_disaggregated=not self.failed_prefills,
-        )
-        if not options:
-            self.finish_incomplete(self.explain_missing_engine(), BAD_GATEWAY)
-            return None
         demand = self.context.peers.compute_total_demand(now)
         busy = self.context.placement.is_busy(demand, engines)
-        option, decision = self._choose_admitted(options, busy=busy)
+        choice = self._choose_by_version(busy=busy)
+        if choice is None:
+            self.finish_incomplete(self.explain_missing_engine(), BAD_GATEWAY)
+            return None
+        option, decision = choice
         estimate = option.estimate
         inputs = {
             "engine": estimate.engine.entry.engine_id,
@@ -118,6 +114,9 @@
         if self.stream_started:
             self.log("placed", priority=RESUMED_PRIORITY, **inputs)
             return option, RESUMED_PRIORITY
+        objective_left_s = self.route.objective_s - self.age_s
+        inputs |= decision.fields
+        inputs["objective_left_ms"] = round(objective_left_s * 1e3, 1)
         if self.may_have_run:
             self.warn("not_admitted", **inputs)
             self.finish_incomplete("too late to go on", BAD_GATEWAY)
@@ -137,27 +136,51 @@
             inputs["backoff_ms"] = round(backoff_s * 1e3, 1)
         self.refuse("overloaded", retry_after_s, **inputs)
 
+    def _choose_by_version(
+        self, *, busy: bool
+    ) -> tuple[PlacementOption, AdmissionDecision] | None:
+        """Return an option and whether it is admitted; None if there is no option.
+
+        A new stream begins at the version that follows from its id, if an engine of it
+        can be in time.
+        """
+        available = self.list_available_engines()
+        preferred = self._filter_by_share(available)
+        if len(preferred) < len(available) and (
+            options := self._list_options(preferred)
+        ):
+            option, decision = self._choose_admitted(options, busy=busy)
+            # If the store does not answer, it can't be told of another version.
+            is_strict = self.context.stream_history.is_store_failing
+            if isinstance(decision, Admitted) and (decision.in_time or is_strict):
+                return option, decision
+        options = self._list_options(available)
+        return self._choose_admitted(options, busy=busy) if options else None
+
+    def _filter_by_share(self, engines: list[EngineState]) -> list[EngineState]:
+        """Return the engines at whose version a stream with this id is to begin."""
+        if self.version is not None or not self.route.resumable:
+            return engines
+        version = self.context.stream_history.choose_version(
+            self.service, self.head.request_id
+        )
+        if not version:
+            return engines
+        return [engine for engine in engines if engine.entry.version == version]
+
+    def _list_options(self, engines: list[EngineState]) -> list[PlacementOption]:
+        return self.context.placement.list_options(
+            self.prompt_profile,
+            engines,
+            self.tried_engines,
+            # Another prefill on a separate engine would count against the retry budget.
+            allow_disaggregated=not self.failed_prefills,
+        )
+
     def _choose_admitted(
         self, options: list[PlacementOption], *, busy: bool
     ) -> tuple[PlacementOption, AdmissionDecision]:
-        decisions = [
-            (
-                option,
-                self.context.admission.decide(
-                    option.predicted_s,
-                    option.estimate.wait_s,
-                    self.route.objective_s - self.age_s,
-                    self.remaining_s,
-                    self.route.patience_s - self.age_s,
-                    self.route.rank,
-                    # A request delayed by a failed prefill keeps the higher limit for
-                    # late requests, so that it is not refused for that delay.
-                    disaggregated=option.disaggregated or self.failed_prefills > 0,
-                    busy=busy,
-                ),
-            )
-            for option in options
-        ]
+        decisions = [(option, self._decide(option, busy=busy)) for option in options]
         for option, decision in decisions:
             if isinstance(decision, Admitted) and decision.in_time:
                 return option, decision
@@ -166,6 +189,27 @@
                 return option, decision
         return decisions[0]
 
+    def _decide(self, option: PlacementOption, *, busy: bool) -> AdmissionDecision:
+        if self.last_event_id:
+            return self.context.admission.decide_resumed(
+                option.predicted_s,
+                option.estimate.wait_s,
+                self.remaining_s,
+                self.route.patience_s - self.age_s,
+            )
+        return self.context.admission.decide(
+            option.predicted_s,
+            option.estimate.wait_s,
+            self.route.objective_s - self.age_s,
+            self.remaining_s,
+            self.route.patience_s - self.age_s,
+            self.route.rank,
+            # A request delayed by a failed prefill keeps the higher limit for late
+            # requests, so that it is not refused for that delay.
+            disaggregated=option.disaggregated or self.failed_prefills > 0,
+            busy=busy,
+        )
+
     def choose_decode_engine(self) -> EngineState | None:
         """Return the engine that decodes after a separate prefill, or None."""
         engines = self.list_available_engines()
--- a/src/jasminewalk/gateway/log_trace.py
+++ b/src/jasminewalk/gateway/log_trace.py
@@ -16,6 +16,10 @@
 LEAVING_EVENT = "engine_leaving"
 TIMED_EVENTS = ("engine_backoff", "engine_held")
 INCARNATION_EVENTS = ("engine_listed", "engine_gone")
+# Event of the shares of a service's versions, which hold until the next ones, and event
+# of a request that depends on them.
+SHARES_EVENT = "version_shares"
+SHARES_USE_EVENT = "stream_sought"
 SEPARATE_KEYS = ("time", "severity", "event", "node")
 
 
@@ -110,6 +114,7 @@
         return []
     nodes = {line.node for line in request_lines}
     engines = {line.fields.get("engine") for line in request_lines} - {None}
+    seeks_version = any(line.event == SHARES_USE_EVENT for line in request_lines)
     first, last = (
         request_lines[0].time - CONTEXT_MARGIN,
         request_lines[-1].time + CONTEXT_MARGIN,
@@ -118,7 +123,12 @@
     lasting = [
         line
         for line in earlier
-        if line.node in nodes and (not engines or line.fields.get("engine") in engines)
+        if line.node in nodes
+        and (
+            seeks_version
+            if line.event == SHARES_EVENT
+            else not engines or line.fields.get("engine") in engines
+        )
     ]
     return lasting + [
         line
@@ -134,13 +144,15 @@
 
 
 def _list_lasting_lines(lines: Iterable[LogLine], time: datetime) -> list[LogLine]:
-    """Return the earlier lines of state changes of engines that hold at a time."""
+    """Return the earlier lines of state changes that hold at a time."""
     lasting: dict[tuple[str, Any, str], LogLine] = {}
     for line in lines:
         if line.time >= time:
             break
         engine = line.fields.get("engine")
-        if line.event == LEAVING_EVENT or _lasts_until(line, time):
+        if line.event == SHARES_EVENT:
+            lasting[line.node, line.fields.get("service"), line.event] = line
+        elif line.event == LEAVING_EVENT or _lasts_until(line, time):
             lasting[line.node, engine, line.event] = line
         elif line.event in INCARNATION_EVENTS:
             for event in (LEAVING_EVENT, *TIMED_EVENTS):
--- a/src/jasminewalk/gateway/peer_link.py
+++ b/src/jasminewalk/gateway/peer_link.py
@@ -18,14 +18,11 @@
     TopicFollower,
 )
 from jasminewalk.gateway.stream_versions import DATAGRAM_MARK, StreamVersions
+from jasminewalk.gateway.version_store import VersionsFollower
 from jasminewalk.platform.store import GATEWAYS_TOPIC, RecordsPage, StoreClient
 
 __all__ = ["GatewaysFollower", "PeerLink"]
 
-# Seconds between two messages to the peers, and the number of gateways above which this
-# interval grows in proportion to their number, which limits the work per gateway.
-ANNOUNCE_INTERVAL_S = 0.1
-MAX_FULL_RATE_GATEWAYS = 30
 # Seconds between two reads of the list of gateways. It can be long because a new
 # gateway also announces itself to its peers.
 LIST_READ_INTERVAL_S = 20.0
@@ -127,6 +124,7 @@
     :param exchange: builds and applies the messages.
     :param configuration: follower of the configuration.
     :param registry: follower of the registry.
+    :param versions: follower of the shares of versions.
     :param crash_watch: builds and applies the news of crashes.
     :param stream_versions: exchanges the versions that began streams.
     :param log: decision log.
@@ -138,6 +136,7 @@
         exchange: PeerExchange,
         configuration: ConfigurationFollower,
         registry: RegistryFollower,
+        versions: VersionsFollower,
         crash_watch: CrashWatch,
         stream_versions: StreamVersions,
         log: DecisionLog,
@@ -146,6 +145,7 @@
         self.exchange = exchange
         self.configuration = configuration
         self.registry = registry
+        self.versions = versions
         self.crash_watch = crash_watch
         self.stream_versions = stream_versions
         self.stream_versions.send = self.send
@@ -171,13 +171,10 @@
                 self.log.info("peer_silent", peer=node)
             for event in self.exchange.fleet.detect_failure_changes():
                 self.log.info(event.event, engine=event.engine, detail=event.detail)
-            count = 1 + len(self.exchange.peers)
-            await asyncio.sleep(
-                ANNOUNCE_INTERVAL_S * max(1.0, count / MAX_FULL_RATE_GATEWAYS)
-            )
+            await asyncio.sleep(self.exchange.announce_interval_s)
 
     def announce(self) -> None:
-        """Send one message to each other gateway."""
+        """Send one message to the other gateways."""
         now = self.clock()
         data = self.exchange.build_message(
             now,
@@ -185,9 +182,10 @@
             self.registry.compute_progress(now),
             self.registry.announced_era,
             self.crash_watch.build_news(),
+            self.versions.compute_progress(now),
         )
-        for peer in list(self.exchange.peers.values()):
-            self.send(peer.address, data)
+        for address in self.exchange.list_recipients(now):
+            self.send(address, data)
 
     def send(self, address: str, data: bytes) -> None:
         """Send a datagram to another gateway.
@@ -217,6 +215,10 @@
             era = message.store_era
             self.configuration.record_peer_progress(now, message.configuration, era)
             self.registry.record_peer_progress(now, message.registry, era)
+            if message.versions is None:
+                self.versions.shares.record_former_gateway(now)
+            else:
+                self.versions.record_peer_progress(now, message.versions, era)
             self.crash_watch.apply_news(message.quarantine)
             for event in chain(
                 self.exchange.apply_limits(now, message),
--- a/src/jasminewalk/gateway/run.py
+++ b/src/jasminewalk/gateway/run.py
@@ -19,7 +19,8 @@
 from jasminewalk.gateway.placement import PlacementPolicy
 from jasminewalk.gateway.request_fingerprint import compute_request_fingerprint
 from jasminewalk.gateway.retry_budget import RetryBudget
-from jasminewalk.gateway.stream_versions import StreamVersions
+from jasminewalk.gateway.start_check import StartCheck
+from jasminewalk.gateway.stream_history import StreamHistory
 from jasminewalk.http1 import Response
 from jasminewalk.http1.server import CallerConnection, CallerRequest
 from jasminewalk.platform.configuration import Route
@@ -66,7 +67,8 @@
     :param admission: admits or refuses generations.
     :param peers: exchanges loads, speeds and cached parts with other gateways.
     :param crash_watch: finds the prompt parts and requests that crash engines.
-    :param stream_versions: knows the versions that began streams.
+    :param stream_history: knows the versions that began streams.
+    :param start_check: compares the starts of engines with the listed ones.
     :param log: decision log.
     :param metrics: counters and histograms.
     :param clock: returns the monotonic time in seconds.
@@ -81,7 +83,8 @@
     admission: AdmissionPolicy
     peers: PeerExchange
     crash_watch: CrashWatch
-    stream_versions: StreamVersions
+    stream_history: StreamHistory
+    start_check: StartCheck
     log: DecisionLog
     metrics: GatewayMetrics
     clock: Callable[[], float]
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from jasminewalk.exceptions import BadMessageError
 from jasminewalk.gateway.engine_clients import NotSentError, OpenExchange
 from jasminewalk.gateway.event_stream import EventSplitter, InvalidStreamError
 from jasminewalk.gateway.fleet import EngineState
@@ -21,11 +20,10 @@
     StreamAttemptResult,
     TrackedLoad,
 )
-from jasminewalk.gateway.stream_versions import StreamOrigin
+from jasminewalk.gateway.stream_history import StreamSearch
+from jasminewalk.gateway.stream_origins import StreamOrigin
 from jasminewalk.http1 import ExchangeBrokenError, Response
-from jasminewalk.platform.engines import REPORT_PATH, decode_report
-from jasminewalk.platform.headers import EXPECT_INSTANCE, filter_relayed_headers
-from jasminewalk.platform.registry import UNKNOWN_START_MS
+from jasminewalk.platform.headers import filter_relayed_headers
 
 __all__ = ["StreamRun"]
 
@@ -43,8 +41,6 @@
 # Milliseconds before an engine's start, by its clock, up to which a stream surely began
 # at its former start.
 CLOCK_MARGIN_MS = 500
-# Seconds for the report of an engine that goes on with a stream.
-REPORT_TIMEOUT_S = 0.3
 # Ids of prompt parts in a log line.
 MAX_LOGGED_PARTS = 8
 
@@ -69,6 +65,7 @@
         self.response_begun = False
         self.first_event_at: float | None = None
         self.origin: StreamOrigin | None = None
+        self.refusal_inputs: dict[str, object] = {}
         try:
             async with asyncio.timeout(max(0.0, self.remaining_s)):
                 if not self.head.last_event_id or await self._find_version():
@@ -85,21 +82,23 @@
 
     async def _find_version(self) -> bool:
         """Find the version that began the stream; refuse the request if unknown."""
-        context = self.context
-        if self.head.resumes:
-            self.origin = await context.stream_versions.find(self.head.resumes)
-        if self.origin is not None:
-            self.version = self.origin.version
-        else:
-            now = context.clock()
-            self.version = context.fleet.find_only_version(self.service, now)
-        return not self._refuse_uncertain_version()
+        history = self.context.stream_history
+        search = await history.find(self.service, self.head.resumes)
+        self.origin, self.version = search.origin, search.version
+        self.log("stream_sought", resumes=self.head.resumes, **search.fields)
+        return not self._refuse_uncertain_version(search)
+
+    def _refuse_uncertain_version(self, search: StreamSearch | None = None) -> bool:
+        """End the request and return True if its stream's version is not certain.
 
-    def _refuse_uncertain_version(self) -> bool:
-        """End the request and return True if its stream's version is not certain."""
+        :param search: what was found out of the beginning of the stream, if it began
+            in another request.
+        """
         is_certain = self.version != "" and not self._may_be_of_later_start()
         if not is_certain:
             self.retry_after_s = VERSION_RETRY_AFTER_S
+            if search is not None:
+                self.refusal_inputs = {"resumes": self.head.resumes, **search.fields}
             self.finish_incomplete("version of the stream is unknown", BAD_GATEWAY)
         return not is_certain
 
@@ -254,7 +253,7 @@
                 return await self._handle_error_response(sent, response, engine)
             if response.head.encoded or not response.head.signed:
                 return self._fail_attempt(engine, "answer is not the engine's")
-            if self.version is not None and not await self._is_same_start(engine):
+            if not await self._is_listed_start(sent, engine):
                 return self._fail_attempt(engine, "engine may have restarted")
             self.response_begun = True
             self.may_have_run = True
@@ -268,6 +267,8 @@
                 engine.last_progress_at = self.context.clock()
                 load.complete_prefill()
                 if events := self.splitter.feed(chunk):
+                    if not self.stream_started:
+                        await self._record_origin(engine)
                     for event in events:
                         self._relay_event(engine, response, event)
                     await self.connection.drain()
@@ -286,23 +287,16 @@
         self._end_stream(response, engine)
         return StreamAttemptResult.DONE
 
-    async def _is_same_start(self, engine: EngineState) -> bool:
-        """Return whether an engine that responds has not restarted since its entry.
-
-        It may have restarted under its id, with another version, and the registry
-        still lists what it was.
-
-        :param engine: the engine.
-        """
-        expected = [(EXPECT_INSTANCE, engine.entry.engine_id.encode())]
-        try:
-            status, body = await self.context.clients.call(
-                engine, b"GET", REPORT_PATH, expected, b"", REPORT_TIMEOUT_S
-            )
-            started_ms = decode_report(body).started_ms if status == OK else None
-        except (NotSentError, ExchangeBrokenError, TimeoutError, BadMessageError):
-            return False
-        return started_ms in (UNKNOWN_START_MS, engine.entry.started_ms)
+    async def _is_listed_start(self, sent: OpenExchange, engine: EngineState) -> bool:
+        """Return whether an engine that responds is the start that its entry names."""
+        check = self.context.start_check
+        opened_at = sent.connection.opened_at
+        if self.version is not None:
+            return await check.is_proven(engine, opened_at)
+        if not self.route.resumable:
+            return True
+        versions = self.context.stream_history.list_versions(self.service)
+        return await check.is_plausible(engine, opened_at, len(versions))
 
     async def _next_chunk(self, sent: OpenExchange) -> bytes:
         if not self.stream_started:
@@ -368,14 +362,13 @@
         if not self.stream_started:
             self.stream_started = True
             self.first_event_at = self.context.clock()
-            self._record_origin(engine)
             self.context.metrics.record_first_event(self.route.name, self.age_s)
             self.connection.start_stream(
                 response.status, filter_relayed_headers(response.headers)
             )
         self.connection.send_chunk(event)
 
-    def _record_origin(self, engine: EngineState) -> None:
+    async def _record_origin(self, engine: EngineState) -> None:
         """Record which engine began the stream, before its caller has an event."""
         if self.origin is None:
             version = self.version or engine.entry.version
@@ -384,7 +377,12 @@
         self.version = self.origin.version
         if self.route.resumable and self.version:
             request_id = self.head.resumes or self.head.request_id
-            self.context.stream_versions.record(request_id, self.origin)
+            await self.context.stream_history.record(
+                self.service,
+                request_id,
+                self.origin,
+                is_new=not self.head.last_event_id,
+            )
 
     def _end_stream(self, response: Response, engine: EngineState) -> None:
         event = self.context.fleet.trust(engine)
@@ -419,7 +417,7 @@
         elif (not self.may_have_run and not self.attempts) or (
             not self.may_have_run and status != GATEWAY_TIMEOUT
         ):
-            self.refuse(reason, self.retry_after_s)
+            self.refuse(reason, self.retry_after_s, **self.refusal_inputs)
         elif self.error_response is not None:
             self.relay(*self.error_response)
         else:
--- a/src/jasminewalk/gateway/stream_versions.py
+++ b/src/jasminewalk/gateway/stream_versions.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from bisect import bisect_left
 from collections import OrderedDict
 from collections.abc import Callable
 
@@ -13,8 +14,10 @@
 import xxhash
 
 from jasminewalk.gateway.peers import PeerExchange
+from jasminewalk.gateway.stream_origins import StreamOrigin
+from jasminewalk.gateway.version_shares import compute_stream_key
 
-__all__ = ["StreamOrigin", "StreamVersions"]
+__all__ = ["GatewaysAnswer", "StreamOrigin", "StreamVersions"]
 
 # Gateways that are told of a stream, and that are asked for one. More are asked, as the
 # asking gateway may not know the same ones.
@@ -31,17 +34,17 @@
 
 
 @attrs.frozen
-class StreamOrigin:
-    """Engine that wrote the first event of a stream.
+class GatewaysAnswer:
+    """What gateways know of the beginning of a stream.
 
-    :param version: version of its software.
-    :param engine_id: id of the engine.
-    :param began_ms: Unix time of the event in milliseconds.
+    :param origin: engine that began it; None if no gateway that answered knows it.
+    :param asked: other gateways that were asked.
+    :param answered: those of them that answered.
     """
 
-    version: str
-    engine_id: str
-    began_ms: int
+    origin: StreamOrigin | None = None
+    asked: int = 0
+    answered: int = 0
 
 
 class _Began(msgspec.Struct, array_like=True, tag="began", frozen=True):
@@ -83,6 +86,8 @@
         self.streams: OrderedDict[int, tuple[StreamOrigin, float]] = OrderedDict()
         self.waiting: dict[int, _Waiting] = {}
         self.question_count = 0
+        self.ring: list[tuple[int, str]] = []
+        self.ring_changes = -1
         self.send: Callable[[str, bytes], None] = lambda address, data: None
 
     def record(self, request_id: str, origin: StreamOrigin) -> None:
@@ -91,7 +96,7 @@
         :param request_id: id of the caller's attempt that gets the first event.
         :param origin: the engine.
         """
-        key = _compute_key(request_id)
+        key = compute_stream_key(request_id)
         self._keep(key, origin)
         message = _Began(key, origin.version, origin.engine_id, origin.began_ms)
         for address in self._list_keepers(key, KEEPERS):
@@ -102,11 +107,18 @@
 
         :param request_id: id of the caller's attempt that got the first event.
         """
-        key = _compute_key(request_id)
+        return (await self.ask(request_id)).origin
+
+    async def ask(self, request_id: str) -> GatewaysAnswer:
+        """Return what this gateway, or others if it knows nothing, know of a stream.
+
+        :param request_id: id of the caller's attempt that got the first event.
+        """
+        key = compute_stream_key(request_id)
         known = self._get(key)
         keepers = self._list_keepers(key, ASKED_KEEPERS)
         if known is not None or not keepers or len(self.waiting) >= MAX_WAITING:
-            return known
+            return GatewaysAnswer(known)
         self.question_count += 1
         number = self.question_count
         waiting = _Waiting(asyncio.get_running_loop().create_future(), len(keepers))
@@ -116,11 +128,12 @@
             self.send(address, _encode(question))
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                return await waiting.result
+                origin = await waiting.result
         except TimeoutError:
-            return None
+            origin = None
         finally:
             del self.waiting[number]
+        return GatewaysAnswer(origin, len(keepers), len(keepers) - waiting.unanswered)
 
     def receive(self, data: bytes) -> bool:
         """Handle a datagram of another gateway; return False if it can't be read.
@@ -175,19 +188,21 @@
         return origin if self.clock() - kept_at < KEPT_S else None
 
     def _list_keepers(self, key: int, count: int) -> list[str]:
-        peers = sorted(
-            self.peers.list_live(),
-            key=lambda peer: xxhash.xxh32_intdigest(f"{key} {peer.address}".encode()),
-        )
-        return [peer.address for peer in peers[:count]]
+        """Return the gateways that follow a stream's hash on a ring of live ones."""
+        if self.ring_changes != self.peers.live_changes:
+            self.ring_changes = self.peers.live_changes
+            self.ring = sorted(
+                (xxhash.xxh3_64_intdigest(peer.address.encode()), peer.address)
+                for peer in self.peers.list_live()
+            )
+        start = bisect_left(self.ring, (key, ""))
+        following = self.ring[start : start + count]
+        following += self.ring[: min(start, count - len(following))]
+        return [address for _, address in following]
 
 
 _DECODER = msgspec.msgpack.Decoder(_Began | _Question | _Answer)
 
 
-def _compute_key(request_id: str) -> int:
-    return xxhash.xxh3_64_intdigest(request_id.encode())
-
-
 def _encode(message: _Began | _Question | _Answer) -> bytes:
     return DATAGRAM_MARK + msgspec.msgpack.encode(message)
--- a/src/jasminewalk/platform/store.py
+++ b/src/jasminewalk/platform/store.py
@@ -15,6 +15,7 @@
 __all__ = [
     "CONFIGURATION_KEY",
     "CONFIGURATION_TOPIC",
+    "ConflictError",
     "GATEWAYS_TOPIC",
     "QUARANTINE_TOPIC",
     "REGISTRY_TOPIC",
@@ -25,6 +26,8 @@
     "StoreClient",
     "StoreResponse",
     "StoreTransport",
+    "STREAMS_TOPIC",
+    "VERSIONS_TOPIC",
 ]
 
 CONFIGURATION_TOPIC = "keyed.op"
@@ -34,10 +37,16 @@
 GATEWAYS_TOPIC = "keyed.gateways"
 # Written by the gateways: prompt parts that crash engines, with a hash of them as key.
 QUARANTINE_TOPIC = "keyed.quarantine"
-# A keyed topic has a single partition.
+# Written by the gateways: the shares of the software versions of each service's engines
+# among new streams, with the service's name as the key.
+VERSIONS_TOPIC = "keyed.versions"
+# Written by the gateways, without keys: streams and the versions that began them.
+STREAMS_TOPIC = "streams"
+# These topics have a single partition.
 PARTITION = 0
 OK = 200
 GONE = 410
+CONFLICT = 412
 # A record is the length of its content, then one byte with the length of the key, the
 # key and the value. An empty value deletes the key.
 RECORD_LENGTH = struct.Struct(">I")
@@ -58,6 +67,10 @@
     """The requested records were deleted; the newest record of each key remains."""
 
 
+class ConflictError(Exception):
+    """A topic does not end where a conditional write expects its end."""
+
+
 @attrs.frozen
 class KeyedRecord:
     """One record of a keyed topic.
@@ -92,6 +105,20 @@
     )
 
 
+@attrs.frozen
+class ContentsPage:
+    """Records read from a topic without keys.
+
+    :param contents: contents of the records in the order of the topic.
+    :param next_offset: offset from which to continue reading.
+    :param end: offset of the topic's end.
+    """
+
+    contents: tuple[bytes, ...]
+    next_offset: int
+    end: int
+
+
 @attrs.frozen
 class GroupMembership:
     """The store's response to a member of a group.
@@ -213,11 +240,69 @@
         :param value: value of the record.
         :raises LogUnavailableError: if the store does not confirm the write.
         """
-        name = key.encode()
-        content = bytes([len(name)]) + name + value
-        body = RECORD_LENGTH.pack(len(content)) + content
+        await self._append(topic, [_encode_record(key, value)])
+
+    async def put_at(self, topic: str, key: str, value: bytes, offset: int) -> None:
+        """Write one record of a keyed topic if the topic ends at an offset.
+
+        :param topic: keyed topic that the system may write.
+        :param key: key of the record, at most 255 bytes in UTF-8.
+        :param value: value of the record.
+        :param offset: offset up to which the caller has read the topic.
+        :raises LogUnavailableError: if the store does not confirm the write.
+        :raises ConflictError: if the topic ends elsewhere; nothing was written.
+        """
+        await self._append(topic, [_encode_record(key, value)], at=offset)
+
+    async def append(self, topic: str, contents: list[bytes]) -> None:
+        """Write records of a topic without keys, all or none.
+
+        :param topic: topic that the system may write.
+        :param contents: contents of the records.
+        :raises LogUnavailableError: if the store does not confirm the write.
+        """
+        await self._append(topic, contents)
+
+    async def _append(
+        self, topic: str, contents: list[bytes], at: int | None = None
+    ) -> None:
+        body = b"".join(
+            RECORD_LENGTH.pack(len(content)) + content for content in contents
+        )
         query = {"topic": topic, "part": PARTITION}
-        await self._call(b"POST", "/-/log-append", query, body, CALL_TIMEOUT_S)
+        if at is not None:
+            query["at"] = at
+        path = "/-/log-append"
+        response = await self._send(b"POST", path, query, body, CALL_TIMEOUT_S)
+        if response.status == CONFLICT:
+            raise ConflictError(topic)
+        if response.status != OK:
+            raise LogUnavailableError(
+                f"store returned status {response.status} to {path}"
+            )
+
+    async def read_contents(self, topic: str, offset: int) -> ContentsPage:
+        """Read records of a topic without keys, starting at an offset.
+
+        If the records from there on were deleted, the first one retained follows.
+
+        :param topic: topic without keys.
+        :param offset: offset of the first record to read.
+        :raises LogUnavailableError: if the call fails or its response is invalid.
+        """
+        query = {"topic": topic, "part": PARTITION, "from": offset}
+        response = await self._send(b"GET", "/-/log-read", query, b"", CALL_TIMEOUT_S)
+        if response.status == GONE:
+            first = self._decode_object(response.body).get("first")
+            if not isinstance(first, int) or first == offset:
+                raise LogUnavailableError(f"store has no first record of {topic}")
+            return ContentsPage((), first, max(first, offset) + 1)
+        if response.status != OK:
+            raise LogUnavailableError(
+                f"store returned status {response.status} to a read of {topic}"
+            )
+        end, contents = _split_page(response.body)
+        return ContentsPage(tuple(contents), offset + len(contents), end)
 
     async def join(
         self, group: str, member: str, topic: str, session_s: float, generation: int
@@ -318,16 +403,28 @@
 
 
 def _decode_page(topic: str, offset: int, body: bytes) -> RecordsPage:
+    end, contents = _split_page(body)
+    records: list[KeyedRecord] = []
+    unreadable: list[str] = []
+    for content in contents:
+        try:
+            records.append(_decode_record(topic, content))
+        except BadMessageError as error:
+            if len(unreadable) < MAX_UNREADABLE_MESSAGES:
+                unreadable.append(str(error))
+    next_offset = offset + len(contents)
+    return RecordsPage(tuple(records), next_offset, tuple(unreadable), len(body), end)
+
+
+def _split_page(body: bytes) -> tuple[int, list[bytes]]:
+    """Return the offset of the topic's end and the contents of the records."""
     if len(body) < PAGE_HEADER.size:
         raise LogUnavailableError("store response is truncated")
     end, _ = PAGE_HEADER.unpack_from(body)
-    records: list[KeyedRecord] = []
-    unreadable: list[str] = []
+    contents: list[bytes] = []
     position = PAGE_HEADER.size
-    first_offset = offset
     while (
-        position + RECORD_LENGTH.size <= len(body)
-        and offset - first_offset < MAX_PAGE_RECORDS
+        position + RECORD_LENGTH.size <= len(body) and len(contents) < MAX_PAGE_RECORDS
     ):
         (length,) = RECORD_LENGTH.unpack_from(body, position)
         position += RECORD_LENGTH.size
@@ -335,13 +432,13 @@
         if len(content) < length:
             raise LogUnavailableError("store response is truncated")
         position += length
-        offset += 1
-        try:
-            records.append(_decode_record(topic, content))
-        except BadMessageError as error:
-            if len(unreadable) < MAX_UNREADABLE_MESSAGES:
-                unreadable.append(str(error))
-    return RecordsPage(tuple(records), offset, tuple(unreadable), len(body), end)
+        contents.append(content)
+    return end, contents
+
+
+def _encode_record(key: str, value: bytes) -> bytes:
+    name = key.encode()
+    return bytes([len(name)]) + name + value
 
 
 def _decode_record(topic: str, content: bytes) -> KeyedRecord:
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -197,15 +197,29 @@
         records = self.topics.get(topic, [])
         response = struct.pack(">QQ", len(records), self.first_offsets.get(topic, 0))
         for key, value in records[first_offset:]:
-            content = bytes([len(key)]) + key.encode() + (value or b"")
+            content = value or b""
+            if key is not None:
+                content = bytes([len(key)]) + key.encode() + content
             response += struct.pack(">I", len(content)) + content
         await self.send_records(connection, response)
 
     async def log_append(self, connection, query, body):
-        size = body[4]
-        key, value = body[5 : 5 + size].decode(), body[5 + size :]
-        self.topics.setdefault(query["topic"], []).append((key, value or None))
-        self.respond(connection, 200, b'{"offset":0,"end":1}')
+        records = self.topics.setdefault(query["topic"], [])
+        if int(query.get("at", len(records))) != len(records):
+            self.respond(connection, 412, b'{"end":%d}' % len(records))
+            return
+        offset = len(records)
+        while body:
+            (length,) = struct.unpack_from(">I", body)
+            content, body = body[4 : 4 + length], body[4 + length :]
+            if not query["topic"].startswith("keyed."):
+                records.append((None, content))
+                continue
+            size = content[0]
+            key, value = content[1 : 1 + size].decode(), content[1 + size :]
+            records.append((key, value or None))
+        answer = {"offset": offset, "end": len(records)}
+        self.respond(connection, 200, json.dumps(answer).encode())
 
     async def log_join(self, connection, query, body):
         request = json.loads(body)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -161,7 +161,9 @@
 @pytest.mark.anyio
 async def test_engines_that_crash_for_other_causes_blame_no_request(start_fleet):
     fleet = await start_fleet(service="app", sound_repeats=3)
-    fleet.spawn(fleet.send_repeatedly(fleet.send_sound, SOUND_INTERVAL_S))
+    # A crash is noticed only where a request runs.
+    for _ in range(3):
+        fleet.spawn(fleet.send_repeatedly(fleet.send_sound, SOUND_INTERVAL_S))
     fleet.spawn(fleet.crash_randomly(0.3))
     await asyncio.sleep(COUNTED_S + STABLE_WINDOW_S)
     assert len(fleet.crashes) > 2 * CRASHES
@@ -340,7 +342,8 @@
     harness.daemon.quarantines.is_writer = lambda: False
     told = []
     harness.daemon.peer_link.send = lambda address, data: told.append(data)
-    harness.daemon.peers.record_address(0.0, "front-0", "127.0.0.9:9")
+    now = harness.daemon.clock()
+    harness.daemon.peers.record_address(now, "front-0", "127.0.0.9:9")
     harness.daemon.peer_link.announce()
     for number in range(CRASHES):
         assert (await harness.send_request("/book/x", BAD_BODY))[0] == 502
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -476,6 +476,9 @@
     assert "retry-after" in head
     line = harness.read_log_lines("refused")[0]
     assert line["reason"] == "overloaded"
+    assert line["limit"] in ("wait", "first_token")
+    assert line["needed_ms"] > line["allowed_ms"]
+    assert line["objective_left_ms"] < line["predicted_ms"]
     assert line["wait_ms"] >= 9000
     assert (line["tokens"], line["cached"], line["engine"]) == (17_000, 0, "prefiller")
     assert count_engine_requests(harness) == 0
--- a/tests/test_gateway_log_trace.py
+++ b/tests/test_gateway_log_trace.py
@@ -163,3 +163,23 @@
         ("refused", "i-1"),
     ]
     assert select_events(recorded, "b") == [("engine_held", "i-1"), ("refused", None)]
+
+
+def test_trace_of_a_resumed_stream_includes_the_shares_that_held():
+    recorded = [
+        make_line(1.0, "version_shares", service="llm", shares={"v1": 3}),
+        make_line(2.0, "version_shares", service="llm", shares={"v2": 3}),
+        make_line(3.0, "version_shares", node="front-2", service="llm", shares={}),
+        make_line(30.0, "stream_sought", request="a", resumes="b", known_by=""),
+        make_line(30.1, "refused", request="a", resumes="b", store_answered=False),
+        make_line(30.2, "placed", request="c", engine="i-1"),
+    ]
+    lines = select_lines(parse_lines(recorded), LineFilter(request="a"))
+    assert [line.event for line in lines] == [
+        "version_shares",
+        "stream_sought",
+        "refused",
+    ]
+    assert lines[0].fields["shares"] == {"v2": 3}
+    lines = select_lines(parse_lines(recorded), LineFilter(request="c"))
+    assert [line.event for line in lines] == ["placed"]
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -1,10 +1,12 @@
 """Streams of engines of several software versions, which don't fit together."""
 
 import asyncio
+import json
 import time
 
 import pytest
 
+from jasminewalk.gateway.version_shares import choose_version, compute_stream_key
 from platform_fakes import FakeEngine
 from ports import allocate_port
 from test_gateway_daemon import GatewayHarness
@@ -126,17 +128,58 @@
     assert all(source == version for source, version in pairs)
 
 
+HEADERS = {
+    "X-Jasminewalk-Token-Usage": "380,8",
+    "X-Jasminewalk-Prompt-Prefix": "own:380",
+    "Last-Event-Id": "2",
+}
+
+
 @pytest.mark.anyio
-async def test_stream_that_no_gateway_knows_is_not_taken_up_by_guess(start_fleet):
+async def test_stream_that_its_caller_does_not_name_is_not_resumed(start_fleet):
     fleet = await start_fleet()
-    headers = {
-        "X-Jasminewalk-Token-Usage": "380,8",
-        "X-Jasminewalk-Prompt-Prefix": "own:380",
-        "Last-Event-Id": "2",
-    }
-    for named in ({}, {"Resumes": "made-up"}):
-        answer = await fleet.send(fleet.gateways[0], "q1", headers | named)
-        assert (answer.status, b"retry-after" in answer.headers) == (503, True)
+    await fleet.wait_for_shares(VERSIONS)
+    answer = await fleet.send(fleet.gateways[0], "q1", HEADERS)
+    assert (answer.status, b"retry-after" in answer.headers) == (503, True)
+    async with asyncio.timeout(ENTRY_READ_S):
+        while '"event":"refused"' not in fleet.read_log():
+            await asyncio.sleep(0.02)
+    (line,) = [
+        json.loads(text)
+        for text in fleet.read_log().splitlines()
+        if '"event":"refused"' in text and '"starting"' not in text
+    ]
+    assert (line["request"], line["known_by"], line["versions"]) == (
+        "q1",
+        "",
+        ["v1", "v2"],
+    )
+    assert {"resumes", "gateways_asked", "gateways_answered", "store_answered"} <= set(
+        line
+    )
+
+
+@pytest.mark.anyio
+async def test_stream_that_no_gateway_knows_is_not_resumed_by_guess(start_fleet):
+    fleet = await start_fleet({"v1": 3})
+    await fleet.wait_for_shares(["v1"])
+    for number in range(3):
+        await fleet.add_engine(f"new-{number}", "v2")
+    await fleet.wait_for_shares(VERSIONS)
+    await asyncio.sleep(2 * ENTRY_READ_S)
+    fleet.kill_all_gateways()
+    await fleet.wait_until_ready(fleet.gateways[0])
+    expected, statuses = [], []
+    for number in range(30):
+        # Streams that begin at v2 now began at v1 a few seconds ago.
+        key = compute_stream_key(f"made-up-{number}")
+        expected.append(200 if choose_version(key, VERSIONS) == "v1" else 503)
+        named = {"Resumes": f"made-up-{number}"}
+        answer = await fleet.send(fleet.gateways[0], f"q{number}", HEADERS | named)
+        statuses.append(answer.status)
+        assert b"v2" not in answer.body
+    assert statuses == expected
+    assert set(statuses) == {200, 503}
 
 
 @pytest.fixture
@@ -155,6 +198,20 @@
         harness.daemon.fleet.engines[engine.engine_id].own_load.requests = 1
 
 
+@pytest.mark.anyio
+async def test_resumed_stream_goes_on_where_new_ones_are_refused(harness):
+    await harness.start(FakeEngine("first", "llm", "decode"))
+    async with asyncio.timeout(DURATION_S):
+        while not harness.read_log_lines("version_shares"):
+            await asyncio.sleep(0.02)
+    harness.daemon.fleet.engines["first"].own_load.prefill_s = 9.0
+    usage = {"x_jasminewalk_token_usage": "9,4"}
+    assert (await harness.send_request("/verdict/x", **usage))[0] == 503
+    resumed = {"resumes": "r0", "last_event_id": "1"}
+    status, _, body = await harness.send_request("/verdict/x", **usage, **resumed)
+    assert (status, b"id: 2" in body) == (200, True)
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize(("born", "goes_on"), [(1, True), (2, False)])
 async def test_stream_goes_on_only_at_the_start_that_an_entry_names(
@@ -196,6 +253,87 @@
     assert answer[0] == status
 
 
+SHARES = {"v1": 1, "v2": 1}
+# Ids of requests whose streams are to begin at v1.
+V1_IDS = [
+    name
+    for name in (f"stream-{number}" for number in range(40))
+    if choose_version(compute_stream_key(name), SHARES) == "v1"
+]
+
+
+async def start_two_versions(harness):
+    """Start a gateway and an engine of each version."""
+    first, second = VersionedEngine("first", "v1"), VersionedEngine("second", "v2")
+    await harness.start(first, second)
+    async with asyncio.timeout(DURATION_S):
+        while not harness.read_log_lines("version_shares"):
+            await asyncio.sleep(0.02)
+    return first, second
+
+
+async def stream_at_v1(harness, count):
+    """Ask for streams that are to begin at v1, and check that they are complete."""
+    for request_id in V1_IDS[:count]:
+        status, _, body = await harness.send_request(
+            "/verdict/x",
+            request_id.encode(),
+            x_jasminewalk_token_usage="9,8",
+            x_jasminewalk_request_id=request_id,
+        )
+        assert (status, b"id: 8\n" in body) == (200, True)
+
+
+@pytest.mark.anyio
+async def test_stream_does_not_begin_at_an_engine_that_restarted_under_its_id(harness):
+    first, second = await start_two_versions(harness)
+    # The registry still lists its former start.
+    first.born += 1
+    await stream_at_v1(harness, 4)
+    lines = harness.read_log_lines("stream_broken")
+    assert {line["reason"] for line in lines} == {"engine may have restarted"}
+    # It is tried again after 0.5 s and after 1 s more, each stream takes half a second.
+    assert 1 <= len(first.requests) == len(lines) <= 3
+    assert len(second.requests) == 4
+
+
+@pytest.mark.anyio
+async def test_start_is_checked_once_for_the_life_of_a_connection(harness):
+    first, _ = await start_two_versions(harness)
+    await stream_at_v1(harness, 4)
+    assert (len(first.requests), len(first.control_arrivals)) == (4, 1)
+
+
+@pytest.mark.anyio
+async def test_new_stream_begins_at_an_engine_whose_report_does_not_come(harness):
+    first, _ = await start_two_versions(harness)
+    first.report_status = 500
+    await stream_at_v1(harness, 3)
+    assert len(first.requests) == 3
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("was_unreachable", [False, True])
+async def test_start_of_the_only_version_is_checked_after_a_failure(
+    harness, was_unreachable
+):
+    first = FakeEngine("first", "llm", "decode")
+    first.report_changes["born"] = 2
+    second = FakeEngine("second", "llm", "decode")
+    second.report_changes["born"] = 1
+    await harness.start(first, second)
+    state = harness.daemon.fleet.engines["first"]
+    if was_unreachable:
+        now = asyncio.get_running_loop().time()
+        harness.daemon.fleet.suspect(now - 2.0, state, "connection refused")
+    harness.daemon.fleet.engines["second"].own_load.prefill_s = 0.1
+    status, _, body = await harness.send_request(
+        "/verdict/x", x_jasminewalk_token_usage="9,4"
+    )
+    assert (status, b"id: 3" in body) == (200, True)
+    assert len(second.requests) == was_unreachable
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_streams_keep_to_their_version_under_other_faults(seed):
     counts = run_version_soak(seed, DURATION_S)
--- a/tests/test_version_records.py
+++ b/tests/test_version_records.py
@@ -8,7 +8,7 @@
 from jasminewalk.clock import ManualClock
 from jasminewalk.gateway import stream_versions
 from jasminewalk.gateway.fleet import ONLY_VERSION_S, Fleet
-from jasminewalk.gateway.peers import Peer, PeerExchange
+from jasminewalk.gateway.peers import Peer, PeerExchange, TopicProgress
 from jasminewalk.gateway.stream_versions import (
     KEEPERS,
     KEPT_S,
@@ -17,6 +17,8 @@
     StreamVersions,
 )
 from jasminewalk.platform.store import KeyedRecord
+from platform_fakes import FakeEngine
+from test_gateway_daemon import GatewayHarness
 
 ORIGIN = StreamOrigin("v1", "engine-1", 1000)
 
@@ -155,3 +157,19 @@
     found = fleet.list_available("llm", 0.1, "v1")
     assert [engine.entry.engine_id for engine in found] == ["e0", "e1"]
     assert fleet.list_available("llm", 0.1, "") == []
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("has_versions", [True, False])
+async def test_message_of_the_version_before_ends_derivations(tmp_path, has_versions):
+    harness = GatewayHarness(tmp_path)
+    await harness.start(FakeEngine("first", "llm", "decode"))
+    shares = harness.daemon.version_shares
+    shares.apply(harness.daemon.clock(), "llm", [{"v1": 1, "v2": 1}])
+    peer = PeerExchange("front-9", "127.0.0.9:7000", 1, Fleet())
+    progress = TopicProgress()
+    versions = progress if has_versions else None
+    data = peer.build_message(0.0, progress, progress, versions=versions)
+    harness.daemon.peer_link.receive(data)
+    assert bool(shares.derive(harness.daemon.clock(), "llm", 7)) == has_versions
+    harness.stop()
--- a/tests/test_wire_bytes.py
+++ b/tests/test_wire_bytes.py
@@ -105,10 +105,10 @@
     fields = msgspec.msgpack.decode(written)
     message = decode_peer_message(written)
     assert isinstance(message, PeerMessage)
-    added = ("limits", "leaving", "store_era", "quarantine")
+    added = ("limits", "leaving", "store_era", "quarantine", "versions")
     assert PeerMessage.__struct_fields__[len(fields) :] == added
     assert msgspec.msgpack.encode(message) == msgspec.msgpack.encode(
-        [*fields, [], [], -1, None]
+        [*fields, [], [], -1, None, None]
     )
 
 
--- a/tests/version_soak.py
+++ b/tests/version_soak.py
@@ -28,12 +28,14 @@
 BROKEN_SHARE = 0.1
 # Most streams that may hold events of two versions.
 MAX_MIXED = 2
-# Streams that break off from which the share that goes on counts, and that share of the
-# share of new ones that begin. All engines, gateways and the store have faults.
-MIN_BROKEN = 12
-MIN_RESUMED_SHARE = 0.5
-CHECKED_S = 3.0
+# After the faults, all gateways are killed once more. Least streams that are taken up
+# then, and the share of them that goes on.
+MIN_TAKEN_UP = 24
+MIN_RESUMED_SHARE = 0.9
+CHECKED_INTERVAL_S = 0.012
+CHECKED_S = 2.5
 RECOVERED_S = 4.0
+PATIENCE_S = 4.0
 
 
 class VersionSoak:
@@ -60,7 +62,7 @@
         try:
             await fleet.start()
             self.copy = fleet.store.make_copy()
-            total_s = seconds + RECOVERED_S + CHECKED_S
+            total_s = seconds + RECOVERED_S
             streams = fleet.spawn(fleet.stream_repeatedly(INTERVAL_S, total_s))
             ends_at = fleet.now() + seconds
             while fleet.now() < ends_at:
@@ -78,11 +80,15 @@
                     )
                 )()
             # The share counts where gateways have been in touch for a while.
-            await asyncio.sleep(RECOVERED_S)
+            await streams
             calm_from = len(fleet.streams)
+            streams = fleet.spawn(
+                fleet.stream_repeatedly(
+                    CHECKED_INTERVAL_S, CHECKED_S, patience_s=PATIENCE_S
+                )
+            )
             await asyncio.sleep(1.0)
-            fleet.gateways[0].kill()
-            fleet.gateways[0].start()
+            fleet.kill_all_gateways()
             await streams
             self.check(calm_from)
         finally:
@@ -123,10 +129,7 @@
         gateway.start()
 
     async def kill_all_gateways(self):
-        for gateway in self.fleet.gateways:
-            gateway.kill()
-        for gateway in self.fleet.gateways:
-            gateway.start()
+        self.fleet.kill_all_gateways()
 
     async def pause_gateway(self):
         self.fleet.spawn(self._pause(self.fleet.random.choice(self.fleet.gateways)))
@@ -154,20 +157,23 @@
     # Checks.
 
     def check(self, calm_from):
+        for stream in self.fleet.list_mixed():
+            print(f"mixed first_id={stream.first_id} versions={stream.versions}")
         mixed = self.fleet.count_mixed()
         if mixed > MAX_MIXED:
             raise ViolationError(f"{mixed} streams hold events of two versions")
-        calm = self.fleet.streams[calm_from:]
-        broken = [stream for stream in calm if stream.broken]
-        if len(broken) < MIN_BROKEN:
-            return
-        resumed_share = sum(bool(stream.resumed) for stream in broken) / len(broken)
-        began_share = sum(bool(stream.versions) for stream in calm) / len(calm)
-        if resumed_share < MIN_RESUMED_SHARE * began_share:
-            raise ViolationError(
-                f"{resumed_share:.0%} of {len(broken)} streams go on, "
-                f"{began_share:.0%} begin"
-            )
+        versions = [engine.version for engine in self.fleet.engines]
+        serving = {version for version in versions if versions.count(version) > 1}
+        taken_up = [
+            stream
+            for stream in self.fleet.list_taken_up(serving)
+            if stream in self.fleet.streams[calm_from:]
+        ]
+        if len(taken_up) < MIN_TAKEN_UP:
+            raise ViolationError(f"only {len(taken_up)} streams are taken up")
+        resumed = sum(bool(stream.resumed or stream.complete) for stream in taken_up)
+        if resumed < MIN_RESUMED_SHARE * len(taken_up):
+            raise ViolationError(f"{resumed} of {len(taken_up)} streams go on")
 
     def summarise(self):
         return {
--- a/tests/versioned_engines.py
+++ b/tests/versioned_engines.py
@@ -1,6 +1,7 @@
 """Engines of several software versions, and callers that take up their streams."""
 
 import asyncio
+import json
 import random
 import re
 import time
@@ -25,6 +26,8 @@
 SETTLING_S = 1.0
 # Tries of a caller for one stream.
 MAX_TRIES = 4
+# Seconds between two tries of a patient caller while no gateway listens.
+RECONNECT_S = 0.05
 
 
 class VersionedEngine(FakeEngine):
@@ -76,7 +79,7 @@
             connection.close()
 
 
-@attrs.define
+@attrs.define(eq=False)
 class CallerStream:
     """What a caller got of one stream, over all its tries.
 
@@ -84,6 +87,7 @@
     :param statuses: status of each try; 0 is no answer.
     :param first_id: id of the try that brought the first event.
     :param broken: times that it broke off before its end.
+    :param taken_up: whether a gateway answered a later try.
     :param resumed: times that a later try brought further events.
     :param complete: whether the last try ended as complete.
     """
@@ -92,6 +96,7 @@
     statuses: list = attrs.field(factory=list)
     first_id: str = ""
     broken: int = 0
+    taken_up: bool = False
     resumed: int = 0
     complete: bool = False
 
@@ -140,6 +145,11 @@
         await engine.start(port or allocate_port())
         self.put_entry(engine)
 
+    async def add_engine(self, engine_id, version):
+        engine = VersionedEngine(engine_id, version)
+        self.engines.append(engine)
+        await self.start_engine(engine)
+
     def put_entry(self, engine):
         self.store.put("keyed.servers", engine.engine_id, engine.entry())
 
@@ -197,8 +207,29 @@
                 writer.close()
         return parse_answer(request_id, received)
 
-    async def stream(self, gateway, tokens=380):
-        """Ask for a stream; take it up at other gateways if it breaks off."""
+    def kill_all_gateways(self):
+        for gateway in self.gateways:
+            gateway.kill()
+        for gateway in self.gateways:
+            gateway.start()
+
+    async def wait_for_shares(self, versions):
+        """Wait until the store has the present shares of these versions alone."""
+        async with asyncio.timeout(STARTUP_TIMEOUT_S):
+            while self.read_shares() != set(versions):
+                await asyncio.sleep(0.05)
+
+    def read_shares(self):
+        records = self.store.topics.get("keyed.versions", [])
+        return set(json.loads(records[-1][1])["shares"][0]) if records else set()
+
+    async def stream(self, gateway, tokens=380, patience_s=0.0):
+        """Ask for a stream; take it up at other gateways if it breaks off.
+
+        While the patience lasts, a try does not count if no gateway answers, or if it
+        is refused with a time to return, which the caller keeps to.
+        """
+        gives_up_at = self.now() + patience_s
         stream = CallerStream()
         self.streams.append(stream)
         self.request_count += 1
@@ -207,13 +238,23 @@
             "X-Jasminewalk-Token-Usage": f"{tokens},{EVENTS}",
             "X-Jasminewalk-Prompt-Prefix": f"own-{number}:{tokens}",
         }
-        for tried in range(MAX_TRIES):
-            request_id = f"s{number}-{tried}"
+        tried, lost = 0, 0
+        while tried < MAX_TRIES:
+            request_id = f"s{number}-{tried}-{lost}"
             headers = dict(prompt)
             if stream.versions:
                 headers["Last-Event-Id"] = len(stream.versions)
                 headers["Resumes"] = stream.first_id
             answer = await self.send(gateway, request_id, headers)
+            if answer.status in (0, 503) and self.now() < gives_up_at:
+                lost += 1
+                wait_s = float(answer.headers.get(b"retry-after", RECONNECT_S))
+                stream.statuses.append(answer.status)
+                await asyncio.sleep(wait_s)
+                gateway = self.random.choice(self.gateways)
+                continue
+            tried += 1
+            stream.taken_up |= bool(stream.versions and answer.status)
             stream.statuses.append(answer.status)
             events = EVENT.findall(answer.body) if answer.status == 200 else []
             if events and stream.versions:
@@ -240,9 +281,21 @@
             await asyncio.sleep(interval_s)
         await asyncio.gather(*tasks)
 
+    def list_mixed(self):
+        """Return the streams that hold events of more than one version."""
+        return [stream for stream in self.streams if len(set(stream.versions)) > 1]
+
     def count_mixed(self):
         """Return how many streams hold events of more than one version."""
-        return sum(len(set(stream.versions)) > 1 for stream in self.streams)
+        return len(self.list_mixed())
+
+    def list_taken_up(self, versions):
+        """Return the streams begun by these versions that were taken up."""
+        return [
+            stream
+            for stream in self.streams
+            if stream.taken_up and stream.versions[0] in versions
+        ]
 
     def compute_shares(self):
         """Return the streams that broke off, the share of them that went on, and the
