Add failing tests: streams of a release are lost if the store fails before all gateways die

Reason in the log: "version of the stream is unknown", store_answered true.

Cause: the origin of a stream on which the present and the superseded shares disagree can't be written in an outage, and shares that disagree derive nothing.

--- a/tests/test_stream_history.py
+++ b/tests/test_stream_history.py
@@ -61,3 +61,24 @@
     history = StreamHistory(Gateways(), shares, origins, Fleet(), clock)
     search = await history.find("llm", request_id)
     assert (search.version, search.source) == ("", "")
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("answers", "expected"), [(True, ("v2", "present_shares")), (False, ("", ""))]
+)
+async def test_stream_that_the_store_surely_lacks_began_by_the_present_shares(
+    answers, expected
+):
+    shares, clock = VersionShares(), lambda: 1.0
+    shares.apply(0.0, "llm", [{"v1": 2, "v2": 5}, {"v1": 7}])
+    request_id = next(
+        name
+        for name in (f"attempt-{number}" for number in range(20))
+        if shares.choose("llm", compute_stream_key(name)) == "v2"
+    )
+    origins = Origins(None, answers=answers)
+    history = StreamHistory(Gateways(), shares, origins, Fleet(), clock)
+    search = await history.find("llm", request_id)
+    assert (search.version, search.source) == expected
+    assert (await history.find("llm", "")).version == ""
--- a/tests/test_streams_outlive_gateways.py
+++ b/tests/test_streams_outlive_gateways.py
@@ -119,3 +119,24 @@
             fleet.kill_all_gateways()
     await streams
     check_streams(fleet, ["v1", "v2"])
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("outage_s", [(0.0, 1.0), (0.4, 0.6), (0.4, 1.5)])
+async def test_streams_go_on_though_the_store_fails_in_a_release(start_fleet, outage_s):
+    down_s, lasts_s = outage_s
+    fleet = await start_fleet(ONE_VERSION)
+    streams = begin_streams(fleet, 4.5 + lasts_s)
+    await asyncio.sleep(0.5)
+    for number, engine in enumerate(list(fleet.engines)[:5]):
+        await fleet.add_engine(f"new-{number}", "v2")
+        fleet.store.put("keyed.servers", engine.engine_id, engine.entry("draining"))
+        await asyncio.sleep(0.4)
+        if number == 2:
+            fleet.store.down = True
+            await asyncio.sleep(down_s)
+            fleet.kill_all_gateways()
+            await asyncio.sleep(lasts_s)
+            fleet.store.down = False
+    await streams
+    check_streams(fleet, ["v1", "v2"])
