--- a/src/jasminewalk/gateway/part_quarantine.py
+++ b/src/jasminewalk/gateway/crash_quarantine.py
@@ -9,9 +9,17 @@
 
 import attrs
 
+from jasminewalk.gateway.quarantine import (
+    MIN_QUARANTINE_S,
+    EngineCrash,
+    Quarantine,
+    QuarantineEvent,
+    build_event,
+    compute_next_duration_s,
+)
 from jasminewalk.gateway.request_fingerprint import is_fingerprint
 
-__all__ = ["EngineCrash", "PartQuarantine", "Quarantine", "QuarantineEvent"]
+__all__ = ["CrashQuarantine"]
 
 # Crashes, one after the other and without an answer in between, that prove a part
 # guilty, and those that prove one of which an answer was completed recently: engines
@@ -26,15 +34,9 @@
 FIRST_TRIAL_S = 1.0
 # Seconds between trials of different requests, so that no engine runs two of them.
 TRIAL_SEPARATION_S = 1.0
-# Seconds of the quarantine of a request after its last trial.
-UNTRIED_QUARANTINE_S = 86_400.0
-MAX_TRIALS = 3
 # Seconds for which a completed answer counts, and for which a crash does.
 SOUND_S = 60.0
 CRASH_KEPT_S = 300.0
-# Seconds of the first quarantine; doubled with each trial that crashes an engine.
-MIN_QUARANTINE_S = 60.0
-MAX_QUARANTINE_S = 3600.0
 # Seconds without an outcome of a trial after which another one is allowed.
 TRIAL_INTERVAL_S = 10.0
 # Least seconds until a request should come again.
@@ -49,73 +51,7 @@
 MAX_QUARANTINES = 64
 
 
-@attrs.define
-class EngineCrash:
-    """Crash of one incarnation of an engine, and what may have caused it.
-
-    :param crashed_at: monotonic time at which the crash was noticed.
-    :param sent_at: monotonic time at which the last request with a part was sent to the
-        engine, by the part's id or the request's fingerprint.
-    :param fingerprints: those of all requests that the engine ran, also if one of them
-        is in quarantine for the crash.
-    """
-
-    crashed_at: float
-    sent_at: dict[str, float] = attrs.field(factory=dict)
-    fingerprints: set[str] = attrs.field(factory=set)
-
-    def count_parts(self) -> int:
-        """Return how many parts of prompts may have caused it."""
-        return sum(not is_fingerprint(part) for part in self.sent_at)
-
-
-@attrs.define
-class Quarantine:
-    """Parts whose requests are refused, or a request, because they crashed engines.
-
-    Several parts are in one quarantine if the same crashes speak against all of them;
-    then only requests that have all of them are refused.
-
-    :param parts: ids of the parts, or the fingerprint of the request.
-    :param crashes: engines that crashed under them.
-    :param until: monotonic time from which a request with them may be tried.
-    :param duration_s: length of the quarantine in seconds.
-    :param tried_at: monotonic time of the last trial.
-    :param refused: requests that this gateway refused.
-    :param began_at: monotonic time at which it began at this gateway.
-    """
-
-    parts: frozenset[str]
-    crashes: int
-    until: float
-    duration_s: float
-    tried_at: float = float("-inf")
-    refused: int = 0
-    began_at: float = float("-inf")
-
-    @property
-    def is_request(self) -> bool:
-        """Whether it is for a whole request."""
-        return any(map(is_fingerprint, self.parts))
-
-
-@attrs.frozen
-class QuarantineEvent:
-    """A change of the quarantine, for the log and the store.
-
-    :param event: name of the log event.
-    :param parts: ids of the parts.
-    :param detail: reason, with the inputs of the decision.
-    :param ended: parts of the quarantine that ended or was replaced, if one was.
-    """
-
-    event: str
-    parts: frozenset[str]
-    detail: str
-    ended: frozenset[str] = frozenset()
-
-
-class PartQuarantine:
+class CrashQuarantine:
     """Decides which parts and requests crash engines, and which requests are refused.
 
     A crash speaks against the parts of all requests that may have caused it. A part
@@ -126,7 +62,7 @@
     any case, and soon tried by itself. Crashes under one request alone speak against
     that request and not against its parts.
 
-    >>> quarantine = PartQuarantine()
+    >>> quarantine = CrashQuarantine()
     >>> for number in (1, 2, 3):
     ...     sent_at = {"rules": number, "menu": number}
     ...     _ = list(quarantine.record_crash(number + 0.5, number, sent_at))
@@ -258,7 +194,7 @@
             if now - quarantine.until >= FORGOTTEN_AFTER_S:
                 del self.quarantines[parts]
                 detail = f"no request tried it for {FORGOTTEN_AFTER_S:g} s"
-                yield _build_event("forgotten", parts, detail, ended=parts)
+                yield build_event("forgotten", parts, detail, ended=parts)
 
     def list_sound(self, now: float, parts: Collection[str]) -> list[str]:
         """Return the parts of which an answer was completed recently.
@@ -346,7 +282,7 @@
         self._add(adopted)
         self._explain_crashes(adopted)
         self._list_suspects()
-        yield _build_event("quarantined", parts, "another gateway found it")
+        yield build_event("quarantined", parts, "another gateway found it")
 
     # Verdicts.
 
@@ -370,7 +306,7 @@
             self._add(quarantine)
             self._explain_crashes(quarantine)
             detail = f"{count} engines crashed, no answer in between"
-            yield _build_event("quarantined", quarantine.parts, detail)
+            yield build_event("quarantined", quarantine.parts, detail)
 
     def _explain_crashes(self, quarantine: Quarantine) -> None:
         for key, crash in list(self.crashes.items()):
@@ -386,7 +322,7 @@
             quarantine = Quarantine(parts, count, now + duration_s, duration_s)
             self._add(quarantine)
             self._explain_crashes(quarantine)
-            yield _build_event(
+            yield build_event(
                 "quarantined",
                 parts,
                 f"{count} engines crashed one after the other, no answer in between; "
@@ -452,9 +388,9 @@
                 # It was on its way as the quarantine began.
                 continue
             if is_trial:
-                quarantine.duration_s = _compute_next_duration_s(quarantine)
+                quarantine.duration_s = compute_next_duration_s(quarantine)
                 detail = f"tried again; refused for {quarantine.duration_s:g} s"
-                yield _build_event("quarantined", quarantine.parts, detail)
+                yield build_event("quarantined", quarantine.parts, detail)
             quarantine.until = max(
                 quarantine.until, crash.crashed_at + quarantine.duration_s
             )
@@ -488,26 +424,8 @@
             del self.quarantines[held]
             if not left:
                 detail = f"an answer was completed; {quarantine.refused} refused here"
-                yield _build_event("released", held, detail, ended=held)
+                yield build_event("released", held, detail, ended=held)
             elif left not in self.quarantines:
                 self._add(attrs.evolve(quarantine, parts=left))
                 detail = "an answer cleared the other parts"
-                yield _build_event("quarantined", left, detail, ended=held)
-
-
-def _build_event(
-    event: str,
-    parts: frozenset[str],
-    detail: str,
-    ended: frozenset[str] = frozenset(),
-) -> QuarantineEvent:
-    subject = "request" if any(map(is_fingerprint, parts)) else "part"
-    return QuarantineEvent(f"{subject}_{event}", parts, detail, ended)
-
-
-def _compute_next_duration_s(quarantine: Quarantine) -> float:
-    doubled_s = 2 * quarantine.duration_s
-    if not quarantine.is_request:
-        return min(MAX_QUARANTINE_S, doubled_s)
-    is_last = doubled_s >= MIN_QUARANTINE_S * 2 ** (MAX_TRIALS - 1)
-    return UNTRIED_QUARANTINE_S if is_last else doubled_s
+                yield build_event("quarantined", left, detail, ended=held)
--- a/src/jasminewalk/gateway/crash_watch.py
+++ b/src/jasminewalk/gateway/crash_watch.py
@@ -7,16 +7,13 @@
 
 import attrs
 
+from jasminewalk.gateway.crash_quarantine import CrashQuarantine
 from jasminewalk.gateway.decision_log import DecisionLog
 from jasminewalk.gateway.engine_clients import EngineClients
 from jasminewalk.gateway.fleet import EngineState
 from jasminewalk.gateway.metrics import GatewayMetrics
-from jasminewalk.gateway.part_quarantine import (
-    PartQuarantine,
-    Quarantine,
-    QuarantineEvent,
-)
 from jasminewalk.gateway.peers import compute_engine_key
+from jasminewalk.gateway.quarantine import Quarantine, QuarantineEvent
 from jasminewalk.gateway.quarantine_news import QuarantineExchange, QuarantineNews
 from jasminewalk.gateway.request_fingerprint import is_fingerprint
 
@@ -49,7 +46,7 @@
     def __init__(
         self,
         clients: EngineClients,
-        quarantine: PartQuarantine,
+        quarantine: CrashQuarantine,
         exchange: QuarantineExchange,
         log: DecisionLog,
         metrics: GatewayMetrics,
--- a/src/jasminewalk/gateway/daemon.py
+++ b/src/jasminewalk/gateway/daemon.py
@@ -9,13 +9,14 @@
 
 from jasminewalk.exceptions import BadSettingsError
 from jasminewalk.gateway.admission import AdmissionPolicy
+from jasminewalk.gateway.context import GatewayContext
+from jasminewalk.gateway.crash_quarantine import CrashQuarantine
 from jasminewalk.gateway.crash_watch import CrashWatch
 from jasminewalk.gateway.decision_log import DecisionLog
 from jasminewalk.gateway.engine_clients import EngineClients
 from jasminewalk.gateway.fleet import Fleet, FleetEvent
 from jasminewalk.gateway.holder_lease import HolderLease
 from jasminewalk.gateway.metrics import GatewayMetrics
-from jasminewalk.gateway.part_quarantine import PartQuarantine
 from jasminewalk.gateway.peer_link import GatewaysFollower, PeerLink
 from jasminewalk.gateway.peers import PeerExchange
 from jasminewalk.gateway.placement import PlacementPolicy
@@ -23,7 +24,6 @@
 from jasminewalk.gateway.quarantine_news import QuarantineExchange
 from jasminewalk.gateway.quarantine_store import QuarantineFollower
 from jasminewalk.gateway.routes import RouteTable
-from jasminewalk.gateway.run import GatewayContext
 from jasminewalk.gateway.stage_controller import SESSION_S, StageController
 from jasminewalk.gateway.stage_planner import StagePlanner
 from jasminewalk.gateway.start_check import StartCheck
@@ -87,7 +87,7 @@
         self.peers = PeerExchange(
             self.settings.name, peer_address, self.started_ms, self.fleet
         )
-        quarantine = PartQuarantine()
+        quarantine = CrashQuarantine()
         self.crash_watch = CrashWatch(
             self.clients,
             quarantine,
--- a/src/jasminewalk/gateway/quarantine_news.py
+++ b/src/jasminewalk/gateway/quarantine_news.py
@@ -5,11 +5,8 @@
 
 import msgspec
 
-from jasminewalk.gateway.part_quarantine import (
-    PartQuarantine,
-    Quarantine,
-    QuarantineEvent,
-)
+from jasminewalk.gateway.crash_quarantine import CrashQuarantine
+from jasminewalk.gateway.quarantine import Quarantine, QuarantineEvent
 from jasminewalk.gateway.request_fingerprint import is_fingerprint
 
 __all__ = ["QuarantineExchange", "QuarantineNews"]
@@ -53,7 +50,7 @@
     :param quarantine: receives what the others tell.
     """
 
-    def __init__(self, quarantine: PartQuarantine) -> None:
+    def __init__(self, quarantine: CrashQuarantine) -> None:
         self.quarantine = quarantine
         self.crashes: OrderedDict[int, tuple[float, dict[str, float]]] = OrderedDict()
         self.sound_until: OrderedDict[str, float] = OrderedDict()
--- a/src/jasminewalk/gateway/quarantine_store.py
+++ b/src/jasminewalk/gateway/quarantine_store.py
@@ -10,7 +10,7 @@
 from jasminewalk.exceptions import LogUnavailableError
 from jasminewalk.gateway.crash_watch import CrashWatch
 from jasminewalk.gateway.decision_log import DecisionLog
-from jasminewalk.gateway.part_quarantine import UNTRIED_QUARANTINE_S, Quarantine
+from jasminewalk.gateway.quarantine import UNTRIED_QUARANTINE_S, Quarantine
 from jasminewalk.gateway.store_follower import TopicFollower
 from jasminewalk.platform.store import QUARANTINE_TOPIC, RecordsPage, StoreClient
 
--- a/src/jasminewalk/gateway/run.py
+++ b/src/jasminewalk/gateway/run.py
@@ -2,32 +2,22 @@
 
 import math
 from abc import ABC, abstractmethod
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncIterator, Iterator
 from contextlib import ExitStack, asynccontextmanager, contextmanager
 from enum import Enum, auto
 from functools import cached_property
 
 import attrs
 
-from jasminewalk.gateway.admission import AdmissionPolicy
-from jasminewalk.gateway.crash_watch import CrashWatch
-from jasminewalk.gateway.decision_log import DecisionLog
-from jasminewalk.gateway.engine_clients import EngineClients
-from jasminewalk.gateway.fleet import EngineState, Fleet
-from jasminewalk.gateway.metrics import GatewayMetrics
-from jasminewalk.gateway.peers import PeerExchange
-from jasminewalk.gateway.placement import PlacementPolicy
+from jasminewalk.gateway.context import GatewayContext
+from jasminewalk.gateway.fleet import EngineState
 from jasminewalk.gateway.request_fingerprint import compute_request_fingerprint
-from jasminewalk.gateway.retry_budget import RetryBudget
-from jasminewalk.gateway.start_check import StartCheck
-from jasminewalk.gateway.stream_history import StreamHistory
 from jasminewalk.http1 import Response
 from jasminewalk.http1.server import CallerConnection, CallerRequest
 from jasminewalk.platform.configuration import Route
 from jasminewalk.platform.headers import RequestHead, filter_relayed_headers
-from jasminewalk.platform.settings import InstanceSettings
 
-__all__ = ["StreamAttemptResult", "GatewayContext", "RequestRun", "TrackedLoad"]
+__all__ = ["StreamAttemptResult", "RequestRun", "TrackedLoad"]
 
 # Seconds of a request's deadline reserved for sending the response to the caller.
 RESPONSE_MARGIN_S = 0.02
@@ -56,76 +46,6 @@
     NOT_READ = auto()
 
 
-@attrs.define
-class GatewayContext:
-    """Shared components of a gateway that its request runs use.
-
-    :param settings: settings of the instance.
-    :param fleet: the engines.
-    :param clients: connections to the engines.
-    :param placement: chooses engines.
-    :param admission: admits or refuses generations.
-    :param peers: exchanges loads, speeds and cached parts with other gateways.
-    :param crash_watch: finds the prompt parts and requests that crash engines.
-    :param stream_history: knows the versions that began streams.
-    :param start_check: compares the starts of engines with the listed ones.
-    :param log: decision log.
-    :param metrics: counters and histograms.
-    :param clock: returns the monotonic time in seconds.
-    :param wall_clock: returns the Unix time in seconds.
-    :param retry_budgets: retry budget of each service, by its name.
-    """
-
-    settings: InstanceSettings
-    fleet: Fleet
-    clients: EngineClients
-    placement: PlacementPolicy
-    admission: AdmissionPolicy
-    peers: PeerExchange
-    crash_watch: CrashWatch
-    stream_history: StreamHistory
-    start_check: StartCheck
-    log: DecisionLog
-    metrics: GatewayMetrics
-    clock: Callable[[], float]
-    wall_clock: Callable[[], float]
-    retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
-
-    def get_retry_budget(self, service: str) -> RetryBudget:
-        """Return the retry budget of a service; create it if there is none.
-
-        :param service: name of the service.
-        """
-        budget = self.retry_budgets.get(service)
-        if budget is None:
-            bounds = self.settings.bounds
-            budget = RetryBudget(
-                bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
-            )
-            self.retry_budgets[service] = budget
-        return budget
-
-    def update_settings(self, settings: InstanceSettings) -> None:
-        """Apply changed settings; retries that were taken stay counted.
-
-        :param settings: new settings of the instance.
-        """
-        self.settings = settings
-        bounds = settings.bounds
-        for budget in self.retry_budgets.values():
-            budget.ratio, budget.slack = bounds.retry_ratio, bounds.retry_slack
-            budget.window_s = bounds.retry_window_s
-
-    def try_take_retry(self, service: str) -> bool:
-        """Take a retry from the budget of a service; return False if there is none.
-
-        :param service: name of the service.
-        """
-        now = self.clock()
-        gateways = len(self.peers.list_members(now)) if self.peers.peers_known else 0
-        return self.get_retry_budget(service).try_take(now, gateways)
-
-
 class RequestRun(ABC):
     """Handles one request from its arrival to the end of its response.
 
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -7,7 +7,7 @@
 
 from crash_soak import run_crash_soak
 from crashing_engines import BAD_PART, CRASH_POINTS, CrashFleet, CrashingEngine
-from jasminewalk.gateway import part_quarantine
+from jasminewalk.gateway import crash_quarantine
 from jasminewalk.operators.quarantines import show_or_release
 from test_gateway_daemon import GatewayHarness
 
@@ -210,7 +210,7 @@
 
 @pytest.mark.anyio
 async def test_quarantine_ends_with_a_trial(harness, monkeypatch):
-    monkeypatch.setattr(part_quarantine, "MIN_QUARANTINE_S", 1.0)
+    monkeypatch.setattr(crash_quarantine, "MIN_QUARANTINE_S", 1.0)
     await start_with_quarantine(harness)
     status, head, _ = await harness.send_request("/help/x", **build_prompt())
     assert (status, "retry-after: 1.00" in head) == (503, True)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -12,7 +12,7 @@
     CrashingEngine,
     compute_bad_fingerprint,
 )
-from jasminewalk.gateway import part_quarantine
+from jasminewalk.gateway import crash_quarantine
 from jasminewalk.operators.quarantines import show_or_release
 from test_gateway_daemon import GatewayHarness
 
@@ -246,7 +246,7 @@
 @pytest.mark.anyio
 @pytest.mark.parametrize("path", ["/look/x", "/book/x"])
 async def test_operator_releases_a_request(harness, path, monkeypatch):
-    monkeypatch.setattr(part_quarantine, "FIRST_TRIAL_S", 60.0)
+    monkeypatch.setattr(crash_quarantine, "FIRST_TRIAL_S", 60.0)
     fingerprint = await start_with_quarantine(harness, path)
     harness.daemon.quarantines.read_interval_s = 0.1
     async with asyncio.timeout(2 * STORED_S):
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -4,18 +4,17 @@
 
 import pytest
 
-from jasminewalk.gateway.part_quarantine import (
+from jasminewalk.gateway.crash_quarantine import (
     AMBIGUOUS_CRASHES,
     FORGOTTEN_AFTER_S,
     GUILTY_CRASHES,
     MAX_CRASHES,
     MAX_PARTS_PER_CRASH,
-    MAX_QUARANTINE_S,
     MAX_QUARANTINES,
     MAX_SOUND_PARTS,
-    MIN_QUARANTINE_S,
-    PartQuarantine,
+    CrashQuarantine,
 )
+from jasminewalk.gateway.quarantine import MAX_QUARANTINE_S, MIN_QUARANTINE_S
 from jasminewalk.gateway.quarantine_news import QuarantineExchange
 
 
@@ -40,7 +39,7 @@
 
 
 def test_part_in_each_crash_and_in_no_answer_is_guilty():
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     for number in range(GUILTY_CRASHES):
         assert list_quarantined(quarantine) == []
         crash(quarantine, number, number, "school", f"unit-{number}", "bad")
@@ -51,7 +50,7 @@
 
 
 def test_part_that_every_crashed_request_shares_is_not_guilty_if_it_is_answered():
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     for number in range(50):
         crash(quarantine, number, number, "school")
         answer(quarantine, number + 0.5, "school")
@@ -59,14 +58,14 @@
 
 
 def test_engines_that_fail_together_speak_against_no_part():
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     for number in range(20):
         crash(quarantine, 5.0 + number * 0.01, number, "school", "unit", sent_at=4.9)
     assert list_quarantined(quarantine) == []
 
 
 def test_crashes_after_an_answer_count_anew():
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     for number in range(GUILTY_CRASHES - 1):
         crash(quarantine, number, number, "unit")
     answer(quarantine, 2.5, "unit")
@@ -77,7 +76,7 @@
 
 
 def test_parts_that_no_crash_tells_apart_are_refused_only_together():
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     for number in range(GUILTY_CRASHES):
         crash(quarantine, number, number, "school", "bad")
     assert list_quarantined(quarantine) == [["bad", "school"]]
@@ -88,7 +87,7 @@
 
 
 def test_part_in_most_crashes_is_guilty_if_another_has_as_many_in_a_row():
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     for number in range(AMBIGUOUS_CRASHES):
         assert list_quarantined(quarantine) == []
         crash(quarantine, number, number, "unit", "bad", sent_at=number - 0.1)
@@ -98,7 +97,7 @@
 
 
 def test_crash_that_a_quarantine_explains_speaks_against_no_other_part():
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     now = convict(quarantine)
     for number in range(20):
         crash(quarantine, now + number, number + 100, "unit", "bad")
@@ -106,14 +105,14 @@
 
 
 def test_second_guilty_part_is_found_beside_the_first():
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     now = convict(quarantine, part="bad")
     convict(quarantine, now, part="worse")
     assert list_quarantined(quarantine) == [["bad"], ["worse"]]
 
 
 def test_part_that_was_sound_until_now_needs_more_crashes():
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     answer(quarantine, 0.0, "unit")
     for number in range(1, 8):
         crash(quarantine, number, number, "unit")
@@ -123,7 +122,7 @@
 
 
 def test_quarantine_ends_with_a_trial_that_is_answered():
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     now = convict(quarantine)
     held = quarantine.find(["bad"])
     assert not quarantine.try_begin_trial(now, held)
@@ -135,7 +134,7 @@
 
 
 def test_trial_that_crashes_an_engine_doubles_the_quarantine():
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     convict(quarantine)
     held = quarantine.find(["bad"])
     lengths = []
@@ -148,7 +147,7 @@
 
 
 def test_quarantine_that_nobody_tries_is_forgotten():
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     convict(quarantine)
     held = quarantine.find(["bad"])
     assert list(quarantine.expire(held.until + FORGOTTEN_AFTER_S - 1)) == []
@@ -158,7 +157,7 @@
 
 
 def test_memory_is_bounded_against_made_up_parts():
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     for number in range(3 * MAX_SOUND_PARTS):
         answer(quarantine, number * 1e-3, f"made-up-{number}")
     assert len(quarantine.sound_at) == MAX_SOUND_PARTS
@@ -184,7 +183,7 @@
 
 
 def test_crashes_at_different_gateways_count_together():
-    exchanges = [QuarantineExchange(PartQuarantine()) for _ in range(3)]
+    exchanges = [QuarantineExchange(CrashQuarantine()) for _ in range(3)]
     for number, exchange in enumerate(exchanges):
         sent_at = {"bad": number - 0.1, f"unit-{number}": number - 0.1}
         exchange.announce_crash(number, number, sent_at)
@@ -195,7 +194,7 @@
 
 
 def test_answer_at_one_gateway_clears_the_part_at_all():
-    exchanges = [QuarantineExchange(PartQuarantine()) for _ in range(3)]
+    exchanges = [QuarantineExchange(CrashQuarantine()) for _ in range(3)]
     for number in range(10):
         teller = exchanges[0]
         sent_at = {"school": number - 0.1}
@@ -210,7 +209,7 @@
 
 
 def test_release_reaches_gateways_that_missed_it():
-    exchanges = [QuarantineExchange(PartQuarantine()) for _ in range(2)]
+    exchanges = [QuarantineExchange(CrashQuarantine()) for _ in range(2)]
     now = convict(exchanges[0].quarantine)
     exchange_news(now, *exchanges)
     assert list_quarantined(exchanges[1].quarantine) == [["bad"]]
@@ -226,7 +225,7 @@
 @pytest.mark.parametrize("seed", range(30))
 def test_random_crashes_blame_no_sound_part(seed):
     rng = random.Random(seed)
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     now = 0.0
     for key in range(40):
         now += rng.uniform(0.2, 2.0)
@@ -240,7 +239,7 @@
 
 @pytest.mark.parametrize("crashes", range(GUILTY_CRASHES))
 def test_fewer_crashes_prove_nothing(crashes):
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     for number in range(crashes):
         crash(quarantine, number, number, "bad")
     assert list_quarantined(quarantine) == []
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -4,18 +4,20 @@
 
 import pytest
 
-from jasminewalk.gateway.part_quarantine import (
+from jasminewalk.gateway.crash_quarantine import (
     FIRST_TRIAL_S,
     GUILTY_CRASHES,
     MAX_CRASHES,
     MAX_QUARANTINES,
     MAX_REQUESTS_PER_CRASH,
     MAX_SOUND_PARTS,
+    TRIAL_SEPARATION_S,
+    CrashQuarantine,
+)
+from jasminewalk.gateway.quarantine import (
     MAX_TRIALS,
     MIN_QUARANTINE_S,
-    TRIAL_SEPARATION_S,
     UNTRIED_QUARANTINE_S,
-    PartQuarantine,
 )
 from jasminewalk.gateway.quarantine_news import QuarantineExchange
 from jasminewalk.gateway.request_fingerprint import compute_request_fingerprint
@@ -41,7 +43,7 @@
 
 
 def test_third_crash_proves_a_request():
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     for number in range(GUILTY_CRASHES):
         assert quarantine.find([BAD]) is None
         crash(quarantine, number, number, BAD, f"request:{number}")
@@ -51,7 +53,7 @@
 
 
 def test_request_that_is_answered_between_crashes_is_not_guilty():
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     for number in range(20):
         crash(quarantine, number, number, SOUND)
         answer(quarantine, number + 0.5, SOUND)
@@ -62,7 +64,7 @@
 
 
 def test_request_in_the_same_crashes_as_another_is_tried_soon():
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     for number in range(GUILTY_CRASHES):
         crash(quarantine, number, number, BAD, SOUND)
     now = GUILTY_CRASHES - 1 + FIRST_TRIAL_S
@@ -79,7 +81,7 @@
 
 
 def test_engines_that_crash_together_let_a_request_be_tried_soon():
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     for number in range(2 * GUILTY_CRASHES):
         crash(quarantine, 5.0 + number * 0.01, number, SOUND, sent_at=4.9)
     held = quarantine.find([SOUND])
@@ -90,7 +92,7 @@
 
 
 def test_gateways_that_blame_different_requests_try_both_soon():
-    exchanges = [QuarantineExchange(PartQuarantine()) for _ in range(3)]
+    exchanges = [QuarantineExchange(CrashQuarantine()) for _ in range(3)]
     for number in range(GUILTY_CRASHES):
         for exchange, request in zip(exchanges, (BAD, SOUND), strict=False):
             sent_at = {request: number - 0.1}
@@ -106,7 +108,7 @@
 
 
 def test_trial_at_one_gateway_keeps_the_others_from_trying():
-    exchanges = [QuarantineExchange(PartQuarantine()) for _ in range(2)]
+    exchanges = [QuarantineExchange(CrashQuarantine()) for _ in range(2)]
     convict(exchanges[0].quarantine)
     exchange_news(GUILTY_CRASHES, *exchanges)
     held = [exchange.quarantine.find([BAD]) for exchange in exchanges]
@@ -117,7 +119,7 @@
 
 
 def test_request_is_tried_at_most_three_times_a_day():
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     convict(quarantine)
     held = quarantine.find([BAD])
     lengths = []
@@ -129,7 +131,7 @@
 
 
 def test_repeats_on_their_way_when_the_quarantine_begins_do_not_prolong_it():
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     now = convict(quarantine)
     held = quarantine.find([BAD])
     until = held.until
@@ -138,7 +140,7 @@
 
 
 def test_crashes_under_one_request_blame_no_part():
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     for number in range(GUILTY_CRASHES):
         crash(quarantine, number, number, "unit", BAD)
     assert list_quarantined(quarantine) == [[BAD]]
@@ -146,7 +148,7 @@
 
 
 def test_part_in_crashes_under_several_requests_is_guilty():
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     for number in range(GUILTY_CRASHES):
         crash(quarantine, number, number, "unit", BAD)
     crash(quarantine, 10.0, 10, "unit", OTHER)
@@ -154,7 +156,7 @@
 
 
 def test_part_that_looks_like_a_fingerprint_blames_and_clears_no_request():
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     convict(quarantine)
     head = decode_request_head(
         [(b"x-jasminewalk-prompt-prefix", b"request:bad:5,request%3Abad:7,own:9")]
@@ -166,7 +168,7 @@
 
 @pytest.mark.parametrize("first", [True, False])
 def test_memory_is_bounded_against_made_up_requests(first):
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     for number in range(3 * MAX_SOUND_PARTS):
         answer(quarantine, number * 1e-3, f"request:made-up-{number}")
     assert not quarantine.sound_at
@@ -190,7 +192,7 @@
 @pytest.mark.parametrize("seed", range(30))
 def test_sound_requests_that_are_repeated_are_refused_for_seconds_at_most(seed):
     rng = random.Random(seed)
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     now, waiting, bad = 0.0, set(), "request:bad-0"
     for key in range(60):
         now += rng.uniform(0.2, 2.0)
