Split the list of engines from the choice among them

fleet.py (515 lines) decided which engines there are, by the registry, and which may be used. The former is engine_list.py now, with the events; Fleet inherits it. No logic changed.

--- a/tests/test_gateway_store_era.py
+++ b/tests/test_gateway_store_era.py
@@ -10,7 +10,8 @@
 from gateway_fakes import make_engine
 from jasminewalk.exceptions import LogUnavailableError
 from jasminewalk.gateway.decision_log import DecisionLog
-from jasminewalk.gateway.fleet import GONE_KEPT_S, RELISTED_HOLD_S, Fleet
+from jasminewalk.gateway.engine_list import GONE_KEPT_S, RELISTED_HOLD_S
+from jasminewalk.gateway.fleet import Fleet
 from jasminewalk.gateway.holder_lease import USABLE_SESSION_SHARE, HolderLease
 from jasminewalk.gateway.peers import (
     PeerExchange,
--- a/tests/test_version_records.py
+++ b/tests/test_version_records.py
@@ -7,7 +7,8 @@
 from gateway_fakes import make_engine
 from jasminewalk.clock import ManualClock
 from jasminewalk.gateway import stream_versions
-from jasminewalk.gateway.fleet import ONLY_VERSION_S, Fleet
+from jasminewalk.gateway.engine_list import ONLY_VERSION_S
+from jasminewalk.gateway.fleet import Fleet
 from jasminewalk.gateway.peers import Peer, PeerExchange, TopicProgress
 from jasminewalk.gateway.stream_versions import (
     KEEPERS,
