Let the server of a test end before its event loop does

pytest crashed after test_endless_responses alone: SystemError: AST constructor recursion depth mismatch, in five of five runs with that file and without those that import Hypothesis. The test's server slept past the test's end, so its writer was collected later, in the middle of another module's compilation. The test waits for its server now: five of five runs pass with a summary. Its asserts are as they were.

--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -186,6 +186,8 @@
 
 @pytest.mark.anyio
 async def test_body_is_whole_if_it_is_waited_for_again_after_a_timeout(free_address):
+    ended = asyncio.Event()
+
     async def handle(reader, writer):
         await reader.read(100)
         writer.write(CHUNKED_HEAD.replace(b"REQUEST-ID", b"a"))
@@ -193,6 +195,7 @@
             writer.write(part)
             await asyncio.sleep(0.15)
         writer.close()
+        ended.set()
 
     host, _, port = free_address.rpartition(":")
     server = await asyncio.start_server(handle, host, int(port))
@@ -204,4 +207,5 @@
             await exchange.body()
     assert await receive_whole(exchange) == b"firstsecond"
     connection.abort()
+    await ended.wait()
     server.close()
