--- a/review/3/case.py
+++ b/review/3/case.py
@@ -68,6 +68,8 @@
                 return
 
     users = [world.spawn(use(number)) for number in range(CLIENTS)]
+    while sum(len(engine.runs) for engine in world.engines) < CLIENTS:
+        await asyncio.sleep(0.05)
     await asyncio.sleep(0.3)
     stopped_at = time.monotonic()
     if world.trouble:
