--- a/review/2/case.py
+++ b/review/2/case.py
@@ -92,6 +92,7 @@
     late = f"later than {BOUNDS['recover_s']} s after the start"
     record.say(f"{late}: {sum(later)} of {len(later)}")
     if len(before) < 50 or sum(before) < len(before) / 4 or len(later) < 50:
+        record.say("could not run: too few requests, or too few served before")
         return 2
     broken = sum(later) < len(later) / 4
     record.say("RECOVER is broken" if broken else "RECOVER holds")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -98,9 +98,11 @@
         if not excused:
             lost.append(request_id)
     record.say(f"{len(results)} requests, {len(lost)} of them lost")
-    record.say("LOST is broken" if lost else "LOST holds")
-    if not world.trouble and len(results) != 2 * CLIENTS:
+    first = [answer for name, _, _, answer in results if name.endswith("-1")]
+    if not all(answer.complete for answer in first) or len(results) != 2 * CLIENTS:
+        record.say("could not run: not all first streams were whole")
         return 2
+    record.say("LOST is broken" if lost else "LOST holds")
     return int(bool(lost))
 
 
--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -1,7 +1,7 @@
 """An engine as a process of its own; its entry is written by the case.
 
-Usage: engine.py PORT ID RECORD. Its streams have neither a length nor chunks: they end
-with their connection.
+Usage: engine.py PORT ID. It writes what it runs to standard output. Its streams have
+neither a length nor chunks: they end with their connection.
 """
 
 # ruff: noqa: D102, D103
@@ -9,11 +9,19 @@
 import asyncio
 import sys
 
-from standins import Engine, Record, encode_head
+from standins import Engine, encode_head
 
 GAP_S = 0.05
 
 
+class Output:
+    """Writes the record of the engine to standard output."""
+
+    def write(self, text):
+        """Write one line."""
+        print(text, flush=True)
+
+
 class UnframedEngine(Engine):
     """Engine whose streams end with their connection."""
 
@@ -36,8 +44,8 @@
 
 
 async def main():
-    port, engine_id, path = int(sys.argv[1]), sys.argv[2], sys.argv[3]
-    engine = UnframedEngine(port, engine_id, "llm", None, Record(path))
+    port, engine_id = int(sys.argv[1]), sys.argv[2]
+    engine = UnframedEngine(port, engine_id, "llm", None, Output())
     await engine.listen()
     print("listening", flush=True)
     await asyncio.Event().wait()
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -270,6 +270,7 @@
         self.is_full = False
         self.preempted_at = 0
         self.preempted_s = 0.0
+        self.preempted_count = 0
         self.state = "ready"
         self.born = int(time.time() * 1e3)
         self.sequence = 0
@@ -371,6 +372,7 @@
         for number in range(first, count + 1):
             await asyncio.sleep(self.gap_s)
             if number == self.preempted_at:
+                self.preempted_count += 1
                 self.record.write(f"preempt  {request_id} at {self.engine_id}")
                 await asyncio.sleep(self.preempted_s)
             data = f"{request_id} {number} of {count}"
@@ -387,10 +389,10 @@
 class EngineProcess(Engine):
     """An engine that runs as a process of its own, with ``engine.py``."""
 
-    def __init__(self, port, engine_id, service, store, record, stage, folder):
+    def __init__(self, port, engine_id, service, store, record, stage):
         super().__init__(port, engine_id, service, store, record, stage)
-        self.path = Path(folder) / f"{engine_id}.txt"
         self.process = None
+        self.copying = None
 
     async def listen(self):
         self.process = await asyncio.create_subprocess_exec(
@@ -398,19 +400,29 @@
             str(Path(__file__).with_name("engine.py")),
             str(self.port),
             self.engine_id,
-            str(self.path),
             stdout=asyncio.subprocess.PIPE,
         )
-        await self.process.stdout.readline()
+        if await self.process.stdout.readline() != b"listening\n":
+            raise OSError(f"{self.engine_id} does not listen")
+        self.copying = asyncio.create_task(self.copy_record())
+
+    async def copy_record(self):
+        """Write what the engine says that it does to the record of the case."""
+        while line := await self.process.stdout.readline():
+            self.record.write(line.decode().strip())
 
     def kill(self):
         """End the process at once."""
-        if self.process.returncode is None:
+        if self.process is not None and self.process.returncode is None:
             self.process.kill()
 
     async def end(self):
+        """End the process and wait for that."""
         self.kill()
-        await self.process.wait()
+        if self.process is not None:
+            await self.process.wait()
+        if self.copying is not None:
+            await self.copying
 
 
 class Gateway:
@@ -640,10 +652,9 @@
             self.store,
             self.record,
             stage,
-            self.folder,
         )
-        await engine.start()
         self.engines.append(engine)
+        await engine.start()
         return engine
 
     async def add_gateways(self, count, bounds=None):
@@ -688,20 +699,31 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def run_case(case_folder, main, limit_s=110.0):
-    """Run a case and end the process: 1 broken, 0 held, 2 could not run."""
+def run_case(case_folder, main, limit_s=100.0):
+    """Run a case and end the process: 1 broken, 0 held, 2 could not run.
+
+    Whatever ends the case, also a signal, its processes are ended before.
+    """
 
     async def run():
         world = World(case_folder)
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(limit_s):
                 await world.store.start()
                 world.spawn(world.beat())
                 return await main(world)
-        except (OSError, TimeoutError) as error:
+        except (Exception, asyncio.CancelledError) as error:
             world.record.say(f"could not run: {error!r}")
             return 2
         finally:
             await world.end()
 
-    sys.exit(asyncio.run(run()))
+    try:
+        code = asyncio.run(run())
+    except Exception as error:
+        print(f"could not run: {error!r}")
+        code = 2
+    sys.exit(code)
