--- a/src/jasminewalk/gateway/run.py
+++ b/src/jasminewalk/gateway/run.py
@@ -102,6 +102,17 @@
         :param status: status code if the request may have been executed.
         """
 
+    def end_unfinished(self, reason: str) -> None:
+        """End a request that runs, because the process is about to end.
+
+        :param reason: reason for the log and the metrics.
+        """
+        if self.attempts and not self.connection.response_started:
+            # The engine of the last attempt may still run it.
+            self.fail(GATEWAY_TIMEOUT, reason)
+        else:
+            self.finish_incomplete(reason, GATEWAY_TIMEOUT)
+
     @property
     def shared_part_ids(self) -> tuple[str, ...]:
         """Ids of the parts of its prompt that other requests may share."""
--- a/src/jasminewalk/http1/server.py
+++ b/src/jasminewalk/http1/server.py
@@ -112,6 +112,7 @@
         self.task: asyncio.Task[None] | None = None
         self.closed = False
         self.closing = False
+        self.reading_paused = False
         self.end_announced = False
         self.writable: asyncio.Future[None] | None = None
         self.response_started = False
@@ -158,8 +159,7 @@
             self.refuse(BAD_REQUEST)
         if self.unchecked_bytes > MAX_FRAMING_BYTES:
             self._check_framing()
-        if self._too_many_pending and self.transport is not None:
-            self.transport.pause_reading()
+        self._pause_if_due()
 
     def on_message_begin(self) -> None:
         """Start a request."""
@@ -282,17 +282,36 @@
             len(pending) >= MAX_PIPELINED or body_bytes >= self.server.limits.body_bytes
         )
 
+    def _pause_if_due(self) -> None:
+        """Read nothing more if too much waits behind the running request.
+
+        Long after the end of listening any request is too much, so that a caller who
+        never stops sending does not keep the server.
+        """
+        has_ended = self.server.clock() > self.server.ends_at
+        if self._too_many_pending or (has_ended and self.pending_requests):
+            self.reading_paused = True
+            if self.transport is not None:
+                self.transport.pause_reading()
+
+    def _resume_if_due(self) -> None:
+        """Read on once what was read before is answered, or at least soon will be."""
+        has_ended = self.server.clock() > self.server.ends_at
+        if not self._too_many_pending and not (has_ended and self.task is not None):
+            self.reading_paused = False
+            if self.transport is not None:
+                self.transport.resume_reading()
+
     @property
     def _has_further_requests(self) -> bool:
-        """Whether a request arrived, or begins to, behind the current one.
+        """Whether a request was received, or began to be, behind the current one.
 
-        Requests that arrive long after the end of listening do not count, so that a
-        caller who never stops sending does not keep the server.
+        One that began long after the end of listening counts once it is complete.
         """
-        arrivals = [request.arrived_s for request in self.pending_requests]
-        if self.request_started_s is not None:
-            arrivals.append(self.request_started_s)
-        return any(arrived_s <= self.server.ends_at for arrived_s in arrivals)
+        started_s = self.request_started_s
+        return bool(self.pending_requests) or (
+            started_s is not None and started_s <= self.server.ends_at
+        )
 
     def _start_next_request(self) -> None:
         if not self.pending_requests or self.closed or self.closing:
@@ -333,8 +352,8 @@
             self.close()
             return
         self._start_next_request()
-        if self.transport is not None and not self._too_many_pending:
-            self.transport.resume_reading()
+        if self.reading_paused:
+            self._resume_if_due()
 
     # Sending.
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -153,6 +153,20 @@
     assert get_time() - started_s < 0.6
 
 
+@pytest.mark.anyio
+async def test_request_that_arrives_late_behind_another_is_answered(server, connect):
+    reader, writer = await connect()
+    writer.write(REQUEST % b"a" + b"1")
+    await asyncio.sleep(SLOW_S / 2)
+    server.draining = True
+    server.ends_at = get_time() - 0.01
+    writer.write(REQUEST % b"b" + b"2" + REQUEST % b"c" + b"3")
+    responses = split_responses(await reader.read())
+    assert [response[-1:] for response in responses] == [b"1", b"2", b"3"]
+    closes = [b"connection: close" in response for response in responses]
+    assert closes == [False, False, True]
+
+
 @pytest.mark.anyio
 async def test_caller_that_never_stops_sending_does_not_keep_the_server(
     server, connect
