--- a/src/jasminewalk/gateway/daemon.py
+++ b/src/jasminewalk/gateway/daemon.py
@@ -21,11 +21,10 @@
 from jasminewalk.gateway.peers import PeerExchange
 from jasminewalk.gateway.placement import PlacementPolicy
 from jasminewalk.gateway.plain_run import PlainRun
-from jasminewalk.gateway.planned_stop import PlannedStop
+from jasminewalk.gateway.planned_stop import Drain, PlannedStop
 from jasminewalk.gateway.quarantine_news import QuarantineExchange
 from jasminewalk.gateway.quarantine_store import QuarantineFollower
 from jasminewalk.gateway.routes import RouteTable
-from jasminewalk.gateway.run import RequestRun
 from jasminewalk.gateway.stage_controller import SESSION_S, StageController
 from jasminewalk.gateway.stage_planner import StagePlanner
 from jasminewalk.gateway.start_check import StartCheck
@@ -56,13 +55,6 @@
 STARTING_RETRY_AFTER_S = 0.5
 # Seconds between two checks of the settings file for changes.
 SETTINGS_POLL_INTERVAL_S = 1.0
-# Seconds after SIGTERM during which new connections are still accepted, so that the
-# load balancer can see two failed readiness checks first.
-DRAIN_ACCEPT_S = 2.3
-# Seconds for which the last responses may be sent after the drain.
-LAST_RESPONSES_S = 0.2
-# ``Retry-After`` in seconds of a gateway that ends; another one takes the request.
-STOPPING_RETRY_AFTER_S = 0.1
 # Seconds before a failed task is restarted.
 TASK_RESTART_DELAY_S = 0.5
 
@@ -87,7 +79,6 @@
         self.routes: RouteTable | None = None
         self.stopping = asyncio.Event()
         self.planned_stop = PlannedStop(self.clock)
-        self.runs: dict[CallerConnection, RequestRun] = {}
         peer_address = f"{self.settings.ip}:{self.settings.peer_port}"
         self.peers = PeerExchange(
             self.settings.name, peer_address, self.started_ms, self.fleet
@@ -136,6 +127,7 @@
             self._log_handler_failure,
             self._log_unreadable_request,
         )
+        self.drain = Drain(self.planned_stop, self.caller_server, self.log, self.clock)
         self.control_server = CallerServer(
             self.handle_control,
             self.clock,
@@ -238,7 +230,11 @@
         ):
             self._spawn(task_function)
         await self.stopping.wait()
-        await self._drain()
+        self._spawn(self.stage_controller.leave)
+        await self.drain.run(self.context.settings.bounds.grace_s)
+        for task in self.tasks:
+            task.cancel()
+        self.log.flush()
 
     def reload(self) -> None:
         """Reload the settings file; keep the current settings if it is invalid."""
@@ -309,19 +305,15 @@
         self.context.get_retry_budget(service).record_request(self.clock())
         run_class = StreamRun if route.streaming else PlainRun
         run = run_class(self.context, connection, request, head, route, service)
-        if self.planned_stop.may_cut(run.deadline):
-            left_s = self.planned_stop.ends_at - self.clock()
-            run.refuse("stopping", STOPPING_RETRY_AFTER_S, left_s=round(left_s, 2))
+        if self.drain.refuses(run):
             return
-        self.runs[connection] = run
         try:
-            await run.run()
+            with self.drain.track(run):
+                await run.run()
         except asyncio.CancelledError:
             if not self.planned_stop.is_over:
                 run.warn("caller_left", engines=run.tried_engines)
             raise
-        finally:
-            del self.runs[connection]
 
     async def handle_control(
         self, connection: CallerConnection, request: CallerRequest
@@ -408,39 +400,6 @@
 
     # Shutdown and background tasks.
 
-    async def _drain(self) -> None:
-        self.planned_stop.begin(self.context.settings.bounds.grace_s)
-        self.log.info("stopping", active=self.caller_server.active)
-        self._spawn(self.stage_controller.leave)
-        self.caller_server.draining = True
-        await asyncio.sleep(DRAIN_ACCEPT_S)
-        self.caller_server.stop_listening()
-        while not self.planned_stop.is_over and not self._is_drained:
-            self.caller_server.close_idle()
-            await asyncio.sleep(0.05)
-        if not self._is_drained:
-            await self._end_runs()
-        self.log.info("stopped", active=self.caller_server.active)
-        for task in self.tasks:
-            task.cancel()
-        self.log.flush()
-
-    @property
-    def _is_drained(self) -> bool:
-        return not self.caller_server.active and not self.caller_server.connections
-
-    async def _end_runs(self) -> None:
-        """End the requests that still run, so that their callers get an answer."""
-        for connection, run in list(self.runs.items()):
-            if not connection.response_ended:
-                run.end_unfinished("gateway ends")
-            if connection.task is not None:
-                connection.task.cancel()
-        ends_at = self.clock() + LAST_RESPONSES_S
-        while not self._is_drained and self.clock() < ends_at:
-            self.caller_server.close_idle()
-            await asyncio.sleep(0.01)
-
     def _spawn(self, task_function: Callable[[], Coroutine[Any, Any, None]]) -> None:
         task = asyncio.get_running_loop().create_task(self._supervise(task_function))
         self.tasks.append(task)
