Let malformed bytes of another writer cost only themselves

An entry with a port out of range failed each request that was placed on it (handler_failed, 502).

Cause: for nested documents msgspec raises RecursionError, which is no DecodeError. It passed the handler of the one record, the follower and its restart, which read the same record again.

Change: jasminewalk.decoding turns whatever malformed bytes raise into BadMessageError with a bounded text, and bounds numbers where they are decoded; platform.addresses takes only an IPv4 address and a port, and for an engine or a peer one that stands for a single instance. An entry without that, or under a key that no header can name, is no engine. Settings with such values are refused and the present ones kept. The product's own interface uses the same errors. The store's records moved to a module of their own.

--- a/src/jasminewalk/agreement/_fold_grants.py
+++ b/src/jasminewalk/agreement/_fold_grants.py
@@ -14,6 +14,7 @@
     RegistrationAccepted,
     RegistrationRejected,
 )
+from jasminewalk.decoding import DECODE_ERRORS
 from jasminewalk.generated_configuration import Fleet, Pool
 from jasminewalk.generated_records import (
     EndpointEntry,
@@ -49,7 +50,7 @@
         """
         try:
             fleet = msgspec.json.decode(document or "{}", type=Fleet)
-        except (msgspec.MsgspecError, ValueError):
+        except DECODE_ERRORS:
             return
         self.pools = fleet.pools
 
--- a/src/jasminewalk/agreement/log_client.py
+++ b/src/jasminewalk/agreement/log_client.py
@@ -5,6 +5,7 @@
 import httpcore
 import msgspec
 
+from jasminewalk.decoding import DECODE_ERRORS
 from jasminewalk.exceptions import LogUnavailableError
 from jasminewalk.generated_standins import AppendResult
 from jasminewalk.interfaces import Log, LogEntry, LogPage
@@ -68,7 +69,7 @@
         response = await self.call("POST", self.path, data, self.timeout_s)
         try:
             return _decode_append(response.body).offset
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise LogUnavailableError(str(error)) from error
 
     async def read(self, offset: int, limit: int, wait_s: float = 0.0) -> LogPage:
@@ -87,7 +88,7 @@
         )
         try:
             first, tail, rows = _decode_page(response.body)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise LogUnavailableError(str(error)) from error
         entries = [LogEntry(row_offset, data) for row_offset, data in rows]
         return LogPage(entries, first, tail)
--- a/src/jasminewalk/gateway/log_trace.py
+++ b/src/jasminewalk/gateway/log_trace.py
@@ -7,6 +7,8 @@
 import attrs
 import msgspec
 
+from jasminewalk.decoding import DECODE_ERRORS
+
 __all__ = ["LogLine", "LineFilter", "parse_lines", "select_lines", "format_lines"]
 
 # State changes this long before and after a request are part of its trace.
@@ -76,7 +78,7 @@
                     if key not in SEPARATE_KEYS
                 },
             )
-        except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+        except (*DECODE_ERRORS, KeyError, TypeError):
             continue
 
 
--- a/src/jasminewalk/gateway/peer_link.py
+++ b/src/jasminewalk/gateway/peer_link.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from jasminewalk.exceptions import LogUnavailableError
+from jasminewalk.decoding import decode_json
+from jasminewalk.exceptions import BadMessageError, LogUnavailableError
 from jasminewalk.gateway.crash_watch import CrashWatch
 from jasminewalk.gateway.decision_log import DecisionLog
 from jasminewalk.gateway.peers import PeerExchange, decode_peer_message
@@ -19,6 +20,7 @@
 )
 from jasminewalk.gateway.stream_versions import DATAGRAM_MARK, StreamVersions
 from jasminewalk.gateway.version_store import VersionsFollower
+from jasminewalk.platform.addresses import parse_address, parse_peer_address
 from jasminewalk.platform.store import GATEWAYS_TOPIC, RecordsPage, StoreClient
 
 __all__ = ["GatewaysFollower", "PeerLink"]
@@ -32,7 +34,10 @@
 REREGISTRATION_JITTER_S = 2.0
 # Seconds between attempts to register.
 REGISTRATION_RETRY_S = 0.5
-MAX_PORT = 65535
+
+
+class _ListedGateway(msgspec.Struct):
+    address: str
 
 
 class GatewaysFollower(TopicFollower):
@@ -100,20 +105,13 @@
             if record.value is None:
                 continue
             try:
-                address = msgspec.json.decode(record.value)["address"]
-                if not _is_peer_address(address):
-                    raise ValueError(f"{address!r} is no address and port")
-            except (
-                msgspec.DecodeError,
-                AttributeError,
-                KeyError,
-                TypeError,
-                ValueError,
-            ) as error:
-                reason = repr(error)
+                listed = decode_json(record.value, _ListedGateway, "gateway")
+                parse_peer_address(listed.address)
+            except BadMessageError as error:
+                reason = str(error)
                 self.log.warning("gateway_unreadable", key=record.key, reason=reason)
                 continue
-            self.exchange.record_address(self.clock(), record.key, address)
+            self.exchange.record_address(self.clock(), record.key, listed.address)
         self.exchange.peers_known = True
         return bool(page.records)
 
@@ -155,10 +153,9 @@
 
     async def open(self) -> None:
         """Open the UDP socket."""
-        host, _, port = self.exchange.address.rpartition(":")
         self.socket, _ = await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: _Datagrams(self.receive),
-            local_addr=(host, int(port)),
+            local_addr=parse_address(self.exchange.address),
             family=socket.AF_INET,
         )
 
@@ -193,9 +190,8 @@
         :param address: ``host:port`` of its UDP socket.
         :param data: payload.
         """
-        host, _, port = address.rpartition(":")
         if self.socket is not None:
-            self.socket.sendto(data, (host, int(port)))
+            self.socket.sendto(data, parse_peer_address(address))
 
     def receive(self, data: bytes) -> None:
         """Decode and apply a datagram.
@@ -244,10 +240,8 @@
 
 
 def _is_peer_address(address: str) -> bool:
-    """Return whether a text is an IPv4 address and a port."""
-    host, _, port = address.rpartition(":")
     try:
-        socket.inet_aton(host)
-        return 0 < int(port) <= MAX_PORT
-    except (OSError, ValueError):
+        parse_peer_address(address)
+    except BadMessageError:
         return False
+    return True
--- a/src/jasminewalk/gateway/peer_message.py
+++ b/src/jasminewalk/gateway/peer_message.py
@@ -1,13 +1,18 @@
 """Message in which a gateway tells the others of its state."""
 
+from typing import Annotated
+
 import msgspec
 
+from jasminewalk.decoding import MAX_NUMBER, Count, Number, decode_msgpack
+from jasminewalk.exceptions import BadMessageError
 from jasminewalk.gateway.quarantine_news import QuarantineNews
 
 __all__ = ["UNKNOWN_ERA", "PeerMessage", "TopicProgress", "decode_peer_message"]
 
 # Era in a message whose sender knows none, or is of the previous version.
 UNKNOWN_ERA = -1
+Positive = Annotated[int, msgspec.Meta(ge=1, le=MAX_NUMBER)]
 
 
 class TopicProgress(msgspec.Struct, array_like=True, frozen=True):
@@ -17,8 +22,8 @@
     :param changed_offset: offset after the last record that had an effect.
     """
 
-    read_ms_ago: int = -1
-    changed_offset: int = 0
+    read_ms_ago: Number = -1
+    changed_offset: Count = 0
 
 
 class PeerMessage(msgspec.Struct, array_like=True, frozen=True):
@@ -48,21 +53,21 @@
 
     node: str
     address: str
-    started_ms: int
-    number: int
+    started_ms: Count
+    number: Count
     configuration: TopicProgress
     registry: TopicProgress
-    prefill_ms: int
-    decode_ms: int
-    loads: list[tuple[int, int, int]]
-    speeds: list[tuple[int, int, int]]
-    prefills: list[tuple[int, str, int]]
-    changing: list[tuple[int, int]]
+    prefill_ms: Count
+    decode_ms: Count
+    loads: list[tuple[Count, Count, Count]]
+    speeds: list[tuple[Count, Positive, Positive]]
+    prefills: list[tuple[Count, str, Count]]
+    changing: list[tuple[Count, Number]]
     # Previous versions of the gateway do not send all of these fields.
-    outcomes: list[tuple[int, int, int]] = []
-    limits: list[tuple[int, int, int]] = []
-    leaving: list[int] = []
-    store_era: int = UNKNOWN_ERA
+    outcomes: list[tuple[Count, Number, Number]] = []
+    limits: list[tuple[Count, Number, Number]] = []
+    leaving: list[Count] = []
+    store_era: Number = UNKNOWN_ERA
     quarantine: QuarantineNews | None = None
     versions: TopicProgress | None = None
 
@@ -73,6 +78,7 @@
     :param data: payload of the datagram.
     """
     try:
-        return msgspec.msgpack.decode(data, type=PeerMessage)
-    except msgspec.DecodeError:
+        message: PeerMessage = decode_msgpack(data, PeerMessage, "peer message")
+    except BadMessageError:
         return None
+    return message
--- a/src/jasminewalk/gateway/quarantine_news.py
+++ b/src/jasminewalk/gateway/quarantine_news.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from jasminewalk.decoding import Count, Number
 from jasminewalk.gateway.crash_quarantine import CrashQuarantine
 from jasminewalk.gateway.quarantine import Quarantine, QuarantineEvent
 from jasminewalk.gateway.request_fingerprint import is_fingerprint
@@ -38,10 +39,10 @@
         since then.
     """
 
-    crashes: list[tuple[int, int, dict[str, int]]] = []
+    crashes: list[tuple[Count, Number, dict[str, Number]]] = []
     sound_parts: list[str] = []
-    quarantines: list[tuple[list[str], int, int, int]] = []
-    trials: list[tuple[list[str], int]] = []
+    quarantines: list[tuple[list[str], Count, Number, Count]] = []
+    trials: list[tuple[list[str], Number]] = []
 
 
 class QuarantineExchange:
--- a/src/jasminewalk/gateway/quarantine_store.py
+++ b/src/jasminewalk/gateway/quarantine_store.py
@@ -7,7 +7,8 @@
 import msgspec
 import xxhash
 
-from jasminewalk.exceptions import LogUnavailableError
+from jasminewalk.decoding import Count, Number, decode_json
+from jasminewalk.exceptions import BadMessageError, LogUnavailableError
 from jasminewalk.gateway.crash_watch import CrashWatch
 from jasminewalk.gateway.decision_log import DecisionLog
 from jasminewalk.gateway.quarantine import UNTRIED_QUARANTINE_S, Quarantine
@@ -40,9 +41,9 @@
     """
 
     parts: list[str]
-    crashes: int = 0
-    until_ms: int = 0
-    duration_ms: int = 0
+    crashes: Count = 0
+    until_ms: Number = 0
+    duration_ms: Count = 0
     released: bool = False
 
 
@@ -96,8 +97,8 @@
                 self.stored.pop(record.key, None)
                 continue
             try:
-                stored = msgspec.json.decode(record.value, type=StoredQuarantine)
-            except msgspec.DecodeError as error:
+                stored = decode_json(record.value, StoredQuarantine, "quarantine")
+            except BadMessageError as error:
                 self.log.warning(
                     "quarantine_unreadable", key=record.key, reason=str(error)
                 )
@@ -171,9 +172,9 @@
     """
     stored = []
     for record in (await store.read_newest(QUARANTINE_TOPIC)).records:
-        with suppress(msgspec.DecodeError):
+        with suppress(BadMessageError):
             stored.append(
-                msgspec.json.decode(record.value or b"", type=StoredQuarantine)
+                decode_json(record.value or b"", StoredQuarantine, "quarantine")
             )
     return [quarantine for quarantine in stored if not quarantine.released]
 
--- a/src/jasminewalk/gateway/stream_origins.py
+++ b/src/jasminewalk/gateway/stream_origins.py
@@ -9,7 +9,8 @@
 import attrs
 import msgspec
 
-from jasminewalk.exceptions import LogUnavailableError
+from jasminewalk.decoding import Number, decode_msgpack
+from jasminewalk.exceptions import BadMessageError, LogUnavailableError
 from jasminewalk.gateway.decision_log import DecisionLog
 from jasminewalk.platform.store import STREAMS_TOPIC, StoreClient
 
@@ -50,7 +51,7 @@
     key: int
     version: str
     engine_id: str
-    began_ms: int
+    began_ms: Number
 
 
 @attrs.define(eq=False)
@@ -190,8 +191,8 @@
 
     def _remember(self, content: bytes) -> None:
         try:
-            stored = msgspec.msgpack.decode(content, type=_StoredOrigin)
-        except msgspec.DecodeError as error:
+            stored = decode_msgpack(content, _StoredOrigin, "origin of a stream")
+        except BadMessageError as error:
             self.log.warning("origin_unreadable", reason=str(error))
             return
         origin = StreamOrigin(stored.version, stored.engine_id, stored.began_ms)
--- a/src/jasminewalk/gateway/stream_versions.py
+++ b/src/jasminewalk/gateway/stream_versions.py
@@ -13,6 +13,8 @@
 import msgspec
 import xxhash
 
+from jasminewalk.decoding import Number, decode_msgpack
+from jasminewalk.exceptions import BadMessageError
 from jasminewalk.gateway.peers import PeerExchange
 from jasminewalk.gateway.stream_origins import StreamOrigin
 from jasminewalk.gateway.version_shares import compute_stream_key
@@ -51,7 +53,7 @@
     key: int
     version: str
     engine_id: str
-    began_ms: int
+    began_ms: Number
 
 
 class _Question(msgspec.Struct, array_like=True, tag="question", frozen=True):
@@ -64,7 +66,10 @@
     number: int
     version: str
     engine_id: str
-    began_ms: int
+    began_ms: Number
+
+
+Datagram = _Began | _Question | _Answer
 
 
 @attrs.define(eq=False)
@@ -141,8 +146,8 @@
         :param data: payload, with the mark.
         """
         try:
-            message = _DECODER.decode(data[len(DATAGRAM_MARK) :])
-        except msgspec.DecodeError:
+            message = decode_msgpack(data[len(DATAGRAM_MARK) :], Datagram, "datagram")
+        except BadMessageError:
             return False
         if isinstance(message, _Began):
             origin = StreamOrigin(message.version, message.engine_id, message.began_ms)
@@ -201,8 +206,5 @@
         return [address for _, address in following]
 
 
-_DECODER = msgspec.msgpack.Decoder(_Began | _Question | _Answer)
-
-
-def _encode(message: _Began | _Question | _Answer) -> bytes:
+def _encode(message: Datagram) -> bytes:
     return DATAGRAM_MARK + msgspec.msgpack.encode(message)
--- a/src/jasminewalk/gateway/version_store.py
+++ b/src/jasminewalk/gateway/version_store.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from jasminewalk.exceptions import LogUnavailableError
+from jasminewalk.decoding import Number, decode_json
+from jasminewalk.exceptions import BadMessageError, LogUnavailableError
 from jasminewalk.gateway.decision_log import DecisionLog
 from jasminewalk.gateway.fleet import Fleet
 from jasminewalk.gateway.peers import PeerExchange
@@ -42,7 +43,7 @@
         streams that still run may have begun.
     """
 
-    shares: list[dict[str, int]]
+    shares: list[dict[str, Number]]
 
 
 class VersionsFollower(TopicFollower):
@@ -102,8 +103,8 @@
         """Apply changed shares in the order of the topic."""
         for record in page.records:
             try:
-                stored = msgspec.json.decode(record.value or b"", type=StoredShares)
-            except msgspec.DecodeError as error:
+                stored = decode_json(record.value or b"", StoredShares, "shares")
+            except BadMessageError as error:
                 reason = str(error)
                 self.log.warning("shares_unreadable", key=record.key, reason=reason)
                 continue
--- a/src/jasminewalk/http1/client.py
+++ b/src/jasminewalk/http1/client.py
@@ -341,6 +341,8 @@
                 timer.cancel()
     except TimeoutError as error:
         raise ExchangeBrokenError("connect timeout") from error
+    except (ValueError, OverflowError) as error:
+        raise ExchangeBrokenError(f"unusable address: {address[:60]!r}") from error
     except OSError as error:
         reason = f"connect failed: {error.strerror}"
         refused = isinstance(error, ConnectionRefusedError)
--- a/src/jasminewalk/ingress/_api_openai.py
+++ b/src/jasminewalk/ingress/_api_openai.py
@@ -5,6 +5,7 @@
 import attrs
 import msgspec
 
+from jasminewalk.decoding import DECODE_ERRORS
 from jasminewalk.exceptions import BadRequestError
 from jasminewalk.generated_codes import Code
 
@@ -156,7 +157,7 @@
     """
     try:
         document = msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise BadRequestError(
             f"The body is not valid JSON: {error}.", code=Code.BAD_JSON
         ) from error
--- a/src/jasminewalk/ingress/_run.py
+++ b/src/jasminewalk/ingress/_run.py
@@ -9,6 +9,7 @@
 from absl import logging
 
 from jasminewalk.clock import Clock
+from jasminewalk.decoding import DECODE_ERRORS
 from jasminewalk.exceptions import RefusedError
 from jasminewalk.generated_requests import RefusalBody
 from jasminewalk.ingress._pool_endpoints import PoolEndpoints
@@ -364,7 +365,7 @@
         body = await read_limited_body(response, MAX_REFUSAL_BYTES)
         try:
             refusal = _decode_refusal(body)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+        except DECODE_ERRORS:
             return None
         # Sidecars of earlier versions name the request only in the body of a refusal.
         is_named = find_attempt_id(response) or (
--- a/src/jasminewalk/ingress/_run_call.py
+++ b/src/jasminewalk/ingress/_run_call.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from jasminewalk.decoding import DECODE_ERRORS
 from jasminewalk.generated_requests import ServiceCall, ServiceReply
 from jasminewalk.ingress._run import EntryContext, RequestRun
 from jasminewalk.ingress.jobs import CallJob
@@ -93,7 +94,7 @@
         """
         try:
             self.reply = _decode_reply(body)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             self.trace.attempts[-1].outcome = f"bad reply {error}"
             return self.record_failure(endpoint, may_have_run=True)
         self.machine.assembler.finish_reason = "reply"
--- a/src/jasminewalk/loads/load.py
+++ b/src/jasminewalk/loads/load.py
@@ -8,6 +8,7 @@
 import httpcore
 import msgspec
 
+from jasminewalk.decoding import DECODE_ERRORS
 from jasminewalk.generated_load import LoadPlan, LoadResult
 from jasminewalk.generated_requests import RefusalBody
 from jasminewalk.loads.load_schedule import DueRequest, LoadSchedule, validate_plan
@@ -202,7 +203,7 @@
     """
     try:
         refusal = msgspec.json.decode(body, type=RefusalBody)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         result.outcome, result.reason = "failed", f"status {status}"
         return
     result.outcome = "refused" if refusal.ran == "not_run" else "failed"
--- a/src/jasminewalk/operators/configuration.py
+++ b/src/jasminewalk/operators/configuration.py
@@ -6,6 +6,7 @@
 import msgspec
 from absl import logging
 
+from jasminewalk.decoding import DECODE_ERRORS
 from jasminewalk.exceptions import BadConfigurationError
 from jasminewalk.generated_configuration import (
     Fleet,
@@ -106,7 +107,7 @@
         """
         try:
             decoded = _organisation_decoder.decode(document)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise BadConfigurationError(str(error)) from error
         return render_organisation(name, decoded, self.templates.get(decoded.template))
 
@@ -133,7 +134,7 @@
                 self.apply_fleet(document, deleted)
             else:
                 raise BadConfigurationError(f"found unknown subject {subject!r}")
-        except (BadConfigurationError, msgspec.DecodeError) as error:
+        except (BadConfigurationError, *DECODE_ERRORS) as error:
             self.ignored_count += 1
             logging.error(
                 "[configuration] Document ignored. subject=%s revision=%d error=%s",
--- a/src/jasminewalk/platform/configuration.py
+++ b/src/jasminewalk/platform/configuration.py
@@ -6,6 +6,7 @@
 import attrs
 import msgspec
 
+from jasminewalk.decoding import DECODE_ERRORS, Count
 from jasminewalk.exceptions import BadConfigurationError
 from jasminewalk.http1.server import CallerLimits
 
@@ -140,14 +141,14 @@
 
 
 class _Document(msgspec.Struct):
-    version: int
+    version: Count
     routes: list[msgspec.Raw]
     services: list[dict[str, Any]]
     limits: dict[str, Any] | None = None
 
 
 class _VersionedDocument(msgspec.Struct):
-    version: int
+    version: Count
 
 
 class ConfigurationDecoder:
@@ -182,7 +183,13 @@
                 services={service.name: service for service in services},
                 limits=_decode_limits(document.limits or {}),
             )
-        except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+        except (
+            *DECODE_ERRORS,
+            AttributeError,
+            KeyError,
+            OverflowError,
+            TypeError,
+        ) as error:
             raise BadConfigurationError(
                 f"published configuration: {error!r}"
             ) from error
@@ -208,7 +215,7 @@
     """
     try:
         return msgspec.json.decode(text, type=_VersionedDocument).version
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise BadConfigurationError(f"published configuration: {error!r}") from error
 
 
--- a/src/jasminewalk/platform/engines.py
+++ b/src/jasminewalk/platform/engines.py
@@ -6,6 +6,7 @@
 import attrs
 import msgspec
 
+from jasminewalk.decoding import Count, decode_json
 from jasminewalk.exceptions import BadMessageError
 
 __all__ = [
@@ -65,7 +66,7 @@
     :param body: JSON document.
     :raises BadMessageError: if the document is invalid or contains no handle.
     """
-    document = _decode_object(body)
+    document = decode_json(body, dict[str, Any], "prefill response")
     handle = document.get("kv_handle")
     tokens = document.get("tokens")
     if not isinstance(handle, str) or not HANDLE_PATTERN.fullmatch(handle):
@@ -73,6 +74,15 @@
     return PromptHandle(handle, tokens if isinstance(tokens, int) else 0)
 
 
+class _Report(msgspec.Struct):
+    stage: str
+    sequence: Count
+    busy: bool
+    waiting: Count
+    running: Count
+    born: Count = 0
+
+
 def decode_report(body: bytes) -> EngineReport:
     """Decode an engine's report.
 
@@ -80,18 +90,15 @@
     :raises BadMessageError: if the document is invalid or a field is missing or
         invalid.
     """
-    document = _decode_object(body)
-    try:
-        return EngineReport(
-            stage=str(document["stage"]),
-            orders_accepted=int(document["sequence"]),
-            order_in_progress=bool(document["busy"]),
-            waiting=int(document["waiting"]),
-            running=int(document["running"]),
-            started_ms=int(document.get("born", 0)),
-        )
-    except (KeyError, TypeError, ValueError) as error:
-        raise BadMessageError(f"engine report: {error!r}") from error
+    report = decode_json(body, _Report, "engine report")
+    return EngineReport(
+        stage=report.stage,
+        orders_accepted=report.sequence,
+        order_in_progress=report.busy,
+        waiting=report.waiting,
+        running=report.running,
+        started_ms=report.born,
+    )
 
 
 def build_release_path(handle_id: str) -> bytes:
@@ -127,13 +134,3 @@
             "expected": orders_accepted,
         }
     )
-
-
-def _decode_object(body: bytes) -> dict[str, Any]:
-    try:
-        document = msgspec.json.decode(body)
-    except msgspec.DecodeError as error:
-        raise BadMessageError(f"engine response: {error}") from error
-    if not isinstance(document, dict):
-        raise BadMessageError("engine response is not a JSON object")
-    return document
--- a/src/jasminewalk/platform/registry.py
+++ b/src/jasminewalk/platform/registry.py
@@ -1,11 +1,14 @@
 """Decode the entries that engines write into the platform's registry."""
 
-from typing import Any
+import re
+from typing import Annotated, Literal
 
 import attrs
 import msgspec
 
+from jasminewalk.decoding import Count, Number, decode_json
 from jasminewalk.exceptions import BadMessageError
+from jasminewalk.platform.addresses import parse_peer_address
 
 __all__ = [
     "DECODE",
@@ -15,12 +18,14 @@
     "decode_engine_entry",
 ]
 
-READY = "ready"
 DRAINING = "draining"
 PREFILL = "prefill"
 DECODE = "decode"
-NO_STAGE = ""
+NO_STAGE: Literal[""] = ""
 UNKNOWN_START_MS = 0
+# Ids are sent in a header.
+ENGINE_ID_PATTERN = re.compile(r"[!-~]{1,255}")
+Name = Annotated[str, msgspec.Meta(max_length=200)]
 
 
 @attrs.frozen
@@ -50,62 +55,41 @@
     version: str = ""
 
 
+class _Entry(msgspec.Struct):
+    service: Name
+    address: Name
+    zone: Name
+    slots: Number
+    state: Literal["ready", "draining"]
+    stage: Literal["", "prefill", "decode"] = NO_STAGE
+    born: Count = UNKNOWN_START_MS
+    version: Name = ""
+
+
 def decode_engine_entry(engine_id: str, text: bytes) -> EngineEntry:
     """Decode a registry entry.
 
     :param engine_id: key of the entry.
     :param text: JSON document.
-    :raises BadMessageError: if the entry is not valid JSON or a field is missing or
-        invalid.
+    :raises BadMessageError: if the entry is not valid JSON, a field is missing or
+        invalid, or nothing can be sent to the engine by its id and address.
     """
+    subject = f"registry entry {engine_id[:60]!r}"
+    if not ENGINE_ID_PATTERN.fullmatch(engine_id):
+        raise BadMessageError(f"{subject}: its key is no id of an engine")
+    entry = decode_json(text, _Entry, subject)
     try:
-        document: Any = msgspec.json.decode(text)
-    except msgspec.DecodeError as error:
-        raise BadMessageError(f"registry entry {engine_id}: {error}") from error
-    if not isinstance(document, dict):
-        raise BadMessageError(f"registry entry {engine_id}: not a JSON object")
-    service = _get_typed_field(document, "service", str, engine_id)
-    address = _get_typed_field(document, "address", str, engine_id)
-    state = _get_typed_field(document, "state", str, engine_id)
-    stage = document.get("stage", NO_STAGE)
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit() or state not in (READY, DRAINING):
-        raise BadMessageError(
-            f"registry entry {engine_id}: bad address {address!r} or state {state!r}"
-        )
-    if stage not in (NO_STAGE, PREFILL, DECODE):
-        raise BadMessageError(f"registry entry {engine_id}: unknown stage {stage!r}")
+        parse_peer_address(entry.address)
+    except BadMessageError as error:
+        raise BadMessageError(f"{subject}: {error}") from error
     return EngineEntry(
         engine_id=engine_id,
-        service=service,
-        address=address,
-        failure_domain=_get_typed_field(document, "zone", str, engine_id),
-        slots=max(1, _get_typed_field(document, "slots", int, engine_id)),
-        leaving=state == DRAINING,
-        stage=stage,
-        started_ms=_get_started_ms(document, engine_id),
-        version=_get_version(document, engine_id),
+        service=entry.service,
+        address=entry.address,
+        failure_domain=entry.zone,
+        slots=max(1, entry.slots),
+        leaving=entry.state == DRAINING,
+        stage=entry.stage,
+        started_ms=entry.born,
+        version=entry.version,
     )
-
-
-def _get_typed_field(
-    document: dict[str, Any], name: str, expected_type: type, engine_id: str
-) -> Any:
-    value = document.get(name)
-    if not isinstance(value, expected_type) or isinstance(value, bool):
-        raise BadMessageError(f"registry entry {engine_id}: bad {name} {value!r}")
-    return value
-
-
-def _get_started_ms(document: dict[str, Any], engine_id: str) -> int:
-    if "born" not in document:
-        return UNKNOWN_START_MS
-    started_ms: int = _get_typed_field(document, "born", int, engine_id)
-    return started_ms
-
-
-def _get_version(document: dict[str, Any], engine_id: str) -> str:
-    if "version" not in document:
-        return ""
-    version: str = _get_typed_field(document, "version", str, engine_id)
-    return version
--- a/src/jasminewalk/platform/settings.py
+++ b/src/jasminewalk/platform/settings.py
@@ -1,5 +1,6 @@
 """Read the settings file that the platform provides on each instance."""
 
+import math
 import os
 import tomllib
 from pathlib import Path
@@ -7,7 +8,8 @@
 
 import attrs
 
-from jasminewalk.exceptions import BadSettingsError
+from jasminewalk.exceptions import BadMessageError, BadSettingsError
+from jasminewalk.platform.addresses import parse_address, parse_peer_address
 
 __all__ = ["InstanceSettings", "SafetyBounds", "load_settings", "get_settings_path"]
 
@@ -83,11 +85,19 @@
     """
     try:
         document = tomllib.loads(path.read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise BadSettingsError(f"{path}: {error}") from error
     try:
         return _decode_settings(document)
-    except (KeyError, TypeError, ValueError, IndexError) as error:
+    except (
+        AttributeError,
+        BadMessageError,
+        KeyError,
+        TypeError,
+        ValueError,
+        IndexError,
+        OverflowError,
+    ) as error:
         raise BadSettingsError(
             f"{path}: missing or invalid field: {error!r}"
         ) from error
@@ -96,32 +106,49 @@
 def _decode_settings(document: dict[str, Any]) -> InstanceSettings:
     bounds = document.get("bounds", {})
     defaults = SafetyBounds()
+    ip, peer_port = parse_peer_address(
+        f"{document['ip']}:{document['internal_ports'][0]}"
+    )
+    store_address = _get_address(document["platform"], "address")
+    parse_peer_address(store_address)
     return InstanceSettings(
         name=str(document["node_name"]),
         failure_domain=str(document["zone"]),
-        ip=str(document["ip"]),
-        peer_port=int(document["internal_ports"][0]),
-        callers_address=str(document["listen"]["front"]),
-        readiness_address=str(document["listen"]["ready"]),
-        store_address=str(document["platform"]["address"]),
-        store_session_s=float(document["platform"].get("ttl_min_ms", 1000)) / 1e3,
+        ip=ip,
+        peer_port=peer_port,
+        callers_address=_get_address(document["listen"], "front"),
+        readiness_address=_get_address(document["listen"], "ready"),
+        store_address=store_address,
+        store_session_s=_get_seconds(document["platform"], "ttl_min_ms", 1.0),
         max_open_files=int(document.get("limits", {}).get("max_fds", 1024)),
         bounds=SafetyBounds(
             drain_s=_get_seconds(bounds, "drain_ms", defaults.drain_s),
             configuration_s=_get_seconds(
                 bounds, "config_apply_ms", defaults.configuration_s
             ),
-            grace_s=float(bounds.get("grace_s", defaults.grace_s)),
-            retry_ratio=float(bounds.get("budget_ratio", defaults.retry_ratio)),
-            retry_window_s=float(
-                bounds.get("budget_window_s", defaults.retry_window_s)
+            grace_s=_get_number(bounds, "grace_s", defaults.grace_s),
+            retry_ratio=_get_number(bounds, "budget_ratio", defaults.retry_ratio),
+            retry_window_s=_get_number(
+                bounds, "budget_window_s", defaults.retry_window_s
             ),
-            retry_slack=float(bounds.get("budget_slack", defaults.retry_slack)),
+            retry_slack=_get_number(bounds, "budget_slack", defaults.retry_slack),
             handover_gap_s=_get_seconds(bounds, "lease_ms", defaults.handover_gap_s),
         ),
     )
 
 
-def _get_seconds(bounds: dict[str, Any], name: str, default_s: float) -> float:
-    value = bounds.get(name)
-    return default_s if value is None else float(value) / 1e3
+def _get_address(fields: dict[str, Any], name: str) -> str:
+    address = str(fields[name])
+    parse_address(address)
+    return address
+
+
+def _get_seconds(fields: dict[str, Any], name: str, default_s: float) -> float:
+    return _get_number(fields, name, default_s * 1e3) / 1e3
+
+
+def _get_number(fields: dict[str, Any], name: str, default: float) -> float:
+    number = float(fields.get(name, default))
+    if not 0 <= number < math.inf:
+        raise ValueError(f"{name} is {number}, not a finite number from 0 on")
+    return number
--- a/src/jasminewalk/platform/store.py
+++ b/src/jasminewalk/platform/store.py
@@ -1,8 +1,5 @@
 """Client of the platform's metadata store."""
 
-import base64
-import binascii
-import struct
 from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib.parse import urlencode
@@ -10,13 +7,31 @@
 import attrs
 import msgspec
 
-from jasminewalk.exceptions import BadMessageError, LogUnavailableError
+from jasminewalk.exceptions import LogUnavailableError
+from jasminewalk.platform._store_records import (
+    MAX_PAGE_RECORDS,
+    MAX_UNREADABLE_MESSAGES,
+    ContentsPage,
+    FirstOffset,
+    KeyedRecord,
+    Membership,
+    RecordsPage,
+    decode_newest_page,
+    decode_newest_record,
+    decode_page,
+    decode_response,
+    encode_record,
+    encode_records,
+    split_page,
+)
 
 __all__ = [
     "CONFIGURATION_KEY",
     "CONFIGURATION_TOPIC",
     "ConflictError",
     "GATEWAYS_TOPIC",
+    "MAX_PAGE_RECORDS",
+    "MAX_UNREADABLE_MESSAGES",
     "QUARANTINE_TOPIC",
     "REGISTRY_TOPIC",
     "KeyedRecord",
@@ -47,20 +62,12 @@
 OK = 200
 GONE = 410
 CONFLICT = 412
-# A record is the length of its content, then one byte with the length of the key, the
-# key and the value. An empty value deletes the key.
-RECORD_LENGTH = struct.Struct(">I")
-# Offsets of the topic's end and of its first record; the latter is not needed here.
-PAGE_HEADER = struct.Struct(">QQ")
 # Longest time of a call in seconds without data from the store, apart from the time
 # that a read asks it to wait.
 CALL_TIMEOUT_S = 0.8
 # Limits of the newest records of all keys together.
 MAX_NEWEST_PAGES = 40
 MAX_NEWEST_BYTES = 32 * 1024 * 1024
-# Limits of one page of records; the records after these are read with the next page.
-MAX_PAGE_RECORDS = 20_000
-MAX_UNREADABLE_MESSAGES = 100
 
 
 class RecordsGoneError(Exception):
@@ -71,54 +78,6 @@
     """A topic does not end where a conditional write expects its end."""
 
 
-@attrs.frozen
-class KeyedRecord:
-    """One record of a keyed topic.
-
-    :param key: key of the record.
-    :param value: value of the record; None if the key was deleted.
-    """
-
-    key: str
-    value: bytes | None
-
-
-@attrs.frozen
-class RecordsPage:
-    """Records read from a keyed topic.
-
-    :param records: records in the order of the topic.
-    :param next_offset: offset from which to continue reading.
-    :param unreadable: error messages about records that could not be decoded and were
-        skipped; not more than ``MAX_UNREADABLE_MESSAGES``.
-    :param size: bytes of the store's responses.
-    :param end: offset of the topic's end; records from ``next_offset`` up to it were
-        not read, because the size of a page is limited. By default there are none.
-    """
-
-    records: tuple[KeyedRecord, ...]
-    next_offset: int
-    unreadable: tuple[str, ...] = ()
-    size: int = 0
-    end: int = attrs.field(
-        default=attrs.Factory(lambda page: page.next_offset, takes_self=True)
-    )
-
-
-@attrs.frozen
-class ContentsPage:
-    """Records read from a topic without keys.
-
-    :param contents: contents of the records in the order of the topic.
-    :param next_offset: offset from which to continue reading.
-    :param end: offset of the topic's end.
-    """
-
-    contents: tuple[bytes, ...]
-    next_offset: int
-    end: int
-
-
 @attrs.frozen
 class GroupMembership:
     """The store's response to a member of a group.
@@ -177,28 +136,26 @@
             if the records never end.
         """
         records: list[KeyedRecord] = []
-        end, after, size, era = None, "", 0, self.era
+        after: str | None = None
+        end, size, era = None, 0, self.era
         for _ in range(MAX_NEWEST_PAGES):
             query = {"topic": topic, "part": PARTITION}
-            if after:
+            if after is not None:
                 query["after"] = after
             body = await self._call(b"GET", "/-/log-newest", query, b"", CALL_TIMEOUT_S)
-            if after and self.era != era:
+            if after is not None and self.era != era:
                 raise LogUnavailableError("store's era changed between two pages")
             era = self.era
             size += len(body)
             if size > MAX_NEWEST_BYTES:
                 raise LogUnavailableError(f"{size} bytes of newest records")
-            document = self._decode_object(body)
-            items = document.get("items")
-            if not isinstance(items, list):
-                raise LogUnavailableError("store response contains no items")
-            records.extend(_decode_newest_record(item) for item in items)
+            page = decode_newest_page(body)
+            records.extend(decode_newest_record(item) for item in page.items)
             # The pages are not one snapshot: a record written while they are read may
             # be in none of them, so the caller continues from the end of the first
             # page.
-            end = int(document.get("end", 0)) if end is None else end
-            if not document.get("has_more") or not items:
+            end = page.end if end is None else end
+            if not page.has_more or not page.items:
                 break
             after = records[-1].key
         else:
@@ -230,7 +187,7 @@
             raise LogUnavailableError(
                 f"store returned status {response.status} to a read of {topic}"
             )
-        return _decode_page(topic, offset, response.body)
+        return decode_page(topic, offset, response.body)
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Write one record of a keyed topic.
@@ -240,7 +197,7 @@
         :param value: value of the record.
         :raises LogUnavailableError: if the store does not confirm the write.
         """
-        await self._append(topic, [_encode_record(key, value)])
+        await self._append(topic, [encode_record(key, value)])
 
     async def put_at(self, topic: str, key: str, value: bytes, offset: int) -> None:
         """Write one record of a keyed topic if the topic ends at an offset.
@@ -252,7 +209,7 @@
         :raises LogUnavailableError: if the store does not confirm the write.
         :raises ConflictError: if the topic ends elsewhere; nothing was written.
         """
-        await self._append(topic, [_encode_record(key, value)], at=offset)
+        await self._append(topic, [encode_record(key, value)], at=offset)
 
     async def append(self, topic: str, contents: list[bytes]) -> None:
         """Write records of a topic without keys, all or none.
@@ -266,9 +223,7 @@
     async def _append(
         self, topic: str, contents: list[bytes], at: int | None = None
     ) -> None:
-        body = b"".join(
-            RECORD_LENGTH.pack(len(content)) + content for content in contents
-        )
+        body = encode_records(contents)
         query = {"topic": topic, "part": PARTITION}
         if at is not None:
             query["at"] = at
@@ -293,15 +248,15 @@
         query = {"topic": topic, "part": PARTITION, "from": offset}
         response = await self._send(b"GET", "/-/log-read", query, b"", CALL_TIMEOUT_S)
         if response.status == GONE:
-            first = self._decode_object(response.body).get("first")
-            if not isinstance(first, int) or first == offset:
+            first = decode_response(response.body, FirstOffset).first
+            if first == offset:
                 raise LogUnavailableError(f"store has no first record of {topic}")
             return ContentsPage((), first, max(first, offset) + 1)
         if response.status != OK:
             raise LogUnavailableError(
                 f"store returned status {response.status} to a read of {topic}"
             )
-        end, contents = _split_page(response.body)
+        end, contents = split_page(response.body)
         return ContentsPage(tuple(contents), offset + len(contents), end)
 
     async def join(
@@ -326,12 +281,9 @@
             }
         )
         response = await self._call(b"POST", "/-/log-join", {}, body, CALL_TIMEOUT_S)
-        document = self._decode_object(response)
-        try:
-            partitions = frozenset(int(row[1]) for row in document["parts"])
-            return GroupMembership(int(document["generation"]), partitions)
-        except (KeyError, TypeError, ValueError, IndexError) as error:
-            raise LogUnavailableError(f"store response to a join: {error!r}") from error
+        document = decode_response(response, Membership)
+        partitions = frozenset(row.partition for row in document.parts)
+        return GroupMembership(document.generation, partitions)
 
     async def leave(self, group: str, member: str) -> None:
         """Leave a group.
@@ -380,70 +332,3 @@
             raise LogUnavailableError(f"store response of era {era} in era {known}")
         self.era = era
         self.on_new_era(known, era)
-
-    def _decode_object(self, body: bytes) -> dict[str, Any]:
-        try:
-            document = msgspec.json.decode(body)
-        except msgspec.DecodeError as error:
-            raise LogUnavailableError(f"store response: {error}") from error
-        if not isinstance(document, dict):
-            raise LogUnavailableError("store response is not a JSON object")
-        return document
-
-
-def _decode_newest_record(item: Any) -> KeyedRecord:
-    try:
-        value = item.get("value")
-        return KeyedRecord(
-            key=str(item["key"]),
-            value=None if value is None else base64.b64decode(value, validate=True),
-        )
-    except (AttributeError, KeyError, TypeError, binascii.Error) as error:
-        raise LogUnavailableError(f"record of the store: {error!r}") from error
-
-
-def _decode_page(topic: str, offset: int, body: bytes) -> RecordsPage:
-    end, contents = _split_page(body)
-    records: list[KeyedRecord] = []
-    unreadable: list[str] = []
-    for content in contents:
-        try:
-            records.append(_decode_record(topic, content))
-        except BadMessageError as error:
-            if len(unreadable) < MAX_UNREADABLE_MESSAGES:
-                unreadable.append(str(error))
-    next_offset = offset + len(contents)
-    return RecordsPage(tuple(records), next_offset, tuple(unreadable), len(body), end)
-
-
-def _split_page(body: bytes) -> tuple[int, list[bytes]]:
-    """Return the offset of the topic's end and the contents of the records."""
-    if len(body) < PAGE_HEADER.size:
-        raise LogUnavailableError("store response is truncated")
-    end, _ = PAGE_HEADER.unpack_from(body)
-    contents: list[bytes] = []
-    position = PAGE_HEADER.size
-    while (
-        position + RECORD_LENGTH.size <= len(body) and len(contents) < MAX_PAGE_RECORDS
-    ):
-        (length,) = RECORD_LENGTH.unpack_from(body, position)
-        position += RECORD_LENGTH.size
-        content = body[position : position + length]
-        if len(content) < length:
-            raise LogUnavailableError("store response is truncated")
-        position += length
-        contents.append(content)
-    return end, contents
-
-
-def _encode_record(key: str, value: bytes) -> bytes:
-    name = key.encode()
-    return bytes([len(name)]) + name + value
-
-
-def _decode_record(topic: str, content: bytes) -> KeyedRecord:
-    if not content or len(content) < 1 + content[0]:
-        raise BadMessageError(f"record of {topic} has no complete key")
-    size = content[0]
-    key = content[1 : 1 + size].decode("utf-8", "replace")
-    return KeyedRecord(key, content[1 + size :] or None)
--- a/src/jasminewalk/scheduling/_response_assembler.py
+++ b/src/jasminewalk/scheduling/_response_assembler.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from jasminewalk.decoding import DECODE_ERRORS
 from jasminewalk.generated_codes import Code
 from jasminewalk.generated_requests import Frame
 
@@ -76,7 +77,7 @@
                 self.error_frame = MALFORMED_FRAME
         try:
             frames = _decode_frames(data)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+        except DECODE_ERRORS:
             frames = self.decode_until_malformed(data)
         return self.process_frames(frames)
 
@@ -89,7 +90,7 @@
         for line in lines.split(b"\n"):
             try:
                 frames.append(_decode_frame(line))
-            except (msgspec.MsgspecError, UnicodeDecodeError):
+            except DECODE_ERRORS:
                 break
         frames.append(MALFORMED_FRAME)
         return frames
--- a/src/jasminewalk/sidecars/sidecar_engine.py
+++ b/src/jasminewalk/sidecars/sidecar_engine.py
@@ -4,10 +4,10 @@
 
 import anyio
 import attrs
-import msgspec
 from absl import logging
 
 from jasminewalk.agreement.fold_events import FoldEvent
+from jasminewalk.decoding import DECODE_ERRORS
 from jasminewalk.exceptions import JasminewalkError
 from jasminewalk.generated_messages import CacheEvents, LoadReport, PoolDemand
 from jasminewalk.generated_requests import EngineState
@@ -154,7 +154,7 @@
         try:
             with anyio.fail_after(self.settings.progress_timeout_s):
                 state = await self.engine.state()
-        except (OSError, JasminewalkError, msgspec.MsgspecError) as error:
+        except (OSError, JasminewalkError, *DECODE_ERRORS) as error:
             self.record_poll_failure(error)
         else:
             self.poll_failures = 0
@@ -183,7 +183,7 @@
     async def poll_cache(self) -> None:
         """Forward the engine's cache events until cancelled."""
         while True:
-            with contextlib.suppress(OSError, JasminewalkError, msgspec.MsgspecError):
+            with contextlib.suppress(OSError, JasminewalkError, *DECODE_ERRORS):
                 with anyio.fail_after(self.settings.progress_timeout_s):
                     await self.read_cache()
             await anyio.sleep(self.settings.report_s)
--- a/src/jasminewalk/sidecars/sidecar_http.py
+++ b/src/jasminewalk/sidecars/sidecar_http.py
@@ -5,6 +5,7 @@
 import msgspec
 from absl import logging
 
+from jasminewalk.decoding import DECODE_ERRORS
 from jasminewalk.exceptions import BadMessageError, JasminewalkError
 from jasminewalk.generated_codes import Code
 from jasminewalk.generated_requests import (
@@ -190,7 +191,7 @@
                 raise JasminewalkError(
                     f"There is no route for {method} {path}.", code=Code.UNKNOWN_PATH
                 )
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise BadMessageError(str(error)) from error
 
     async def cancel(self, path: str, send: Send) -> None:
--- a/src/jasminewalk/standins/_engine_kv.py
+++ b/src/jasminewalk/standins/_engine_kv.py
@@ -5,6 +5,7 @@
 import attrs
 import msgspec
 
+from jasminewalk.decoding import DECODE_ERRORS
 from jasminewalk.exceptions import BadRequestError
 from jasminewalk.standins._engine_steps import Stream
 
@@ -55,7 +56,7 @@
         """
         try:
             handle = msgspec.msgpack.decode(data, type=_KvHandle)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise BadRequestError(str(error)) from error
         self.tokens_by_stream[(handle.request_id, handle.digest)] = handle.tokens
         if len(self.tokens_by_stream) > MAX_IMPORTS:
--- a/src/jasminewalk/transport/_http_call.py
+++ b/src/jasminewalk/transport/_http_call.py
@@ -7,6 +7,7 @@
 import httpcore
 import msgspec
 
+from jasminewalk.decoding import DECODE_ERRORS
 from jasminewalk.exceptions import JasminewalkError
 from jasminewalk.generated_codes import RESULTS, Code
 from jasminewalk.generated_requests import RefusalBody
@@ -176,7 +177,7 @@
     """
     try:
         refusal = _decode_refusal(response.body)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return JasminewalkError(f"The response has status {response.status}.")
     code = Code(refusal.code) if refusal.code in RESULTS else Code.INTERNAL_ERROR
     return JasminewalkError(
@@ -233,7 +234,7 @@
         response = await self.call(method, path, body)
         try:
             return decoder.decode(response.body)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise OSError(str(error)) from error
 
     async def call(self, method: str, path: str, body: bytes = b"") -> HttpResponse:
--- a/src/jasminewalk/transport/codec.py
+++ b/src/jasminewalk/transport/codec.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from jasminewalk import generated_messages, generated_records
+from jasminewalk.decoding import DECODE_ERRORS
 from jasminewalk.exceptions import BadMessageError, UnauthenticatedPeerError
 
 __all__ = [
@@ -76,7 +77,7 @@
             if decoder is None:
                 raise BadMessageError(f"The type number {number} is unknown.")
             return decoder.decode(body)
-        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        except DECODE_ERRORS as error:
             raise BadMessageError(str(error)) from error
 
 
@@ -232,7 +233,7 @@
             raise UnauthenticatedPeerError()
         try:
             sender, incarnation, sequence, payload = self.header_decoder.decode(body)
-        except (msgspec.MsgspecError, ValueError) as error:
+        except DECODE_ERRORS as error:
             raise BadMessageError(str(error)) from error
         return Envelope(
             sender, incarnation, sequence, self.payload_codec.decode(payload)
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -59,6 +59,18 @@
         VALID_SETTINGS.replace("internal_ports = [7660, 7675]", "internal_ports = []"),
         VALID_SETTINGS.replace('front = "10.1.0.35:8144"', ""),
         VALID_SETTINGS.replace("grace_s = 6", 'grace_s = "soon"'),
+        VALID_SETTINGS.replace("grace_s = 6", "grace_s = nan"),
+        VALID_SETTINGS.replace("grace_s = 6", "grace_s = -1"),
+        VALID_SETTINGS.replace("lease_ms = 4000", "lease_ms = inf"),
+        VALID_SETTINGS.replace("max_fds = 4100", "max_fds = inf"),
+        VALID_SETTINGS.replace("[limits]", "[nested]\na = " + "[" * 5000 + "[limits]"),
+        VALID_SETTINGS.replace("[limits]\nmax_fds = 4100", "").replace(
+            "something_new", "limits"
+        ),
+        VALID_SETTINGS.replace("[7660, 7675]", "[76600, 76750]"),
+        VALID_SETTINGS.replace("10.1.0.35:8144", "10.1.0.35:81440"),
+        VALID_SETTINGS.replace("10.200.1.7:8142", "store.example:8142"),
+        VALID_SETTINGS.replace("10.200.1.7:8142", "0.0.0.0:8142"),
     ],
 )
 def test_invalid_settings_error_names_the_file(write_settings, text):
