Conclude a stream's version only from what is up to date

Cause: a gateway concludes from the shares and the registry, as it has read them, which version began a stream that no gateway or origin names. It did not ask whether they are what others know. Ruled out: the start check (the engine is the one listed) and the origins at the store (there is none where the version follows from newer shares).

Change: before it concludes, a gateway has read both topics up to the moment of the question; if the store does not answer, gateways say in their answers how far they have read, and it must have read as far. Reads of a topic are serialized, as pages applied out of order would bring back what has changed. A stream that its caller does not name goes on only if all engines listed have one version.

--- a/src/jasminewalk/gateway/daemon.py
+++ b/src/jasminewalk/gateway/daemon.py
@@ -24,6 +24,7 @@
 from jasminewalk.gateway.planned_stop import Drain, PlannedStop
 from jasminewalk.gateway.quarantine_news import QuarantineExchange
 from jasminewalk.gateway.quarantine_store import QuarantineFollower
+from jasminewalk.gateway.read_check import ReadCheck
 from jasminewalk.gateway.routes import RouteTable
 from jasminewalk.gateway.stage_controller import SESSION_S, StageController
 from jasminewalk.gateway.stage_planner import StagePlanner
@@ -168,6 +169,9 @@
             self.version_shares,
         )
         self.versions.on_moved = self.context.stream_history.store_moved
+        read_check = ReadCheck(self.registry, self.versions)
+        self.context.stream_history.read_check = read_check
+        self.stream_versions.get_read_state = lambda: read_check.announced_state
         self.peer_link = PeerLink(
             self.peers,
             self.configuration,
--- a/src/jasminewalk/gateway/store_follower.py
+++ b/src/jasminewalk/gateway/store_follower.py
@@ -91,6 +91,7 @@
         self.peer_changed_offset = 0
         self.not_before = float("-inf")
         self.on_read: Callable[[], None] = lambda: None
+        self.reading = asyncio.Lock()
 
     async def run(self) -> None:
         """Read the topic whenever that is due, until cancelled."""
@@ -112,6 +113,21 @@
 
         :raises LogUnavailableError: if the store does not answer as expected.
         """
+        # Pages that are applied out of order would bring back what has changed.
+        async with self.reading:
+            await self._read()
+
+    async def read_since(self, asked_at: float) -> None:
+        """Have read all that the store had at a time.
+
+        :param asked_at: the monotonic time in seconds.
+        :raises LogUnavailableError: if the store does not answer as expected.
+        """
+        async with self.reading:
+            if self.read_at < asked_at:
+                await self._read()
+
+    async def _read(self) -> None:
         started_at = self.clock()
         page = None
         if self.offset is not None and self._records_behind <= self.max_records_behind:
--- a/src/jasminewalk/gateway/stream_history.py
+++ b/src/jasminewalk/gateway/stream_history.py
@@ -6,8 +6,9 @@
 import attrs
 
 from jasminewalk.gateway.fleet import Fleet
+from jasminewalk.gateway.read_check import ReadCheck
 from jasminewalk.gateway.stream_origins import StreamOrigin, StreamOriginLog
-from jasminewalk.gateway.stream_versions import StreamVersions
+from jasminewalk.gateway.stream_versions import GatewaysAnswer, StreamVersions
 from jasminewalk.gateway.version_shares import (
     SUPERSEDED_S,
     VersionShares,
@@ -39,6 +40,8 @@
     :param answered: those of them that answered.
     :param store_answered: whether the store answered; None if it was not asked.
     :param versions: versions that may have begun it, as far as the shares tell.
+    :param is_current: whether this gateway knows all versions that others know; None if
+        that did not matter.
     """
 
     version: str = ""
@@ -48,6 +51,7 @@
     answered: int = 0
     store_answered: bool | None = None
     versions: tuple[str, ...] = ()
+    is_current: bool | None = None
 
     @property
     def fields(self) -> dict[str, object]:
@@ -59,6 +63,7 @@
             "gateways_answered": self.answered,
             "store_answered": self.store_answered,
             "versions": self.versions,
+            "is_current": self.is_current,
         }
 
 
@@ -74,6 +79,8 @@
     :param origins: origins of streams in the store.
     :param fleet: the engines.
     :param clock: returns the monotonic time in seconds.
+    :param read_check: tells whether this gateway has missed any versions; None takes
+        what it knows for complete.
     """
 
     def __init__(
@@ -83,12 +90,14 @@
         origins: StreamOriginLog,
         fleet: Fleet,
         clock: Callable[[], float],
+        read_check: ReadCheck | None = None,
     ) -> None:
         self.gateways = gateways
         self.shares = shares
         self.origins = origins
         self.fleet = fleet
         self.clock = clock
+        self.read_check = read_check
         self.unstored: OrderedDict[int, _UnstoredStream] = OrderedDict()
 
     @property
@@ -164,16 +173,22 @@
         :param request_id: id of the attempt that got the first event; empty if the
             caller does not name it.
         """
-        versions = self.list_versions(service)
-        search = StreamSearch(versions=tuple(sorted(versions)))
+        asked_at = self.clock()
+        search, answer = StreamSearch(), None
         if request_id:
-            search = await self._ask(search, request_id)
-        if search.version:
+            search, answer = await self._ask(request_id)
+        if not search.version:
+            search = await self._check_reads(search, asked_at, answer)
+        versions = self.list_versions(service)
+        search = attrs.evolve(search, versions=tuple(sorted(versions)))
+        if search.version or search.is_current is False:
             return search
         now = self.clock()
         if search.store_answered is False and self.shares.are_changing(now, service):
             # It may have begun against its id, which only the store tells.
             return search
+        if not request_id and len(versions) > 1:
+            return search
         key = compute_stream_key(request_id) if request_id else None
         if derived := self.shares.derive(now, service, key):
             return attrs.evolve(search, version=derived, source="shares")
@@ -181,6 +196,21 @@
             return attrs.evolve(search, version=only, source="registry")
         return search
 
+    async def _check_reads(
+        self, search: StreamSearch, asked_at: float, answer: GatewaysAnswer | None
+    ) -> StreamSearch:
+        """Find out whether versions were missed that may have begun a stream."""
+        check = self.read_check
+        if check is None:
+            return search
+        is_current = search.store_answered is not False and (
+            await check.read_since(asked_at)
+        )
+        if not is_current:
+            answer = answer or await self.gateways.ask("")
+            is_current = check.is_in_step(answer)
+        return attrs.evolve(search, is_current=is_current)
+
     def _forget_ended(self, now: float) -> None:
         oldest = now - SUPERSEDED_S
         while self.unstored:
@@ -189,7 +219,7 @@
                 return
             self.unstored.popitem(last=False)
 
-    async def _ask(self, search: StreamSearch, request_id: str) -> StreamSearch:
+    async def _ask(self, request_id: str) -> tuple[StreamSearch, GatewaysAnswer]:
         """Ask gateways for the origin of a stream, then the store."""
         answer = await self.gateways.ask(request_id)
         source, origin, store_answered = "gateways", answer.origin, None
@@ -198,8 +228,7 @@
             key = compute_stream_key(request_id)
             origin, store_answered = await self.origins.find(key)
             source = "store"
-        return attrs.evolve(
-            search,
+        search = StreamSearch(
             version=origin.version if origin else "",
             origin=origin,
             source=source if origin else "",
@@ -207,3 +236,4 @@
             answered=answer.answered,
             store_answered=store_answered,
         )
+        return search, answer
--- a/src/jasminewalk/gateway/stream_versions.py
+++ b/src/jasminewalk/gateway/stream_versions.py
@@ -13,13 +13,13 @@
 import msgspec
 import xxhash
 
-from jasminewalk.decoding import Number, decode_msgpack
+from jasminewalk.decoding import Count, Number, decode_msgpack
 from jasminewalk.exceptions import BadMessageError
 from jasminewalk.gateway.peers import PeerExchange
 from jasminewalk.gateway.stream_origins import StreamOrigin
 from jasminewalk.gateway.version_shares import compute_stream_key
 
-__all__ = ["GatewaysAnswer", "StreamOrigin", "StreamVersions"]
+__all__ = ["GatewaysAnswer", "ReadState", "StreamOrigin", "StreamVersions"]
 
 # Gateways that are told of a stream, and that are asked for one. More are asked, as the
 # asking gateway may not know the same ones.
@@ -35,6 +35,30 @@
 DATAGRAM_MARK = b"\x01"
 
 
+class ReadState(msgspec.Struct, array_like=True, frozen=True):
+    """How far a gateway has read what the store has of engines and versions.
+
+    :param era: era of the store.
+    :param registry: offset in the registry, after the last record that had an effect.
+    :param shares: the same, in the topic of the shares of versions.
+    """
+
+    era: Number
+    registry: Count
+    shares: Count
+
+    def includes(self, other: "ReadState") -> bool:
+        """Return whether a gateway that has read so far knows all that another does.
+
+        :param other: how far the other gateway has read.
+        """
+        return (
+            self.era == other.era
+            and self.registry >= other.registry
+            and self.shares >= other.shares
+        )
+
+
 @attrs.frozen
 class GatewaysAnswer:
     """What gateways know of the beginning of a stream.
@@ -42,11 +66,13 @@
     :param origin: engine that began it; None if no gateway that answered knows it.
     :param asked: other gateways that were asked.
     :param answered: those of them that answered.
+    :param read_states: how far those have read that answered and said so.
     """
 
     origin: StreamOrigin | None = None
     asked: int = 0
     answered: int = 0
+    read_states: tuple[ReadState, ...] = ()
 
 
 class _Began(msgspec.Struct, array_like=True, tag="began", frozen=True):
@@ -67,6 +93,8 @@
     version: str
     engine_id: str
     began_ms: Number
+    # Previous versions of the gateway do not send it.
+    read_state: ReadState | None = None
 
 
 Datagram = _Began | _Question | _Answer
@@ -76,6 +104,7 @@
 class _Waiting:
     result: asyncio.Future[StreamOrigin | None]
     unanswered: int
+    read_states: list[ReadState] = attrs.field(factory=list)
 
 
 class StreamVersions:
@@ -94,6 +123,7 @@
         self.ring: list[tuple[int, str]] = []
         self.ring_changes = -1
         self.send: Callable[[str, bytes], None] = lambda address, data: None
+        self.get_read_state: Callable[[], ReadState | None] = lambda: None
 
     def record(self, request_id: str, origin: StreamOrigin) -> None:
         """Record which engine began a stream, and tell other gateways at once.
@@ -138,7 +168,12 @@
             origin = None
         finally:
             del self.waiting[number]
-        return GatewaysAnswer(origin, len(keepers), len(keepers) - waiting.unanswered)
+        return GatewaysAnswer(
+            origin,
+            len(keepers),
+            len(keepers) - waiting.unanswered,
+            tuple(waiting.read_states),
+        )
 
     def receive(self, data: bytes) -> bool:
         """Handle a datagram of another gateway; return False if it can't be read.
@@ -161,7 +196,11 @@
     def _answer(self, question: _Question) -> None:
         origin = self._get(question.key) or StreamOrigin("", "", 0)
         answer = _Answer(
-            question.number, origin.version, origin.engine_id, origin.began_ms
+            question.number,
+            origin.version,
+            origin.engine_id,
+            origin.began_ms,
+            self.get_read_state(),
         )
         if any(peer.address == question.address for peer in self.peers.list_live()):
             self.send(question.address, _encode(answer))
@@ -171,6 +210,8 @@
         if waiting is None or waiting.result.done():
             return
         waiting.unanswered -= 1
+        if message.read_state is not None:
+            waiting.read_states.append(message.read_state)
         if message.version:
             waiting.result.set_result(
                 StreamOrigin(message.version, message.engine_id, message.began_ms)
