Keep decoders and parsed addresses of gateways' messages

A gateway of the large site sends and gets some 600 datagrams a second. A read before a version is concluded goes on to the end of the topic, also if one page does not hold it.

--- a/src/jasminewalk/decoding.py
+++ b/src/jasminewalk/decoding.py
@@ -1,6 +1,6 @@
 """Decode bytes of other writers, of which any may be malformed."""
 
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
 
@@ -42,16 +42,18 @@
         raise _build_error(subject, error) from error
 
 
-def decode_msgpack(data: bytes, kind: Any, subject: str) -> Any:
+def decode_msgpack(
+    data: bytes, decoder: msgspec.msgpack.Decoder[Decoded], subject: str
+) -> Decoded:
     """Decode a msgpack document.
 
     :param data: the document.
-    :param kind: type of the document, or a union of types.
+    :param decoder: decoder of its type.
     :param subject: what the document is, for the error.
     :raises BadMessageError: if the document is malformed or not of the type.
     """
     try:
-        return msgspec.msgpack.decode(data, type=kind)
+        return decoder.decode(data)
     except DECODE_ERRORS as error:
         raise _build_error(subject, error) from error
 
--- a/src/jasminewalk/gateway/peer_message.py
+++ b/src/jasminewalk/gateway/peer_message.py
@@ -72,13 +72,15 @@
     versions: TopicProgress | None = None
 
 
+_decoder = msgspec.msgpack.Decoder(PeerMessage)
+
+
 def decode_peer_message(data: bytes) -> PeerMessage | None:
     """Decode a datagram; return None if it is not a valid message.
 
     :param data: payload of the datagram.
     """
     try:
-        message: PeerMessage = decode_msgpack(data, PeerMessage, "peer message")
+        return decode_msgpack(data, _decoder, "peer message")
     except BadMessageError:
         return None
-    return message
--- a/src/jasminewalk/gateway/store_follower.py
+++ b/src/jasminewalk/gateway/store_follower.py
@@ -124,7 +124,7 @@
         :raises LogUnavailableError: if the store does not answer as expected.
         """
         async with self.reading:
-            if self.read_at < asked_at:
+            while self.read_at < asked_at or self._records_behind:
                 await self._read()
 
     async def _read(self) -> None:
--- a/src/jasminewalk/gateway/stream_origins.py
+++ b/src/jasminewalk/gateway/stream_origins.py
@@ -54,6 +54,9 @@
     began_ms: Number
 
 
+_decoder = msgspec.msgpack.Decoder(_StoredOrigin)
+
+
 @attrs.define(eq=False)
 class _Write:
     content: bytes
@@ -191,7 +194,7 @@
 
     def _remember(self, content: bytes) -> None:
         try:
-            stored = decode_msgpack(content, _StoredOrigin, "origin of a stream")
+            stored = decode_msgpack(content, _decoder, "origin of a stream")
         except BadMessageError as error:
             self.log.warning("origin_unreadable", reason=str(error))
             return
--- a/src/jasminewalk/gateway/stream_versions.py
+++ b/src/jasminewalk/gateway/stream_versions.py
@@ -181,7 +181,7 @@
         :param data: payload, with the mark.
         """
         try:
-            message = decode_msgpack(data[len(DATAGRAM_MARK) :], Datagram, "datagram")
+            message = decode_msgpack(data[len(DATAGRAM_MARK) :], _decoder, "datagram")
         except BadMessageError:
             return False
         if isinstance(message, _Began):
@@ -247,5 +247,8 @@
         return [address for _, address in following]
 
 
+_decoder = msgspec.msgpack.Decoder(Datagram)
+
+
 def _encode(message: Datagram) -> bytes:
     return DATAGRAM_MARK + msgspec.msgpack.encode(message)
--- a/src/jasminewalk/platform/addresses.py
+++ b/src/jasminewalk/platform/addresses.py
@@ -1,5 +1,6 @@
 """Addresses on the platform, which has no names for them."""
 
+from functools import lru_cache
 from ipaddress import IPv4Address
 
 from jasminewalk.exceptions import BadMessageError
@@ -26,6 +27,7 @@
     return host, int(port)
 
 
+@lru_cache(maxsize=4096)
 def parse_peer_address(text: str) -> tuple[str, int]:
     """Return the IPv4 address and the port of a single process.
 
