Soak planned stops with callers that keep their connections

Here 20 callers keep theirs until they end, three gateways are stopped in turn, some before the one before is back, and get SIGHUP meanwhile. Checked: no request that was passed on, or sent 0.2 s or more before its connection ended, is cut before its deadline; gateways end in their grace period; promises hold.

--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 soak: env
 	$(BIN)/python tests/soak.py $(ARGS)
 	$(BIN)/python tests/gateway_soak.py $(ARGS)
+	$(BIN)/python tests/stop_soak.py $(ARGS)
 	$(BIN)/python tests/crash_soak.py $(ARGS)
 	$(BIN)/python tests/version_soak.py $(ARGS)
 
