Stop only gateways that are back in the soak of planned stops

The soak now counts a gateway as stoppable once it is ready again, and reports the first error of nested groups. The bounds are as they were.

--- a/tests/stop_soak.py
+++ b/tests/stop_soak.py
@@ -102,6 +102,8 @@
             for number in range(2)
         ]
         self.gateways = []
+        # Gateways that were stopped and are not back yet.
+        self.starting = set()
         self.requests = []
         self.stops = 0
 
@@ -160,8 +162,8 @@
             while self.now() < ends_at:
                 gateway = self.gateways[number % len(self.gateways)]
                 number += 1
-                if not gateway.stopping:
-                    gateway.stopping = True
+                if gateway not in self.starting:
+                    self.starting.add(gateway)
                     group.create_task(self.restart(gateway))
                 await asyncio.sleep(self.random.uniform(*STOP_INTERVAL_S))
 
@@ -177,6 +179,7 @@
             raise ViolationError(f"{gateway.name} ended: {gateway.process.returncode}")
         gateway.start()
         await self.wait_until_ready(gateway)
+        self.starting.discard(gateway)
 
     async def hang_up(self, ends_at):
         while self.now() < ends_at:
@@ -261,6 +264,13 @@
                 raise ViolationError(f"{sent} ran {run_count} times")
 
 
+def find_first(error):
+    """Return the first error in nested groups of errors."""
+    while isinstance(error, ExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
 def run_stop_soak(seed, duration=12.0, logs=""):
     """Run one seed and return the counts of what happened.
 
@@ -272,7 +282,7 @@
         try:
             return asyncio.run(StopSoak(seed, duration, directory).run())
         except ExceptionGroup as group:
-            raise group.exceptions[0] from group
+            raise find_first(group) from group
 
 
 def main(seed=1, seeds=1, duration=12.0, logs=""):
