Log and export for how long the registry was not read

A gateway that sends requests to an engine that left may have missed the change because its reads failed, or have read it in time and given the entry grace. store_regained now has the seconds for which neither this gateway nor a peer had read the topic, topic_read those since its own read before, and jasminewalk_registry_age_seconds shows the age of what a gateway knows of the engines. No decision changes.

--- a/src/jasminewalk/gateway/daemon.py
+++ b/src/jasminewalk/gateway/daemon.py
@@ -151,6 +151,9 @@
         self.registry.on_recovery = lambda: self.fleet.record_store_recovery(
             self.clock()
         )
+        self.metrics.registry_age.set_function(
+            lambda: self.registry.compute_unread_s(self.clock())
+        )
         self.gateways = GatewaysFollower(self.store, self.log, self.clock, self.peers)
         self.quarantines = QuarantineFollower(
             self.store,
--- a/src/jasminewalk/gateway/metrics.py
+++ b/src/jasminewalk/gateway/metrics.py
@@ -47,6 +47,12 @@
             registry=self.registry,
         )
 
+        self.registry_age = Gauge(
+            "jasminewalk_registry_age_seconds",
+            "Since this gateway or a peer last read the registry of engines.",
+            registry=self.registry,
+        )
+
     def record_response(self, route: str, status: int, seconds: float) -> None:
         """Count a response that was relayed completely.
 
--- a/src/jasminewalk/gateway/store_follower.py
+++ b/src/jasminewalk/gateway/store_follower.py
@@ -129,7 +129,7 @@
 
     async def _read(self) -> None:
         started_at = self.clock()
-        page = None
+        former_at, page = self.read_at, None
         if self.offset is not None and self._records_behind <= self.max_records_behind:
             page = await self._read_changes(self.offset)
         apply_page = self.apply_changes
@@ -144,7 +144,7 @@
             self.changed_offset = page.next_offset
         self._forget_missing_offsets(page.end)
         self._log_read(
-            page, fetched_at - started_at, self.clock() - fetched_at, changed
+            page, fetched_at - started_at, self.clock() - fetched_at, changed, former_at
         )
         for detail in page.unreadable:
             self.log.warning("record_unreadable", topic=self.topic, detail=detail)
@@ -208,6 +208,13 @@
             return TopicProgress(-1, self.changed_offset)
         return TopicProgress(int((now - self.read_at) * 1e3), self.changed_offset)
 
+    def compute_unread_s(self, now: float) -> float:
+        """Return the seconds since this gateway or a peer last read the topic.
+
+        :param now: current monotonic time in seconds.
+        """
+        return now - max(self.read_at, self.peer_read_at)
+
     @property
     def announced_era(self) -> int:
         """Era of the store that its progress is of, as peers are told."""
@@ -244,6 +251,7 @@
             )
 
     def _record_success(self, started_at: float) -> None:
+        unread_s = self.compute_unread_s(self.clock())
         # The page holds what the store had when the call began, however long its
         # transfer took.
         self.read_at = started_at
@@ -254,12 +262,18 @@
                 topic=self.topic,
                 outage_s=round(outage_s, 2),
                 failed_reads=self.failed_reads,
+                unread_s=_round_seconds(unread_s),
             )
             self.failing_since, self.failed_reads = None, 0
             self.on_recovery()
 
     def _log_read(
-        self, page: RecordsPage, fetch_s: float, apply_s: float, changed: bool
+        self,
+        page: RecordsPage,
+        fetch_s: float,
+        apply_s: float,
+        changed: bool,
+        former_at: float,
     ) -> None:
         if not changed and fetch_s + apply_s < SLOW_READ_S:
             return
@@ -271,6 +285,7 @@
             bytes=page.size,
             fetch_ms=round(fetch_s * 1e3),
             apply_ms=round(apply_s * 1e3),
+            since_read_s=_round_seconds(self.clock() - former_at),
         )
 
     async def _wait_until_due(self) -> None:
@@ -391,3 +406,7 @@
             changed = True
             self.log.info(event.event, **event.fields)
         return changed
+
+
+def _round_seconds(seconds: float) -> float | None:
+    return round(seconds, 2) if seconds < float("inf") else None
--- a/tests/test_gateway_store_follower.py
+++ b/tests/test_gateway_store_follower.py
@@ -282,6 +282,24 @@
     assert [line["failed_reads"] for line in failed] == [*range(2, 11), 20, 30]
     [regained] = read_lines(log, written, "store_regained")
     assert regained["failed_reads"] == 35
+    assert regained["unread_s"] is None
+
+
+@pytest.mark.anyio
+async def test_regained_store_is_logged_with_the_time_without_any_read(
+    follower, store, clock, log, written
+):
+    store.newest = RecordsPage((make_record(3),), 4, size=16)
+    await follower.read_once()
+    clock.advance(1.0)
+    follower.record_peer_progress(clock.now_s, TopicProgress(0, 4))
+    follower._record_failure(LogUnavailableError("no response"))
+    clock.advance(0.25)
+    store.changes = [RecordsPage((make_record(5),), 5)]
+    await follower.read_once()
+    [regained] = read_lines(log, written, "store_regained")
+    assert regained["unread_s"] == 0.25
+    assert read_lines(log, written, "topic_read")[-1]["since_read_s"] == 1.25
 
 
 @pytest.mark.anyio
