Show that failed registry reads send requests to engines that left, listed as known red

Three gateway processes, engines that leave by their entry, one after the other and overlapping, and reads of the registry that fail beside it.

--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,7 @@
 	$(BIN)/python tests/stop_soak.py $(ARGS)
 	$(BIN)/python tests/crash_soak.py $(ARGS)
 	$(BIN)/python tests/version_soak.py $(ARGS)
+	$(BIN)/python tests/drain_soak.py $(ARGS)
 
 measure: env
 	$(BIN)/jasminewalk measure $(ARGS)
