Give entries grace only after an outage in which they can lapse

Callers' requests reached engines up to 2.8 s after these had removed their entries, if one read of the registry was refused, reset or cut beside it (DRAIN). The first read after any failed one counted as the end of an outage of the store, and entries that were missing then had two seconds to come back. That time is for running engines whose entries lapse while nobody can write them. An entry lapses after three heartbeats, the last of which came up to one before the outage, so one of less than two heartbeats removes none. What counts is the time since this gateway or a peer last read the registry; a gateway whose calls alone fail sees from its peers that there is no outage, and one whose peer reads first after a real one still gives the grace.

--- a/src/jasminewalk/gateway/daemon.py
+++ b/src/jasminewalk/gateway/daemon.py
@@ -73,7 +73,7 @@
         self.clock: Callable[[], float] = time.monotonic
         self.started_ms = int(time.time() * 1e3)
         self.log = DecisionLog(self.settings.name, self.clock)
-        self.fleet = Fleet()
+        self.fleet = Fleet(self.settings.heartbeat_s)
         self.clients = EngineClients(self.fleet, self.clock)
         self.clients.on_event = self._log_engine_event
         self.metrics = GatewayMetrics()
@@ -148,8 +148,8 @@
             self.store, self.log, self.clock, self._apply_configuration
         )
         self.registry = RegistryFollower(self.store, self.log, self.clock, self.fleet)
-        self.registry.on_recovery = lambda: self.fleet.record_store_recovery(
-            self.clock()
+        self.registry.on_recovery = lambda unread_s: self.fleet.record_store_recovery(
+            self.clock(), unread_s
         )
         self.metrics.registry_age.set_function(
             lambda: self.registry.compute_unread_s(self.clock())
--- a/src/jasminewalk/gateway/engine_list.py
+++ b/src/jasminewalk/gateway/engine_list.py
@@ -14,12 +14,16 @@
     EngineEntry,
     decode_engine_entry,
 )
+from jasminewalk.platform.settings import DEFAULT_HEARTBEAT_S
 from jasminewalk.platform.store import KeyedRecord
 
 __all__ = ["EngineList", "FleetEvent"]
 
 # After an outage of the store, running engines register again within this many seconds.
 RELISTING_GRACE_S = 2.0
+# Heartbeats for which an outage must last before the entry of a running engine can
+# lapse in it: an entry lapses after three, and the last one came up to one before.
+MIN_OUTAGE_HEARTBEATS = 2
 # Seconds for which the state of an engine that is gone is kept, in case that the same
 # incarnation is listed again.
 GONE_KEPT_S = 60.0
@@ -57,9 +61,13 @@
 
 
 class EngineList:
-    """Engines of the registry, by id, and the changes of their entries."""
+    """Engines of the registry, by id, and the changes of their entries.
 
-    def __init__(self) -> None:
+    :param heartbeat_s: seconds between two writes of an engine's entry.
+    """
+
+    def __init__(self, heartbeat_s: float = DEFAULT_HEARTBEAT_S) -> None:
+        self.heartbeat_s = heartbeat_s
         self.engines: dict[str, EngineState] = {}
         self.services: dict[str, Service] = {}
         self.gone: dict[str, EngineState] = {}
@@ -137,12 +145,18 @@
             traits = self._get_engine_traits(engine.entry.service)
             engine.cache.capacity_tokens = traits.kv_cache_tokens if traits else 0
 
-    def record_store_recovery(self, now: float) -> None:
-        """Record the end of an outage of the store.
+    def record_store_recovery(self, now: float, unread_s: float) -> None:
+        """Record that the registry is read again after a read that failed.
+
+        Only an outage in which entries of running engines can lapse gives these time
+        to be written again.
 
         :param now: current monotonic time in seconds.
+        :param unread_s: seconds for which neither this gateway nor a peer had read the
+            registry; infinite if none had before.
         """
-        self.store_recovered_at = now
+        if MIN_OUTAGE_HEARTBEATS * self.heartbeat_s <= unread_s < float("inf"):
+            self.store_recovered_at = now
 
     def record_new_era(self, now: float) -> None:
         """Record that the store came back from an older copy.
@@ -151,7 +165,7 @@
 
         :param now: current monotonic time in seconds.
         """
-        self.record_store_recovery(now)
+        self.store_recovered_at = now
         self.reads_older_copy = True
 
     def apply_snapshot(
--- a/src/jasminewalk/gateway/store_follower.py
+++ b/src/jasminewalk/gateway/store_follower.py
@@ -84,7 +84,7 @@
         self.end_offset = 0
         self.failing_since: float | None = None
         self.failed_reads = 0
-        self.on_recovery: Callable[[], None] = lambda: None
+        self.on_recovery: Callable[[float], None] = lambda unread_s: None
         self.read_at = float("-inf")
         self.peer_read_at = float("-inf")
         self.changed_offset = 0
@@ -192,7 +192,11 @@
         if era != self.announced_era:
             return
         if progress.read_ms_ago >= 0:
+            unread_s = self.compute_unread_s(now)
             self.peer_read_at = max(self.peer_read_at, now - progress.read_ms_ago / 1e3)
+            if self.failing_since is not None and self.compute_unread_s(now) < unread_s:
+                # Otherwise the read of this peer would hide the outage it follows.
+                self.on_recovery(unread_s)
         self.peer_changed_offset = max(
             self.peer_changed_offset, progress.changed_offset
         )
@@ -265,7 +269,7 @@
                 unread_s=_round_seconds(unread_s),
             )
             self.failing_since, self.failed_reads = None, 0
-            self.on_recovery()
+            self.on_recovery(unread_s)
 
     def _log_read(
         self,
--- a/src/jasminewalk/platform/settings.py
+++ b/src/jasminewalk/platform/settings.py
@@ -11,10 +11,17 @@
 from jasminewalk.exceptions import BadMessageError, BadSettingsError
 from jasminewalk.platform.addresses import parse_address, parse_peer_address
 
-__all__ = ["InstanceSettings", "SafetyBounds", "load_settings", "get_settings_path"]
+__all__ = [
+    "DEFAULT_HEARTBEAT_S",
+    "InstanceSettings",
+    "SafetyBounds",
+    "get_settings_path",
+    "load_settings",
+]
 
 SETTINGS_PATH_VARIABLE = "JASMINEWALK_CONFIG"
 DEFAULT_SETTINGS_PATH = "/etc/jasminewalk/local.toml"
+DEFAULT_HEARTBEAT_S = 1.2
 
 
 @attrs.frozen
@@ -55,6 +62,7 @@
     :param store_address: ``host:port`` of the metadata store.
     :param store_session_s: shortest session of a group member that the store accepts,
         in seconds.
+    :param heartbeat_s: seconds between two writes of an engine's registry entry.
     :param max_open_files: maximum number of file descriptors that the process may open.
     :param bounds: limits on the behaviour of the system.
     """
@@ -67,6 +75,7 @@
     readiness_address: str
     store_address: str
     store_session_s: float = 1.0
+    heartbeat_s: float = DEFAULT_HEARTBEAT_S
     max_open_files: int = 1024
     bounds: SafetyBounds = attrs.field(factory=SafetyBounds)
 
@@ -120,6 +129,7 @@
         readiness_address=_get_address(document["listen"], "ready"),
         store_address=store_address,
         store_session_s=_get_seconds(document["platform"], "ttl_min_ms", 1.0),
+        heartbeat_s=_get_seconds(document, "heartbeat_ms", DEFAULT_HEARTBEAT_S),
         max_open_files=int(document.get("limits", {}).get("max_fds", 1024)),
         bounds=SafetyBounds(
             drain_s=_get_seconds(bounds, "drain_ms", defaults.drain_s),
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -83,15 +83,22 @@
 
 
 def test_entry_missing_after_an_outage_expires_after_the_grace_time(fleet):
-    fleet.record_store_recovery(10.0)
+    fleet.record_store_recovery(10.0, 6.0)
     list(fleet.apply_snapshot(10.5, [make_record("i-2")]))
     assert list_usable_ids(fleet, 11.9) == ["i-1", "i-2"]
     assert list_usable_ids(fleet, 12.0) == ["i-2"]
     assert [event.event for event in fleet.expire(12.0)] == ["engine_gone"]
 
 
+@pytest.mark.parametrize("unread_s", [0.05, 0.9, 2.3, float("inf")])
+def test_entry_missing_after_a_failed_read_is_gone_at_once(fleet, unread_s):
+    fleet.record_store_recovery(10.0, unread_s)
+    list(fleet.apply_changes(10.1, [KeyedRecord("i-1", None)]))
+    assert list_usable_ids(fleet, 10.1) == ["i-2"]
+
+
 def test_entry_that_returns_within_the_grace_time_is_kept(fleet):
-    fleet.record_store_recovery(10.0)
+    fleet.record_store_recovery(10.0, 6.0)
     list(fleet.apply_snapshot(10.5, [make_record("i-2")]))
     list(fleet.apply_changes(11.0, [make_record("i-1")]))
     assert list_usable_ids(fleet, 13.0) == ["i-1", "i-2"]
--- a/tests/test_gateway_store_follower.py
+++ b/tests/test_gateway_store_follower.py
@@ -225,6 +225,56 @@
     assert follower.changed_offset == 3
 
 
+ENTRY = {
+    "service": "app",
+    "address": "10.0.0.9:8000",
+    "zone": "north",
+    "slots": 16,
+    "state": "ready",
+}
+
+
+@pytest.fixture
+async def registry(store, log, clock):
+    registry = RegistryFollower(store, log, clock.monotonic, Fleet(heartbeat_s=1.0))
+    registry.on_recovery = lambda unread_s: registry.fleet.record_store_recovery(
+        clock.monotonic(), unread_s
+    )
+    records = [KeyedRecord(f"i-{n}", json.dumps(ENTRY).encode()) for n in range(2)]
+    store.newest = RecordsPage(tuple(records), 2)
+    await registry.read_once()
+    store.changes = [RecordsPage((KeyedRecord("i-0", None),), 3)]
+    return registry
+
+
+def list_usable_ids(registry, now):
+    usable = registry.fleet.list_usable("app", now)
+    return sorted(engine.entry.engine_id for engine in usable)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("failures", [1, 3])
+async def test_failed_reads_while_a_peer_reads_are_no_outage(registry, clock, failures):
+    for _ in range(failures):
+        clock.advance(1.4)
+        registry._record_failure(LogUnavailableError("status 429"))
+        registry.record_peer_progress(clock.now_s, TopicProgress(100, 2))
+    await registry.read_once()
+    assert list_usable_ids(registry, clock.now_s) == ["i-1"]
+
+
+@pytest.mark.anyio
+async def test_peer_that_reads_first_after_an_outage_does_not_hide_it(registry, clock):
+    registry._record_failure(LogUnavailableError("no response"))
+    clock.advance(6.0)
+    registry.record_peer_progress(clock.now_s, TopicProgress(0, 3))
+    clock.advance(0.4)
+    registry.record_peer_progress(clock.now_s, TopicProgress(0, 3))
+    await registry.read_once()
+    assert list_usable_ids(registry, clock.now_s) == ["i-0", "i-1"]
+    assert list_usable_ids(registry, 8.0) == ["i-1"]
+
+
 def read_lines(log, written, event):
     log.flush()
     lines = [json.loads(line) for line in b"".join(written).splitlines()]
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -10,6 +10,7 @@
 zone = "north"
 ip = "10.1.0.35"
 internal_ports = [7660, 7675]
+heartbeat_ms = 900
 something_new = true
 [listen]
 front = "10.1.0.35:8144"
@@ -44,6 +45,7 @@
     assert settings.failure_domain == "north"
     assert settings.peer_port == 7660
     assert settings.store_session_s == 1.5
+    assert settings.heartbeat_s == 0.9
     assert settings.bounds.drain_s == 2.5
     assert settings.bounds.grace_s == 6.0
     assert settings.bounds.retry_ratio == 0.1
