--- a/src/jasminewalk/gateway/engine_list.py
+++ b/src/jasminewalk/gateway/engine_list.py
@@ -200,6 +200,8 @@
             try:
                 entry = decode_engine_entry(record.key, record.value)
             except BadMessageError as error:
+                if record.key in self.engines:
+                    self.engines[record.key].unreadable = True
                 yield FleetEvent("entry_unreadable", record.key, str(error))
                 continue
             yield from self._update_entry(now, entry)
@@ -226,6 +228,7 @@
             for engine in self.engines.values()
             if engine.entry.service == service
             and not engine.leaving
+            and not engine.unreadable
             and (engine.expires_at is None or now < engine.expires_at)
             and engine.held_until <= now
         ]
@@ -267,7 +270,8 @@
         self, known: EngineState, entry: EngineEntry
     ) -> Iterator[FleetEvent]:
         known.expires_at, known.held_until = None, float("-inf")
-        if known.entry == entry:
+        was_unreadable, known.unreadable = known.unreadable, False
+        if known.entry == entry and not was_unreadable:
             return
         if known.entry.stage != entry.stage:
             known.changing_until = 0.0
--- a/src/jasminewalk/gateway/engine_state.py
+++ b/src/jasminewalk/gateway/engine_state.py
@@ -71,6 +71,8 @@
     :param failures: consecutive failures, not counting any while it is avoided.
     :param expires_at: monotonic time at which an engine without a registry entry is
         dropped; None while it has one.
+    :param unreadable: whether its newest entry can't be read, so that it names no
+        engine to use.
     :param changing_until: monotonic time up to which a change of its stage makes it
         unavailable.
     :param last_progress_at: monotonic time at which it last sent this gateway any data.
@@ -101,6 +103,7 @@
     start_confirmed_at: float = float("-inf")
     failures: int = 0
     expires_at: float | None = None
+    unreadable: bool = False
     changing_until: float = 0.0
     last_progress_at: float = float("-inf")
     residence_s: float = DEFAULT_RESIDENCE_S
@@ -123,8 +126,8 @@
 
     @property
     def may_end(self) -> bool:
-        """Whether its process may end by itself: it is leaving, or has no entry."""
-        return self.leaving or self.expires_at is not None
+        """Whether its process may end by itself: it leaves, or no entry names it."""
+        return self.leaving or self.unreadable or self.expires_at is not None
 
     @property
     def requests(self) -> int:
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -74,14 +74,24 @@
     assert list_usable_ids(fleet, 1.0) == ["i-2"]
 
 
-def test_unreadable_entry_is_ignored(fleet):
+def test_engine_whose_entry_can_not_be_read_gets_nothing_until_it_writes_again(fleet):
     events = list(
         fleet.apply_changes(1.0, [KeyedRecord("i-1", b"\xff"), make_record("i-3")])
     )
     assert [event.event for event in events] == ["entry_unreadable", "engine_listed"]
+    assert list_usable_ids(fleet) == ["i-2", "i-3"]
+    assert fleet.engines["i-1"].may_end
+    (event,) = fleet.apply_changes(2.0, [make_record("i-1")])
+    assert event.event == "engine_changed"
     assert list_usable_ids(fleet) == ["i-1", "i-2", "i-3"]
 
 
+def test_entry_that_can_not_be_read_among_all_entries_names_no_engine(fleet):
+    records = [KeyedRecord("i-1", b"\xff"), make_record("i-2")]
+    list(fleet.apply_snapshot(1.0, records))
+    assert list_usable_ids(fleet) == ["i-2"]
+
+
 def test_entry_missing_after_an_outage_expires_after_the_grace_time(fleet):
     fleet.record_store_recovery(10.0, 6.0)
     list(fleet.apply_snapshot(10.5, [make_record("i-2")]))
