Repeat a read of the store that has no response

A read of the registry whose answer was lost held up the next one for 0.8 s; two in a row let requests reach draining and removed engines up to 3.1 s after their entries said so (DRAIN). A configuration is read in the same way, with the same bound. A read without the head of a response is now sent once more after 0.3 s, over another connection, and again after 0.6 s; the first response counts. Writes are not repeated, nor is a read whose response arrives, as a slow link would then carry it twice. While the store answers in time, it costs no call.

--- a/src/jasminewalk/gateway/store_connections.py
+++ b/src/jasminewalk/gateway/store_connections.py
@@ -18,6 +18,10 @@
 
 # Timeout in seconds of a new connection to the store.
 CONNECT_TIMEOUT_S = 0.5
+# Seconds without a response after which a read is sent once more, over another
+# connection, and how often that is done. A write may have been executed.
+REPEAT_READ_AFTER_S = 0.3
+MAX_READ_REPEATS = 2
 # Timeout in seconds of a whole call; ample for a configuration of megabytes on the
 # slowest link.
 MAX_CALL_S = 10.0
@@ -52,8 +56,9 @@
     ) -> StoreResponse:
         """Send one call and return the response.
 
-        A response may take longer than the timeout as long as data keeps arriving,
-        because a slow link needs more than that for a large one.
+        A read without a response is repeated; the first response counts. It may take
+        longer than the timeout as long as data keeps arriving, because a slow link
+        needs more than that for a large one.
 
         :param method: HTTP method.
         :param target: path and query.
@@ -63,29 +68,95 @@
         """
         headers = [(b"host", self.address.encode()), (b"connection", b"close")]
         request = encode_request(method, target.encode(), headers, body)
-        exchange = Exchange(max_body_bytes=MAX_BODY_BYTES)
+        repeats = MAX_READ_REPEATS if method == b"GET" else 0
+        attempts = [_Attempt(self, request, timeout_s)]
         try:
             async with asyncio.timeout(MAX_CALL_S):
-                return await self._send(request, exchange, timeout_s)
+                while True:
+                    wait_s = REPEAT_READ_AFTER_S if len(attempts) <= repeats else None
+                    ended = await _wait_for_first(attempts, wait_s)
+                    if ended is not None:
+                        return await ended.task
+                    if not any(attempt.has_response for attempt in attempts):
+                        attempts.append(_Attempt(self, request, timeout_s))
+                    else:
+                        repeats = 0
         except ExchangeBrokenError as error:
-            reason = f"store: {error.reason} after {exchange.body_bytes} bytes"
+            reason = f"store: {error.reason} after {_count_bytes(attempts)} bytes"
             raise LogUnavailableError(reason) from error
         except TimeoutError as error:
-            reason = f"store: no response in time, {exchange.body_bytes} bytes received"
+            size = _count_bytes(attempts)
+            reason = f"store: no response in time, {size} bytes received"
             raise LogUnavailableError(reason) from error
+        finally:
+            for attempt in attempts:
+                attempt.task.cancel()
 
-    async def _send(
-        self, request: bytes, exchange: Exchange, timeout_s: float
-    ) -> StoreResponse:
+
+class _Attempt:
+    """One attempt at a call, over a connection of its own.
+
+    :param connections: the store's address and limits.
+    :param request: the encoded request.
+    :param timeout_s: longest time in seconds without data from the store.
+    """
+
+    def __init__(
+        self, connections: StoreConnections, request: bytes, timeout_s: float
+    ) -> None:
+        self.connections = connections
+        self.request = request
+        self.timeout_s = timeout_s
+        self.exchange = Exchange(max_body_bytes=MAX_BODY_BYTES)
+        self.task = asyncio.ensure_future(self._send())
+
+    @property
+    def has_response(self) -> bool:
+        """Whether the head of the response has arrived."""
+        return self.exchange.response is not None
+
+    async def _send(self) -> StoreResponse:
         connection = await connect(
-            self.address, CONNECT_TIMEOUT_S, self.clock, self.budget
+            self.connections.address,
+            CONNECT_TIMEOUT_S,
+            self.connections.clock,
+            self.connections.budget,
         )
         try:
-            connection.send(request, exchange)
-            async with asyncio.timeout(timeout_s):
-                response = await exchange.head()
-            body = await exchange.body(timeout_s)
+            connection.send(self.request, self.exchange)
+            async with asyncio.timeout(self.timeout_s):
+                response = await self.exchange.head()
+            body = await self.exchange.body(self.timeout_s)
             era = decode_store_era(response.headers)
             return StoreResponse(response.status, body, era)
         finally:
             connection.abort()
+
+
+async def _wait_for_first(
+    attempts: list[_Attempt], wait_s: float | None
+) -> _Attempt | None:
+    """Return the first attempt that succeeded, or the last one if all failed.
+
+    Return None if neither is so after a time.
+
+    :param attempts: attempts at the same call.
+    :param wait_s: seconds to wait at most; None waits until one of both is so.
+    """
+    deadline = None if wait_s is None else asyncio.get_running_loop().time() + wait_s
+    while True:
+        ended = [attempt for attempt in attempts if attempt.task.done()]
+        successes = [attempt for attempt in ended if attempt.task.exception() is None]
+        if successes or len(ended) == len(attempts):
+            return (successes or ended)[-1]
+        pending = [attempt.task for attempt in attempts if not attempt.task.done()]
+        left_s = None
+        if deadline is not None:
+            left_s = deadline - asyncio.get_running_loop().time()
+            if left_s <= 0:
+                return None
+        await asyncio.wait(pending, timeout=left_s, return_when=asyncio.FIRST_COMPLETED)
+
+
+def _count_bytes(attempts: list[_Attempt]) -> int:
+    return max(attempt.exchange.body_bytes for attempt in attempts)
--- a/tests/test_gateway_store_connections.py
+++ b/tests/test_gateway_store_connections.py
@@ -6,6 +6,7 @@
 
 from jasminewalk.exceptions import LogUnavailableError
 from jasminewalk.gateway.store_connections import StoreConnections
+from jasminewalk.http1 import CallerServer
 from jasminewalk.platform.store import StoreResponse
 
 pytestmark = pytest.mark.anyio
@@ -63,6 +64,50 @@
             await connections.call(b"GET", "/-/log-newest", b"", TIMEOUT_S)
 
 
+@pytest.fixture
+async def silent_store(free_address):
+    """Serve a store that answers no call before the third, and each in two parts."""
+    targets = []
+
+    async def handle(connection, request):
+        targets.append(request.target)
+        if len(targets) < 3:
+            await asyncio.sleep(30.0)
+        connection.start_stream(200, [])
+        connection.send_chunk(b"m")
+        await asyncio.sleep(0.4)
+        connection.send_chunk(b"e")
+        connection.end_stream()
+
+    server = CallerServer(handle, asyncio.get_running_loop().time, print, print)
+    await server.listen(free_address)
+    yield targets
+    server.stop_listening()
+
+
+async def test_read_without_a_response_is_repeated(silent_store, free_address):
+    connections = StoreConnections(free_address, asyncio.get_running_loop().time)
+    asked_at = asyncio.get_running_loop().time()
+    response = await connections.call(b"GET", "/-/log-read", b"", 0.8)
+    assert response == StoreResponse(200, b"me")
+    assert 1.0 <= asyncio.get_running_loop().time() - asked_at < 1.3
+    assert len(silent_store) == 3
+
+
+async def test_write_without_a_response_is_not_repeated(silent_store, free_address):
+    connections = StoreConnections(free_address, asyncio.get_running_loop().time)
+    with pytest.raises(LogUnavailableError, match="no response in time"):
+        await connections.call(b"POST", "/-/log-append", b"", 0.8)
+    assert len(silent_store) == 1
+
+
+async def test_repeats_of_a_read_end_with_it(silent_store, free_address):
+    connections = StoreConnections(free_address, asyncio.get_running_loop().time)
+    with pytest.raises(LogUnavailableError, match="no response in time"):
+        await connections.call(b"GET", "/-/log-read", b"", 0.1)
+    assert len(silent_store) == 1
+
+
 async def test_later_calls_go_to_a_changed_address(store, free_address):
     connections = StoreConnections("127.0.0.1:1", asyncio.get_running_loop().time)
     with pytest.raises(LogUnavailableError, match="connect failed"):
