--- a/tests/test_gateway_store_connections.py
+++ b/tests/test_gateway_store_connections.py
@@ -56,6 +56,7 @@
         await reader.readuntil(b"\r\n\r\n")
         head = b"HTTP/1.1 200 OK\r\nx-jasminewalk-request-id: a\r\n"
         writer.write(head + b"content-length: 2\r\n\r\nme")
+        writer.close()
 
     host, _, port = free_address.rpartition(":")
     connections = StoreConnections(free_address, asyncio.get_running_loop().time)
