Tell peers that an entry which was missing is back

After an outage in which the entries of all engines lapsed, some gateways refused all requests for two seconds and more though the engines were listed again. A gateway reads the registry only if no peer has read it lately, or if a peer announces a change. The peer that read the entries again, within their grace, found them the same as before and announced none, so that the other gateways let the grace run out and had no engine. The return of an entry that was missing, unreadable or held now counts as a change.

--- a/src/jasminewalk/gateway/engine_list.py
+++ b/src/jasminewalk/gateway/engine_list.py
@@ -269,9 +269,11 @@
     def _change_entry(
         self, known: EngineState, entry: EngineEntry
     ) -> Iterator[FleetEvent]:
+        was_listed = known.expires_at is None and not known.unreadable
+        was_held = known.held_until > float("-inf")
         known.expires_at, known.held_until = None, float("-inf")
-        was_unreadable, known.unreadable = known.unreadable, False
-        if known.entry == entry and not was_unreadable:
+        known.unreadable = False
+        if known.entry == entry and was_listed and not was_held:
             return
         if known.entry.stage != entry.stage:
             known.changing_until = 0.0
@@ -285,6 +287,7 @@
         self, now: float, engine: EngineState, entry: EngineEntry
     ) -> Iterator[FleetEvent]:
         self.engines[entry.engine_id] = engine
+        engine.expires_at = None
         yield from self._change_entry(engine, entry)
         if self.reads_older_copy:
             engine.held_until = now + RELISTED_HOLD_S
