Let a gateway that can't read the registry learn from peers which engines left

Gateways now tell each other the engines that drain by their entry, and for ten seconds those that have no usable entry any more, with the offset up to which that was read. The latter counts only in the same era, and against a gateway that has read less; an entry that it reads later lists the engine again.

--- a/src/jasminewalk/gateway/engine_list.py
+++ b/src/jasminewalk/gateway/engine_list.py
@@ -27,6 +27,8 @@
 # Seconds for which the state of an engine that is gone is kept, in case that the same
 # incarnation is listed again.
 GONE_KEPT_S = 60.0
+# Seconds for which peers are told that an engine is gone.
+GONE_ANNOUNCED_S = 10.0
 # Seconds for which an engine that was gone is left alone when the store comes back from
 # an older copy that still lists it. If it is alive, it writes its entry again by then;
 # if not, the store removes the entry again.
@@ -206,6 +208,30 @@
                 continue
             yield from self._update_entry(now, entry)
 
+    def list_unlisted(self, now: float) -> list[EngineState]:
+        """Return the engines that no entry names any more, the latest first.
+
+        :param now: current monotonic time in seconds.
+        """
+        gone = [
+            engine
+            for engine in reversed(self.gone.values())
+            if now - (engine.expires_at or 0.0) < GONE_ANNOUNCED_S
+        ]
+        return gone + [engine for engine in self.engines.values() if engine.unreadable]
+
+    def drop_unlisted(self, now: float, keys: set[int]) -> Iterator[FleetEvent]:
+        """Drop engines that a peer found to have no entry; later entries list them.
+
+        :param now: current monotonic time in seconds.
+        :param keys: keys of the engines.
+        """
+        for engine_id, engine in self.engines.items():
+            if engine.key in keys:
+                engine.expires_at = now
+                yield FleetEvent("engine_missing", engine_id, "a peer has read so")
+        yield from self.expire(now)
+
     def expire(self, now: float) -> Iterator[FleetEvent]:
         """Drop engines whose entry is still missing when their time is over.
 
--- a/src/jasminewalk/gateway/peer_link.py
+++ b/src/jasminewalk/gateway/peer_link.py
@@ -219,6 +219,9 @@
             for event in chain(
                 self.exchange.apply_limits(now, message),
                 self.exchange.apply_leaving(message),
+                self.exchange.apply_unlisted(
+                    now, message, self.registry.announced_era, self.registry.offset
+                ),
             ):
                 self.log.info(
                     event.event,
--- a/src/jasminewalk/gateway/peer_message.py
+++ b/src/jasminewalk/gateway/peer_message.py
@@ -20,10 +20,13 @@
 
     :param read_ms_ago: milliseconds since its last read; negative if unknown.
     :param changed_offset: offset after the last record that had an effect.
+    :param read_offset: offset up to which it has read; 0 if unknown.
     """
 
     read_ms_ago: Number = -1
     changed_offset: Count = 0
+    # Previous versions of the gateway do not send it.
+    read_offset: Count = 0
 
 
 class PeerMessage(msgspec.Struct, array_like=True, frozen=True):
@@ -44,11 +47,13 @@
     :param outcomes: engine, requests that ended and failed since the last message.
     :param limits: engine, its limit in requests per 1,000 seconds or -1 for none, and
         milliseconds since that was observed.
-    :param leaving: engines that said in a response that they are leaving.
+    :param leaving: engines that said in a response or their entry that they leave.
     :param store_era: era of the store in which it has read the topics.
     :param quarantine: what it knows of prompt parts that crash engines, if anything.
     :param versions: how far it has read the shares of versions; None if it does not
         begin streams by them.
+    :param unlisted: engines that the registry lately named and, as far as it was read,
+        names no more.
     """
 
     node: str
@@ -70,6 +75,7 @@
     store_era: Number = UNKNOWN_ERA
     quarantine: QuarantineNews | None = None
     versions: TopicProgress | None = None
+    unlisted: list[Count] = []
 
 
 _decoder = msgspec.msgpack.Decoder(PeerMessage)
--- a/src/jasminewalk/gateway/peers.py
+++ b/src/jasminewalk/gateway/peers.py
@@ -48,6 +48,8 @@
 MESSAGES_PER_SPEEDS = 5
 # Smallest prompt part that is announced, in tokens.
 MIN_ANNOUNCED_TOKENS = 1000
+# Maximum number of engines without an entry that one message announces.
+MAX_ANNOUNCED_UNLISTED = 200
 # Maximum seconds for which an announced change of stage makes an engine unavailable.
 MAX_CHANGE_S = 8.0
 # Maximum number of prefills that one message announces.
@@ -206,11 +208,15 @@
             outcomes=self._collect_outcomes(),
             limits=self._collect_limits(now),
             leaving=[
-                compute_engine_key(engine) for engine in engines if engine.said_leaving
+                compute_engine_key(engine) for engine in engines if engine.leaving
             ],
             store_era=store_era,
             quarantine=quarantine,
             versions=versions,
+            unlisted=[
+                compute_engine_key(engine)
+                for engine in self.fleet.list_unlisted(now)[:MAX_ANNOUNCED_UNLISTED]
+            ],
         )
         return msgspec.msgpack.encode(message)
 
@@ -368,6 +374,24 @@
                 if event is not None:
                     yield event
 
+    def apply_unlisted(
+        self, now: float, message: PeerMessage, era: int, offset: int | None
+    ) -> Iterator[FleetEvent]:
+        """Drop the engines that a peer found unlisted where it has read on further.
+
+        This gateway may be unable to read the registry. What it has read itself holds
+        against a peer that has read less.
+
+        :param now: current monotonic time in seconds.
+        :param message: the message.
+        :param era: era of the store in which this gateway has read the registry.
+        :param offset: offset up to which it has; None if it has not.
+        """
+        read_offset = message.registry.read_offset
+        is_further = offset is not None and read_offset > offset
+        if message.unlisted and is_further and message.store_era == era:
+            yield from self.fleet.drop_unlisted(now, set(message.unlisted))
+
     def drop_silent_peers(self, now: float) -> Iterator[str]:
         """Drop the loads and speeds of silent peers, and yield their names.
 
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -182,6 +182,54 @@
     assert not other.fleet.list_usable("app", 1.0)
 
 
+def build_registry_news(fleet, now, read_offset, era=1):
+    exchange = PeerExchange("front-1", "h:1", 1, fleet)
+    registry = TopicProgress(0, read_offset, read_offset)
+    data = exchange.build_message(now, TopicProgress(), registry, era)
+    return decode_peer_message(data)
+
+
+def test_engine_that_drains_by_its_entry_is_announced():
+    fleet = make_fleet()
+    list(fleet.apply_changes(1.0, [make_entry_record("app-0", state="draining")]))
+    other = PeerExchange("front-2", "h:2", 1, make_fleet())
+    list(other.fleet.apply_changes(1.0, [make_entry_record("app-0")]))
+    [event] = other.apply_leaving(build_registry_news(fleet, 1.0, 1))
+    assert event.event == "engine_leaving"
+    assert not other.fleet.list_usable("app", 1.0)
+
+
+@pytest.mark.parametrize(
+    ("era", "offset", "is_dropped"),
+    [(1, 6, True), (1, 7, False), (1, 8, False), (2, 6, False), (1, None, False)],
+)
+@pytest.mark.parametrize("value", [None, b"?"], ids=["removed", "unreadable"])
+def test_engine_without_an_entry_is_dropped_if_a_peer_has_read_further(
+    value, era, offset, is_dropped
+):
+    fleet = make_fleet()
+    list(fleet.apply_changes(1.0, [make_entry_record("app-0")]))
+    list(fleet.apply_changes(2.0, [KeyedRecord("app-0", value)]))
+    other = PeerExchange("front-2", "h:2", 1, make_fleet())
+    list(other.fleet.apply_changes(1.0, [make_entry_record("app-0")]))
+    message = build_registry_news(fleet, 2.1, 7)
+    events = list(other.apply_unlisted(2.1, message, era, offset))
+    assert bool(other.fleet.list_usable("app", 2.1)) is not is_dropped
+    assert [event.event for event in events] == (
+        ["engine_missing", "engine_gone"] if is_dropped else []
+    )
+    list(other.fleet.apply_changes(2.2, [make_entry_record("app-0")]))
+    assert other.fleet.list_usable("app", 2.2)
+
+
+def test_engine_that_is_gone_for_long_is_not_announced():
+    fleet = make_fleet()
+    list(fleet.apply_changes(1.0, [make_entry_record("app-0")]))
+    list(fleet.apply_changes(2.0, [KeyedRecord("app-0", None)]))
+    assert len(build_registry_news(fleet, 11.9, 7).unlisted) == 1
+    assert not build_registry_news(fleet, 12.1, 7).unlisted
+
+
 def test_message_of_the_previous_version_names_no_leaving_engines():
     fleet = make_fleet(make_engine("app-0", service="app"))
     data = PeerExchange("front-1", "h:1", 1, fleet).build_message(
