Let only numbered events of the next engine into a stream that has begun

A stream had begun and broke off. The splitter took each block that ends with a blank line for an event, and those without an id for comments. After an event with an id it now takes only comments and events whose id follows; anything else breaks the attempt off. A stream whose events have no ids is not sent to another engine any more, as that one began it again from the start.

tests/test_broken_responses.py, a gateway process and engines: 6 of 11 second responses got through before (an event without an id, text, JSON, the head of a response in two ways, an id that is no number), and a stream without ids was joined with its repeat; none does now. An error with its status, a refusal, an event out of order and a cut head did not get through before either.

Responses were cut after each third byte, by a close and by a reset, on a plain route that may be repeated, one that may not, and a stream: no caller got a success that looked whole.

--- a/src/jasminewalk/gateway/event_stream.py
+++ b/src/jasminewalk/gateway/event_stream.py
@@ -20,7 +20,7 @@
 
 
 class InvalidStreamError(Exception):
-    """An event is too long, or there are more events than the caller asked for."""
+    """An event is too long, has no place in its stream, or is one too many."""
 
 
 class OutOfOrderError(InvalidStreamError):
@@ -40,6 +40,8 @@
     :param max_id: highest number that may be an event's id; None is unlimited.
     :param surplus: number of events without an id or that the caller already has.
     :param searched: position in the buffer before which no event ends.
+    :param has_unnumbered: whether an event other than a comment had no id, so that
+        nothing tells where another engine would go on.
     """
 
     last_id: bytes = b""
@@ -47,6 +49,7 @@
     max_id: int | None = None
     surplus: int = 0
     searched: int = 0
+    has_unnumbered: bool = False
 
     def feed(self, data: bytes) -> list[bytes]:
         """Return the events that the next bytes of the stream complete.
@@ -56,8 +59,9 @@
 
         :param data: next bytes of the stream.
         :raises OutOfOrderError: if an event is missing.
-        :raises InvalidStreamError: if an event or its id is too long, the id too high,
-            or too many events have none.
+        :raises InvalidStreamError: if an event or its id is too long, the id too high
+            or no number after one, or if an event has none after one that has, or too
+            many have none.
         """
         self.buffer += data
         events: list[bytes] = []
@@ -92,6 +96,7 @@
     def _accept(self, event: bytes) -> bool:
         match = EVENT_ID.search(event)
         if match is None:
+            self._check_unnumbered(event)
             self._count_surplus()
             return True
         event_id = match.group(1).strip()
@@ -100,7 +105,9 @@
         numbered = event_id.isdigit()
         if numbered and self.max_id is not None and int(event_id) > self.max_id:
             raise InvalidStreamError(f"event {event_id!r} after {self.max_id}")
-        if numbered and self.last_id.isdigit():
+        if self.last_id.isdigit():
+            if not numbered:
+                raise InvalidStreamError(f"event {event_id!r} after {self.last_id!r}")
             step = int(event_id) - int(self.last_id)
             if step <= 0:
                 self._count_surplus()
@@ -110,6 +117,14 @@
         self.last_id = event_id
         return True
 
+    def _check_unnumbered(self, event: bytes) -> None:
+        if all(not line or line.startswith(b":") for line in event.splitlines()):
+            return
+        # It may be an error of the engine, or the head of a response.
+        if self.last_id:
+            raise InvalidStreamError(f"event without an id after {self.last_id!r}")
+        self.has_unnumbered = True
+
     def _count_surplus(self) -> None:
         self.surplus += 1
         repeated = int(self.last_id) if self.last_id.isdigit() else 0
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -164,11 +164,15 @@
         return await self._attempt(engine, estimate, priority)
 
     def _try_resume(self, result: StreamAttemptResult) -> bool:
-        if result is StreamAttemptResult.BROKEN and not self.route.resumable:
+        if result is StreamAttemptResult.BROKEN and not self._is_resumable:
             return False
         granted, self.retry_reserved = self.retry_reserved, False
         return granted or (self.remaining_s > MIN_SEND_TIME_S and self.try_take_retry())
 
+    @property
+    def _is_resumable(self) -> bool:
+        return self.route.resumable and not self.splitter.has_unnumbered
+
     def try_reserve_retry(self) -> bool:
         """Return whether a running stream may be abandoned for another engine.
 
@@ -176,7 +180,7 @@
         """
         if not self.retry_reserved:
             self.retry_reserved = (
-                self.route.resumable
+                self._is_resumable
                 and self.remaining_s > MIN_SEND_TIME_S
                 and self.choose_decode_engine() is not None
                 and self.try_take_retry()
