--- a/src/jasminewalk/gateway/metrics.py
+++ b/src/jasminewalk/gateway/metrics.py
@@ -46,7 +46,6 @@
             "Version of the configuration in force.",
             registry=self.registry,
         )
-
         self.registry_age = Gauge(
             "jasminewalk_registry_age_seconds",
             "Since this gateway or a peer last read the registry of engines.",
