--- a/tests/drain_soak.py
+++ b/tests/drain_soak.py
@@ -69,6 +69,8 @@
     "one_lost": ("lose", "first_gateway"),
     "outage": ("outage", "none"),
 }
+# Events of the gateways' logs that are printed if a run fails, by their beginnings.
+LOGGED_CHANGES = ("store_", "topic_read", "engine_", "entry_", "refused", "failed")
 REFUSED_FOR_S = 0.9
 # Seconds between two engines that leave while reads are refused for long.
 LONG_LEAVE_INTERVAL_S = (1.6, 2.6)
@@ -357,6 +359,17 @@
             return asyncio.run(soak.run())
         except ExceptionGroup as group:
             raise find_first(group) from group
+        except ViolationError:
+            print_changes(directory)
+            raise
+
+
+def print_changes(directory):
+    """Print what the gateways logged of their reads and of the engines' entries."""
+    for path in sorted(directory.glob("*.log")):
+        for line in path.read_text(encoding="utf-8").splitlines():
+            if any(f'"event":"{event}' in line for event in LOGGED_CHANGES):
+                print(line)
 
 
 def main(seed=1, seeds=1, trouble="all", duration=12.0, logs="", ways=WAYS):
