--- a/src/jasminewalk/agreement/log_appender.py
+++ b/src/jasminewalk/agreement/log_appender.py
@@ -54,8 +54,8 @@
 
     @property
     def is_available(self) -> bool:
-        """Whether neither reads nor appends have failed for some time."""
-        return not self.follower.in_outage and not self.writer.in_outage
+        """Whether the latest reads and appends succeeded."""
+        return self.follower.is_reachable and not self.writer.in_outage
 
     def submit(self, append: AppendRecord) -> None:
         """Queue a record to append.
--- a/src/jasminewalk/agreement/log_follower.py
+++ b/src/jasminewalk/agreement/log_follower.py
@@ -16,9 +16,6 @@
 __all__ = ["FoldListener", "LogFollower"]
 
 PAGE_RECORDS = 1000
-# Longest waits of a read without a successful one after which a failure of the next is
-# an outage.
-OUTAGE_POLL_WAITS = 2
 
 
 class FoldListener(ABC):
@@ -82,17 +79,6 @@
         """Whether the last read of the log succeeded."""
         return self.last_read_s > float("-inf") and not self.failing
 
-    @property
-    def in_outage(self) -> bool:
-        """Whether the last read failed, and none has succeeded for some time.
-
-        A single lost response is no outage, because calls that need the log are
-        refused in one.
-        """
-        silence_s = self.clock.monotonic() - self.last_read_s
-        max_silence_s = OUTAGE_POLL_WAITS * self.settings.poll_wait_s
-        return not self.is_reachable and silence_s >= max_silence_s
-
     def request_read(self) -> None:
         """Read the log at once, even if a feed arrived recently."""
         self.read_requested.set()
--- a/src/jasminewalk/ingress/entry.py
+++ b/src/jasminewalk/ingress/entry.py
@@ -42,6 +42,7 @@
 MAX_PLATFORM_CONNECTIONS = 8
 # The balancer may send new requests until it sees that the entry is not ready.
 LISTENER_CLOSE_DELAY_S = 0.3
+OUTAGE_POLL_WAITS = 2
 DEMAND_INTERVAL_HEARTBEATS = 2
 
 
@@ -310,8 +311,16 @@
         return self.has_configuration and not self.stopping
 
     def is_log_reachable(self) -> bool:
-        """Return whether the log responded recently."""
-        return self.follower is not None and not self.follower.in_outage
+        """Return whether the log responded recently.
+
+        A single lost response does not make the log unreachable, because calls that
+        need the log are refused while it is.
+        """
+        if self.follower is None:
+            return False
+        silence_s = self.clock.monotonic() - self.follower.last_read_s
+        max_silence_s = OUTAGE_POLL_WAITS * self.settings.log.poll_wait_s
+        return self.follower.is_reachable or silence_s < max_silence_s
 
     def get_status(self) -> EntryStatus:
         """Return the entry's state."""
