Announce how far the registry was read in a field of its own

Gateways of the version before get the progress of a topic with two numbers, as they know it; a third one inside it changed the bytes of each message. The offset up to which a gateway has read the registry now follows the message's other fields, like all that was added before.

--- a/src/jasminewalk/gateway/peer_link.py
+++ b/src/jasminewalk/gateway/peer_link.py
@@ -180,6 +180,7 @@
             self.registry.announced_era,
             self.crash_watch.build_news(),
             self.versions.compute_progress(now),
+            self.registry.offset,
         )
         for address in self.exchange.list_recipients(now):
             self.send(address, data)
--- a/src/jasminewalk/gateway/peer_message.py
+++ b/src/jasminewalk/gateway/peer_message.py
@@ -20,13 +20,10 @@
 
     :param read_ms_ago: milliseconds since its last read; negative if unknown.
     :param changed_offset: offset after the last record that had an effect.
-    :param read_offset: offset up to which it has read; 0 if unknown.
     """
 
     read_ms_ago: Number = -1
     changed_offset: Count = 0
-    # Previous versions of the gateway do not send it.
-    read_offset: Count = 0
 
 
 class PeerMessage(msgspec.Struct, array_like=True, frozen=True):
@@ -52,6 +49,7 @@
     :param quarantine: what it knows of prompt parts that crash engines, if anything.
     :param versions: how far it has read the shares of versions; None if it does not
         begin streams by them.
+    :param registry_offset: offset up to which it has read the registry; 0 if unknown.
     :param unlisted: engines that the registry lately named and, as far as it was read,
         names no more.
     """
@@ -75,6 +73,7 @@
     store_era: Number = UNKNOWN_ERA
     quarantine: QuarantineNews | None = None
     versions: TopicProgress | None = None
+    registry_offset: Count = 0
     unlisted: list[Count] = []
 
 
--- a/src/jasminewalk/gateway/peers.py
+++ b/src/jasminewalk/gateway/peers.py
@@ -165,6 +165,7 @@
         store_era: int = UNKNOWN_ERA,
         quarantine: QuarantineNews | None = None,
         versions: TopicProgress | None = None,
+        registry_offset: int | None = None,
     ) -> bytes:
         """Build the next message to the other gateways, and decay the failure rates.
 
@@ -175,6 +176,7 @@
         :param quarantine: what it knows of prompt parts that crash engines, if
             anything.
         :param versions: how far this gateway has read the shares of versions.
+        :param registry_offset: offset up to which it has read the registry, if it has.
         """
         self.number += 1
         self._decay_failure_rates(now)
@@ -213,6 +215,7 @@
             store_era=store_era,
             quarantine=quarantine,
             versions=versions,
+            registry_offset=registry_offset or 0,
             unlisted=[
                 compute_engine_key(engine)
                 for engine in self.fleet.list_unlisted(now)[:MAX_ANNOUNCED_UNLISTED]
@@ -387,8 +390,7 @@
         :param era: era of the store in which this gateway has read the registry.
         :param offset: offset up to which it has; None if it has not.
         """
-        read_offset = message.registry.read_offset
-        is_further = offset is not None and read_offset > offset
+        is_further = offset is not None and message.registry_offset > offset
         if message.unlisted and is_further and message.store_era == era:
             yield from self.fleet.drop_unlisted(now, set(message.unlisted))
 
--- a/src/jasminewalk/gateway/store_follower.py
+++ b/src/jasminewalk/gateway/store_follower.py
@@ -209,9 +209,8 @@
         if self.offset is None or self.failing_since is not None:
             return TopicProgress()
         if self.end_offset > self.offset:
-            return TopicProgress(-1, self.changed_offset, self.offset)
-        read_ms_ago = int((now - self.read_at) * 1e3)
-        return TopicProgress(read_ms_ago, self.changed_offset, self.offset)
+            return TopicProgress(-1, self.changed_offset)
+        return TopicProgress(int((now - self.read_at) * 1e3), self.changed_offset)
 
     def compute_unread_s(self, now: float) -> float:
         """Return the seconds since this gateway or a peer last read the topic.
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -184,8 +184,10 @@
 
 def build_registry_news(fleet, now, read_offset, era=1):
     exchange = PeerExchange("front-1", "h:1", 1, fleet)
-    registry = TopicProgress(0, read_offset, read_offset)
-    data = exchange.build_message(now, TopicProgress(), registry, era)
+    registry = TopicProgress(0, read_offset)
+    data = exchange.build_message(
+        now, TopicProgress(), registry, era, registry_offset=read_offset
+    )
     return decode_peer_message(data)
 
 
--- a/tests/test_gateway_store_follower.py
+++ b/tests/test_gateway_store_follower.py
@@ -133,7 +133,7 @@
     await follower.read_once()
     await follower.read_once()
     assert follower._is_due(READ_JITTER_S)
-    assert follower.compute_progress(clock.monotonic()) == TopicProgress(-1, 5, 5)
+    assert follower.compute_progress(clock.monotonic()) == TopicProgress(-1, 5)
 
 
 @pytest.mark.anyio
@@ -194,7 +194,7 @@
     store.newest = RecordsPage((make_record(3),), 4)
     await follower.read_once()
     clock.advance(0.25)
-    assert follower.compute_progress(clock.monotonic()) == TopicProgress(250, 4, 4)
+    assert follower.compute_progress(clock.monotonic()) == TopicProgress(250, 4)
     follower._record_failure(LogUnavailableError("down"))
     assert follower.compute_progress(clock.monotonic()) == TopicProgress()
 
--- a/tests/test_wire_bytes.py
+++ b/tests/test_wire_bytes.py
@@ -105,10 +105,18 @@
     fields = msgspec.msgpack.decode(written)
     message = decode_peer_message(written)
     assert isinstance(message, PeerMessage)
-    added = ("limits", "leaving", "store_era", "quarantine", "versions")
+    added = (
+        "limits",
+        "leaving",
+        "store_era",
+        "quarantine",
+        "versions",
+        "registry_offset",
+        "unlisted",
+    )
     assert PeerMessage.__struct_fields__[len(fields) :] == added
     assert msgspec.msgpack.encode(message) == msgspec.msgpack.encode(
-        [*fields, [], [], -1, None, None]
+        [*fields, [], [], -1, None, None, 0, []]
     )
 
 
@@ -128,6 +136,8 @@
         limits=[(1, 4000, 250)],
         leaving=[1],
         store_era=4,
+        registry_offset=7,
+        unlisted=[2],
         quarantine=QuarantineNews([(1, 20, {"a": 80})], ["b"], [(["c"], 3, 60, 60)]),
     )
     received = msgspec.msgpack.decode(
