--- a/src/jasminewalk/gateway/holder_lease.py
+++ b/src/jasminewalk/gateway/holder_lease.py
@@ -1,13 +1,13 @@
-"""Lease on stage orders, held by one gateway at a time."""
+"""Lease on one duty, such as stage orders, held by one gateway at a time."""
 
 import attrs
 
 from jasminewalk.platform.store import GroupMembership
 
-__all__ = ["HolderLease"]
+__all__ = ["HOLDER_PARTITION", "USAGE_PARTITION", "HolderLease"]
 
-# The member of the group that is assigned this partition holds the lease.
-HOLDER_PARTITION = 0
+# The member of the group that is assigned a duty's partition holds its lease.
+HOLDER_PARTITION, USAGE_PARTITION = 0, 1
 # Fencing numbers of one era of the store; its groups count generations, which go back
 # when the store comes back from an older copy.
 FENCING_NUMBERS_PER_ERA = 1_000_000
@@ -17,7 +17,7 @@
 
 @attrs.define
 class HolderLease:
-    """Decides whether this process may send orders to engines.
+    """Decides whether this process may send orders to engines, or do another duty.
 
     The store assigns the partition to another member only after this one left, learned
     of the change, or did not renew for a whole session. A new holder waits for the
@@ -36,6 +36,7 @@
     :param valid_until: time up to which the lease may be used unless it is renewed.
     :param era: era of the store that the lease is of.
     :param usable_from: time from which no holder of an older era can use its lease.
+    :param partition: partition of the group's topic that stands for the duty.
     """
 
     session_s: float
@@ -45,6 +46,7 @@
     valid_until: float = float("-inf")
     era: int = 0
     usable_from: float = float("-inf")
+    partition: int = HOLDER_PARTITION
 
     @property
     def fencing_number(self) -> int:
@@ -77,7 +79,7 @@
         if received_at > self.valid_until:
             self.held_since = None
         self.generation = membership.generation
-        if HOLDER_PARTITION in membership.partitions:
+        if self.partition in membership.partitions:
             if self.held_since is None:
                 self.held_since = received_at
             self.valid_until = requested_at + USABLE_SESSION_SHARE * self.session_s
--- a/src/jasminewalk/gateway/peer_membership.py
+++ b/src/jasminewalk/gateway/peer_membership.py
@@ -136,6 +136,33 @@
             for node, peer in self.peers.items()
         )
 
+    def list_first(self, now: float, count: int) -> list[tuple[str, str]]:
+        """Return the names and addresses of the first live gateways by name.
+
+        :param now: current monotonic time in seconds.
+        :param count: number of gateways; fewer if fewer are live.
+        """
+        timeout_s = self.silence_timeout_s
+        live = [
+            (node, peer.address)
+            for node, peer in self.peers.items()
+            if now - peer.received_at < timeout_s
+        ]
+        return sorted([*live, (self.node, self.address)])[:count]
+
+    def list_starts(self, now: float) -> dict[str, int]:
+        """Return the start of each live gateway in Unix milliseconds, by its name.
+
+        :param now: current monotonic time in seconds.
+        """
+        timeout_s = self.silence_timeout_s
+        starts = {
+            node: peer.started_ms
+            for node, peer in self.peers.items()
+            if now - peer.received_at < timeout_s
+        }
+        return {**starts, self.node: self.started_ms}
+
     def is_outdated(self, now: float, peer: Peer, started_ms: int, number: int) -> bool:
         """Return whether a message of a peer is not newer than what it said before.
 
--- a/src/jasminewalk/platform/store.py
+++ b/src/jasminewalk/platform/store.py
@@ -42,6 +42,7 @@
     "StoreResponse",
     "StoreTransport",
     "STREAMS_TOPIC",
+    "USAGE_TOPIC",
     "VERSIONS_TOPIC",
 ]
 
@@ -57,6 +58,8 @@
 VERSIONS_TOPIC = "keyed.versions"
 # Written by the gateways, without keys: streams and the versions that began them.
 STREAMS_TOPIC = "streams"
+# Written by the gateways, without keys: the usage of organisations that is reported.
+USAGE_TOPIC = "usage"
 # These topics have a single partition.
 PARTITION = 0
 OK = 200
