--- a/src/jasminewalk/gateway/admission.py
+++ b/src/jasminewalk/gateway/admission.py
@@ -15,6 +15,8 @@
 # Engine priority of requests that will miss their objective; 0 is served first, so they
 # run after all requests that can still meet theirs.
 LATE_PRIORITY = 8
+# Engine priority of requests in time whose organisation has used more than its share.
+OVER_SHARE_PRIORITY = 7
 # Engine priority of a stream that its caller already has part of.
 RESUMED_PRIORITY = 0
 # Engine priorities of requests that can meet their objective; 0 is left to resumed
@@ -41,8 +43,8 @@
     """Decision to refuse a generation without running it.
 
     :param retry_after_s: seconds after which a retry is expected to be admitted.
-    :param limit: limit that was exceeded: ``wait`` until the prefill, or
-        ``first_token``.
+    :param limit: limit that was exceeded: ``wait`` until the prefill,
+        ``first_token``, or the ``share`` of the organisation.
     :param needed_s: predicted seconds that the limit is compared with.
     :param allowed_s: seconds that the limit allows.
     """
@@ -80,6 +82,9 @@
     :param late_wait_per_prefill: the same limit as a multiple of the request's own
         prefill, if that is longer. A long prompt misses its objective after a wait that
         a short one can bear, so one limit for all would refuse long prompts alone.
+    :param over_share_wait: longest wait of a request whose organisation has used more
+        than its share, as a share of the time to its objective. The rest of that time
+        is left to the others, for whom its work counts as waiting.
     :param late_disaggregated_share: largest share of the time to the deadline that a
         late request may use until its first token, if its prefill runs on a separate
         engine.
@@ -90,6 +95,7 @@
     max_wait_busy_s: float = 0.3
     max_wait_s: float = 1.2
     late_wait_per_prefill: float = 1.0
+    over_share_wait: float = 0.3
     late_disaggregated_share: float = 0.45
     late_local_share: float = 0.12
 
@@ -104,6 +110,8 @@
         *,
         disaggregated: bool,
         busy: bool,
+        organisation_rank: int | None = None,
+        over_share: bool = False,
     ) -> AdmissionDecision:
         """Decide whether to admit a generation.
 
@@ -116,11 +124,21 @@
         :param rank: rank of its route; 0 is the most urgent.
         :param disaggregated: whether prefill and decode run on different engines.
         :param busy: whether prefill demand exceeds the capacity of the engines.
+        :param organisation_rank: rank of its organisation, which goes before that of
+            its route; None if it has none.
+        :param over_share: whether its organisation has used more than its fair share of
+            engines that can't serve everyone.
         """
         first_token_s = predicted_s + FIRST_TOKEN_OVERHEAD_S
         if first_token_s <= objective_remaining_s:
-            priority = min(LOWEST_IN_TIME_PRIORITY, HIGHEST_IN_TIME_PRIORITY + 2 * rank)
-            return Admitted(priority, in_time=True)
+            if not over_share:
+                priority = _compute_priority(rank, organisation_rank)
+                return Admitted(priority, in_time=True)
+            if wait_s <= self.over_share_wait * objective_remaining_s:
+                return Admitted(OVER_SHARE_PRIORITY, in_time=True)
+        if over_share:
+            allowed_s = self.over_share_wait * max(0.0, objective_remaining_s)
+            return _refuse(wait_s - allowed_s, "share", wait_s, allowed_s)
         late_share = (
             self.late_disaggregated_share if disaggregated else self.late_local_share
         )
@@ -161,6 +179,26 @@
         return _refuse(event_s - latest_s, "first_token", event_s, latest_s)
 
 
+def _compute_priority(rank: int, organisation_rank: int | None) -> int:
+    """Return the engine priority of a request in time.
+
+    The engines' few priorities tell the ranks of organisations apart first, then the
+    most urgent routes from all others.
+
+    >>> [_compute_priority(rank, None) for rank in (0, 1, 2, 3)]
+    [1, 3, 5, 6]
+    >>> [_compute_priority(rank, 0) for rank in (0, 1, 2, 3)]
+    [1, 2, 2, 2]
+    >>> [_compute_priority(rank, 1) for rank in (0, 1, 2, 3)]
+    [3, 4, 4, 4]
+    """
+    if organisation_rank is None:
+        step = 2 * rank
+    else:
+        step = 2 * organisation_rank + min(1, rank)
+    return min(LOWEST_IN_TIME_PRIORITY, HIGHEST_IN_TIME_PRIORITY + max(0, step))
+
+
 def _refuse(excess_s: float, limit: str, needed_s: float, allowed_s: float) -> Refused:
     retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, excess_s))
     return Refused(retry_after_s, limit, needed_s, allowed_s)
--- a/src/jasminewalk/gateway/context.py
+++ b/src/jasminewalk/gateway/context.py
@@ -7,14 +7,22 @@
 from jasminewalk.gateway.admission import AdmissionPolicy
 from jasminewalk.gateway.crash_watch import CrashWatch
 from jasminewalk.gateway.decision_log import DecisionLog
+from jasminewalk.gateway.duties.usage_counter import UsageCounter
 from jasminewalk.gateway.engine_clients import EngineClients
 from jasminewalk.gateway.fleet import Fleet
 from jasminewalk.gateway.metrics import GatewayMetrics
+from jasminewalk.gateway.organisations import (
+    Access,
+    AccessPolicy,
+    Denied,
+    FairShares,
+)
 from jasminewalk.gateway.peers import PeerExchange
 from jasminewalk.gateway.placement import PlacementPolicy
 from jasminewalk.gateway.retry_budget import RetryBudget
 from jasminewalk.gateway.start_check import StartCheck
 from jasminewalk.gateway.stream_history import StreamHistory
+from jasminewalk.platform.configuration import Route
 from jasminewalk.platform.settings import InstanceSettings
 
 __all__ = ["GatewayContext"]
@@ -37,7 +45,13 @@
     :param metrics: counters and histograms.
     :param clock: returns the monotonic time in seconds.
     :param wall_clock: returns the Unix time in seconds.
+    :param access_policy: decides by their keys whether requests may run.
+    :param usage: counts the requests of each organisation that engines began.
+    :param fair_shares: compares what organisations use of the engines.
     :param retry_budgets: retry budget of each service, by its name.
+    :param get_unread_s: returns the seconds since the configuration was last read by
+        any gateway that this one hears.
+    :param is_behind: returns whether another gateway has a newer configuration.
     """
 
     settings: InstanceSettings
@@ -53,7 +67,29 @@
     metrics: GatewayMetrics
     clock: Callable[[], float]
     wall_clock: Callable[[], float]
+    access_policy: AccessPolicy
+    usage: UsageCounter
+    fair_shares: FairShares = attrs.field(factory=FairShares)
     retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
+    get_unread_s: Callable[[], float] = lambda: 0.0
+    is_behind: Callable[[], bool] = lambda: False
+
+    def decide_access(self, route: Route, credential: str) -> Access | Denied:
+        """Decide by its key whether a request that has just arrived may run.
+
+        :param route: its route.
+        :param credential: its key; empty if it has none.
+        """
+        return self.access_policy.decide(
+            route, credential, self.get_unread_s(), is_behind=self.is_behind()
+        )
+
+    def still_has_access(self, access: Access) -> bool:
+        """Return whether a request that waited may still run.
+
+        :param access: what was decided when it arrived.
+        """
+        return self.access_policy.still_holds(access, self.get_unread_s())
 
     def get_retry_budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service; create it if there is none.
@@ -76,6 +112,7 @@
         """
         self.settings = settings
         bounds = settings.bounds
+        self.access_policy.use_bounds(bounds)
         for budget in self.retry_budgets.values():
             budget.ratio, budget.slack = bounds.retry_ratio, bounds.retry_slack
             budget.window_s = bounds.retry_window_s
--- a/src/jasminewalk/gateway/crash_watch.py
+++ b/src/jasminewalk/gateway/crash_watch.py
@@ -59,6 +59,7 @@
         self.metrics = metrics
         self.clock = clock
         self.suspects: dict[EngineState, dict[str, float]] = {}
+        self.when_sound: dict[EngineState, list[Callable[[], None]]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.turns: dict[str, _Turn] = {}
         self.engines_in_turn: Counter[EngineState] = Counter()
@@ -151,7 +152,11 @@
                 del self.engines_in_turn[engine]
 
     def record_broken(
-        self, engine: EngineState, parts: Iterable[str], sent_at: float
+        self,
+        engine: EngineState,
+        parts: Iterable[str],
+        sent_at: float,
+        on_sound: Callable[[], None] = lambda: None,
     ) -> None:
         """Record a request that an engine broke off.
 
@@ -159,8 +164,11 @@
         :param parts: the request's fingerprint; if the engine began to write an answer,
             also the ids of the prompt's parts that other requests may share.
         :param sent_at: monotonic time at which the request was sent.
+        :param on_sound: called unless the process of the engine turns out to have
+            ended, so that it only broke off the answer.
         """
         if engine.may_end:
+            on_sound()
             return
         if engine not in self.suspects:
             self.suspects[engine] = {}
@@ -171,6 +179,7 @@
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
         self.suspects[engine].update(dict.fromkeys(parts, sent_at))
+        self.when_sound.setdefault(engine, []).append(on_sound)
 
     def record_answer(self, parts: tuple[str, ...]) -> None:
         """Record that an engine completed an answer, which clears the request.
@@ -251,9 +260,12 @@
         await asyncio.sleep(CONFIRMATION_DELAY_S)
         has_ended = await self.clients.is_refused(engine)
         sent_at = self.suspects.pop(engine)
+        when_sound = self.when_sound.pop(engine)
         engine_id = engine.entry.engine_id
         if not has_ended or engine.may_end:
             self.log.info("engine_not_crashed", engine=engine_id, parts=len(sent_at))
+            for on_sound in when_sound:
+                on_sound()
             return
         now = self.clock()
         known = self.quarantine.sound_at
--- a/src/jasminewalk/gateway/daemon.py
+++ b/src/jasminewalk/gateway/daemon.py
@@ -9,24 +9,36 @@
 
 from jasminewalk.exceptions import BadSettingsError
 from jasminewalk.gateway.admission import AdmissionPolicy
+from jasminewalk.gateway.configuration_relay import ConfigurationRelay
 from jasminewalk.gateway.context import GatewayContext
 from jasminewalk.gateway.crash_quarantine import CrashQuarantine
 from jasminewalk.gateway.crash_watch import CrashWatch
 from jasminewalk.gateway.decision_log import DecisionLog
+from jasminewalk.gateway.dispatcher import RequestDispatcher
+from jasminewalk.gateway.duties import (
+    LeaseGroup,
+    SteadyWallClock,
+    UsageCounter,
+    UsageDuty,
+    UsageLedger,
+    UsageReports,
+)
+from jasminewalk.gateway.duties.lease_group import SESSION_S, read_boot_clock
 from jasminewalk.gateway.engine_clients import EngineClients
 from jasminewalk.gateway.fleet import Fleet, FleetEvent
-from jasminewalk.gateway.holder_lease import HolderLease
+from jasminewalk.gateway.holder_lease import USAGE_PARTITION, HolderLease
 from jasminewalk.gateway.metrics import GatewayMetrics
+from jasminewalk.gateway.organisations import AccessPolicy
 from jasminewalk.gateway.peer_link import GatewaysFollower, PeerLink
 from jasminewalk.gateway.peers import PeerExchange
 from jasminewalk.gateway.placement import PlacementPolicy
-from jasminewalk.gateway.plain_run import PlainRun
 from jasminewalk.gateway.planned_stop import Drain, PlannedStop
 from jasminewalk.gateway.quarantine_news import QuarantineExchange
 from jasminewalk.gateway.quarantine_store import QuarantineFollower
 from jasminewalk.gateway.read_check import ReadCheck
 from jasminewalk.gateway.routes import RouteTable
-from jasminewalk.gateway.stage_controller import SESSION_S, StageController
+from jasminewalk.gateway.settings_watch import SettingsWatch
+from jasminewalk.gateway.stage_controller import StageController
 from jasminewalk.gateway.stage_planner import StagePlanner
 from jasminewalk.gateway.start_check import StartCheck
 from jasminewalk.gateway.store_connections import StoreConnections
@@ -36,13 +48,11 @@
 )
 from jasminewalk.gateway.stream_history import StreamHistory
 from jasminewalk.gateway.stream_origins import StreamOriginLog
-from jasminewalk.gateway.stream_run import StreamRun
 from jasminewalk.gateway.stream_versions import StreamVersions
 from jasminewalk.gateway.version_shares import VersionShares
 from jasminewalk.gateway.version_store import VersionsFollower
 from jasminewalk.http1.server import CallerConnection, CallerRequest, CallerServer
 from jasminewalk.platform.configuration import ServingConfiguration
-from jasminewalk.platform.headers import decode_request_head, find_ambiguous_header
 from jasminewalk.platform.settings import load_settings
 from jasminewalk.platform.store import StoreClient
 
@@ -50,12 +60,7 @@
 
 # Port of the metrics on the address of the instance; also set in deploy/system.toml.
 METRICS_PORT = 9464
-NOT_FOUND, UNAVAILABLE, OK, BAD_REQUEST = 404, 503, 200, 400
-# ``Retry-After`` in seconds of a gateway that has not read the configuration and the
-# registry yet.
-STARTING_RETRY_AFTER_S = 0.5
-# Seconds between two checks of the settings file for changes.
-SETTINGS_POLL_INTERVAL_S = 1.0
+UNAVAILABLE, OK = 503, 200
 # Seconds before a failed task is restarted.
 TASK_RESTART_DELAY_S = 0.5
 
@@ -73,11 +78,11 @@
         self.clock: Callable[[], float] = time.monotonic
         self.started_ms = int(time.time() * 1e3)
         self.log = DecisionLog(self.settings.name, self.clock)
+        self.settings_watch = SettingsWatch(path, self.log, self.reload)
         self.fleet = Fleet(self.settings.heartbeat_s)
         self.clients = EngineClients(self.fleet, self.clock)
         self.clients.on_event = self._log_engine_event
         self.metrics = GatewayMetrics()
-        self.routes: RouteTable | None = None
         self.stopping = asyncio.Event()
         self.planned_stop = PlannedStop(self.clock)
         peer_address = f"{self.settings.ip}:{self.settings.peer_port}"
@@ -101,6 +106,14 @@
         self.stream_versions = StreamVersions(self.peers, self.clock)
         self.version_shares = VersionShares()
         self.stream_origins = StreamOriginLog(self.store, self.log, self.clock)
+        usage_clock = SteadyWallClock(read_boot_clock, time.time)
+        self.usage = UsageCounter(
+            self.settings.duties.usage_window_s
+            if self.settings.duties.reports_usage
+            else 0.0,
+            self.clock,
+            usage_clock,
+        )
         self.context = GatewayContext(
             settings=self.settings,
             fleet=self.fleet,
@@ -121,6 +134,8 @@
             metrics=self.metrics,
             clock=self.clock,
             wall_clock=time.time,
+            access_policy=AccessPolicy.from_bounds(self.settings.bounds),
+            usage=self.usage,
         )
         self.caller_server = CallerServer(
             self.handle_request,
@@ -129,6 +144,9 @@
             self._log_unreadable_request,
         )
         self.drain = Drain(self.planned_stop, self.caller_server, self.log, self.clock)
+        self.dispatcher = RequestDispatcher(
+            self.context, self.drain, lambda: self.has_started
+        )
         self.control_server = CallerServer(
             self.handle_control,
             self.clock,
@@ -175,6 +193,17 @@
         read_check = ReadCheck(self.registry, self.versions)
         self.context.stream_history.read_check = read_check
         self.stream_versions.get_read_state = lambda: read_check.announced_state
+        self.relay = ConfigurationRelay(
+            self.peers,
+            self.configuration,
+            self.log,
+            self.clock,
+            lambda: self.context.access_policy.key_ring is not None,
+        )
+        self.context.get_unread_s = lambda: self.configuration.compute_unread_s(
+            self.clock()
+        )
+        self.context.is_behind = lambda: self.relay.is_behind
         self.peer_link = PeerLink(
             self.peers,
             self.configuration,
@@ -182,30 +211,59 @@
             self.versions,
             self.crash_watch,
             self.stream_versions,
+            self.context.fair_shares,
             self.log,
             self.clock,
         )
+        self.peer_link.on_message = self.relay.receive
         self.configuration.on_read = self.registry.on_read = self.peer_link.announce
         self.versions.on_written = self.peer_link.announce
         self.crash_watch.on_urgent = self.peer_link.announce
         self.crash_watch.on_found = self.quarantines.found_here.set
-        self.stage_controller = StageController(
+        self.leases = LeaseGroup(
             f"{self.settings.name}/{self.started_ms}",
-            self.settings.name,
             self.store,
+            self.peers,
+            self.log,
+            self.clock,
+        )
+        session_s = max(SESSION_S, self.settings.store_session_s)
+        handover_gap_s = self.settings.bounds.handover_gap_s
+        self.stage_controller = StageController(
+            self.settings.name,
             self.fleet,
             self.peers,
             self.clients,
             StagePlanner(),
-            HolderLease(
-                max(SESSION_S, self.settings.store_session_s),
-                self.settings.bounds.handover_gap_s,
-            ),
+            self.leases.add("stages", HolderLease(session_s, handover_gap_s)),
             self.log,
             self.clock,
         )
+        self.leases.after_renewal = self.stage_controller.order_if_allowed
+        self.usage_duty = self._create_usage_duty(session_s, handover_gap_s)
         self.tasks: list[asyncio.Task[None]] = []
 
+    def _create_usage_duty(
+        self, session_s: float, handover_gap_s: float
+    ) -> UsageDuty | None:
+        """Return the tasks that report usage; None if the platform wants no reports."""
+        duties = self.settings.duties
+        if not duties.reports_usage:
+            return None
+        lease = HolderLease(session_s, handover_gap_s, partition=USAGE_PARTITION)
+        duty = UsageDuty(
+            self.usage,
+            UsageReports(self.usage, UsageLedger(), duties.usage_late_s),
+            self.leases.add("usage", lease),
+            self.peers,
+            self.store,
+            duties.address,
+            self.log,
+            self.clock,
+        )
+        self.peer_link.connect_usage(duty)
+        return duty
+
     async def run(self) -> None:
         """Serve until SIGTERM, then drain the requests that are running."""
         loop = asyncio.get_running_loop()
@@ -232,12 +290,16 @@
             self.versions.write_forever,
             self.stream_origins.write_forever,
             self.peer_link.run,
-            self._watch_settings,
-            self.stage_controller.run,
+            self.settings_watch.run,
+            self.leases.run,
+            self.relay.run,
         ):
             self._spawn(task_function)
+        if self.usage_duty is not None:
+            self._spawn(self.usage_duty.tell_forever)
+            self._spawn(self.usage_duty.report_forever)
         await self.stopping.wait()
-        self._spawn(self.stage_controller.leave)
+        self._spawn(self.leases.leave)
         await self.drain.run(self.context.settings.bounds.grace_s)
         for task in self.tasks:
             task.cancel()
@@ -255,6 +317,11 @@
             self.store_connections.use_address(settings.store_address)
             self.log.info("settings_reloaded")
 
+    @property
+    def routes(self) -> RouteTable | None:
+        """Routes of the configuration in force; None if none was read yet."""
+        return self.dispatcher.routes
+
     @property
     def is_ready(self) -> bool:
         """Whether this process can serve callers."""
@@ -280,47 +347,7 @@
         :param connection: the caller's connection.
         :param request: the request.
         """
-        head = decode_request_head(request.headers)
-        if self.routes is None or not self.has_started:
-            headers = [(b"retry-after", b"%.1f" % STARTING_RETRY_AFTER_S)]
-            connection.send_response(UNAVAILABLE, headers, b"")
-            self.log.warning("refused", request=head.request_id, reason="starting")
-            return
-        ambiguous_header = find_ambiguous_header(request.headers)
-        if ambiguous_header:
-            connection.send_response(BAD_REQUEST, (), b"")
-            self.log.warning(
-                "ambiguous_request", request=head.request_id, header=ambiguous_header
-            )
-            return
-        route = self.routes.match(request.host, request.path)
-        if route is None:
-            connection.send_response(NOT_FOUND, (), b"")
-            self.log.info(
-                "no_route",
-                request=head.request_id,
-                host=request.host,
-                path=request.path[:80],
-                version=self.routes.version,
-            )
-            return
-        if not head.request_id:
-            connection.send_response(BAD_REQUEST, (), b"")
-            self.log.warning("no_request_id", route=route.name)
-            return
-        service = self.routes.choose_service(route, head.request_id)
-        self.context.get_retry_budget(service).record_request(self.clock())
-        run_class = StreamRun if route.streaming else PlainRun
-        run = run_class(self.context, connection, request, head, route, service)
-        if self.drain.refuses(run):
-            return
-        try:
-            with self.drain.track(run):
-                await run.run()
-        except asyncio.CancelledError:
-            if not self.planned_stop.is_over:
-                run.warn("caller_left", engines=run.tried_engines)
-            raise
+        await self.dispatcher.handle(connection, request)
 
     async def handle_control(
         self, connection: CallerConnection, request: CallerRequest
@@ -352,7 +379,8 @@
     # Configuration and settings.
 
     def _apply_configuration(self, configuration: ServingConfiguration) -> None:
-        self.routes = RouteTable.from_configuration(configuration)
+        self.dispatcher.routes = RouteTable.from_configuration(configuration)
+        self.context.access_policy.use(configuration.organisations)
         self.fleet.set_services(configuration.services)
         self.caller_server.limits = configuration.limits
         self.metrics.configuration_version.set(configuration.version)
@@ -360,6 +388,7 @@
             "configuration_in_force",
             version=configuration.version,
             routes=len(configuration.routes),
+            organisations=len(configuration.organisations or ()),
         )
 
     def _handle_new_era(self, previous: int | None, era: int) -> None:
@@ -374,30 +403,15 @@
             ):
                 follower.forget_offsets()
             self.stream_origins.write_again()
+            if self.usage_duty is not None:
+                self.usage_duty.forget_offsets()
             self.fleet.record_new_era(self.clock())
         # A process that just started does not know whether the era is new.
-        lease_dropped = self.stage_controller.distrust_lease(era)
+        lease_dropped = self.leases.distrust(era)
         self.log.warning(
             "store_era", era=era, previous=previous, lease_dropped=lease_dropped
         )
 
-    async def _watch_settings(self) -> None:
-        last_stamp = self._read_settings_stamp()
-        while True:
-            await asyncio.sleep(SETTINGS_POLL_INTERVAL_S)
-            stamp = self._read_settings_stamp()
-            if stamp != last_stamp:
-                last_stamp = stamp
-                self.reload()
-
-    def _read_settings_stamp(self) -> tuple[int, int] | None:
-        try:
-            status = self.path.stat()
-        except OSError as error:
-            self.log.warning("settings_missing", reason=repr(error))
-            return None
-        return status.st_mtime_ns, status.st_size
-
     async def _listen_for_metrics(self) -> None:
         try:
             await self.metrics_server.listen(f"{self.settings.ip}:{METRICS_PORT}")
--- a/src/jasminewalk/gateway/generation_run.py
+++ b/src/jasminewalk/gateway/generation_run.py
@@ -14,11 +14,17 @@
 from jasminewalk.gateway.engine_clients import NotSentError, OpenExchange
 from jasminewalk.gateway.fleet import EngineState
 from jasminewalk.gateway.placement import (
+    LONG_PROMPT_DECODE_S,
+    MIN_DISAGGREGATED_TOKENS,
     PlacementOption,
     PrefillEstimate,
     PromptProfile,
 )
 from jasminewalk.gateway.prefilled_prompt import PrefilledPrompt, release_prompt
+from jasminewalk.gateway.response_waits import (
+    compute_silence_timeout_s,
+    receive_small_body,
+)
 from jasminewalk.gateway.run import BAD_GATEWAY, RequestRun, TrackedLoad
 from jasminewalk.http1 import ExchangeBrokenError, Response
 from jasminewalk.platform.engines import decode_prompt_handle
@@ -26,18 +32,7 @@
 
 __all__ = ["OK", "GenerationRun", "compute_silence_timeout_s", "receive_small_body"]
 
-# An engine counts as silent if it sends this gateway nothing for this multiple of the
-# predicted time, and for at least the minimum in seconds.
-SILENCE_FACTOR = 3.0
-MIN_SILENCE_TIMEOUT_S = 1.5
-# Share of the caller's patience after which a silent engine is abandoned, so that
-# another engine can still send an event before the caller abandons the request.
-CALLER_PATIENCE_SHARE = 0.8
 OK = 200
-# Largest body of the response to a prefill or of an error, and seconds in which it must
-# arrive after the head.
-MAX_SMALL_BODY_BYTES = 1024 * 1024
-SMALL_BODY_TIMEOUT_S = 1.2
 # ``Retry-After`` in seconds if no engine can go on with a stream.
 VERSION_RETRY_AFTER_S = 0.3
 
@@ -80,7 +75,7 @@
         Return None if the request was ended instead: refused, or failed if it may have
         been executed.
         """
-        if self.refuse_quarantined():
+        if self.refuse_revoked() or self.refuse_quarantined():
             return None
         now = self.context.clock()
         engines = [
@@ -96,6 +91,9 @@
             return None
         option, decision = choice
         estimate = option.estimate
+        if not self.attempts:
+            engine_s = self._compute_engine_s(estimate)
+            self.context.fair_shares.record_asked(now, self.access.name, engine_s)
         inputs = {
             "engine": estimate.engine.entry.engine_id,
             "version": estimate.engine.entry.version,
@@ -110,6 +108,9 @@
         }
         if isinstance(decision, Admitted):
             self.log("placed", priority=decision.priority, **inputs)
+            now = self.context.clock()
+            engine_s = self._compute_engine_s(estimate)
+            self.context.fair_shares.record_used(now, self.access.name, engine_s)
             return option, decision.priority
         if self.stream_started:
             self.log("placed", priority=RESUMED_PRIORITY, **inputs)
@@ -124,6 +125,11 @@
             self._refuse_overloaded(decision.retry_after_s, inputs)
         return None
 
+    def _compute_engine_s(self, estimate: PrefillEstimate) -> float:
+        """Return the engine time of the request, in seconds at an engine of speed 1."""
+        is_long = self.prompt_profile.tokens >= MIN_DISAGGREGATED_TOKENS
+        return estimate.prefill_s + (LONG_PROMPT_DECODE_S if is_long else 0.0)
+
     def _refuse_overloaded(
         self, retry_after_s: float, inputs: dict[str, object]
     ) -> None:
@@ -208,8 +214,22 @@
             # requests, so that it is not refused for that delay.
             disaggregated=option.disaggregated or self.failed_prefills > 0,
             busy=busy,
+            organisation_rank=self.organisation_rank,
+            over_share=self._is_over_share(),
         )
 
+    def _is_over_share(self) -> bool:
+        """Return whether its organisation has used more than its share of the engines.
+
+        Streams that have begun go on all the same.
+        """
+        if not self.access.name or self.stream_started:
+            return False
+        now = self.context.clock()
+        engines = self.context.fleet.list_usable(self.service, now)
+        capacity = sum(engine.speed for engine in engines)
+        return self.context.fair_shares.is_over(now, self.access.name, capacity)
+
     def choose_decode_engine(self) -> EngineState | None:
         """Return the engine that decodes after a separate prefill, or None."""
         engines = self.list_available_engines()
@@ -360,6 +380,7 @@
                 prefill_only=prefill_only,
                 kv_source=self.prefilled_prompt.source if self.prefilled_prompt else "",
                 last_event_id=self.last_event_id if resumed else None,
+                organisation=self.access.name,
             ),
             self.request.body,
             request_id=self.head.request_id,
@@ -415,31 +436,3 @@
         self.tried_engines.append(engine.entry.engine_id)
         event = self.context.fleet.suspect(self.context.clock(), engine, reason)
         self.warn(event.event, engine=event.engine, detail=event.detail)
-
-
-async def receive_small_body(sent: OpenExchange) -> bytes:
-    """Receive a body that is small and was complete when its response began.
-
-    :param sent: request whose response has begun.
-    :raises ExchangeBrokenError: if the body is too large or not complete in time.
-    """
-    sent.exchange.max_body_bytes = MAX_SMALL_BODY_BYTES
-    try:
-        async with asyncio.timeout(SMALL_BODY_TIMEOUT_S):
-            return await sent.exchange.body()
-    except TimeoutError:
-        reason = f"body not complete after {SMALL_BODY_TIMEOUT_S} s"
-        raise ExchangeBrokenError(reason) from None
-
-
-def compute_silence_timeout_s(predicted_s: float, caller_patience_s: float) -> float:
-    """Return the seconds of silence after which an engine is suspected.
-
-    :param predicted_s: predicted seconds until the response of the engine.
-    :param caller_patience_s: seconds without an event after which the caller abandons
-        the request.
-    """
-    return min(
-        max(MIN_SILENCE_TIMEOUT_S, SILENCE_FACTOR * predicted_s),
-        CALLER_PATIENCE_SHARE * caller_patience_s,
-    )
--- a/src/jasminewalk/gateway/peer_link.py
+++ b/src/jasminewalk/gateway/peer_link.py
@@ -12,6 +12,10 @@
 from jasminewalk.exceptions import BadMessageError, LogUnavailableError
 from jasminewalk.gateway.crash_watch import CrashWatch
 from jasminewalk.gateway.decision_log import DecisionLog
+from jasminewalk.gateway.duties import usage_duty
+from jasminewalk.gateway.duties.usage_duty import UsageDuty
+from jasminewalk.gateway.organisations import FairShares
+from jasminewalk.gateway.peer_message import PeerMessage
 from jasminewalk.gateway.peers import PeerExchange, decode_peer_message
 from jasminewalk.gateway.store_follower import (
     ConfigurationFollower,
@@ -34,6 +38,8 @@
 REREGISTRATION_JITTER_S = 2.0
 # Seconds between attempts to register.
 REGISTRATION_RETRY_S = 0.5
+# One message in this many tells of the engine time that organisations used.
+MESSAGES_PER_USES = 10
 
 
 class _ListedGateway(msgspec.Struct):
@@ -125,8 +131,11 @@
     :param versions: follower of the shares of versions.
     :param crash_watch: builds and applies the news of crashes.
     :param stream_versions: exchanges the versions that began streams.
+    :param fair_shares: compares what organisations use of the engines.
     :param log: decision log.
     :param clock: returns the monotonic time in seconds.
+
+    Its ``on_message`` is called with each message of a peer that was applied.
     """
 
     def __init__(
@@ -137,6 +146,7 @@
         versions: VersionsFollower,
         crash_watch: CrashWatch,
         stream_versions: StreamVersions,
+        fair_shares: FairShares,
         log: DecisionLog,
         clock: Callable[[], float],
     ) -> None:
@@ -147,10 +157,21 @@
         self.crash_watch = crash_watch
         self.stream_versions = stream_versions
         self.stream_versions.send = self.send
+        self.fair_shares = fair_shares
+        self.usage: UsageDuty | None = None
+        self.on_message: Callable[[PeerMessage], None] = lambda message: None
         self.log = log
         self.clock = clock
         self.socket: asyncio.DatagramTransport | None = None
 
+    def connect_usage(self, duty: UsageDuty) -> None:
+        """Have counts of usage exchanged over the socket.
+
+        :param duty: sends and receives the counts.
+        """
+        self.usage = duty
+        duty.send = self.send
+
     async def open(self) -> None:
         """Open the UDP socket."""
         self.socket, _ = await asyncio.get_running_loop().create_datagram_endpoint(
@@ -181,10 +202,17 @@
             self.crash_watch.build_news(),
             self.versions.compute_progress(now),
             self.registry.offset,
+            self.configuration.version,
+            self._collect_uses(now),
         )
         for address in self.exchange.list_recipients(now):
             self.send(address, data)
 
+    def _collect_uses(self, now: float) -> list[tuple[int, int, int]]:
+        if self.exchange.number % MESSAGES_PER_USES:
+            return []
+        return self.fair_shares.announce(now)
+
     def send(self, address: str, data: bytes) -> None:
         """Send a datagram to another gateway.
 
@@ -203,6 +231,10 @@
             if not self.stream_versions.receive(data):
                 self.log.warning("peer_unreadable", size=len(data))
             return
+        if data.startswith(usage_duty.DATAGRAM_MARK):
+            if self.usage is not None and not self.usage.receive(data):
+                self.log.warning("peer_unreadable", size=len(data))
+            return
         message = decode_peer_message(data)
         if message is None or not _is_peer_address(message.address):
             self.log.warning("peer_unreadable", size=len(data))
@@ -217,6 +249,9 @@
             else:
                 self.versions.record_peer_progress(now, message.versions, era)
             self.crash_watch.apply_news(message.quarantine)
+            if message.uses:
+                self.fair_shares.apply(now, message.node, message.uses)
+            self.on_message(message)
             for event in chain(
                 self.exchange.apply_limits(now, message),
                 self.exchange.apply_leaving(message),
--- a/src/jasminewalk/gateway/peer_message.py
+++ b/src/jasminewalk/gateway/peer_message.py
@@ -52,6 +52,10 @@
     :param registry_offset: offset up to which it has read the registry; 0 if unknown.
     :param unlisted: engines that the registry lately named and, as far as it was read,
         names no more.
+    :param configuration_version: version of the configuration that it has in force;
+        negative if it has none or doesn't say.
+    :param uses: organisations, and the milliseconds of engine time that they lately
+        asked it for and used.
     """
 
     node: str
@@ -75,6 +79,8 @@
     versions: TopicProgress | None = None
     registry_offset: Count = 0
     unlisted: list[Count] = []
+    configuration_version: Number = -1
+    uses: list[tuple[Count, Count, Count]] = []
 
 
 _decoder = msgspec.msgpack.Decoder(PeerMessage)
--- a/src/jasminewalk/gateway/peers.py
+++ b/src/jasminewalk/gateway/peers.py
@@ -166,6 +166,8 @@
         quarantine: QuarantineNews | None = None,
         versions: TopicProgress | None = None,
         registry_offset: int | None = None,
+        configuration_version: int = -1,
+        uses: list[tuple[int, int, int]] | None = None,
     ) -> bytes:
         """Build the next message to the other gateways, and decay the failure rates.
 
@@ -177,6 +179,9 @@
             anything.
         :param versions: how far this gateway has read the shares of versions.
         :param registry_offset: offset up to which it has read the registry, if it has.
+        :param configuration_version: version of its configuration, if it has one.
+        :param uses: engine time that organisations asked for and used; None leaves it
+            out.
         """
         self.number += 1
         self._decay_failure_rates(now)
@@ -220,6 +225,8 @@
                 compute_engine_key(engine)
                 for engine in self.fleet.list_unlisted(now)[:MAX_ANNOUNCED_UNLISTED]
             ],
+            configuration_version=configuration_version,
+            uses=uses or [],
         )
         return msgspec.msgpack.encode(message)
 
--- a/src/jasminewalk/gateway/placement.py
+++ b/src/jasminewalk/gateway/placement.py
@@ -12,6 +12,8 @@
 from jasminewalk.platform.registry import DECODE, PREFILL
 
 __all__ = [
+    "LONG_PROMPT_DECODE_S",
+    "MIN_DISAGGREGATED_TOKENS",
     "PlacementOption",
     "PlacementPolicy",
     "PrefillEstimate",
--- a/src/jasminewalk/gateway/plain_run.py
+++ b/src/jasminewalk/gateway/plain_run.py
@@ -79,7 +79,7 @@
 
     async def _run_once(self) -> bool:
         """Make one attempt; return whether the request was ended."""
-        if self.refuse_quarantined():
+        if self.refuse_revoked() or self.refuse_quarantined():
             return True
         engine = self._choose_engine()
         if engine is None or self.engine_remaining_s < MIN_SEND_TIME_S:
@@ -135,6 +135,7 @@
                     self.request.headers,
                     engine_id=engine.entry.engine_id,
                     deadline_s=self.engine_remaining_s,
+                    organisation=self.access.name,
                 ),
                 self.request.body,
                 request_id=self.head.request_id,
@@ -150,7 +151,11 @@
                 latency_ms=round(engine.latency_s * 1e3, 1),
             )
             started_at = self.context.clock()
-            result = await self._receive(sent, engine, slow_after_s)
+            with self.context.usage.track(started_at):
+                result = await self._receive(sent, engine, slow_after_s)
+        was_cut = result.response is None and sent.exchange.ended_by_peer
+        if not (result.not_executed or result.turned_away or was_cut):
+            self.count_begun(started_at)
         self._record_crash_evidence(sent, engine, result, started_at)
         self._record_outcome(engine, result, self.context.clock() - started_at)
         return result
@@ -200,7 +205,13 @@
         watch = self.context.crash_watch
         if result.response is None:
             if sent.exchange.ended_by_peer:
-                watch.record_broken(engine, (self.fingerprint,), sent_at)
+                watch.record_broken(
+                    engine,
+                    (self.fingerprint,),
+                    sent_at,
+                    # An engine that lives has run what it broke off.
+                    on_sound=lambda: self.count_begun(sent_at),
+                )
         elif watch.watches_requests and not result.failed and not result.not_executed:
             watch.record_answer((self.fingerprint,))
 
--- a/src/jasminewalk/gateway/run.py
+++ b/src/jasminewalk/gateway/run.py
@@ -11,6 +11,7 @@
 
 from jasminewalk.gateway.context import GatewayContext
 from jasminewalk.gateway.fleet import EngineState
+from jasminewalk.gateway.organisations import Access
 from jasminewalk.gateway.request_fingerprint import compute_request_fingerprint
 from jasminewalk.http1 import Response
 from jasminewalk.http1.server import CallerConnection, CallerRequest
@@ -21,7 +22,7 @@
 
 # Seconds of a request's deadline reserved for sending the response to the caller.
 RESPONSE_MARGIN_S = 0.02
-UNAVAILABLE, BAD_GATEWAY, GATEWAY_TIMEOUT = 503, 502, 504
+UNAUTHORIZED, UNAVAILABLE, BAD_GATEWAY, GATEWAY_TIMEOUT = 401, 503, 502, 504
 # Reason of an attempt whose engine ended with its response.
 ENGINE_ENDED = "engine ended with its response"
 # Status codes that tell the caller that the request was not executed.
@@ -55,6 +56,7 @@
     :param head: fields decoded from its headers.
     :param route: its route.
     :param service: name of the service that the request is sent to.
+    :param access: the organisation that it is from, if it needs one.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         head: RequestHead,
         route: Route,
         service: str,
+        access: Access,
     ) -> None:
         self.context = context
         self.connection = connection
@@ -72,6 +75,8 @@
         self.head = head
         self.route = route
         self.service = service
+        self.access = access
+        self.was_counted = False
         self.attempts = 0
         self.tried_engines: list[str] = []
         self.sent = False
@@ -113,6 +118,12 @@
         else:
             self.finish_incomplete(reason, GATEWAY_TIMEOUT)
 
+    @property
+    def organisation_rank(self) -> int | None:
+        """Rank of its organisation; None if it has none."""
+        organisation = self.access.organisation
+        return organisation.rank if organisation is not None else None
+
     @property
     def shared_part_ids(self) -> tuple[str, ...]:
         """Ids of the parts of its prompt that other requests may share."""
@@ -160,6 +171,31 @@
             self.tried_engines,
         )
 
+    def refuse_revoked(self) -> bool:
+        """End the request and return True if its key was taken away while it waited.
+
+        A stream that its caller has part of goes on, as it ran before.
+        """
+        is_running = self.connection.response_started
+        if is_running or self.context.still_has_access(self.access):
+            return False
+        if self.attempts:
+            self.finish_incomplete("key was taken away", BAD_GATEWAY)
+        else:
+            self.connection.send_response(UNAUTHORIZED, [], b"")
+            self.context.metrics.record_refusal(self.route.name, "key was taken away")
+            self.warn("denied", status=UNAUTHORIZED, reason="key was taken away")
+        return True
+
+    def count_begun(self, began_s: float) -> None:
+        """Count the request as begun by an engine, once for all its attempts.
+
+        :param began_s: monotonic time in seconds at which an engine began it.
+        """
+        if not self.was_counted:
+            self.was_counted = True
+            self.context.usage.record(began_s, self.access.name)
+
     def is_quarantined(self) -> bool:
         """Return whether a quarantine holds for the request."""
         quarantine = self.context.crash_watch.quarantine
--- a/src/jasminewalk/gateway/stage_controller.py
+++ b/src/jasminewalk/gateway/stage_controller.py
@@ -1,12 +1,10 @@
-"""Task that holds the lease on stage orders and sends the planned orders."""
+"""Sends the planned stage orders while this gateway holds the lease on them."""
 
-import asyncio
-import random
-import time
 from collections.abc import Callable, Sequence
 
-from jasminewalk.exceptions import BadMessageError, LogUnavailableError
+from jasminewalk.exceptions import BadMessageError
 from jasminewalk.gateway.decision_log import DecisionLog
+from jasminewalk.gateway.duties.lease_group import read_boot_clock
 from jasminewalk.gateway.engine_clients import EngineClients, NotSentError
 from jasminewalk.gateway.fleet import EngineState, Fleet
 from jasminewalk.gateway.holder_lease import HolderLease
@@ -23,36 +21,20 @@
     get_order_path,
 )
 from jasminewalk.platform.headers import Header, build_engine_headers
-from jasminewalk.platform.store import GATEWAYS_TOPIC, StoreClient
 
 __all__ = ["StageController"]
 
-HOLDER_GROUP = "stage-holder"
 OK = 200
-# Seconds without a renewal after which the store drops a member of the group.
-SESSION_S = 3.0
-# Seconds between two renewals.
-RENEWAL_INTERVAL_S = 0.7
-# Only this many live gateways, the first by name, join the group, which limits the
-# calls to the store.
-MAX_CANDIDATES = 3
 # Timeout of a call to an engine, in seconds.
 CALL_TIMEOUT_S = 0.4
 # Seconds until the registry shows a changed stage.
 REGISTRY_DELAY_S = 1.5
 
 
-def read_boot_clock() -> float:
-    """Return the seconds of a monotonic clock that includes time in suspend."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class StageController:
-    """Renews the holder lease, and sends the orders of the planner while it is held.
+    """Sends the orders of the planner while the lease on them is held.
 
-    :param member: name of this process in the group.
     :param node: name of the instance, sent to engines as the holder.
-    :param store: the metadata store.
     :param fleet: the engines.
     :param exchange: state exchanged with the peers; gives the total demand.
     :param clients: connections to the engines.
@@ -64,9 +46,7 @@
 
     def __init__(
         self,
-        member: str,
         node: str,
-        store: StoreClient,
         fleet: Fleet,
         exchange: PeerExchange,
         clients: EngineClients,
@@ -75,9 +55,7 @@
         log: DecisionLog,
         clock: Callable[[], float],
     ) -> None:
-        self.member = member
         self.node = node
-        self.store = store
         self.fleet = fleet
         self.exchange = exchange
         self.clients = clients
@@ -85,57 +63,11 @@
         self.lease = lease
         self.log = log
         self.clock = clock
-        self.leaving = False
-
-    async def run(self) -> None:
-        """Renew the lease and send orders until this process leaves."""
-        while not self.leaving:
-            if self.exchange.compute_rank(self.clock()) < MAX_CANDIDATES:
-                await self._renew()
-            if self.lease.may_order(read_boot_clock()):
-                await self._order_next()
-            await asyncio.sleep(RENEWAL_INTERVAL_S * random.uniform(0.9, 1.1))
-
-    def distrust_lease(self, era: int) -> bool:
-        """Drop the lease in a new era of the store; return whether it was held.
 
-        :param era: the new era.
-        """
-        return self.lease.distrust(read_boot_clock(), era)
-
-    async def leave(self) -> None:
-        """Release the lease before the process ends."""
-        self.leaving = True
-        self.lease.held_since = None
-        try:
-            await self.store.leave(HOLDER_GROUP, self.member)
-        except (LogUnavailableError, OSError, TimeoutError) as error:
-            # The store drops the member when its session times out.
-            self.log.info("holder_not_left", reason=repr(error))
-
-    async def _renew(self) -> None:
-        requested_at = read_boot_clock()
-        try:
-            membership = await self.store.join(
-                HOLDER_GROUP,
-                self.member,
-                GATEWAYS_TOPIC,
-                self.lease.session_s,
-                self.lease.generation,
-            )
-        except (LogUnavailableError, OSError, TimeoutError) as error:
-            if self.lease.held_since is not None:
-                self.log.warning("holder_not_renewed", reason=repr(error))
-            return
-        if self.leaving:
-            # The store may have given the lease to another member since.
-            return
-        if self.lease.record_renewal(requested_at, read_boot_clock(), membership):
-            self.log.info(
-                "holder_changed",
-                held=self.lease.held_since is not None,
-                generation=membership.generation,
-            )
+    async def order_if_allowed(self) -> None:
+        """Send the next order that is planned, if this gateway holds the lease."""
+        if self.lease.may_order(read_boot_clock()):
+            await self._order_next()
 
     async def _order_next(self) -> None:
         for service in self.fleet.services.values():
--- a/src/jasminewalk/gateway/store_follower.py
+++ b/src/jasminewalk/gateway/store_follower.py
@@ -13,6 +13,7 @@
     ConfigurationDecoder,
     ServingConfiguration,
     decode_version,
+    replace_keys,
 )
 from jasminewalk.platform.store import (
     CONFIGURATION_KEY,
@@ -335,6 +336,8 @@
         self.apply = apply
         self.decoder = ConfigurationDecoder()
         self.version = -1
+        # The configuration in force as it is passed on to other gateways.
+        self.document = b""
 
     def apply_snapshot(self, page: RecordsPage) -> bool:
         """Apply the newest configuration."""
@@ -343,13 +346,25 @@
     def apply_changes(self, page: RecordsPage) -> bool:
         """Apply the readable configuration of the highest version among the records."""
         # With concurrent publishers, the last record may have an older version.
-        for document in self._list_newer_documents(page):
-            configuration = self._read_document(self.decoder.decode, document)
-            if configuration is not None:
-                self.version = configuration.version
-                self.apply(configuration)
-                return True
-        return False
+        return any(map(self._apply, self._list_newer_documents(page)))
+
+    def adopt(self, document: bytes) -> bool:
+        """Apply a configuration that a peer passed on; return whether it is newer.
+
+        :param document: the configuration as the peer has it.
+        """
+        version = self._read_document(decode_version, document)
+        return version is not None and version > self.version and self._apply(document)
+
+    def _apply(self, document: bytes) -> bool:
+        configuration = self._read_document(self.decoder.decode, document)
+        if configuration is None:
+            return False
+        self.version = configuration.version
+        if configuration.organisations is not None:
+            self.document = replace_keys(document)
+        self.apply(configuration)
+        return True
 
     def _list_newer_documents(self, page: RecordsPage) -> list[bytes]:
         """Return the documents with a newer version, highest version first."""
--- a/src/jasminewalk/gateway/stream_run.py
+++ b/src/jasminewalk/gateway/stream_run.py
@@ -145,7 +145,9 @@
         estimate = option.estimate
         if option.disaggregated and not await self.prefill_remotely(estimate, priority):
             return StreamAttemptResult.NOT_READ
-        if option.disaggregated and self.refuse_quarantined():
+        if option.disaggregated and (
+            self.refuse_revoked() or self.refuse_quarantined()
+        ):
             return None
         engine = (
             self.choose_decode_engine() if option.disaggregated else estimate.engine
@@ -219,7 +221,11 @@
             # A part crashes an engine that begins to write; a request, at any time.
             parts = self.shared_part_ids if self._is_at_beginning(response) else ()
             self.context.crash_watch.record_broken(
-                engine, (*parts, self.fingerprint), started_at
+                engine,
+                (*parts, self.fingerprint),
+                started_at,
+                # An engine that lives has run what it broke off.
+                on_sound=lambda: self.count_begun(started_at),
             )
         turned_away = response is not None and response.head.retry_after_s is not None
         if result is not StreamAttemptResult.NOT_EXECUTED and not turned_away:
@@ -366,6 +372,7 @@
         if not self.stream_started:
             self.stream_started = True
             self.first_event_at = self.context.clock()
+            self.count_begun(self.first_event_at)
             self.context.metrics.record_first_event(self.route.name, self.age_s)
             self.connection.start_stream(
                 response.status, filter_relayed_headers(response.headers)
--- a/src/jasminewalk/platform/configuration.py
+++ b/src/jasminewalk/platform/configuration.py
@@ -1,24 +1,28 @@
 """Decode the serving configuration that the platform's operator publishes."""
 
+import hashlib
 import math
 from typing import Any
 
 import attrs
 import msgspec
 
-from jasminewalk.decoding import DECODE_ERRORS, Count
+from jasminewalk.decoding import DECODE_ERRORS, Count, Number
 from jasminewalk.exceptions import BadConfigurationError
 from jasminewalk.http1.server import CallerLimits
+from jasminewalk.key_digests import digest_key
 
 __all__ = [
     "ConfigurationDecoder",
     "EngineTraits",
+    "Organisation",
     "Route",
     "Service",
     "ServingConfiguration",
     "WeightedService",
     "decode_configuration",
     "decode_version",
+    "replace_keys",
 ]
 
 SAFE = "safe"
@@ -60,6 +64,7 @@
     :param rank: priority; 0 is the most urgent.
     :param max_event_gap_s: longest declared time between events in seconds; infinite if
         the route declares none.
+    :param public: whether its requests need no key where there are organisations.
     """
 
     name: str
@@ -74,6 +79,7 @@
     max_attempts: int
     rank: int
     max_event_gap_s: float
+    public: bool = False
 
     @property
     def patience_s(self) -> float:
@@ -124,6 +130,21 @@
     engine: EngineTraits | None
 
 
+@attrs.frozen
+class Organisation:
+    """An organisation, whose callers identify themselves with its keys.
+
+    :param name: name of the organisation.
+    :param key_digests: digests of its keys.
+    :param rank: priority of its requests, which goes before that of their routes; 0 is
+        the most urgent. None if it has none.
+    """
+
+    name: str
+    key_digests: tuple[str, ...]
+    rank: int | None = None
+
+
 @attrs.frozen
 class ServingConfiguration:
     """One version of the serving configuration.
@@ -132,12 +153,14 @@
     :param routes: all routes.
     :param services: services by name.
     :param limits: limits on what callers may send.
+    :param organisations: organisations whose keys callers need; None if they need none.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: CallerLimits
+    organisations: tuple[Organisation, ...] | None = None
 
 
 class _Document(msgspec.Struct):
@@ -145,6 +168,16 @@
     routes: list[msgspec.Raw]
     services: list[dict[str, Any]]
     limits: dict[str, Any] | None = None
+    organisations: list[msgspec.Raw] | None = msgspec.field(
+        default=None, name="tenants"
+    )
+
+
+class _OrganisationItem(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    key_digests: list[str] = []
+    priority: Number | None = None
 
 
 class _VersionedDocument(msgspec.Struct):
@@ -152,14 +185,16 @@
 
 
 class ConfigurationDecoder:
-    """Decodes published configurations, reusing the routes of the one before.
+    """Decodes published configurations, reusing what the one before has in common.
 
-    Most routes stay the same from one version to the next, and decoding thousands of
-    them delays the requests of callers on a slow instance.
+    Most routes and organisations stay the same from one version to the next, and
+    decoding thousands of them delays the requests of callers on a slow instance.
     """
 
     def __init__(self) -> None:
         self.routes: dict[bytes, Route] = {}
+        # By digests of the texts, as these hold keys.
+        self.organisations: dict[bytes, Organisation] = {}
 
     def decode(self, text: bytes) -> ServingConfiguration:
         """Decode a published configuration.
@@ -177,11 +212,17 @@
                 routes[route_text] = self.routes.get(route_text) or _decode_route(
                     msgspec.json.decode(route_text)
                 )
+            organisations = None
+            if document.organisations is not None:
+                organisations = self._decode_organisations(document.organisations)
             configuration = ServingConfiguration(
                 version=document.version,
                 routes=tuple(routes.values()),
                 services={service.name: service for service in services},
                 limits=_decode_limits(document.limits or {}),
+                organisations=(
+                    None if organisations is None else tuple(organisations.values())
+                ),
             )
         except (
             *DECODE_ERRORS,
@@ -194,8 +235,20 @@
                 f"published configuration: {error!r}"
             ) from error
         self.routes = routes
+        self.organisations = organisations or {}
         return configuration
 
+    def _decode_organisations(
+        self, items: list[msgspec.Raw]
+    ) -> dict[bytes, Organisation]:
+        organisations = {}
+        for raw_item in items:
+            digest = hashlib.blake2b(raw_item, digest_size=16).digest()
+            organisations[digest] = self.organisations.get(
+                digest
+            ) or _decode_organisation(bytes(raw_item))
+        return organisations
+
 
 def decode_configuration(text: bytes) -> ServingConfiguration:
     """Decode a published configuration.
@@ -219,6 +272,29 @@
         raise BadConfigurationError(f"published configuration: {error!r}") from error
 
 
+def replace_keys(text: bytes) -> bytes:
+    """Return a published configuration with digests in place of keys.
+
+    A gateway passes a configuration on to others in this form.
+
+    :param text: JSON document.
+    :raises BadConfigurationError: if the document is not valid JSON.
+    """
+    try:
+        document = msgspec.json.decode(text, type=dict[str, msgspec.Raw])
+        if "tenants" in document:
+            items = msgspec.json.decode(
+                document["tenants"], type=list[_OrganisationItem]
+            )
+            for item in items:
+                item.key_digests.extend(map(digest_key, item.api_keys))
+                item.api_keys = []
+            document["tenants"] = msgspec.Raw(msgspec.json.encode(items))
+        return msgspec.json.encode(document)
+    except DECODE_ERRORS as error:
+        raise BadConfigurationError(f"published configuration: {error!r}") from error
+
+
 def _decode_route(item: dict[str, Any]) -> Route:
     shares = item.get("traffic_split") or [{"service": item["service"], "weight": 1}]
     kind = item.get("kind", "unsafe")
@@ -241,9 +317,16 @@
         max_attempts=max(1, int(item.get("max_attempts", 1))),
         rank=int(item.get("priority", 0)),
         max_event_gap_s=float(item.get("gap_aim_ms") or math.inf) / 1e3,
+        public=bool(item.get("public", False)),
     )
 
 
+def _decode_organisation(text: bytes) -> Organisation:
+    item = msgspec.json.decode(text, type=_OrganisationItem)
+    digests = (*map(digest_key, item.api_keys), *item.key_digests)
+    return Organisation(item.name, digests, item.priority)
+
+
 def _decode_service(item: dict[str, Any]) -> Service:
     engine = item.get("engine")
     return Service(
--- a/src/jasminewalk/platform/headers.py
+++ b/src/jasminewalk/platform/headers.py
@@ -38,6 +38,8 @@
 REQUEST_PRIORITY = b"x-jasminewalk-request-priority"
 STAGE = b"x-jasminewalk-stage"
 KV_SOURCE = b"x-jasminewalk-kv-source"
+CREDENTIAL = b"x-jasminewalk-credential"
+ORGANISATION = b"x-jasminewalk-tenant"
 # Only the system sets these headers; values that callers send are dropped.
 SYSTEM_HEADERS = frozenset(
     (
@@ -46,6 +48,8 @@
         REQUEST_PRIORITY,
         STAGE,
         KV_SOURCE,
+        CREDENTIAL,
+        ORGANISATION,
         b"x-jasminewalk-kv-hold",
         b"x-jasminewalk-pin-ms",
         b"x-jasminewalk-kv-backup",
@@ -79,6 +83,7 @@
         PROMPT_PREFIX,
         LAST_EVENT_ID,
         RESUMES,
+        CREDENTIAL,
     )
 )
 MISDIRECTED_REQUEST = 421
@@ -113,6 +118,7 @@
     :param last_event_id: id of the last event that the caller received; empty if none.
     :param resumes: id of the caller's attempt that brought the first event of the
         stream that it takes up; empty if it names none.
+    :param credential: key of the caller's organisation; empty if it sent none.
     """
 
     request_id: str
@@ -123,6 +129,7 @@
     output_tokens: int
     last_event_id: str
     resumes: str = ""
+    credential: str = attrs.field(default="", repr=False)
 
 
 @attrs.frozen
@@ -181,6 +188,7 @@
         output_tokens=_parse_count(output),
         last_event_id=_decode_text(values.get(LAST_EVENT_ID, b"")),
         resumes=_decode_text(values.get(RESUMES, b"")),
+        credential=values.get(CREDENTIAL, b"").decode("utf-8", "replace"),
     )
 
 
@@ -251,6 +259,7 @@
     prefill_only: bool = False,
     kv_source: str = "",
     last_event_id: str | None = None,
+    organisation: str = "",
 ) -> list[Header]:
     """Build the headers of a request to an engine.
 
@@ -266,6 +275,8 @@
         fetched; empty if none.
     :param last_event_id: event after which the stream resumes; None keeps the caller's
         header.
+    :param organisation: name of the organisation that the request is from; empty if
+        none is known.
     """
     connection_headers = _list_connection_headers(headers)
     built = [
@@ -286,6 +297,8 @@
         built.append((KV_SOURCE, kv_source.encode()))
     if last_event_id is not None:
         built.append((LAST_EVENT_ID, last_event_id.encode()))
+    if organisation:
+        built.append((ORGANISATION, organisation.encode()))
     return built
 
 
--- a/src/jasminewalk/platform/settings.py
+++ b/src/jasminewalk/platform/settings.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "DEFAULT_HEARTBEAT_S",
+    "DutySettings",
     "InstanceSettings",
     "SafetyBounds",
     "get_settings_path",
@@ -22,6 +23,8 @@
 SETTINGS_PATH_VARIABLE = "JASMINEWALK_CONFIG"
 DEFAULT_SETTINGS_PATH = "/etc/jasminewalk/local.toml"
 DEFAULT_HEARTBEAT_S = 1.2
+USAGE = "usage"
+DEFAULT_USAGE_LATE_S = 10.0
 
 
 @attrs.frozen
@@ -37,6 +40,9 @@
     :param retry_slack: retries allowed in each window in addition to the ratio.
     :param handover_gap_s: minimum time between the orders of two lease holders, in
         seconds.
+    :param key_confirmation_s: seconds without a read of the configuration after which
+        an instance no longer takes keys, if ``needs_key_confirmation``.
+    :param needs_key_confirmation: whether keys must be confirmed that often.
     """
 
     drain_s: float = 2.0
@@ -46,6 +52,30 @@
     retry_window_s: float = 10.0
     retry_slack: float = 50.0
     handover_gap_s: float = 3.0
+    key_confirmation_s: float = 5.0
+    needs_key_confirmation: bool = False
+
+
+@attrs.frozen
+class DutySettings:
+    """Calls to the platform that one instance at a time makes for all.
+
+    :param address: ``host:port`` of the platform's API; empty if there is none.
+    :param names: duties that the platform expects.
+    :param usage_window_s: length of the windows over which usage is counted, in
+        seconds; 0 if it is not counted.
+    :param usage_late_s: seconds after the end of a window in which its usage is due.
+    """
+
+    address: str = ""
+    names: tuple[str, ...] = ()
+    usage_window_s: float = 0.0
+    usage_late_s: float = DEFAULT_USAGE_LATE_S
+
+    @property
+    def reports_usage(self) -> bool:
+        """Whether the usage of organisations is to be reported."""
+        return bool(self.address) and USAGE in self.names and self.usage_window_s > 0
 
 
 @attrs.frozen
@@ -65,6 +95,7 @@
     :param heartbeat_s: seconds between two writes of an engine's registry entry.
     :param max_open_files: maximum number of file descriptors that the process may open.
     :param bounds: limits on the behaviour of the system.
+    :param duties: calls to the platform that one instance at a time makes.
     """
 
     name: str
@@ -78,6 +109,7 @@
     heartbeat_s: float = DEFAULT_HEARTBEAT_S
     max_open_files: int = 1024
     bounds: SafetyBounds = attrs.field(factory=SafetyBounds)
+    duties: DutySettings = attrs.field(factory=DutySettings)
 
 
 def get_settings_path() -> Path:
@@ -143,7 +175,25 @@
             ),
             retry_slack=_get_number(bounds, "budget_slack", defaults.retry_slack),
             handover_gap_s=_get_seconds(bounds, "lease_ms", defaults.handover_gap_s),
+            key_confirmation_s=_get_seconds(
+                bounds, "revoke_ms", defaults.key_confirmation_s
+            ),
+            needs_key_confirmation=bool(bounds.get("revoke_fail_closed", False)),
         ),
+        duties=_decode_duties(document.get("cloud", {}), bounds),
+    )
+
+
+def _decode_duties(cloud: dict[str, Any], bounds: dict[str, Any]) -> DutySettings:
+    if not cloud:
+        return DutySettings()
+    address = _get_address(cloud, "address")
+    parse_peer_address(address)
+    return DutySettings(
+        address=address,
+        names=tuple(str(name) for name in cloud.get("duties", ())),
+        usage_window_s=_get_number(bounds, "report_window_s", 0.0),
+        usage_late_s=_get_number(bounds, "usage_late_s", DEFAULT_USAGE_LATE_S),
     )
 
 
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -67,6 +67,8 @@
 ]
 
 
+# Partitions of each topic that a group deals out.
+PARTITIONS = 2
 # Seconds between two pieces of records that are sent at a limited rate.
 RECORDS_INTERVAL_S = 0.02
 
@@ -238,8 +240,11 @@
         self.member_expiries[request["member"]] = now + request["ttl_ms"] / 1e3
         holder = next(iter(self.member_expiries))
         self.holders.setdefault((self.era, self.generation), set()).add(holder)
+        topic = request["topics"][0]
         partitions = (
-            [[request["topics"][0], 0, 0]] if holder == request["member"] else []
+            [[topic, number, 0] for number in range(PARTITIONS)]
+            if holder == request["member"]
+            else []
         )
         response = {"generation": self.generation, "ttl_ms": 3000, "parts": partitions}
         self.respond(connection, 200, json.dumps(response).encode())
@@ -250,6 +255,39 @@
         self.respond(connection, 200, b"{}")
 
 
+class FakePlatformApi:
+    """Platform's API that records the reports of usage; ``status`` is its answer."""
+
+    def __init__(self):
+        self.calls = []
+        self.status = 200
+        self.address = ""
+
+    async def start(self, port):
+        self.address = f"127.0.0.1:{port}"
+        self.server = CallerServer(
+            self.handle, asyncio.get_running_loop().time, print, print
+        )
+        await self.server.listen(self.address)
+
+    async def handle(self, connection, request):
+        headers = dict(request.headers)
+        document = json.loads(request.body)
+        holder = headers[b"x-jasminewalk-duty-holder"].decode()
+        fence = int(headers[b"x-jasminewalk-fence-token"])
+        self.calls.append((holder, fence, self.status, document))
+        connection.send_response(self.status, [], b"")
+
+    def list_accepted(self):
+        """Return the counts that were accepted, by window; two must not differ."""
+        accepted = {}
+        for _, _, status, document in self.calls:
+            if status == 200:
+                window, counts = document["window_index"], document["counts"]
+                assert accepted.setdefault(window, counts) == counts
+        return accepted
+
+
 class FakeEngine:
     """Engine that responds according to ``behaviour`` and records its requests.
 
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -978,9 +978,9 @@
     harness,
 ):
     await harness.start(*make_llm_engines())
-    controller = harness.daemon.stage_controller
+    leases = harness.daemon.leases
     joined = asyncio.Event()
-    send = controller.store.transport
+    send = leases.store.transport
 
     async def send_slowly(method, target, body, timeout_s):
         response = await send(method, target, body, timeout_s)
@@ -989,11 +989,11 @@
             await asyncio.sleep(0.2)
         return response
 
-    controller.store.transport = send_slowly
+    leases.store.transport = send_slowly
     await joined.wait()
-    await controller.leave()
+    await leases.leave()
     await asyncio.sleep(0.4)
-    assert controller.lease.held_since is None
+    assert harness.daemon.stage_controller.lease.held_since is None
 
 
 def test_command_reports_path_of_unreadable_settings(run_command, tmp_path):
--- a/tests/test_gateway_store_era.py
+++ b/tests/test_gateway_store_era.py
@@ -388,7 +388,7 @@
         # The first to join in the new era gets the lease.
         for number, daemon in enumerate(group.daemons):
             if number != holder:
-                await daemon.stage_controller._renew()
+                await daemon.leases.renew()
         await watch(0.8)
     seen = await watch(4.0)
     assert seen
