--- a/tests/soak_processes.py
+++ b/tests/soak_processes.py
@@ -32,6 +32,7 @@
     ip: str
     directory: Path
     store: str
+    more_settings: str = ""
     front: int = attrs.field(factory=allocate_port)
     process: subprocess.Popen | None = None
     observed_version: int = 0
@@ -58,7 +59,7 @@
             "lease_ms = 100", "lease_ms = 1000"
         )
         path = self.directory / f"{self.name}.toml"
-        path.write_text(text, encoding="utf-8")
+        path.write_text(text + self.more_settings, encoding="utf-8")
         environment = dict(os.environ, JASMINEWALK_CONFIG=str(path))
         environment.setdefault("PYTHONPATH", str(SOURCE))
         with (self.directory / f"{self.name}.log").open("ab") as log:
