Keep what callers and engines make a gateway hold within its machine's memory

Crowds of callers ended a process in a trial: many chunked bodies that stop short, tiny chunks, pipelined requests and long answers that nobody reads made it hold more than its machine has. An object for each chunk, all requests of one read, and up to four copies of a long answer were not counted, and the limits knew neither machine nor true cost.

MemoryPlan divides the settings' memory_mb and max_fds among requests, engines' bodies, unread responses and connections.

--- a/src/jasminewalk/gateway/daemon.py
+++ b/src/jasminewalk/gateway/daemon.py
@@ -19,9 +19,7 @@
     LeaseGroup,
     SteadyWallClock,
     UsageCounter,
-    UsageDuty,
-    UsageLedger,
-    UsageReports,
+    create_usage_duty,
 )
 from jasminewalk.gateway.duties.lease_group import SESSION_S, read_boot_clock
 from jasminewalk.gateway.engine_clients import EngineClients
@@ -51,6 +49,7 @@
 from jasminewalk.gateway.stream_versions import StreamVersions
 from jasminewalk.gateway.version_shares import VersionShares
 from jasminewalk.gateway.version_store import VersionsFollower
+from jasminewalk.http1.memory_plan import MemoryPlan
 from jasminewalk.http1.server import CallerConnection, CallerRequest, CallerServer
 from jasminewalk.platform.configuration import ServingConfiguration
 from jasminewalk.platform.settings import load_settings
@@ -106,13 +105,10 @@
         self.stream_versions = StreamVersions(self.peers, self.clock)
         self.version_shares = VersionShares()
         self.stream_origins = StreamOriginLog(self.store, self.log, self.clock)
-        usage_clock = SteadyWallClock(read_boot_clock, time.time)
         self.usage = UsageCounter(
-            self.settings.duties.usage_window_s
-            if self.settings.duties.reports_usage
-            else 0.0,
+            self.settings.duties.counted_window_s,
             self.clock,
-            usage_clock,
+            SteadyWallClock(read_boot_clock, time.time),
         )
         self.context = GatewayContext(
             settings=self.settings,
@@ -143,6 +139,7 @@
             self._log_handler_failure,
             self._log_unreadable_request,
         )
+        self._limit_memory()
         self.drain = Drain(self.planned_stop, self.caller_server, self.log, self.clock)
         self.dispatcher = RequestDispatcher(
             self.context, self.drain, lambda: self.has_started
@@ -159,9 +156,8 @@
             self._log_handler_failure,
             self._log_unreadable_request,
         )
-        self.caller_server.on_unread = lambda unsent_bytes: self.log.warning(
-            "response_unread", unsent_bytes=unsent_bytes
-        )
+        self.caller_server.on_unread = self._log_unread_response
+        self.metrics.watch_memory(self.caller_server, self.clients.budget)
         self.configuration = ConfigurationFollower(
             self.store, self.log, self.clock, self._apply_configuration
         )
@@ -240,29 +236,20 @@
             self.clock,
         )
         self.leases.after_renewal = self.stage_controller.order_if_allowed
-        self.usage_duty = self._create_usage_duty(session_s, handover_gap_s)
-        self.tasks: list[asyncio.Task[None]] = []
-
-    def _create_usage_duty(
-        self, session_s: float, handover_gap_s: float
-    ) -> UsageDuty | None:
-        """Return the tasks that report usage; None if the platform wants no reports."""
-        duties = self.settings.duties
-        if not duties.reports_usage:
-            return None
-        lease = HolderLease(session_s, handover_gap_s, partition=USAGE_PARTITION)
-        duty = UsageDuty(
+        self.usage_duty = create_usage_duty(
+            self.settings.duties,
             self.usage,
-            UsageReports(self.usage, UsageLedger(), duties.usage_late_s),
-            self.leases.add("usage", lease),
-            self.peers,
-            self.store,
-            duties.address,
-            self.log,
-            self.clock,
+            self.leases,
+            HolderLease(session_s, handover_gap_s, partition=USAGE_PARTITION),
         )
-        self.peer_link.connect_usage(duty)
-        return duty
+        if self.usage_duty is not None:
+            self.peer_link.connect_usage(self.usage_duty)
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def _limit_memory(self) -> None:
+        settings = self.context.settings
+        plan = MemoryPlan.from_limits(settings.memory_bytes, settings.max_open_files)
+        plan.apply(self.caller_server, self.clients.budget)
 
     async def run(self) -> None:
         """Serve until SIGTERM, then drain the requests that are running."""
@@ -315,6 +302,7 @@
         if settings != self.context.settings:
             self.context.update_settings(settings)
             self.store_connections.use_address(settings.store_address)
+            self._limit_memory()
             self.log.info("settings_reloaded")
 
     @property
@@ -374,8 +362,13 @@
         )
 
     def _log_unreadable_request(self, status: int) -> None:
+        self.metrics.unreadable.labels(str(status)).inc()
         self.log.warning("request_unreadable", status=status)
 
+    def _log_unread_response(self, unsent_bytes: int) -> None:
+        self.metrics.unread_responses.inc()
+        self.log.warning("response_unread", unsent_bytes=unsent_bytes)
+
     # Configuration and settings.
 
     def _apply_configuration(self, configuration: ServingConfiguration) -> None:
--- a/src/jasminewalk/gateway/duties/__init__.py
+++ b/src/jasminewalk/gateway/duties/__init__.py
@@ -8,7 +8,7 @@
 from jasminewalk.gateway.duties.lease_group import LeaseGroup
 from jasminewalk.gateway.duties.steady_wall_clock import SteadyWallClock
 from jasminewalk.gateway.duties.usage_counter import UsageCounter
-from jasminewalk.gateway.duties.usage_duty import UsageDuty
+from jasminewalk.gateway.duties.usage_duty import UsageDuty, create_usage_duty
 from jasminewalk.gateway.duties.usage_ledger import UsageLedger
 from jasminewalk.gateway.duties.usage_reports import UsageReports
 
@@ -19,4 +19,5 @@
     "UsageDuty",
     "UsageLedger",
     "UsageReports",
+    "create_usage_duty",
 ]
--- a/src/jasminewalk/gateway/duties/usage_duty.py
+++ b/src/jasminewalk/gateway/duties/usage_duty.py
@@ -9,7 +9,11 @@
 from jasminewalk.decoding import Count, Number, decode_msgpack
 from jasminewalk.exceptions import BadMessageError, LogUnavailableError
 from jasminewalk.gateway.decision_log import DecisionLog
-from jasminewalk.gateway.duties.lease_group import MAX_CANDIDATES, read_boot_clock
+from jasminewalk.gateway.duties.lease_group import (
+    MAX_CANDIDATES,
+    LeaseGroup,
+    read_boot_clock,
+)
 from jasminewalk.gateway.duties.usage_counter import UsageCounter
 from jasminewalk.gateway.duties.usage_ledger import UsageLedger, WindowCounts
 from jasminewalk.gateway.duties.usage_reports import Proposal, UsageReports
@@ -17,9 +21,10 @@
 from jasminewalk.gateway.peers import PeerExchange
 from jasminewalk.http1 import Exchange, ExchangeBrokenError, connect
 from jasminewalk.platform.duties import encode_usage_report
+from jasminewalk.platform.settings import DutySettings
 from jasminewalk.platform.store import USAGE_TOPIC, StoreClient
 
-__all__ = ["DATAGRAM_MARK", "UsageDuty", "UsageNews"]
+__all__ = ["DATAGRAM_MARK", "UsageDuty", "UsageNews", "create_usage_duty"]
 
 # First byte of the datagrams, which no other message of gateways begins with.
 DATAGRAM_MARK = b"\x02"
@@ -317,3 +322,30 @@
                 return (await exchange.head()).status
         finally:
             connection.abort()
+
+
+def create_usage_duty(
+    settings: DutySettings,
+    counter: UsageCounter,
+    leases: LeaseGroup,
+    lease: HolderLease,
+) -> UsageDuty | None:
+    """Return the tasks that report usage; None if the platform wants no reports.
+
+    :param settings: what the platform wants.
+    :param counter: counts of this gateway.
+    :param leases: renews the lease, with those on other duties.
+    :param lease: lease that allows reporting.
+    """
+    if not settings.reports_usage:
+        return None
+    return UsageDuty(
+        counter,
+        UsageReports(counter, UsageLedger(), settings.usage_late_s),
+        leases.add("usage", lease),
+        leases.exchange,
+        leases.store,
+        settings.address,
+        leases.log,
+        leases.clock,
+    )
--- a/src/jasminewalk/gateway/metrics.py
+++ b/src/jasminewalk/gateway/metrics.py
@@ -1,5 +1,7 @@
 """Counters and latency histograms of a gateway."""
 
+from collections.abc import Callable
+
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -8,6 +10,8 @@
     generate_latest,
 )
 
+from jasminewalk.http1 import CallerServer, ReceiveBudget
+
 __all__ = ["GatewayMetrics"]
 
 # Only this many routes get their own label; all others share one.
@@ -51,6 +55,43 @@
             "Since this gateway or a peer last read the registry of engines.",
             registry=self.registry,
         )
+        self.held_bytes = Gauge(
+            "jasminewalk_held_bytes",
+            "Memory of requests, of engines' bodies and of unread responses.",
+            ["kind"],
+            registry=self.registry,
+        )
+        self.connections = Gauge(
+            "jasminewalk_caller_connections",
+            "Open connections of callers.",
+            registry=self.registry,
+        )
+        self.unreadable = Counter(
+            "jasminewalk_unreadable_requests",
+            "Requests refused while they were received, by status.",
+            ["status"],
+            registry=self.registry,
+        )
+        self.unread_responses = Counter(
+            "jasminewalk_unread_responses",
+            "Responses aborted because their callers did not read them.",
+            registry=self.registry,
+        )
+
+    def watch_memory(self, server: CallerServer, budget: ReceiveBudget) -> None:
+        """Show what callers and engines make the process hold.
+
+        :param server: server of the callers.
+        :param budget: limit on what the connections to engines hold.
+        """
+        self.connections.set_function(lambda: len(server.connections))
+        kinds: dict[str, Callable[[], float]] = {
+            "requests": lambda: server.held_bytes,
+            "engines": lambda: budget.held_bytes,
+            "responses": lambda: server.unsent_body_bytes,
+        }
+        for kind, count in kinds.items():
+            self.held_bytes.labels(kind).set_function(count)
 
     def record_response(self, route: str, status: int, seconds: float) -> None:
         """Count a response that was relayed completely.
--- a/src/jasminewalk/http1/client.py
+++ b/src/jasminewalk/http1/client.py
@@ -24,6 +24,8 @@
 MAX_SKIPPED_BYTES = 1024 * 1024
 # Receiving pauses while more bytes of an exchange were not read.
 MAX_UNREAD_BYTES = 64 * 1024
+# Bytes of an exchange that may be unread without counting towards the budget.
+MAX_UNCOUNTED_BYTES = 8 * 1024
 # Discarded bytes of one connection that are each reported.
 MAX_DISCARD_REPORTS = 10
 # A timer that fires later than this many seconds tells that the event loop, or the
@@ -37,7 +39,7 @@
 STATUSES_WITHOUT_BODY = (204, 304)
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """HTTP/1.1 connection that carries one exchange at a time.
 
     :param clock: function that returns the monotonic time in seconds.
@@ -89,6 +91,14 @@
         self.checked_body_bytes = 0
         self.transport.write(request)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer to receive into, which connections of a budget share."""
+        return self.budget.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle bytes that were received into the buffer."""
+        self.data_received(bytes(self.budget.buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; abort the connection if no request is outstanding.
 
@@ -183,6 +193,7 @@
         exchange.unread_bytes += size
         if exchange.unread_bytes > MAX_UNREAD_BYTES:
             self._pause_reading()
+        if exchange.unread_bytes > MAX_UNCOUNTED_BYTES:
             self._count_held_bytes(exchange)
         exchange.wake()
 
@@ -220,6 +231,9 @@
             self.transport.abort()
         self._fail(reason)
         self._free_held_bytes()
+        if self.exchange is not None and self.exchange.failure:
+            # The task that waits for the exchange may run only later.
+            self.exchange.drop_body()
 
     def release(self) -> None:
         """Detach the completed exchange and mark the connection as idle."""
--- a/src/jasminewalk/http1/exchange.py
+++ b/src/jasminewalk/http1/exchange.py
@@ -110,6 +110,12 @@
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(None)
 
+    def drop_body(self) -> None:
+        """Drop what was received of the body of a failed exchange."""
+        self.chunks.clear()
+        self.kept_chunks.clear()
+        self.unread_bytes = 0
+
     async def wait(self) -> None:
         """Wait until data arrives or the exchange ends."""
         self.waiter = asyncio.get_running_loop().create_future()
@@ -147,7 +153,9 @@
             async with asyncio.timeout(chunk_timeout_s):
                 part = await self._read_chunks(keep=True)
             if not part:
-                return b"".join(self.kept_chunks)
+                # Kept as one, for another call, in place of its pieces.
+                self.kept_chunks = [b"".join(self.kept_chunks)]
+                return self.kept_chunks[0]
             self.kept_chunks.append(part)
 
     async def _read_chunks(self, *, keep: bool = False) -> bytes:
--- a/src/jasminewalk/platform/settings.py
+++ b/src/jasminewalk/platform/settings.py
@@ -25,6 +25,7 @@
 DEFAULT_HEARTBEAT_S = 1.2
 USAGE = "usage"
 DEFAULT_USAGE_LATE_S = 10.0
+DEFAULT_MEMORY_BYTES = 256_000_000
 
 
 @attrs.frozen
@@ -77,6 +78,11 @@
         """Whether the usage of organisations is to be reported."""
         return bool(self.address) and USAGE in self.names and self.usage_window_s > 0
 
+    @property
+    def counted_window_s(self) -> float:
+        """Length of the windows of usage in seconds; 0 if none is to be reported."""
+        return self.usage_window_s if self.reports_usage else 0.0
+
 
 @attrs.frozen
 class InstanceSettings:
@@ -94,6 +100,7 @@
         in seconds.
     :param heartbeat_s: seconds between two writes of an engine's registry entry.
     :param max_open_files: maximum number of file descriptors that the process may open.
+    :param memory_bytes: memory that the process may use.
     :param bounds: limits on the behaviour of the system.
     :param duties: calls to the platform that one instance at a time makes.
     """
@@ -108,6 +115,7 @@
     store_session_s: float = 1.0
     heartbeat_s: float = DEFAULT_HEARTBEAT_S
     max_open_files: int = 1024
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
     bounds: SafetyBounds = attrs.field(factory=SafetyBounds)
     duties: DutySettings = attrs.field(factory=DutySettings)
 
@@ -146,6 +154,7 @@
 
 def _decode_settings(document: dict[str, Any]) -> InstanceSettings:
     bounds = document.get("bounds", {})
+    limits = document.get("limits", {})
     defaults = SafetyBounds()
     ip, peer_port = parse_peer_address(
         f"{document['ip']}:{document['internal_ports'][0]}"
@@ -162,7 +171,10 @@
         store_address=store_address,
         store_session_s=_get_seconds(document["platform"], "ttl_min_ms", 1.0),
         heartbeat_s=_get_seconds(document, "heartbeat_ms", DEFAULT_HEARTBEAT_S),
-        max_open_files=int(document.get("limits", {}).get("max_fds", 1024)),
+        max_open_files=int(limits.get("max_fds", 1024)),
+        memory_bytes=int(
+            _get_number(limits, "memory_mb", DEFAULT_MEMORY_BYTES / 1e6) * 1e6
+        ),
         bounds=SafetyBounds(
             drain_s=_get_seconds(bounds, "drain_ms", defaults.drain_s),
             configuration_s=_get_seconds(
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -26,6 +26,8 @@
 # Tries of an ordinary caller, and seconds between them.
 ORDINARY_TRIES = 40
 RETRY_S = 0.5
+# Looks for engines that still answer the crowd.
+ENGINES_TRIES = 10
 SETTINGS = f"""
 [limits]
 memory_mb = {MEMORY_MB}
@@ -133,6 +135,16 @@
             await asyncio.sleep(RETRY_S)
         raise AssertionError("no ordinary request is answered")
 
+    async def wait_for_engines(self):
+        """Wait until the engines have answered what they can of the crowd's requests.
+
+        What a caller leaves unread may hold up an engine, so this ends after a time.
+        """
+        for _ in range(ENGINES_TRIES):
+            await asyncio.sleep(RETRY_S)
+            if not any(engine.running_requests for engine in self.engines):
+                return
+
     # The crowd.
 
     def build_head(self, path, request_id, length=None):
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -179,7 +179,7 @@
 async def test_caller_that_never_reads_its_response_is_disconnected(
     server, free_address, ending, monkeypatch
 ):
-    monkeypatch.setattr("jasminewalk.http1.server.SEND_TIMEOUT_S", 1.0)
+    monkeypatch.setattr("jasminewalk.http1.response_sender.SEND_TIMEOUT_S", 1.0)
     server.response = b"x" * 16 * MIB
     _, writer = await open_connection(free_address)
     writer.write(b"GET / HTTP/1.1\r\n" + ending + b"\r\n")
@@ -232,7 +232,7 @@
 async def test_caller_that_reads_slowly_gets_its_whole_response(
     server, free_address, monkeypatch
 ):
-    monkeypatch.setattr("jasminewalk.http1.server.SEND_TIMEOUT_S", 1.0)
+    monkeypatch.setattr("jasminewalk.http1.response_sender.SEND_TIMEOUT_S", 1.0)
     server.response = b"x" * 16 * MIB
     reader, writer = await open_connection(free_address)
     writer.write(b"GET / HTTP/1.1\r\nconnection: close\r\n\r\n")
