Learn how much each endpoint of a plain service takes well, and have the rest wait

Endpoints that slow down long before their announced slots are full got requests by slots and a moving average of latency. Two gateways before three of them, half of what they could take: a quarter to a half of the requests ended with 504 at their deadline, for seconds after each change.

LearntLimit finds the requests at once that an endpoint takes within half of the callers' objective, from answers and from requests that are overdue, with what all gateways had; WaitingLine holds what no endpoint takes, or refuses it at once. Nothing changes while no endpoint slows down.

--- a/src/jasminewalk/gateway/context.py
+++ b/src/jasminewalk/gateway/context.py
@@ -5,6 +5,7 @@
 import attrs
 
 from jasminewalk.gateway.admission import AdmissionPolicy
+from jasminewalk.gateway.capacity import WaitingLine
 from jasminewalk.gateway.crash_watch import CrashWatch
 from jasminewalk.gateway.decision_log import DecisionLog
 from jasminewalk.gateway.duties.usage_counter import UsageCounter
@@ -49,6 +50,7 @@
     :param usage: counts the requests of each organisation that engines began.
     :param fair_shares: compares what organisations use of the engines.
     :param retry_budgets: retry budget of each service, by its name.
+    :param lines: requests that wait for an endpoint of a service, by its name.
     :param get_unread_s: returns the seconds since the configuration was last read by
         any gateway that this one hears.
     :param is_behind: returns whether another gateway has a newer configuration.
@@ -71,9 +73,17 @@
     usage: UsageCounter
     fair_shares: FairShares = attrs.field(factory=FairShares)
     retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
+    lines: dict[str, WaitingLine] = attrs.field(factory=dict)
     get_unread_s: Callable[[], float] = lambda: 0.0
     is_behind: Callable[[], bool] = lambda: False
 
+    def get_line(self, service: str) -> WaitingLine:
+        """Return the line of a service; create it if there is none.
+
+        :param service: name of the service.
+        """
+        return self.lines.setdefault(service, WaitingLine())
+
     def decide_access(self, route: Route, credential: str) -> Access | Denied:
         """Decide by its key whether a request that has just arrived may run.
 
--- a/src/jasminewalk/gateway/engine_list.py
+++ b/src/jasminewalk/gateway/engine_list.py
@@ -78,6 +78,8 @@
         self.reads_older_copy = False
         self.loaded_at = float("inf")
         self.former_versions: dict[tuple[str, str], float] = {}
+        # Gateways that send requests to the engines, with this one.
+        self.gateways = 1
 
     def is_replaced(self, engine: EngineState) -> bool:
         """Return whether another incarnation is listed under the id of an engine.
--- a/src/jasminewalk/gateway/engine_state.py
+++ b/src/jasminewalk/gateway/engine_state.py
@@ -6,6 +6,7 @@
 import attrs
 import xxhash
 
+from jasminewalk.gateway.capacity import LearntLimit
 from jasminewalk.gateway.engine_backoff import EngineBackoff
 from jasminewalk.gateway.peer_sums import Load, PeerLoads, PeerSpeeds
 from jasminewalk.gateway.prompt_cache import PromptCache
@@ -85,6 +86,9 @@
     :param backoff: time for which it wants nothing from this gateway.
     :param held_until: monotonic time up to which it gets nothing because only an older
         copy of the store lists it.
+    :param in_flight: monotonic times at which plain requests that were not answered
+        were sent, oldest first, by a number.
+    :param learnt: how many plain requests at once it was found to take well.
     :param key: 32-bit hash that identifies its incarnation in messages.
     """
 
@@ -112,8 +116,14 @@
     said_leaving: bool = False
     backoff: EngineBackoff = attrs.field(factory=EngineBackoff)
     held_until: float = float("-inf")
+    in_flight: dict[int, float] = attrs.field(factory=dict)
+    learnt: LearntLimit = attrs.field(init=False)
     key: int = attrs.field(init=False)
 
+    @learnt.default
+    def _create_learnt(self) -> LearntLimit:
+        return LearntLimit(max(1, self.entry.slots))
+
     @key.default
     def _compute_key(self) -> int:
         identity = f"{self.entry.engine_id} {self.entry.started_ms}"
@@ -196,6 +206,7 @@
         :param now: current monotonic time in seconds.
         """
         self.limit.take(now)
+        self.learnt.take()
         self.sent_times.append(now)
         while self.sent_times[0] <= now - SENT_WINDOW_S:
             self.sent_times.popleft()
--- a/src/jasminewalk/gateway/fleet.py
+++ b/src/jasminewalk/gateway/fleet.py
@@ -45,7 +45,7 @@
         """Return the usable engines of a service that take another request now.
 
         An engine that turned requests away for a time is left out, and so is one whose
-        limit has no room.
+        limit, named by itself or learnt, has no room.
 
         :param service: name of the service.
         :param now: current monotonic time in seconds.
@@ -57,9 +57,22 @@
             if not engine.compute_backoff_wait_s(now)
             and (version is None or engine.entry.version == version)
             and engine.limit.has_room(now)
+            and engine.learnt.has_room(now, engine.requests, self.gateways)
         ]
         return _prefer_trusted(present, now)
 
+    def is_at_learnt_limits(self, service: str, now: float) -> bool:
+        """Return whether only learnt limits keep requests from usable engines.
+
+        :param service: name of the service.
+        :param now: current monotonic time in seconds.
+        """
+        return any(
+            not engine.learnt.has_room(now, engine.requests, self.gateways)
+            for engine in self.list_usable(service, now)
+            if not engine.compute_backoff_wait_s(now) and engine.limit.has_room(now)
+        )
+
     def find_shortest_backoff(self, service: str, now: float) -> EngineState | None:
         """Return the first engine to come back of those that turned requests away.
 
--- a/src/jasminewalk/gateway/peer_link.py
+++ b/src/jasminewalk/gateway/peer_link.py
@@ -207,6 +207,7 @@
         )
         for address in self.exchange.list_recipients(now):
             self.send(address, data)
+        self.exchange.fleet.gateways = self.exchange.member_count
 
     def _collect_uses(self, now: float) -> list[tuple[int, int, int]]:
         if self.exchange.number % MESSAGES_PER_USES:
--- a/src/jasminewalk/gateway/peer_message.py
+++ b/src/jasminewalk/gateway/peer_message.py
@@ -56,6 +56,8 @@
         negative if it has none or doesn't say.
     :param uses: organisations, and the milliseconds of engine time that they lately
         asked it for and used.
+    :param learnt: engine, its learnt limit in tenths, and of the answers since the last
+        message their number, the sum of their milliseconds, and most requests at once.
     """
 
     node: str
@@ -81,6 +83,7 @@
     unlisted: list[Count] = []
     configuration_version: Number = -1
     uses: list[tuple[Count, Count, Count]] = []
+    learnt: list[tuple[Count, Count, Count, Count, Count]] = []
 
 
 _decoder = msgspec.msgpack.Decoder(PeerMessage)
--- a/src/jasminewalk/gateway/peers.py
+++ b/src/jasminewalk/gateway/peers.py
@@ -42,6 +42,8 @@
 LIMIT_END_ANNOUNCEMENT_S = 10.0
 # Limit in a message that stands for none.
 NO_LIMIT = -1
+# Learnt limits are announced in tenths of a request.
+LIMIT_TENTHS = 10
 # Messages that announce the same prefill, because single datagrams can be lost.
 PREFILL_ANNOUNCEMENTS = 2
 # One message in this many carries the measured speeds, which change slowly.
@@ -227,6 +229,7 @@
             ],
             configuration_version=configuration_version,
             uses=uses or [],
+            learnt=self._collect_learnt(now),
         )
         return msgspec.msgpack.encode(message)
 
@@ -262,6 +265,23 @@
                 announced.append(row)
         return announced
 
+    def _collect_learnt(self, now: float) -> list[tuple[int, int, int, int, int]]:
+        rows = []
+        for engine in self.fleet.engines.values():
+            told = engine.learnt.announce(now)
+            if told is not None:
+                limit, count, seconds, at_once = told
+                rows.append(
+                    (
+                        compute_engine_key(engine),
+                        round(limit * LIMIT_TENTHS),
+                        count,
+                        round(seconds * 1e3),
+                        round(at_once),
+                    )
+                )
+        return rows
+
     def _collect_speeds(self) -> list[tuple[int, int, int]]:
         if self.number % MESSAGES_PER_SPEEDS:
             return []
@@ -331,6 +351,10 @@
         for key, ended, failed in message.outcomes:
             if key in engines_by_key and 0 <= failed <= ended and ended > 0:
                 engines_by_key[key].update_failure_rate(Outcomes(ended, failed))
+        for key, tenths, count, total_ms, at_once in message.learnt:
+            if key in engines_by_key:
+                row = tenths / LIMIT_TENTHS, count, total_ms / 1e3, at_once
+                engines_by_key[key].learnt.record_peer(now, message.node, row)
         for key, part_id, tokens in message.prefills:
             if key in engines_by_key and tokens:
                 engines_by_key[key].cache.add((PromptPart(part_id, tokens),))
--- a/src/jasminewalk/gateway/plain_run.py
+++ b/src/jasminewalk/gateway/plain_run.py
@@ -26,6 +26,10 @@
 # Shortest remaining time for which a request is sent, in seconds.
 MIN_SEND_TIME_S = 0.015
 MIN_SERVER_ERROR_STATUS = 500
+# Share of the time left to its deadline that a request may wait in line.
+MAX_LINE_SHARE = 0.5
+# Bounds of ``Retry-After`` of a request that would wait longer, in seconds.
+MIN_LINE_RETRY_S, MAX_LINE_RETRY_S = 0.1, 1.0
 NO_RESPONSE = "no answer in time"
 
 
@@ -71,6 +75,7 @@
         self.connect_failures = 0
         self.last_result: PlainAttemptResult | None = None
         self.may_have_run = False
+        self.line_wait_s: float | None = None
         while True:
             async with self.take_turn() as may_run:
                 is_over = not may_run or await self._run_once()
@@ -81,10 +86,12 @@
         """Make one attempt; return whether the request was ended."""
         if self.refuse_revoked() or self.refuse_quarantined():
             return True
-        engine = self._choose_engine()
+        engine = await self._wait_for_engine()
         if engine is None or self.engine_remaining_s < MIN_SEND_TIME_S:
             self._finish("no time left" if engine else self.explain_missing_engine())
             return True
+        if self.refuse_revoked():
+            return True
         try:
             result = await self._attempt(engine)
         except NotSentError as error:
@@ -120,9 +127,67 @@
         """
         self._finish(reason)
 
+    async def _wait_for_engine(self) -> EngineState | None:
+        """Return an engine; wait in line while all are at their learnt limits."""
+        line = self.context.get_line(self.service)
+        now = self.context.clock()
+        engine = None if line.waiting else self._choose_engine()
+        if engine is None and self.context.fleet.is_at_learnt_limits(self.service, now):
+            predicted_s = line.predict_wait_s(now)
+            allowed_s = MAX_LINE_SHARE * self.remaining_s
+            if predicted_s > allowed_s:
+                self.line_wait_s = predicted_s
+                return None
+            engine = await line.wait_for(self._choose_engine, allowed_s)
+            self.line_wait_s = line.predict_wait_s(self.context.clock())
+        elif engine is None:
+            engine = self._choose_engine()
+        if engine is not None:
+            line.record_left(self.context.clock())
+        return engine
+
+    def explain_missing_engine(self) -> str:
+        """Return why there is no engine to choose, and set when to come back."""
+        if self.line_wait_s is None:
+            return super().explain_missing_engine()
+        wait_s = max(MIN_LINE_RETRY_S, self.line_wait_s)
+        self.retry_after_s = min(MAX_LINE_RETRY_S, wait_s)
+        return "learnt limit"
+
     def _choose_engine(self) -> EngineState | None:
         engines = self.list_available_engines()
-        return self.context.placement.choose_engine(engines, self.tried_engines)
+        now, objective_s = self.context.clock(), self.route.objective_s
+        for engine in engines:
+            if engine.in_flight:
+                oldest = next(iter(engine.in_flight.values()))
+                former = engine.learnt.limit
+                if engine.learnt.record_overdue(
+                    now, oldest, engine.requests, objective_s
+                ):
+                    self._log_learnt(engine, former)
+        return self.context.placement.choose_engine(
+            [e for e in engines if e.learnt.has_room(now, e.requests, self.gateways)],
+            self.tried_engines,
+        )
+
+    @property
+    def gateways(self) -> int:
+        """Number of gateways that send requests to the engines."""
+        return self.context.fleet.gateways
+
+    def _log_learnt(self, engine: EngineState, former: float | None) -> None:
+        learnt = engine.learnt
+        self.context.log.info(
+            "limit_learnt",
+            engine=engine.entry.engine_id,
+            limit=None if learnt.limit is None else round(learnt.limit, 1),
+            former=None if former is None else round(former, 1),
+            slots=learnt.slots,
+            latency_ms=round(learnt.latency_s * 1e3, 1),
+            idle_ms=round(learnt.idle_s * 1e3, 1),
+            objective_ms=round(self.route.objective_s * 1e3),
+            requests=engine.requests,
+        )
 
     async def _attempt(self, engine: EngineState) -> PlainAttemptResult:
         slow_after_s = max(MIN_SLOW_RESPONSE_S, SLOW_RESPONSE_FACTOR * engine.latency_s)
@@ -150,16 +215,38 @@
                 engine_requests=engine.requests,
                 latency_ms=round(engine.latency_s * 1e3, 1),
             )
-            started_at = self.context.clock()
-            with self.context.usage.track(started_at):
-                result = await self._receive(sent, engine, slow_after_s)
+            started_at, at_once = self.context.clock(), engine.requests
+            engine.in_flight[id(self)] = started_at
+            try:
+                with self.context.usage.track(started_at):
+                    result = await self._receive(sent, engine, slow_after_s)
+            finally:
+                engine.in_flight.pop(id(self), None)
         was_cut = result.response is None and sent.exchange.ended_by_peer
         if not (result.not_executed or result.turned_away or was_cut):
             self.count_begun(started_at)
+        self._learn(engine, result, started_at, at_once)
         self._record_crash_evidence(sent, engine, result, started_at)
         self._record_outcome(engine, result, self.context.clock() - started_at)
         return result
 
+    def _learn(
+        self,
+        engine: EngineState,
+        result: PlainAttemptResult,
+        started_at: float,
+        at_once: int,
+    ) -> None:
+        """Learn from an answer, or from none, how much the engine takes well."""
+        is_answer = result.response is not None and not result.not_executed
+        if not is_answer and result.reason != NO_RESPONSE:
+            return
+        now, former = self.context.clock(), engine.learnt.limit
+        if engine.learnt.record(
+            now, started_at, now - started_at, at_once, self.route.objective_s
+        ):
+            self._log_learnt(engine, former)
+
     async def _receive(
         self, sent: OpenExchange, engine: EngineState, slow_after_s: float
     ) -> PlainAttemptResult:
