--- a/src/jasminewalk/gateway/plain_run.py
+++ b/src/jasminewalk/gateway/plain_run.py
@@ -155,25 +155,21 @@
         return "learnt limit"
 
     def _choose_engine(self) -> EngineState | None:
+        self._look_for_overdue()
         engines = self.list_available_engines()
-        now, objective_s = self.context.clock(), self.route.objective_s
-        for engine in engines:
-            if engine.in_flight:
-                oldest = next(iter(engine.in_flight.values()))
-                former = engine.learnt.limit
-                if engine.learnt.record_overdue(
-                    now, oldest, engine.requests, objective_s
-                ):
-                    self._log_learnt(engine, former)
-        return self.context.placement.choose_engine(
-            [e for e in engines if e.learnt.has_room(now, e.requests, self.gateways)],
-            self.tried_engines,
-        )
+        return self.context.placement.choose_engine(engines, self.tried_engines)
 
-    @property
-    def gateways(self) -> int:
-        """Number of gateways that send requests to the engines."""
-        return self.context.fleet.gateways
+    def _look_for_overdue(self) -> None:
+        """Learn from requests of this gateway that engines have not answered yet."""
+        now = self.context.clock()
+        for engine in self.context.fleet.list_usable(self.service, now):
+            if not engine.in_flight:
+                continue
+            oldest, former = next(iter(engine.in_flight.values())), engine.learnt.limit
+            if engine.learnt.record_overdue(
+                now, oldest, engine.requests, self.route.objective_s
+            ):
+                self._log_learnt(engine, former)
 
     def _log_learnt(self, engine: EngineState, former: float | None) -> None:
         learnt = engine.learnt
