--- a/tests/test_gateway_lease_schedules.py
+++ b/tests/test_gateway_lease_schedules.py
@@ -11,7 +11,11 @@
 import pytest
 
 from jasminewalk.exceptions import LogUnavailableError
-from jasminewalk.gateway.holder_lease import HOLDER_PARTITION, HolderLease
+from jasminewalk.gateway.holder_lease import (
+    HOLDER_PARTITION,
+    USAGE_PARTITION,
+    HolderLease,
+)
 from jasminewalk.platform.store import GroupMembership, StoreClient, StoreResponse
 
 SESSION_S = 3.0
@@ -172,3 +176,123 @@
     assert sum(bool(schedule.orders) for schedule in schedules) >= 8
     eras = {number // 1_000_000 for s in schedules for _, _, number in s.orders}
     assert len(eras) >= 3
+
+
+# Several duties, which the store deals out evenly.
+
+DUTIES = (HOLDER_PARTITION, USAGE_PARTITION)
+
+
+class DealingStore(LeaseStore):
+    """Group whose partitions are dealt evenly, and move when their holder agrees.
+
+    Without ``waits_for_holder``, they move at once, which no store may do.
+    """
+
+    def __init__(self, waits_for_holder=True):
+        super().__init__()
+        self.waits_for_holder = waits_for_holder
+        self.owners = {}
+        self.known = {}
+
+    def deal(self):
+        members = list(self.expiries)
+        return {duty: members[duty % len(members)] for duty in DUTIES}
+
+    def join(self, now, member, known_generation=0):
+        live = {name: at for name, at in self.expiries.items() if at > now}
+        if live.keys() != self.expiries.keys() or member not in live:
+            self.generation += 1
+        self.expiries = live
+        self.expiries[member] = now + SESSION_S
+        for duty, wanted in self.deal().items():
+            owner = self.owners.get(duty)
+            agrees = owner == member and known_generation >= self.generation
+            if owner not in self.expiries or agrees or not self.waits_for_holder:
+                self.owners[duty] = wanted
+        held = frozenset(
+            duty
+            for duty, wanted in self.deal().items()
+            if wanted == member and self.owners[duty] == member
+        )
+        return GroupMembership(self.generation, held), self.era
+
+    def restore(self, rng):
+        super().restore(rng)
+        self.owners = {}
+
+
+class MemberOfDuties(SimulatedMember):
+    """Gateway that renews the leases on several duties with one call."""
+
+    def start(self, now):
+        super().start(now)
+        self.leases = [HolderLease(SESSION_S, GAP_S, partition=p) for p in DUTIES]
+        self.client.on_new_era = lambda previous, era: [
+            lease.distrust(self.now, era) for lease in self.leases
+        ]
+        self.generation = 0
+
+    def receive(self, now, name, call, requested_at, membership, era):
+        self.now = now
+        if name != self.name or call != self.calls:
+            return
+        try:
+            self.client._check_era(StoreResponse(200, b"", era))
+        except LogUnavailableError:
+            return
+        self.generation = membership.generation
+        for lease in self.leases:
+            lease.record_renewal(requested_at, now, membership)
+
+
+class DutySchedule(LeaseSchedule):
+    def __init__(self, seed, **options):
+        super().__init__(seed)
+        self.store = DealingStore(**options)
+        self.members = [MemberOfDuties(number) for number in range(MEMBERS)]
+
+    def tick(self, now, interval_s):
+        for member in self.members:
+            for duty, lease in zip(DUTIES, member.leases, strict=True):
+                if member.frozen_until <= now and lease.may_order(now):
+                    order = duty, now, member.name, lease.fencing_number
+                    self.orders.append(order)
+        self.plan(now + interval_s, self.tick, interval_s)
+
+    def answer(self, now, member, name, *call):
+        response = self.store.join(now, name, member.generation)
+        if self.rng.random() > 0.1:
+            arrives_at = now + self.rng.choice((0.001, 0.05, 0.4))
+            self.plan(arrives_at, self.deliver, member, name, *call, *response)
+
+    def find_violation(self):
+        """Return two acts on one duty that are too close or not in order, if any."""
+        for duty in DUTIES:
+            acts = [act[1:] for act in self.orders if act[0] == duty]
+            for former, following in itertools.pairwise(acts):
+                (at, member, number), (next_at, next_member, next_number) = (
+                    former,
+                    following,
+                )
+                changes = next_member != member
+                if next_number < number or (
+                    changes and (next_at - at < GAP_S or next_number == number)
+                ):
+                    return former, following
+        return None
+
+
+@pytest.mark.parametrize("seed", range(100))
+def test_holders_of_each_of_several_duties_are_apart(seed):
+    schedule = DutySchedule(seed)
+    schedule.run()
+    assert schedule.find_violation() is None
+    assert {duty for duty, *_ in schedule.orders} == set(DUTIES)
+
+
+def test_store_that_does_not_wait_for_holders_is_found_out():
+    schedules = [DutySchedule(seed, waits_for_holder=False) for seed in range(20)]
+    for schedule in schedules:
+        schedule.run()
+    assert any(schedule.find_violation() for schedule in schedules)
