Have the fault soak use keys that are taken away

Callers of the soak use keys of four organisations, some taken away and some of nobody; the faults take keys away and publish the next version. Checked from what engines got: no key, the organisation of the key, nothing with a key that a healthy gateway must know to be gone.

--- a/tests/gateway_soak.py
+++ b/tests/gateway_soak.py
@@ -19,6 +19,7 @@
 from soak_checks import (
     ViolationError,
     check_handles,
+    check_keys,
     check_orders,
     check_releases,
     check_runs,
@@ -114,6 +115,8 @@
         check_handles(engines)
         check_releases(engines, self.callers.completed_streams)
         check_orders(engines, store)
+        if self.fleet.keys is not None:
+            check_keys(engines, self.fleet.keys, self.callers.used_keys)
 
     def summarise(self):
         """Return counts that show what a run has checked."""
@@ -163,6 +166,7 @@
     faults="all",
     endless=True,
     notices=True,
+    keys=True,
     logs="",
 ):
     """Run consecutive seeds, odd ones with slow links.
@@ -175,6 +179,7 @@
     :param endless: whether some responses have no end.
     :param notices: whether engines say that they leave or want no requests for a time,
         and the store comes back from older copies.
+    :param keys: whether callers need keys of organisations, which are taken away.
     :param logs: directory in which the logs of the gateways are kept.
     """
     if faults not in RESPONSE_FAULTS:
@@ -189,6 +194,7 @@
                 response_faults=faults,
                 endless=endless,
                 notices=notices,
+                keys=keys,
                 logs=logs,
             )
             text = " ".join(f"{name}={count}" for name, count in counts.items())
--- a/tests/soak_callers.py
+++ b/tests/soak_callers.py
@@ -27,6 +27,8 @@
 # Seconds between two published versions without which the second is not checked: the
 # first may still be read when it comes.
 MIN_PUBLICATION_GAP_S = 2.0
+# Shares of the requests with a key that was taken away, and with one of nobody.
+REVOKED_KEY_SHARE, UNKNOWN_KEY_SHARE = 0.1, 0.05
 # Seconds after which some callers abandon their stream.
 ABANDONED_S = (0.002, 0.05)
 
@@ -43,6 +45,7 @@
         self.answers = 0
         self.not_executed = set()
         self.completed_streams = set()
+        self.used_keys = {}
 
     async def run(self, ends_at):
         """Send requests until a time.
@@ -77,6 +80,11 @@
 
     async def send(self, gateway, path, body, timeout_s, request_id="", **headers):
         request_id = request_id or self.create_id()
+        if self.fleet.keys is not None:
+            headers["X-Jasminewalk-Credential"] = self.use_key(
+                gateway, path, request_id
+            )
+            headers["X-Jasminewalk-Tenant"] = "org-of-the-caller"
         lines = [
             f"POST {path} HTTP/1.1",
             "Host: bar.example",
@@ -105,6 +113,35 @@
             self.not_executed.add(request_id)
         return answer
 
+    def use_key(self, gateway, path, request_id):
+        """Return a key for a request; a few were taken away, or never were one.
+
+        Requests that look for a version have the key that has held for longest.
+        """
+        keys, draw = self.fleet.keys, self.fleet.random.random()
+        if path.startswith("/version-"):
+            self.used_keys[request_id] = keys.valid[0], True
+            return keys.valid[0]
+        if draw < UNKNOWN_KEY_SHARE:
+            key, may_run = "key-of-nobody", False
+        elif draw < UNKNOWN_KEY_SHARE + REVOKED_KEY_SHARE and keys.revoked_at:
+            key = self.fleet.random.choice(list(keys.revoked_at))
+            may_run = not self.must_know(gateway, keys.revoked_at[key])
+        else:
+            key, may_run = self.fleet.random.choice(keys.valid), True
+        self.used_keys[request_id] = key, may_run
+        return key
+
+    def must_know(self, gateway, published_at):
+        """Return whether a gateway must by now apply what was published at a time."""
+        faults_at = (
+            published_at,
+            gateway.last_fault_at,
+            self.fleet.store_failed_at,
+        )
+        healthy = gateway.served and not gateway.pauses and not self.fleet.store_outages
+        return healthy and self.fleet.now() - max(faults_at) >= IN_FORCE_S
+
     async def ask(self, gateway, path, body=b"", timeout_s=IN_FORCE_S, **kwargs):
         """Send a request that must have an answer unless its gateway has a fault."""
         asked_at, last_fault_at = self.fleet.now(), gateway.last_fault_at
@@ -202,7 +239,7 @@
         process, asked_at = gateway.process, self.fleet.now()
         for version in range(self.fleet.version, max(0, self.fleet.version - 3), -1):
             answer = await self.send(gateway, f"/version-{version}/", b"", 1.0)
-            if answer.status in (0, 503):
+            if answer.status in (0, 401, 503):
                 return
             if answer.status == 404:
                 continue
--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -11,6 +11,7 @@
     "ViolationError",
     "check_answer",
     "check_handles",
+    "check_keys",
     "check_orders",
     "check_releases",
     "check_runs",
@@ -258,6 +259,27 @@
             )
 
 
+def check_keys(engines, keys, used_keys):
+    """Check that engines ran requests for the organisations of their keys alone.
+
+    :param engines: the engines, with the requests that they got.
+    :param keys: keys of the organisations.
+    :param used_keys: key of each request, and whether it may run, by its id.
+    :raises ViolationError: if not.
+    """
+    for engine in engines:
+        for _, headers in engine.requests:
+            request_id = headers[b"x-jasminewalk-request-id"].decode()
+            key, may_run = used_keys[request_id]
+            named = headers.get(b"x-jasminewalk-tenant", b"").decode()
+            if not may_run:
+                raise ViolationError(f"{request_id} ran with {key}")
+            if b"x-jasminewalk-credential" in headers:
+                raise ViolationError(f"{engine.engine_id} got the key of {request_id}")
+            if named != keys.organisations[key]:
+                raise ViolationError(f"{request_id} with {key} ran for {named!r}")
+
+
 def read_memory_bytes(process_id):
     """Return the peak of a process's resident memory, 0 if it has ended."""
     try:
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -43,6 +43,8 @@
             faults += [self.change_stage, self.configure, self.configure]
         if self.fleet.endless:
             faults += [self.send_endlessly] * 3
+        if self.fleet.keys is not None:
+            faults += [self.replace_key] * 4
         if self.fleet.notices:
             faults += [self.restore_store, self.leave_engine, self.leave_engine]
             faults += [self.turn_requests_away] * 3
@@ -60,6 +62,11 @@
     def start_task(self, coroutine):
         self.tasks.append(asyncio.create_task(coroutine))
 
+    async def replace_key(self):
+        self.fleet.version += 1
+        self.fleet.keys.replace(self.random, self.fleet.now())
+        self.fleet.publish_configuration()
+
     async def kill(self):
         gateway = self.random.choice(self.fleet.gateways)
         if gateway.stopping:
--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -11,6 +11,8 @@
 
 __all__ = ["RESPONSE_FAULTS", "SoakFleet"]
 
+ORGANISATIONS, KEYS_EACH = 4, 3
+
 GATEWAYS = 2
 # Seconds that an engine takes for a prefill, and for the first token.
 GENERATION_DELAY_S = 0.01
@@ -24,6 +26,37 @@
 RESPONSE_FAULTS = ("none", "engines", "all")
 
 
+class SoakKeys:
+    """Keys of organisations: those that hold, and when others were taken away."""
+
+    def __init__(self):
+        self.organisations = {}
+        self.revoked_at = {}
+        self.count = 0
+        for number in range(ORGANISATIONS * KEYS_EACH):
+            self.add(f"org-{number % ORGANISATIONS}")
+
+    def add(self, organisation):
+        self.count += 1
+        self.organisations[f"key-{self.count}-of-{organisation}"] = organisation
+
+    @property
+    def valid(self):
+        return [key for key in self.organisations if key not in self.revoked_at]
+
+    def replace(self, rng, now):
+        """Take a key away, and give its organisation another one."""
+        key = rng.choice(self.valid)
+        self.revoked_at[key] = now
+        self.add(self.organisations[key])
+
+    def list_organisations(self):
+        keys = {}
+        for key in self.valid:
+            keys.setdefault(self.organisations[key], []).append(key)
+        return [{"name": name, "api_keys": held} for name, held in keys.items()]
+
+
 class SoakFleet:
     """Gateways, engines and the store of one run.
 
@@ -31,7 +64,8 @@
     limits, and fewer faults leave versions in peace long enough to be checked.
     ``response_faults`` is one of ``RESPONSE_FAULTS``, and ``endless`` whether some
     responses have no end. With ``notices``, engines also say that they leave or want no
-    requests for a time, and the store comes back from older copies.
+    requests for a time, and the store comes back from older copies. With ``keys``,
+    callers need keys of organisations, which are taken away.
     """
 
     def __init__(
@@ -42,6 +76,7 @@
         response_faults="none",
         endless=False,
         notices=False,
+        keys=False,
     ):
         self.random = random.Random(seed)
         self.slow_links = slow_links
@@ -53,6 +88,7 @@
         self.response_faults = response_faults
         self.endless = endless
         self.notices = notices
+        self.keys = SoakKeys() if keys else None
         self.entry_changes = {}
         self.directory = directory
         self.store = FakeStore()
@@ -137,6 +173,8 @@
         routes = [*configuration()["routes"], marker, *added]
         self.published_at[self.version] = self.now()
         document = configuration(self.version, routes)
+        if self.keys is not None:
+            document["tenants"] = self.keys.list_organisations()
         self.store.put("keyed.op", "config", document)
         if self.slow_links:
             read_s = self.random.uniform(*SLOW_READ_S)
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -37,3 +37,10 @@
     counts = run_soak(500, DURATION_S, **options)
     assert counts["answers"] > 0
     assert counts["repeated"] > 0
+
+
+@pytest.mark.parametrize("seed", [600, 601])
+def test_keys_that_are_taken_away_run_nothing_under_faults(seed):
+    options = {"response_faults": "all", "notices": True, "keys": True}
+    counts = run_soak(seed, 2 * DURATION_S, **options)
+    assert counts["answers"] > 0
