Name the three fields that peer messages gained in the test of their bytes

It compares all fields behind those of an earlier gateway, in their order; the configuration's version, uses of engine time and learnt limits were added to messages without it.

--- a/tests/test_wire_bytes.py
+++ b/tests/test_wire_bytes.py
@@ -113,10 +113,13 @@
         "versions",
         "registry_offset",
         "unlisted",
+        "configuration_version",
+        "uses",
+        "learnt",
     )
     assert PeerMessage.__struct_fields__[len(fields) :] == added
     assert msgspec.msgpack.encode(message) == msgspec.msgpack.encode(
-        [*fields, [], [], -1, None, None, 0, []]
+        [*fields, [], [], -1, None, None, 0, [], -1, [], []]
     )
 
 
@@ -138,6 +141,9 @@
         store_era=4,
         registry_offset=7,
         unlisted=[2],
+        configuration_version=7,
+        uses=[(1, 200, 100)],
+        learnt=[(1, 25, 3, 150, 2)],
         quarantine=QuarantineNews([(1, 20, {"a": 80})], ["b"], [(["c"], 3, 60, 60)]),
     )
     received = msgspec.msgpack.decode(
