--- a/tests/soak_callers.py
+++ b/tests/soak_callers.py
@@ -45,6 +45,8 @@
         self.answers = 0
         self.not_executed = set()
         self.completed_streams = set()
+        # Other fleets have no organisations.
+        self.keys = getattr(fleet, "keys", None)
         self.used_keys = {}
 
     async def run(self, ends_at):
@@ -80,7 +82,7 @@
 
     async def send(self, gateway, path, body, timeout_s, request_id="", **headers):
         request_id = request_id or self.create_id()
-        if self.fleet.keys is not None:
+        if self.keys is not None:
             headers["X-Jasminewalk-Credential"] = self.use_key(
                 gateway, path, request_id
             )
@@ -118,7 +120,7 @@
 
         Requests that look for a version have the key that has held for longest.
         """
-        keys, draw = self.fleet.keys, self.fleet.random.random()
+        keys, draw = self.keys, self.fleet.random.random()
         if path.startswith("/version-"):
             self.used_keys[request_id] = keys.valid[0], True
             return keys.valid[0]
