Learn limits of endpoints only where the settings ask for it

New parts are to take effect only where a deployment calls for them: learn_limits = true in the settings does so now, and no deployment in force has it.

--- a/src/jasminewalk/gateway/plain_run.py
+++ b/src/jasminewalk/gateway/plain_run.py
@@ -155,7 +155,8 @@
         return "learnt limit"
 
     def _choose_engine(self) -> EngineState | None:
-        self._look_for_overdue()
+        if self.context.settings.learns_limits:
+            self._look_for_overdue()
         engines = self.list_available_engines()
         return self.context.placement.choose_engine(engines, self.tried_engines)
 
@@ -234,6 +235,8 @@
         at_once: int,
     ) -> None:
         """Learn from an answer, or from none, how much the engine takes well."""
+        if not self.context.settings.learns_limits:
+            return
         is_answer = result.response is not None and not result.not_executed
         if not is_answer and result.reason != NO_RESPONSE:
             return
--- a/src/jasminewalk/platform/settings.py
+++ b/src/jasminewalk/platform/settings.py
@@ -103,6 +103,7 @@
     :param memory_bytes: memory that the process may use.
     :param bounds: limits on the behaviour of the system.
     :param duties: calls to the platform that one instance at a time makes.
+    :param learns_limits: whether gateways learn how much each endpoint takes well.
     """
 
     name: str
@@ -118,6 +119,7 @@
     memory_bytes: int = DEFAULT_MEMORY_BYTES
     bounds: SafetyBounds = attrs.field(factory=SafetyBounds)
     duties: DutySettings = attrs.field(factory=DutySettings)
+    learns_limits: bool = False
 
 
 def get_settings_path() -> Path:
@@ -193,6 +195,7 @@
             needs_key_confirmation=bool(bounds.get("revoke_fail_closed", False)),
         ),
         duties=_decode_duties(document.get("cloud", {}), bounds),
+        learns_limits=bool(document.get("learn_limits", False)),
     )
 
 
--- a/tests/test_learnt_limits.py
+++ b/tests/test_learnt_limits.py
@@ -8,6 +8,7 @@
 
 from endpoint_simulation import OBJECTIVE_S, SLOTS, SimulatedEndpoint, play
 from jasminewalk.gateway.capacity import LearntLimit, WaitingLine
+from test_gateway_daemon import GatewayHarness, make_plain_engines
 
 # Seconds of a phase, after which a strong endpoint and a weak one change places.
 PHASE_S = 14.0
@@ -221,3 +222,36 @@
         line.record_left(number / 50)
     line.waiting = 25
     assert line.predict_wait_s(1.0) == pytest.approx(0.5)
+
+
+class LearningHarness(GatewayHarness):
+    learns = "true"
+
+    def write_settings(self, **overrides):
+        super().write_settings(**overrides)
+        text = self.path.read_text(encoding="utf-8")
+        text = f"learn_limits = {self.learns}\n{text}"
+        self.path.write_text(text, encoding="utf-8")
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("learns", ["true", "false"])
+async def test_gateway_learns_limits_where_its_settings_ask_for_it(tmp_path, learns):
+    harness = LearningHarness(tmp_path)
+    harness.learns = learns
+    engines = make_plain_engines(2)
+    await harness.start(*engines)
+    try:
+        for engine in engines:
+            engine.delay_s = 0.3
+        async with asyncio.TaskGroup() as group:
+            for _ in range(24):
+                group.create_task(harness.send_request("/look/x"))
+                await asyncio.sleep(0.02)
+        known = [
+            engine.learnt.limit for engine in harness.daemon.fleet.engines.values()
+        ]
+        assert any(limit is not None for limit in known) == (learns == "true")
+        assert bool(harness.read_log_lines("limit_learnt")) == (learns == "true")
+    finally:
+        harness.stop()
