Have sidecars of the embedded deployment listen on any free port

Cause: the port was chosen by binding it once and closing it, and another process or an outgoing connection could take it before the sidecar did. By reading; the window was not met again here.

Change: the control listener takes port 0 and says which port it got, as the HTTP servers do. The new test fails without it (no such address).

--- a/src/jasminewalk/demo/deployment.py
+++ b/src/jasminewalk/demo/deployment.py
@@ -1,7 +1,6 @@
 """A complete deployment as tasks of one process, on free ports of loopback."""
 
 import contextlib
-import socket
 from collections.abc import AsyncIterator, Iterable, Sequence
 from typing import Protocol
 
@@ -140,13 +139,6 @@
     )
 
 
-def get_free_address() -> str:
-    """Return a loopback address with a port that is currently free."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
-
-
 class Deployment:
     """Runs the daemons of a deployment as tasks.
 
@@ -224,7 +216,7 @@
             pool=plan.pool,
             failure_domain=plan.failure_domain,
             listen=LOOPBACK_ADDRESS,
-            control_listen=get_free_address(),
+            control_listen=LOOPBACK_ADDRESS,
             endpoint_address=endpoint_address,
             log=self.log_settings,
             weights_address=self.weights.address,
@@ -248,7 +240,7 @@
             name=name,
             kind=sidecar.settings.kind,
             address=sidecar.address,
-            control_address=sidecar.settings.control_listen,
+            control_address=sidecar.control_address,
             pool=sidecar.settings.pool,
             failure_domain=sidecar.settings.failure_domain,
             state="leaving" if leaving else "live",
--- a/src/jasminewalk/sidecars/sidecar.py
+++ b/src/jasminewalk/sidecars/sidecar.py
@@ -180,6 +180,7 @@
             self,
         )
         self.address = request_server.address
+        self.control_address = self.listener.address
         self.metrics_address = operator_server.address
         async with anyio.create_task_group() as group:
             for task in (
--- a/src/jasminewalk/transport/channel.py
+++ b/src/jasminewalk/transport/channel.py
@@ -155,13 +155,16 @@
 class PeerListener(_Peer):
     """Sidecar's end of the channel, connected to any number of entries.
 
-    :param address: ``host:port`` to listen on.
+    After construction, ``address`` holds the actual port.
+
+    :param address: ``host:port`` to listen on; port 0 selects a free port.
     :param args: name, incarnation, settings and handler, as for the base class.
     """
 
     def __init__(self, address: str, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
-        self.socket.listen(f"tcp://{address}")
+        listener = self.socket.listen(f"tcp://{address}")
+        self.address = str(listener.local_address)
 
     async def broadcast(self, message: Any) -> int:
         """Send a message to all connected entries and return how many it was sent to.
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -44,6 +44,31 @@
     peer.close()
 
 
+async def test_listeners_on_any_free_port_are_reached_at_their_addresses():
+    # Guards against ports that another process takes between their choice and their use.
+    listeners = []
+    for number in range(3):
+        handler = RecordingHandler()
+        listeners.append(
+            PeerListener("127.0.0.1:0", f"sidecar-{number}", "i1", PEERS, handler)
+        )
+    async with anyio.create_task_group() as group:
+        for number, listener in enumerate(listeners):
+            group.start_soon(listener.receive)
+            dialer = PeerDialer(
+                listener.address, "entry", "i2", PEERS, RecordingHandler()
+            )
+            hello = EntryHello(entry=f"entry-{number}", incarnation="i2")
+            await send_until_accepted(dialer, hello)
+            with anyio.fail_after(TIMEOUT_S):
+                await listener.handler.changed.wait()
+            assert listener.handler.messages == [("entry", hello)]
+            dialer.close()
+        group.cancel_scope.cancel()
+    for listener in listeners:
+        listener.close()
+
+
 async def test_messages_are_sent_both_ways(listener, listener_handler, free_address):
     handler = RecordingHandler()
     dialer = PeerDialer(free_address, "entry", "i2", PEERS, handler)
