Skip records of a long topic that are not kept when it is read

Cause of the work: the first page, read only to learn where the topic ends, was decoded record by record on the event loop, though none of it is kept.

--- a/src/jasminewalk/gateway/stream_origins.py
+++ b/src/jasminewalk/gateway/stream_origins.py
@@ -184,10 +184,12 @@
             began_at = self.clock()
             for _ in range(MAX_PAGES):
                 page = await self.store.read_contents(STREAMS_TOPIC, self.offset)
-                for content in page.contents:
-                    self._remember(content)
                 # Streams before the last that are remembered are over.
-                self.offset = max(page.next_offset, page.end - MAX_STREAMS)
+                first_kept = page.end - MAX_STREAMS
+                first_read = page.next_offset - len(page.contents)
+                for content in page.contents[max(0, first_kept - first_read) :]:
+                    self._remember(content)
+                self.offset = max(page.next_offset, first_kept)
                 if self.offset >= page.end:
                     break
             self.read_began_at = began_at
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from jasminewalk.decoding import decode_msgpack
 from jasminewalk.exceptions import LogUnavailableError
 from jasminewalk.gateway import stream_origins
 from jasminewalk.gateway.decision_log import DecisionLog
@@ -167,5 +168,21 @@
     assert store.reads <= 4
 
 
+@pytest.mark.anyio
+async def test_records_that_are_not_kept_are_not_decoded(make_log, store, monkeypatch):
+    # Guards against a read of a long topic that takes longer than a caller waits.
+    decoded = []
+
+    def decode(content, *args):
+        decoded.append(content)
+        return decode_msgpack(content, *args)
+
+    monkeypatch.setattr(stream_origins, "decode_msgpack", decode)
+    store.contents = [_encode(key) for key in range(3 * MAX_STREAMS)]
+    reader = make_log()
+    assert (await reader.find(3 * MAX_STREAMS - 5))[1]
+    assert len(decoded) == len(reader.streams) == MAX_STREAMS
+
+
 def _encode(key):
     return msgspec.msgpack.encode([key, "v1", "engine-1", 1000])
