Show that crowds of callers end an entry for want of memory

What operators saw: clients that nobody controls ended a process for want of memory.

`memory_mb` and `max_connections` are settings from now on, and have no effect yet.

--- a/src/jasminewalk/generated_settings.py
+++ b/src/jasminewalk/generated_settings.py
@@ -77,6 +77,9 @@
     :param shutdown_s: maximum duration of a graceful shutdown in seconds.
     :param subset: number of live endpoints of each pool that the entry
         connects to.
+    :param memory_mb: megabytes of memory that the process stays within,
+        whatever callers send or leave unread.
+    :param max_connections: maximum number of open connections of callers.
     :param seed: seed of the random source; 0 for a seed from the system.
     """
 
@@ -96,6 +99,8 @@
     connect_timeout_s: Annotated[float, msgspec.Meta(gt=0)] = 0.5
     shutdown_s: Annotated[float, msgspec.Meta(gt=0)] = 60.0
     subset: Annotated[int, msgspec.Meta(ge=1)] = 64
+    memory_mb: Annotated[int, msgspec.Meta(ge=64)] = 1024
+    max_connections: Annotated[int, msgspec.Meta(ge=1)] = 10000
     seed: int = 0
 
 
@@ -121,6 +126,8 @@
     :param grant_lifetime_s: seconds for which a grant is valid.
     :param progress_timeout_s: seconds without output after which the endpoint
         counts as stalled.
+    :param memory_mb: megabytes of memory that the process stays within,
+        whatever entries send.
     :param shutdown_s: maximum duration of a graceful shutdown in seconds.
     :param seed: seed of the random source; 0 for a seed from the system.
     """
@@ -145,6 +152,7 @@
     claim_batch_s: Annotated[float, msgspec.Meta(ge=0)] = 0.01
     grant_lifetime_s: Annotated[float, msgspec.Meta(gt=0)] = 30.0
     progress_timeout_s: Annotated[float, msgspec.Meta(gt=0)] = 3.0
+    memory_mb: Annotated[int, msgspec.Meta(ge=64)] = 1024
     shutdown_s: Annotated[float, msgspec.Meta(gt=0)] = 60.0
     seed: int = 0
 
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -9,7 +9,14 @@
 from ports import allocate_port
 from soak_processes import Gateway
 
-__all__ = ["CROWDS", "MAX_DESCRIPTORS", "MEMORY_MB", "CrowdedFleet"]
+__all__ = [
+    "CROWDS",
+    "MAX_DESCRIPTORS",
+    "MEMORY_MB",
+    "Crowd",
+    "CrowdedFleet",
+    "build_chunked",
+]
 
 # Memory and descriptors of the machine, as the gateway's settings name them.
 MEMORY_MB = 80
@@ -53,39 +60,33 @@
             connection.end_stream()
 
 
-class CrowdedFleet:
-    """A gateway in a process of its own, engines, the store, and a crowd."""
+class Crowd:
+    """Callers of one process, which keep their connections open.
 
-    def __init__(self, directory):
-        self.directory = directory
-        self.store = FakeStore()
-        self.engines = [LargeEngine("app-0"), LargeEngine("llm-0", "llm", "decode")]
-        self.gateway = None
+    Subclasses start the process and name its address.
+
+    :param crowds: functions that return what one caller of a kind sends, by its name.
+    """
+
+    memory_mb = MEMORY_MB
+    max_descriptors = MAX_DESCRIPTORS
+
+    def __init__(self, crowds):
+        self.crowds = crowds
         self.connections = []
         self.requests = 0
 
-    async def start(self):
-        await self.store.start(allocate_port())
-        document = configuration()
-        document["limits"]["max_body_bytes"] = MAX_BODY_BYTES
-        self.store.put("keyed.op", "config", document)
-        for engine in self.engines:
-            await engine.start(allocate_port())
-            self.store.put("keyed.servers", engine.engine_id, engine.entry())
-        self.gateway = Gateway(
-            "front-0", "127.0.0.2", self.directory, self.store.address, SETTINGS
-        )
-        self.gateway.start()
-        async with asyncio.timeout(START_TIMEOUT_S):
-            while not await self.is_served():
-                await asyncio.sleep(0.1)
+    @property
+    def address(self):
+        """Host and port of the process."""
+        raise NotImplementedError
 
-    def stop(self):
-        self.leave()
-        if self.gateway is not None:
-            self.gateway.kill()
-            log = (self.directory / "front-0.log").read_text(encoding="utf-8")
-            print(log[-20_000:])
+    @property
+    def process(self):
+        raise NotImplementedError
+
+    def build_ordinary_request(self):
+        raise NotImplementedError
 
     def leave(self):
         """Have the crowd close its connections."""
@@ -96,29 +97,28 @@
     # What must hold.
 
     def check(self):
-        """Check that the gateway lives within its memory and descriptors."""
-        process = self.gateway.process
-        assert process.poll() is None, f"the gateway ended with {process.returncode}"
+        """Check that the process lives within its memory and descriptors."""
+        self.check_process(self.process)
+        assert self.count_descriptors() <= self.max_descriptors
+
+    def check_process(self, process):
+        assert process.poll() is None, f"a process ended with {process.returncode}"
         status = Path(f"/proc/{process.pid}/status").read_text(encoding="ascii")
         peak_kb = int(re.search(r"^VmHWM:\s*(\d+) kB$", status, re.MULTILINE)[1])
-        assert peak_kb * 1024 <= MEMORY_MB * 1_000_000, f"memory peak of {peak_kb} kB"
-        assert self.count_descriptors() <= MAX_DESCRIPTORS
+        assert peak_kb * 1024 <= self.memory_mb * 1_000_000, f"peak of {peak_kb} kB"
 
     def count_descriptors(self):
-        return len(list(Path(f"/proc/{self.gateway.process.pid}/fd").iterdir()))
+        return len(list(Path(f"/proc/{self.process.pid}/fd").iterdir()))
 
     async def is_served(self):
         """Return whether one ordinary request is answered."""
         self.requests += 1
-        host, port = self.gateway.ip, self.gateway.front
         try:
-            reader, writer = await asyncio.open_connection(host, port)
+            reader, writer = await asyncio.open_connection(*self.address)
         except OSError:
             return False
         try:
-            writer.write(
-                self.build_head("/look/x", f"o{self.requests}", b"4") + b"body"
-            )
+            writer.write(self.build_ordinary_request())
             async with asyncio.timeout(10):
                 response = await reader.read(4096)
             return response.startswith(b"HTTP/1.1 200 ")
@@ -135,38 +135,14 @@
             await asyncio.sleep(RETRY_S)
         raise AssertionError("no ordinary request is answered")
 
-    async def wait_for_engines(self):
-        """Wait until the engines have answered what they can of the crowd's requests.
-
-        What a caller leaves unread may hold up an engine, so this ends after a time.
-        """
-        for _ in range(ENGINES_TRIES):
-            await asyncio.sleep(RETRY_S)
-            if not any(engine.running_requests for engine in self.engines):
-                return
-
-    # The crowd.
-
-    def build_head(self, path, request_id, length=None):
-        framing = b"transfer-encoding: chunked"
-        if length is not None:
-            framing = b"content-length: " + length
-        return (
-            (
-                f"POST {path} HTTP/1.1\r\nhost: bar.example\r\n"
-                f"x-jasminewalk-request-id: {request_id}\r\n"
-                "x-jasminewalk-deadline-ms: 20000\r\n"
-            ).encode()
-            + framing
-            + b"\r\n\r\n"
-        )
+    # The callers.
 
     async def open(self):
         connection = socket.socket()
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         connection.setblocking(False)
         loop = asyncio.get_running_loop()
-        await loop.sock_connect(connection, (self.gateway.ip, self.gateway.front))
+        await loop.sock_connect(connection, self.address)
         self.connections.append(connection)
         return connection
 
@@ -183,15 +159,84 @@
 
     async def send_crowd(self, name, count):
         """Have so many callers of a kind send what they send; keep them connected."""
-        build = CROWDS[name]
+        build = self.crowds[name]
         await asyncio.gather(
             *(self.send(build(self, f"{name}-{number}")) for number in range(count))
         )
 
 
-def build_chunked(fleet, name, chunk_bytes, body_bytes):
-    """Yield a chunked body that stops just short of its end."""
-    yield fleet.build_head("/book/x", name)
+class CrowdedFleet(Crowd):
+    """A gateway in a process of its own, engines, the store, and a crowd."""
+
+    def __init__(self, directory):
+        super().__init__(CROWDS)
+        self.directory = directory
+        self.store = FakeStore()
+        self.engines = [LargeEngine("app-0"), LargeEngine("llm-0", "llm", "decode")]
+        self.gateway = None
+
+    @property
+    def address(self):
+        return self.gateway.ip, self.gateway.front
+
+    @property
+    def process(self):
+        return self.gateway.process
+
+    def build_ordinary_request(self):
+        return self.build_head("/look/x", f"o{self.requests}", b"4") + b"body"
+
+    async def start(self):
+        await self.store.start(allocate_port())
+        document = configuration()
+        document["limits"]["max_body_bytes"] = MAX_BODY_BYTES
+        self.store.put("keyed.op", "config", document)
+        for engine in self.engines:
+            await engine.start(allocate_port())
+            self.store.put("keyed.servers", engine.engine_id, engine.entry())
+        self.gateway = Gateway(
+            "front-0", "127.0.0.2", self.directory, self.store.address, SETTINGS
+        )
+        self.gateway.start()
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not await self.is_served():
+                await asyncio.sleep(0.1)
+
+    def stop(self):
+        self.leave()
+        if self.gateway is not None:
+            self.gateway.kill()
+            log = (self.directory / "front-0.log").read_text(encoding="utf-8")
+            print(log[-20_000:])
+
+    async def wait_for_engines(self):
+        """Wait until the engines have answered what they can of the crowd's requests.
+
+        What a caller leaves unread may hold up an engine, so this ends after a time.
+        """
+        for _ in range(ENGINES_TRIES):
+            await asyncio.sleep(RETRY_S)
+            if not any(engine.running_requests for engine in self.engines):
+                return
+
+    def build_head(self, path, request_id, length=None):
+        framing = b"transfer-encoding: chunked"
+        if length is not None:
+            framing = b"content-length: " + length
+        return (
+            (
+                f"POST {path} HTTP/1.1\r\nhost: bar.example\r\n"
+                f"x-jasminewalk-request-id: {request_id}\r\n"
+                "x-jasminewalk-deadline-ms: 20000\r\n"
+            ).encode()
+            + framing
+            + b"\r\n\r\n"
+        )
+
+
+def build_chunked(head, chunk_bytes, body_bytes):
+    """Yield a head and a chunked body that stops just short of its end."""
+    yield head
     chunk = b"%x\r\n%s\r\n" % (chunk_bytes, b"x" * chunk_bytes)
     per_piece = max(1, 65536 // len(chunk))
     chunks = body_bytes // chunk_bytes
@@ -200,11 +245,12 @@
 
 
 def build_small_chunks(fleet, name):
-    return build_chunked(fleet, name, 2, 60_000)
+    return build_chunked(fleet.build_head("/book/x", name), 2, 60_000)
 
 
 def build_large_chunks(fleet, name):
-    return build_chunked(fleet, name, 65536, MAX_BODY_BYTES - 65536)
+    head = fleet.build_head("/book/x", name)
+    return build_chunked(head, 65536, MAX_BODY_BYTES - 65536)
 
 
 def build_pipelined(fleet, name):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -167,7 +167,7 @@
             settings["retention_s"] = self.retention_s
         return settings
 
-    def start_endpoint(self, kind, number, **model):
+    def start_endpoint(self, kind, number, sidecar=None, **model):
         name = f"{'tutor' if kind == 'engine' else 'enrolment'}-{number}"
         self.addresses[name] = allocate_address()
         settings = {"listen": self.addresses[name]}
@@ -183,9 +183,10 @@
                 **model,
             }
         self.start(name, settings, "standin", kind)
-        self.start_sidecar(name, kind, number, model.get("checks_fencing", True))
+        checks_fencing = model.get("checks_fencing", True)
+        self.start_sidecar(name, kind, number, checks_fencing, **(sidecar or {}))
 
-    def start_sidecar(self, name, kind, number, checks_fencing=True):
+    def start_sidecar(self, name, kind, number, checks_fencing=True, **changes):
         listen, control_listen, metrics_listen = (
             allocate_address(),
             allocate_address(),
@@ -208,6 +209,7 @@
             "report_s": 0.1,
             "progress_timeout_s": 1.5,
             "grant_lifetime_s": 5.0,
+            **changes,
         }
         self.start(f"sidecar-{name}", settings, "sidecar")
         self.put_instance(
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -45,7 +45,7 @@
 
 
 async def test_listeners_on_any_free_port_are_reached_at_their_addresses():
-    # Guards against ports that another process takes between their choice and their use.
+    # Guards against ports that another process takes before they are used.
     listeners = []
     for number in range(3):
         handler = RecordingHandler()
