Keep what callers make an entry and a sidecar hold within their memory

What operators saw: clients that nobody controls sent many chunked bodies that stop short of their end, pipelined, or left long answers unread, and a process ended for want of memory. In the entry, bodies counted only once they were complete.

Change: `memory_mb` and `max_connections` in the settings, divided by `ConnectionGuard`; `MemoryLimit` refuses the largest request that is still received (overloaded, not run, Retry-After 1) and keeps a tenth for small ones; unread answers are reset, the largest first; for a new connection, the longest idle or longest arriving one is closed. An entry that can't hold one request of `body_bytes` does not start.

--- a/src/jasminewalk/ingress/_api_exchange.py
+++ b/src/jasminewalk/ingress/_api_exchange.py
@@ -8,6 +8,7 @@
 from jasminewalk.ingress._api_openai import OpenAiFormat
 from jasminewalk.ingress.jobs import TokenSink
 from jasminewalk.transport._http import Receive, Scope, Send, send_json
+from jasminewalk.transport.memory_limit import Holding
 
 __all__ = [
     "CallerGoneError",
@@ -36,17 +37,23 @@
     :param receive: ASGI receive function.
     :param send: ASGI send function.
     :param request_id: identifier of the request.
+    :param holding: memory that the request and its answer take.
     """
 
     def __init__(
-        self, scope: Scope, receive: Receive, send: Send, request_id: str
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+        request_id: str,
+        holding: Holding,
     ) -> None:
         self.scope = scope
         self.receive = receive
         self.send = send
         self.request_id = request_id
+        self.holding = holding
         self.attempt = 0
-        self.body_bytes = 0
         self.started = False
         self.streaming = False
 
@@ -171,6 +178,10 @@
             error = raised
         group.cancel_scope.cancel()
     if error is not None:
-        raise error
+        try:
+            raise error
+        finally:
+            # The error refers to this frame, which would keep the body of the request.
+            del error
     if not completed:
         raise CallerGoneError
--- a/src/jasminewalk/ingress/_api_requests.py
+++ b/src/jasminewalk/ingress/_api_requests.py
@@ -17,6 +17,7 @@
 from jasminewalk.operators.configuration import ConfigurationView
 from jasminewalk.scheduling.tokens import Tokenizer
 from jasminewalk.transport._http import Scope
+from jasminewalk.transport.memory_limit import Holding
 from jasminewalk.types import RequestProfile
 
 __all__ = ["CallerRequest", "JobBuilder", "is_repeatable"]
@@ -266,7 +267,13 @@
         )
 
     def build_call(
-        self, request: CallerRequest, service: str, path: str, query: str, body: bytes
+        self,
+        request: CallerRequest,
+        service: str,
+        path: str,
+        query: str,
+        body: bytes,
+        holding: Holding,
     ) -> CallJob:
         """Build the job for a call of a service.
 
@@ -275,6 +282,7 @@
         :param path: raw path below the service.
         :param query: raw query string.
         :param body: request body.
+        :param holding: memory that the call and its reply take.
         :raises JasminewalkError: if the configuration does not allow the call.
         """
         organisation = self.get_organisation(request)
@@ -305,6 +313,7 @@
             headers=select_forwarded_headers(request.headers),
             body=body,
             key="" if repeatable else get_idempotency_key(request),
+            holding=holding,
         )
 
 
--- a/src/jasminewalk/ingress/_run_call.py
+++ b/src/jasminewalk/ingress/_run_call.py
@@ -74,7 +74,9 @@
                     self.trace.attempts[-1].outcome = f"status {response.status}"
                     return self.record_failure(endpoint, may_have_run=True)
                 return self.record_refusal(endpoint, refusal)
-            reply_body = await read_limited_body(response, MAX_REPLY_BYTES)
+            reply_body = await read_limited_body(
+                response, MAX_REPLY_BYTES, self.job.holding
+            )
         return self.handle_reply(endpoint, reply_body)
 
     def compute_read_timeout_s(self) -> float:
--- a/src/jasminewalk/ingress/api.py
+++ b/src/jasminewalk/ingress/api.py
@@ -8,7 +8,7 @@
 import msgspec
 from absl import logging
 
-from jasminewalk.exceptions import BadRequestError, JasminewalkError, RefusedError
+from jasminewalk.exceptions import BadRequestError, JasminewalkError
 from jasminewalk.generated_codes import Code
 from jasminewalk.ingress._api_errors import build_error_body, build_error_headers
 from jasminewalk.ingress._api_exchange import (
@@ -37,13 +37,12 @@
 from jasminewalk.ingress.jobs import GenerationJob
 from jasminewalk.scheduling.attempts import ResponseAssembler
 from jasminewalk.transport._http import Receive, Scope, Send, read_body
+from jasminewalk.transport.memory_limit import MemoryLimit
 
 __all__ = ["CallerApi", "ReadinessSource"]
 
 BODY_TIMEOUT_S = 30.0
 ERROR_SEND_TIMEOUT_S = 1.0
-MAX_BUFFERED_BYTES = 256 << 20
-MEMORY_RETRY_AFTER_S = 1.0
 PATH_PREFIX = "organisations"
 
 
@@ -64,6 +63,7 @@
     :param readiness: reports whether the configuration has been read.
     :param max_body_bytes: largest request body in bytes.
     :param id_prefix: prefix of request identifiers, unique to this process.
+    :param memory: limit on what the requests hold.
     """
 
     def __init__(
@@ -74,14 +74,15 @@
         readiness: ReadinessSource,
         max_body_bytes: int,
         id_prefix: str,
+        memory: MemoryLimit,
     ) -> None:
         self.dispatcher = dispatcher
         self.job_builder = job_builder
         self.readiness = readiness
         self.max_body_bytes = max_body_bytes
         self.id_prefix = id_prefix
+        self.memory = memory
         self.request_count = 0
-        self.buffered_bytes = 0
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request.
@@ -94,7 +95,8 @@
             return
         self.request_count += 1
         request_id = f"{self.id_prefix}-{self.request_count:x}"
-        exchange = Exchange(scope, receive, send, request_id)
+        holding = self.memory.open("request")
+        exchange = Exchange(scope, receive, send, request_id, holding)
         try:
             await self.handle(exchange)
         except CallerGoneError:
@@ -108,7 +110,7 @@
             internal_error = JasminewalkError(code=Code.INTERNAL_ERROR)
             await self.send_error(exchange, internal_error)
         finally:
-            self.buffered_bytes -= exchange.body_bytes
+            holding.close()
 
     async def send_error(self, exchange: Exchange, error: JasminewalkError) -> None:
         """Send an error to the caller, as an event if the stream has started.
@@ -208,13 +210,11 @@
             the bodies of open requests use too much memory.
         :raises CallerGoneError: if the caller closed the connection.
         """
-        self.check_body_memory()
         with anyio.move_on_after(BODY_TIMEOUT_S):
             try:
-                body = await read_body(exchange.receive, self.max_body_bytes)
-                exchange.body_bytes = len(body)
-                self.buffered_bytes += len(body)
-                return body
+                return await read_body(
+                    exchange.receive, self.max_body_bytes, exchange.holding
+                )
             except JasminewalkError as error:
                 if error.code == Code.CALLER_GONE:
                     raise CallerGoneError from error
@@ -225,19 +225,6 @@
             ran="not_run",
         )
 
-    def check_body_memory(self) -> None:
-        """Refuse a body if the limit for the bodies of open requests is reached.
-
-        :raises RefusedError: if the largest allowed body would exceed the limit.
-        """
-        if self.buffered_bytes + self.max_body_bytes <= MAX_BUFFERED_BYTES:
-            return
-        raise RefusedError(
-            f"The bodies of open requests use {self.buffered_bytes} bytes of memory.",
-            code=Code.OVERLOADED,
-            retry_after_s=MEMORY_RETRY_AFTER_S,
-        )
-
     async def generate(
         self,
         exchange: Exchange,
@@ -328,7 +315,7 @@
         body = await self.read_body(exchange)
         query = exchange.scope["query_string"].decode("latin-1")
         job = self.job_builder.build_call(
-            request, unquote(service), f"/{path}", query, body
+            request, unquote(service), f"/{path}", query, body, exchange.holding
         )
 
         async def run_job() -> None:
--- a/src/jasminewalk/ingress/connections.py
+++ b/src/jasminewalk/ingress/connections.py
@@ -5,6 +5,7 @@
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 
 import anyio
+import attrs
 import httpcore
 
 from jasminewalk.clock import Clock
@@ -21,7 +22,11 @@
 
 KEEPALIVE_EXPIRY_S = 30.0
 MAX_IDLE_CONNECTIONS = 256
-EXPIRY_CHECK_INTERVAL_S = 10.0
+# Idle connections to a peer that are kept until they expire, and seconds after which
+# any others, which a burst left, are closed.
+KEPT_CONNECTIONS = 16
+SURPLUS_IDLE_S = 3.0
+EXPIRY_CHECK_INTERVAL_S = 1.0
 CLOSE_TIMEOUT_S = 1.0
 
 # After these errors the peer cannot have received the request.
@@ -37,6 +42,12 @@
 )
 
 
+@attrs.frozen
+class _IdleConnection:
+    connection: httpcore.AsyncHTTP11Connection
+    since_s: float
+
+
 class ConnectionPool:
     """Keeps idle connections per address and opens new ones as needed.
 
@@ -48,7 +59,8 @@
         self.read_timeout_monitor = ReadTimeoutMonitor(clock)
         self.backend = NetworkBackend(self.read_timeout_monitor)
         self.connect_timeout_s = connect_timeout_s
-        self.idle: dict[str, deque[httpcore.AsyncHTTP11Connection]] = {}
+        self.clock = clock
+        self.idle: dict[str, deque[_IdleConnection]] = {}
 
     async def run(self) -> None:
         """Enforce read timeouts and close expired idle connections until cancelled."""
@@ -61,11 +73,21 @@
     async def close_expired(self) -> None:
         """Close idle connections that have expired, oldest first."""
         for address, idle in list(self.idle.items()):
-            while idle and idle[0].has_expired():
-                await close_connection(idle.popleft())
+            while idle and self.is_expired(idle):
+                await close_connection(idle.popleft().connection)
             if not idle and self.idle.get(address) is idle:
                 del self.idle[address]
 
+    def is_expired(self, idle: "deque[_IdleConnection]") -> bool:
+        """Return whether the oldest of the idle connections to a peer is to be closed.
+
+        :param idle: the connections, the oldest first.
+        """
+        if idle[0].connection.has_expired():
+            return True
+        idle_s = self.clock.monotonic() - idle[0].since_s
+        return len(idle) > KEPT_CONNECTIONS and idle_s > SURPLUS_IDLE_S
+
     @asynccontextmanager
     async def stream(
         self,
@@ -122,7 +144,7 @@
         """
         idle = self.idle.get(address)
         while idle:
-            connection = idle.pop()
+            connection = idle.pop().connection
             if connection.is_idle() and not connection.has_expired():
                 return connection
         return None
@@ -153,7 +175,7 @@
         idle = self.idle.setdefault(address, deque())
         if len(idle) >= MAX_IDLE_CONNECTIONS:
             return False
-        idle.append(connection)
+        idle.append(_IdleConnection(connection, self.clock.monotonic()))
         return True
 
     async def close_idle(self, address: str) -> None:
@@ -161,8 +183,8 @@
 
         :param address: ``host:port`` of the peer.
         """
-        for connection in self.idle.pop(address, ()):
-            await close_connection(connection)
+        for idle in self.idle.pop(address, ()):
+            await close_connection(idle.connection)
 
     async def aclose(self) -> None:
         """Close all idle connections."""
--- a/src/jasminewalk/ingress/entry.py
+++ b/src/jasminewalk/ingress/entry.py
@@ -14,6 +14,7 @@
 from jasminewalk.agreement.log_follower import FoldListener, LogFollower
 from jasminewalk.agreement.snapshot_task import SnapshotTask
 from jasminewalk.clock import Clock, SystemClock
+from jasminewalk.exceptions import BadSettingsError
 from jasminewalk.generated_messages import CacheEvents, Leaving, LoadReport
 from jasminewalk.generated_records import SnapshotEntry
 from jasminewalk.generated_settings import EntrySettings
@@ -31,10 +32,17 @@
 from jasminewalk.scheduling.membership import Membership
 from jasminewalk.scheduling.routing import Router, RoutingSettings
 from jasminewalk.scheduling.tokens import CharacterTokenizer
-from jasminewalk.transport._http import HttpServer, open_http_pool
+from jasminewalk.transport._http import (
+    MEMORY_PER_BODY_BYTE,
+    HttpServer,
+    open_http_pool,
+)
+from jasminewalk.transport._http_call import MEMORY_PER_REPLY_BYTE
 from jasminewalk.transport.channel import MessageHandler, generate_incarnation
 from jasminewalk.transport.codec import Envelope
+from jasminewalk.transport.connection_guard import ConnectionGuard
 from jasminewalk.transport.instances_client import HttpInstanceList
+from jasminewalk.transport.memory_limit import MemoryLimit
 from jasminewalk.transport.peer_auth import PeerAuthenticator
 
 __all__ = ["EntryDaemon"]
@@ -44,6 +52,8 @@
 LISTENER_CLOSE_DELAY_S = 0.3
 OUTAGE_POLL_WAITS = 2
 DEMAND_INTERVAL_HEARTBEATS = 2
+# Memory of a request with the largest body and as large a reply, for each byte of it.
+MEMORY_PER_BODY = MEMORY_PER_BODY_BYTE + MEMORY_PER_REPLY_BYTE
 
 
 class EntryDaemon(MessageHandler, FoldListener, StatusSource, ReadinessSource):
@@ -136,7 +146,20 @@
             clock=self.clock,
             rng=self.rng,
         )
-        caller_server = HttpServer(self.create_caller_api(), self.settings.listen)
+        guard = ConnectionGuard.from_limits(
+            self.settings.memory_mb,
+            self.settings.max_connections,
+            lambda kind: self.metrics.count("memory_refusals", kind=kind),
+        )
+        if guard.memory.max_large_bytes < MEMORY_PER_BODY * self.settings.body_bytes:
+            raise BadSettingsError(
+                f"memory_mb {self.settings.memory_mb} is too little for body_bytes "
+                f"{self.settings.body_bytes} and max_connections "
+                f"{self.settings.max_connections}."
+            )
+        caller_server = HttpServer(
+            self.create_caller_api(guard.memory), self.settings.listen, guard
+        )
         operator_server = HttpServer(OperatorApp(self), self.settings.control_listen)
         self.address = caller_server.address
         self.control_address = operator_server.address
@@ -162,8 +185,11 @@
             await self.shut_down(caller_server)
             self.stop_tasks(group, operator_server)
 
-    def create_caller_api(self) -> CallerApi:
-        """Create the ASGI application for callers."""
+    def create_caller_api(self, memory: MemoryLimit) -> CallerApi:
+        """Create the ASGI application for callers.
+
+        :param memory: limit on what their requests hold.
+        """
         job_builder = JobBuilder(
             configuration=self.configuration,
             tokenizer=CharacterTokenizer(),
@@ -175,6 +201,7 @@
             readiness=self,
             max_body_bytes=self.settings.body_bytes,
             id_prefix=self.incarnation,
+            memory=memory,
         )
 
     async def serve_callers(self, caller_server: HttpServer) -> None:
--- a/src/jasminewalk/ingress/jobs.py
+++ b/src/jasminewalk/ingress/jobs.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from jasminewalk.transport.memory_limit import Holding
 from jasminewalk.types import RequestProfile
 
 __all__ = ["CallJob", "GenerationJob", "Job", "TokenSink"]
@@ -46,6 +47,7 @@
     :param headers: pairs of name and value; names are in lower case.
     :param body: request body.
     :param key: idempotency key; empty for a call that may run more than once.
+    :param holding: memory that the call and its reply take; ``None`` for no limit.
     """
 
     service: str
@@ -54,6 +56,7 @@
     headers: list[list[str]]
     body: bytes
     key: str = ""
+    holding: Holding | None = None
 
 
 class TokenSink(ABC):
--- a/src/jasminewalk/metrics.py
+++ b/src/jasminewalk/metrics.py
@@ -82,6 +82,11 @@
         ("orders", "counter", "Orders sent to the endpoint, by outcome."),
         ("replays", "counter", "Answers replayed to a repeated idempotency key."),
         ("peer_errors", "counter", "Messages of peers that were refused, by code."),
+        (
+            "memory_refusals",
+            "counter",
+            "What was given up for want of memory or connections, by kind.",
+        ),
         ("first_token_seconds", "histogram", "Seconds to the first token."),
         ("between_tokens_seconds", "histogram", "Seconds between two tokens."),
         ("queue_seconds", "histogram", "Seconds in the queue of the endpoint."),
--- a/src/jasminewalk/sidecars/endpoint_handler.py
+++ b/src/jasminewalk/sidecars/endpoint_handler.py
@@ -20,6 +20,7 @@
 from jasminewalk.interfaces import Log
 from jasminewalk.metrics import Metrics
 from jasminewalk.sidecars.sidecar_http import CallHandler, GenerationHandler
+from jasminewalk.transport.memory_limit import MemoryLimit
 
 __all__ = ["EndpointHandler", "EndpointState", "SidecarContext"]
 
@@ -41,6 +42,7 @@
     :param fold: shared state, derived from the log.
     :param follower: follower that applies new records to the fold.
     :param metrics: counters and histograms.
+    :param memory: limit on what requests and replies hold.
     :param request_report: function that sends a load report without delay.
     :param broadcast: function that sends a control message to all connected entries.
     :param stop: function that shuts the sidecar down.
@@ -55,6 +57,7 @@
     fold: LogFold
     follower: LogFollower
     metrics: Metrics
+    memory: MemoryLimit
     request_report: Callable[[], None]
     broadcast: Callable[[Any], Awaitable[None]]
     stop: Callable[[], None]
--- a/src/jasminewalk/sidecars/service_client.py
+++ b/src/jasminewalk/sidecars/service_client.py
@@ -4,6 +4,7 @@
 
 from jasminewalk.interfaces import Service, ServiceRequest, ServiceResponse
 from jasminewalk.transport._http_call import call
+from jasminewalk.transport.memory_limit import MemoryLimit
 
 __all__ = ["HttpService"]
 
@@ -36,6 +37,7 @@
     :param pool: pool of HTTP connections.
     :param address: ``host:port`` of the service.
     :param timeout_s: maximum seconds for a whole call.
+    :param memory: limit on what responses hold while they arrive; ``None`` for none.
     """
 
     def __init__(
@@ -43,10 +45,12 @@
         pool: httpcore.AsyncConnectionPool,
         address: str,
         timeout_s: float = CALL_TIMEOUT_S,
+        memory: MemoryLimit | None = None,
     ) -> None:
         self.pool = pool
         self.address = address
         self.timeout_s = timeout_s
+        self.memory = memory
 
     async def call(self, request: ServiceRequest) -> ServiceResponse:
         """Send one call, without retries.
@@ -55,15 +59,21 @@
         :raises ConnectionError: if nothing was sent.
         :raises OSError: if the call may have run.
         """
-        response = await call(
-            self.pool,
-            request.method,
-            self.address,
-            request.path,
-            body=request.body,
-            headers=self.build_headers(request),
-            timeout_s=self.timeout_s,
-        )
+        holding = None if self.memory is None else self.memory.open("response")
+        try:
+            response = await call(
+                self.pool,
+                request.method,
+                self.address,
+                request.path,
+                body=request.body,
+                headers=self.build_headers(request),
+                timeout_s=self.timeout_s,
+                holding=holding,
+            )
+        finally:
+            if holding is not None:
+                holding.close()
         return ServiceResponse(
             status=response.status,
             headers=[
--- a/src/jasminewalk/sidecars/sidecar.py
+++ b/src/jasminewalk/sidecars/sidecar.py
@@ -41,6 +41,7 @@
     generate_incarnation,
 )
 from jasminewalk.transport.codec import Envelope
+from jasminewalk.transport.connection_guard import ConnectionGuard
 from jasminewalk.transport.peer_auth import PeerAuthenticator
 
 __all__ = ["SidecarDaemon", "SidecarStatus"]
@@ -48,6 +49,8 @@
 FEED_LIFETIME_HEARTBEATS = 6
 IDLE_POLL_INTERVAL_S = 0.02
 LISTENER_CLOSE_DELAY_S = 0.3
+# Open connections of all entries.
+MAX_CONNECTIONS = 1000
 
 
 @attrs.frozen(kw_only=True)
@@ -91,6 +94,11 @@
         seed = f"{settings.seed}/{self.incarnation}" if settings.seed else None
         self.rng = rng or random.Random(seed)
         self.metrics = Metrics("sidecar")
+        self.guard = ConnectionGuard.from_limits(
+            settings.memory_mb,
+            MAX_CONNECTIONS,
+            lambda kind: self.metrics.count("memory_refusals", kind=kind),
+        )
         self.fold = LogFold()
         self.stopping = False
         self.stop_requested = anyio.Event()
@@ -133,6 +141,7 @@
                     fold=self.fold,
                     follower=self.follower,
                     metrics=self.metrics,
+                    memory=self.guard.memory,
                     request_report=self.request_report,
                     broadcast=self.broadcast,
                     stop=self.stop,
@@ -167,10 +176,11 @@
             authenticator=PeerAuthenticator(self.settings.peers.shared_key),
             body_bytes=self.settings.peers.message_bytes * 4,
             metrics=self.metrics,
+            memory=self.guard.memory,
             generation_handler=self.handler.generation_handler,
             call_handler=self.handler.call_handler,
         )
-        request_server = HttpServer(app, self.settings.listen)
+        request_server = HttpServer(app, self.settings.listen, self.guard)
         operator_server = HttpServer(OperatorApp(self), self.settings.metrics_listen)
         self.listener = PeerListener(
             self.settings.control_listen,
--- a/src/jasminewalk/sidecars/sidecar_http.py
+++ b/src/jasminewalk/sidecars/sidecar_http.py
@@ -1,5 +1,7 @@
 """HTTP application through which entries send requests to a sidecar."""
 
+from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Protocol
 
 import msgspec
@@ -22,6 +24,7 @@
     read_body,
     send_json,
 )
+from jasminewalk.transport.memory_limit import MemoryLimit
 from jasminewalk.transport.peer_auth import AUTH_HEADER, PeerAuthenticator
 from jasminewalk.types import Refusal
 
@@ -33,6 +36,8 @@
     "build_refusal_body",
 ]
 
+Handle = Callable[[Receive, Send], Awaitable[None]]
+
 _decode_generate = msgspec.msgpack.Decoder(GenerateRequest).decode
 _decode_call = msgspec.msgpack.Decoder(ServiceCall).decode
 
@@ -112,6 +117,7 @@
     :param authenticator: checker of the signatures of peers.
     :param body_bytes: maximum size of a request body in bytes.
     :param metrics: counters for refused requests.
+    :param memory: limit on what the requests hold.
     :param generation_handler: handler of generations; None for a service.
     :param call_handler: handler of calls; None for an engine.
     """
@@ -122,12 +128,14 @@
         authenticator: PeerAuthenticator,
         body_bytes: int,
         metrics: Metrics,
+        memory: MemoryLimit,
         generation_handler: GenerationHandler | None = None,
         call_handler: CallHandler | None = None,
     ) -> None:
         self.authenticator = authenticator
         self.body_bytes = body_bytes
         self.metrics = metrics
+        self.memory = memory
         self.generation_handler = generation_handler
         self.call_handler = call_handler
 
@@ -140,10 +148,12 @@
         """
         if scope["type"] != "http":
             return
+        holding = self.memory.open("request")
         try:
-            body = await read_body(receive, self.body_bytes)
-            self.authenticate(scope, body)
-            await self.dispatch(scope, body, receive, send)
+            handle = self.decode(
+                scope, await read_body(receive, self.body_bytes, holding)
+            )
+            await handle(receive, send)
         except JasminewalkError as error:
             self.metrics.count("peer_errors", code=str(error.code.value))
             logging.warning(
@@ -155,6 +165,8 @@
                 build_error_body(error),
                 find_attempt_headers(scope),
             )
+        finally:
+            holding.close()
 
     def authenticate(self, scope: Scope, body: bytes) -> None:
         """Check the signature of a request.
@@ -166,38 +178,33 @@
         signature = dict(scope["headers"]).get(AUTH_HEADER, b"")
         self.authenticator.verify(signature, scope["method"], scope["path"], body)
 
-    async def dispatch(
-        self, scope: Scope, body: bytes, receive: Receive, send: Send
-    ) -> None:
-        """Pass an authenticated request to its handler.
+    def decode(self, scope: Scope, body: bytes) -> Handle:
+        """Authenticate and decode a request; return what handles it.
 
         :param scope: ASGI scope.
-        :param body: body of the request.
-        :param receive: ASGI receive function.
-        :param send: ASGI send function.
+        :param body: body of the request; not kept.
         :raises JasminewalkError: if the request is malformed or unknown.
         """
+        self.authenticate(scope, body)
         method, path = scope["method"], scope["path"]
         try:
             if self.generation_handler and (method, path) == ("POST", "/generate"):
-                await self.generation_handler.handle(
-                    _decode_generate(body), receive, send
-                )
-            elif self.call_handler and (method, path) == ("POST", "/call"):
-                await self.call_handler.handle(_decode_call(body), receive, send)
-            elif self.generation_handler and method == "DELETE":
-                await self.cancel(path, send)
-            else:
-                raise JasminewalkError(
-                    f"There is no route for {method} {path}.", code=Code.UNKNOWN_PATH
-                )
+                return partial(self.generation_handler.handle, _decode_generate(body))
+            if self.call_handler and (method, path) == ("POST", "/call"):
+                return partial(self.call_handler.handle, _decode_call(body))
         except DECODE_ERRORS as error:
             raise BadMessageError(str(error)) from error
+        if self.generation_handler and method == "DELETE":
+            return partial(self.cancel, path)
+        raise JasminewalkError(
+            f"There is no route for {method} {path}.", code=Code.UNKNOWN_PATH
+        )
 
-    async def cancel(self, path: str, send: Send) -> None:
+    async def cancel(self, path: str, receive: Receive, send: Send) -> None:
         """Cancel the attempt in a request path.
 
         :param path: ``/generate/{request_id}/{attempt}``.
+        :param receive: ASGI receive function.
         :param send: ASGI send function.
         :raises JasminewalkError: if the path does not identify an attempt.
         """
--- a/src/jasminewalk/sidecars/sidecar_service.py
+++ b/src/jasminewalk/sidecars/sidecar_service.py
@@ -89,7 +89,9 @@
 
     def __init__(self, context: SidecarContext) -> None:
         super().__init__(context)
-        self.service = HttpService(context.http_pool, self.settings.endpoint_address)
+        self.service = HttpService(
+            context.http_pool, self.settings.endpoint_address, memory=context.memory
+        )
         self.call_handler = self
         self.controller = ClaimController(
             ClaimSettings(
@@ -371,8 +373,15 @@
             attempt_header,
             (b"content-length", str(len(body_bytes)).encode()),
         ]
-        await send({"type": "http.response.start", "status": 200, "headers": headers})
-        await send({"type": "http.response.body", "body": body_bytes})
+        holding = self.context.memory.open("reply")
+        holding.add(len(reply.body) + len(body_bytes))
+        try:
+            await send(
+                {"type": "http.response.start", "status": 200, "headers": headers}
+            )
+            await send({"type": "http.response.body", "body": body_bytes})
+        finally:
+            holding.close()
 
 
 def build_service_request(call: ServiceCall) -> ServiceRequest:
--- a/src/jasminewalk/transport/_http.py
+++ b/src/jasminewalk/transport/_http.py
@@ -1,18 +1,27 @@
 """HTTP server, connection pool and helpers for ASGI applications."""
 
 import socket
-from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Iterator,
+    MutableMapping,
+)
 from contextlib import asynccontextmanager, contextmanager
-from typing import Any
+from functools import partial
+from typing import Any, cast
 
 import anyio
 import httpcore
 import msgspec
 import uvicorn
 
-from jasminewalk.exceptions import BadRequestError, JasminewalkError
+from jasminewalk.exceptions import BadRequestError, JasminewalkError, RefusedError
 from jasminewalk.generated_codes import Code
 from jasminewalk.transport._http_protocol import LimitedHttpProtocol
+from jasminewalk.transport.connection_guard import ConnectionGuard
+from jasminewalk.transport.memory_limit import Holding, MemoryLimit
 from jasminewalk.transport.network import NetworkBackend
 
 __all__ = [
@@ -23,6 +32,8 @@
     "Scope",
     "Send",
     "bind_socket",
+    "give_up_over_limit",
+    "hold",
     "open_http_pool",
     "read_body",
     "send_json",
@@ -39,6 +50,11 @@
 BACKLOG = 2048
 TCP_USER_TIMEOUT_MS = 60_000
 STARTUP_POLL_INTERVAL_S = 0.005
+# Copies of the body of a request: as it was received, as it is passed on, and in the
+# transport.
+MEMORY_PER_BODY_BYTE = 3
+MEMORY_RETRY_AFTER_S = 1.0
+UNLIMITED_BYTES = 1 << 62
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -96,16 +112,19 @@
 
     :param app: ASGI application.
     :param address: ``host:port`` to listen on; port 0 selects a free port.
+    :param guard: limits on what its connections hold; ``None`` for none.
     :raises OSError: if the address cannot be bound.
     """
 
-    def __init__(self, app: AsgiApp, address: str) -> None:
+    def __init__(
+        self, app: AsgiApp, address: str, guard: ConnectionGuard | None = None
+    ) -> None:
         self.socket = bind_socket(address)
         host, port = self.socket.getsockname()[:2]
         self.address = f"{host}:{port}"
         config = uvicorn.Config(
             app,
-            http=LimitedHttpProtocol,
+            http=cast(Any, partial(LimitedHttpProtocol, guard=guard)),
             ws="none",
             lifespan="off",
             log_config=None,
@@ -165,20 +184,67 @@
         yield pool
 
 
-async def read_body(receive: Receive, max_bytes: int) -> bytes:
+@contextmanager
+def give_up_over_limit(holding: Holding) -> Iterator[None]:
+    """Cancel the block if the memory that it holds is to be given up.
+
+    :param holding: memory of the block.
+    :raises RefusedError: if that happened.
+    """
+    with anyio.CancelScope() as scope:
+        holding.allow_refusal(scope.cancel)
+        try:
+            yield
+        finally:
+            holding.forbid_refusal()
+    hold(holding, 0)
+
+
+def hold(holding: Holding, size: int) -> None:
+    """Hold more memory, unless what is held was to be given up.
+
+    A task whose data never stops to arrive is not cancelled, so it must look itself.
+
+    :param holding: memory of a request.
+    :param size: bytes to add.
+    :raises RefusedError: if it was.
+    """
+    holding.add(size)
+    if holding.refused:
+        raise RefusedError(
+            "The process has no memory for the request.",
+            code=Code.OVERLOADED,
+            retry_after_s=MEMORY_RETRY_AFTER_S,
+        )
+
+
+async def read_body(
+    receive: Receive, max_bytes: int, holding: Holding | None = None
+) -> bytes:
     """Read the whole body of a request.
 
     :param receive: ASGI receive function.
     :param max_bytes: maximum size of the body in bytes.
+    :param holding: counts the memory that the body will take; ``None`` for no limit.
     :raises BadRequestError: if the body is larger.
+    :raises RefusedError: if there is no memory for it.
     :raises JasminewalkError: if the caller disconnected.
     """
+    holding = holding or MemoryLimit(UNLIMITED_BYTES).open("body")
+    with give_up_over_limit(holding):
+        return await _read_whole_body(receive, max_bytes, holding)
+    raise AssertionError("unreachable")
+
+
+async def _read_whole_body(receive: Receive, max_bytes: int, holding: Holding) -> bytes:
     body = bytearray()
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             raise JasminewalkError(code=Code.CALLER_GONE)
-        body += message.get("body", b"")
+        chunk = message.get("body", b"")
+        body += chunk
+        hold(holding, MEMORY_PER_BODY_BYTE * len(chunk))
         if len(body) > max_bytes:
             raise BadRequestError(
                 f"The body has more than {max_bytes} bytes.", code=Code.BODY_TOO_LARGE
--- a/src/jasminewalk/transport/_http_call.py
+++ b/src/jasminewalk/transport/_http_call.py
@@ -8,10 +8,15 @@
 import msgspec
 
 from jasminewalk.decoding import DECODE_ERRORS
-from jasminewalk.exceptions import JasminewalkError
+from jasminewalk.exceptions import JasminewalkError, RefusedError
 from jasminewalk.generated_codes import RESULTS, Code
 from jasminewalk.generated_requests import RefusalBody
-from jasminewalk.transport._http import build_url
+from jasminewalk.transport._http import (
+    build_url,
+    give_up_over_limit,
+    hold,
+)
+from jasminewalk.transport.memory_limit import Holding
 
 __all__ = [
     "CLOSE_HEADER",
@@ -27,6 +32,8 @@
 ]
 
 HTTP_OK = 200
+# Copies of the body of a response: as it was received, and as it is passed on.
+MEMORY_PER_REPLY_BYTE = 2
 CALL_TIMEOUT_S = 2.0
 MAX_RESPONSE_BYTES = 32 << 20
 MAX_ERROR_BYTES = 1 << 16
@@ -111,6 +118,7 @@
     timeout_s: float,
     max_duration_s: float | None = None,
     max_bytes: int = MAX_RESPONSE_BYTES,
+    holding: Holding | None = None,
 ) -> HttpResponse:
     """Send a request on a new connection and return the complete response.
 
@@ -126,6 +134,7 @@
     :param timeout_s: longest time in seconds without data.
     :param max_duration_s: timeout in seconds for the whole call; the same if None.
     :param max_bytes: largest body of the response, in bytes.
+    :param holding: counts the memory of the response; ``None`` for no limit.
     :raises NotSentError: if no part of the request was sent.
     :raises OSError: if no complete response was received.
     """
@@ -138,22 +147,47 @@
                 content=body,
                 extensions=build_timeouts(timeout_s, timeout_s),
             ) as response:
-                content = await read_limited_body(response, max_bytes)
+                content = await read_limited_body(response, max_bytes, holding)
     except HTTP_ERRORS as error:
         raise to_os_error(error) from error
     return HttpResponse(response.status, decode_headers(response.headers), content)
 
 
-async def read_limited_body(response: httpcore.Response, max_bytes: int) -> bytes:
+async def read_limited_body(
+    response: httpcore.Response, max_bytes: int, holding: Holding | None = None
+) -> bytes:
     """Read the body of a response up to a limit.
 
     :param response: the response.
     :param max_bytes: largest body allowed, in bytes.
-    :raises httpcore.RemoteProtocolError: if the body is larger.
+    :param holding: counts the memory that the body takes; ``None`` for no limit.
+    :raises httpcore.RemoteProtocolError: if the body is larger, or there is no memory
+        for it.
     """
+    if holding is None:
+        return await _read_whole_body(response, max_bytes, None)
+    # A reply that is given up must not be taken for the request that it answers.
+    reading = holding.limit.open("reply")
+    try:
+        with give_up_over_limit(reading):
+            body = await _read_whole_body(response, max_bytes, reading)
+    except RefusedError as error:
+        raise httpcore.RemoteProtocolError(str(error)) from error
+    finally:
+        size = reading.held_bytes
+        reading.close()
+    holding.add(size)
+    return body
+
+
+async def _read_whole_body(
+    response: httpcore.Response, max_bytes: int, holding: Holding | None
+) -> bytes:
     body = bytearray()
     async for chunk in response.aiter_stream():
         body += chunk
+        if holding is not None:
+            hold(holding, MEMORY_PER_REPLY_BYTE * len(chunk))
         if len(body) > max_bytes:
             raise httpcore.RemoteProtocolError("The response body is too large.")
     return bytes(body)
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -14,12 +14,14 @@
 from jasminewalk.operators.configuration import ConfigurationView
 from jasminewalk.scheduling.attempts import ResponseAssembler
 from jasminewalk.scheduling.tokens import CharacterTokenizer
+from jasminewalk.transport.memory_limit import MemoryLimit
 
 pytestmark = pytest.mark.anyio
 
 CHAT_PATH = "/organisations/school/v1/chat/completions"
 COMPLETION_PATH = "/organisations/school/v1/completions"
 SERVICE_PATH = "/organisations/school/services/desk"
+MEMORY_BYTES = 1_000_000
 ORGANISATION = {
     "classes": {"quick": {"deadline_s": 10}},
     "models": {"tutor": {"pool": "tutor", "request_class": "quick"}},
@@ -151,6 +153,7 @@
         readiness=FakeReadiness(),
         max_body_bytes=2000,
         id_prefix="p",
+        memory=MemoryLimit(MEMORY_BYTES),
     )
 
 
@@ -297,17 +300,17 @@
     assert dispatcher.jobs == []
 
 
-async def test_memory_of_open_request_bodies_is_limited(
-    caller, dispatcher, monkeypatch
-):
-    monkeypatch.setattr("jasminewalk.ingress.api.MAX_BUFFERED_BYTES", 2500)
+async def test_memory_of_open_request_bodies_is_limited(caller, dispatcher):
+    memory = caller.app.memory
     assert (await caller.post(CHAT_PATH, make_chat_body())).status == 200
-    assert caller.app.buffered_bytes == 0
-    caller.app.buffered_bytes = 1000
+    assert memory.held_bytes == 0
+    other = memory.open("request")
+    other.add(MEMORY_BYTES - 100)
     response = await caller.post(CHAT_PATH, make_chat_body())
     assert (response.status, response.document["code"]) == (429, Code.OVERLOADED)
     assert response.headers["retry-after"] == "1"
-    assert caller.app.buffered_bytes == 1000
+    assert response.document["ran"] == "not_run"
+    assert memory.held_bytes == other.held_bytes == MEMORY_BYTES - 100
 
 
 async def test_unknown_model(caller):
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -69,9 +69,10 @@
 async def test_idle_connections_are_kept_until_the_peer_closes_them(harness):
     await harness.generate()
     (address,) = harness.connections.idle
-    (connection,) = harness.connections.idle[address]
+    (idle,) = harness.connections.idle[address]
+    connection = idle.connection
     await harness.connections.close_expired()
-    assert list(harness.connections.idle[address]) == [connection]
+    assert list(harness.connections.idle[address]) == [idle]
     for sidecar in harness.sidecars.values():
         sidecar.server.stop()
     with anyio.fail_after(LONG_TIMEOUT_S):
--- a/tests/test_stuttering_endpoints.py
+++ b/tests/test_stuttering_endpoints.py
@@ -34,6 +34,7 @@
 from jasminewalk.transport._http import HttpServer, open_http_pool
 from jasminewalk.transport._http_call import call
 from jasminewalk.transport.instances_client import HttpInstanceList
+from jasminewalk.transport.memory_limit import MemoryLimit
 from jasminewalk.transport.peer_auth import PeerAuthenticator
 from raw_server import StutteringServer, build_response
 from test_standins import make_request
@@ -261,6 +262,7 @@
     app = SidecarApp(
         authenticator=PeerAuthenticator("0123456789abcdef"),
         body_bytes=10,
+        memory=MemoryLimit(1 << 30),
         metrics=Metrics("sidecar"),
     )
     server = HttpServer(app, "127.0.0.1:0")
