Let late requests wait for an engine that has most of their prompt

Cause: a late request may wait as long as its own prefill takes, so that long prompts are not refused alone. That prefill left out what the engine has cached. So prompts of 40,000 tokens, all but 2,000 of them cached at one engine, were refused there after 0.3 s of predicted wait, though the wait was within their callers' patience and reading them elsewhere takes 2 to 4 s.

Change: the limit counts the prefill of the whole prompt. It costs the engine only the part that is not cached. The new test fails without it.

--- a/src/jasminewalk/gateway/admission.py
+++ b/src/jasminewalk/gateway/admission.py
@@ -79,9 +79,10 @@
         Engines run prefills in the order of arrival, so late requests would delay
         requests that can still meet their objective.
     :param max_wait_s: the same limit while the engines keep up with demand on average.
-    :param late_wait_per_prefill: the same limit as a multiple of the request's own
-        prefill, if that is longer. A long prompt misses its objective after a wait that
-        a short one can bear, so one limit for all would refuse long prompts alone.
+    :param late_wait_per_prefill: the same limit as a multiple of the prefill of the
+        whole prompt, if that is longer. A long prompt misses its objective after a wait
+        that a short one can bear, so one limit for all would refuse long prompts alone.
+        What an engine has cached of it counts, too: elsewhere it had to be computed.
     :param over_share_wait: longest wait of a request whose organisation has used more
         than its share, as a share of the time to its objective. The rest of that time
         is left to the others, for whom its work counts as waiting.
@@ -110,6 +111,7 @@
         *,
         disaggregated: bool,
         busy: bool,
+        whole_prefill_s: float = 0.0,
         organisation_rank: int | None = None,
         over_share: bool = False,
     ) -> AdmissionDecision:
@@ -124,6 +126,8 @@
         :param rank: rank of its route; 0 is the most urgent.
         :param disaggregated: whether prefill and decode run on different engines.
         :param busy: whether prefill demand exceeds the capacity of the engines.
+        :param whole_prefill_s: seconds of prefill at the engine if it had nothing of
+            the prompt cached.
         :param organisation_rank: rank of its organisation, which goes before that of
             its route; None if it has none.
         :param over_share: whether its organisation has used more than its fair share of
@@ -144,7 +148,7 @@
         )
         wait_limit_s = max(
             self.max_wait_busy_s if busy else self.max_wait_s,
-            self.late_wait_per_prefill * (predicted_s - wait_s),
+            self.late_wait_per_prefill * max(predicted_s - wait_s, whole_prefill_s),
         )
         latest_s = min(late_share * remaining_s, patience_remaining_s)
         if wait_s <= wait_limit_s and first_token_s <= latest_s:
--- a/src/jasminewalk/gateway/generation_run.py
+++ b/src/jasminewalk/gateway/generation_run.py
@@ -214,6 +214,7 @@
             # requests, so that it is not refused for that delay.
             disaggregated=option.disaggregated or self.failed_prefills > 0,
             busy=busy,
+            whole_prefill_s=option.estimate.whole_prefill_s,
             organisation_rank=self.organisation_rank,
             over_share=self._is_over_share(),
         )
--- a/src/jasminewalk/gateway/placement.py
+++ b/src/jasminewalk/gateway/placement.py
@@ -90,6 +90,7 @@
     :param predicted_prefill_s: seconds of prefill at this engine.
     :param prefill_s: seconds of prefill at an engine of speed 1.
     :param cached_tokens: prompt tokens that the engine has cached.
+    :param whole_prefill_s: seconds of prefill at this engine if none were cached.
     """
 
     engine: EngineState
@@ -97,6 +98,7 @@
     predicted_prefill_s: float
     prefill_s: float
     cached_tokens: int
+    whole_prefill_s: float
 
     @property
     def total_s(self) -> float:
@@ -289,7 +291,10 @@
             wait_s += excess_requests * engine.residence_s / engine.entry.slots
         if engine.entry.failure_domain != self.failure_domain:
             wait_s += CROSS_DOMAIN_PENALTY_S
-        return PrefillEstimate(engine, wait_s, prefill_s / speed, prefill_s, cached)
+        whole_s = estimate_prefill_s(prompt.tokens, 0, engine.entry.stage)
+        return PrefillEstimate(
+            engine, wait_s, prefill_s / speed, prefill_s, cached, whole_s / speed
+        )
 
     def _compute_cost(
         self, prompt: PromptProfile, estimate: PrefillEstimate, most_cached: int
--- a/tests/test_admission_by_size.py
+++ b/tests/test_admission_by_size.py
@@ -98,3 +98,66 @@
     requests = serve(draw_requests(seed, utilization), AdmissionPolicy())
     shorter = sorted(requests, key=lambda held: held.prefill_s)[: len(requests) // 2]
     assert compute_share(shorter, OBJECTIVE_S) >= 0.9
+
+
+@attrs.define
+class SharingRequest(Request):
+    """Request with a shared part that one engine has cached.
+
+    ``prefill_s`` is the prefill of its own part there.
+    """
+
+    holder: int = 0
+    whole_prefill_s: float = 0.0
+
+
+def draw_sharing_requests(seed, utilization):
+    """Draw prompts of which most is shared; a tenth shares very much."""
+    source = random.Random(seed)
+    requests, now = [], 0.0
+    while now < DURATION_S:
+        now += source.expovariate(utilization * ENGINES / 0.1)
+        shared_s = min(2.0, source.lognormvariate(-1.6, 0.8))
+        own_s = source.uniform(0.05, 0.15)
+        requests.append(
+            SharingRequest(
+                now,
+                own_s,
+                holder=source.randrange(ENGINES),
+                whole_prefill_s=shared_s + own_s,
+            )
+        )
+    return requests
+
+
+def serve_at_holders(requests, policy):
+    """Serve requests by the engines that have their shared parts."""
+    free_at = [0.0] * ENGINES
+    for request in requests:
+        now = request.arrived_at
+        wait_s = max(0.0, free_at[request.holder] - now)
+        decision = policy.decide(
+            wait_s + request.prefill_s,
+            wait_s,
+            OBJECTIVE_S,
+            DEADLINE_S,
+            PATIENCE_S,
+            1,
+            disaggregated=True,
+            busy=True,
+            whole_prefill_s=request.whole_prefill_s,
+        )
+        if isinstance(decision, Admitted):
+            free_at[request.holder] = now + wait_s + request.prefill_s
+            request.first_token_at = free_at[request.holder]
+    return requests
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_most_of_a_cached_prompt_is_worth_its_wait(seed):
+    # Guards against the refusal of long prompts at the one engine that has them.
+    requests = serve_at_holders(draw_sharing_requests(seed, 1.3), AdmissionPolicy())
+    longest = sorted(requests, key=lambda held: held.whole_prefill_s)
+    longest = longest[-len(requests) // 10 :]
+    assert compute_share(longest, PATIENCE_S) >= compute_share(requests, PATIENCE_S)
+    assert compute_share(longest, PATIENCE_S) >= 0.9
