Keep memory and connections of a gateway for ordinary callers

What callers would get: callers that stop short of their end could hold all connections, and a new one was reset until the first of them timed out after 15 s; large bodies that were complete and waited for their engines could hold all memory for requests, and every small request was refused.

Cause: only an idle connection made room for a new one, and one limit held for requests of any size. Both found by reading, shown without a network.

Change: where no connection is idle, the request that has been arriving for longest, and for over 1 s, gets 503 with Retry-After (it has not run). Requests over 256 KiB grow only while three quarters of the memory are not held. Both new tests fail without it.

--- a/src/jasminewalk/http1/caller_connection.py
+++ b/src/jasminewalk/http1/caller_connection.py
@@ -27,6 +27,10 @@
 # takes in them.
 REQUEST_BYTES = 1024
 MEMORY_PER_HEAD_BYTE = 3
+# Requests that take more than this many bytes grow only while this share of the memory
+# is not held, so that the rest is left for ordinary ones.
+LARGE_BYTES = 256 * 1024
+LARGE_SHARE = 0.75
 # ``Retry-After`` in seconds of a request that is refused for want of memory.
 MEMORY_RETRY_AFTER_S = 1
 BAD_REQUEST = 400
@@ -240,7 +244,10 @@
             return
         self.incomplete_bytes += size
         self._hold(size)
-        if self.server.held_bytes > self.server.max_held_bytes:
+        limit = float(self.server.max_held_bytes)
+        if self.incomplete_bytes > LARGE_BYTES:
+            limit *= LARGE_SHARE
+        if self.server.held_bytes > limit:
             self.server.refuse_largest()
 
     def _free(self, size: int) -> None:
--- a/src/jasminewalk/http1/server.py
+++ b/src/jasminewalk/http1/server.py
@@ -19,6 +19,8 @@
 MAX_UNSENT_BYTES = 32 * 1024 * 1024
 # Open connections. Over it, one that is idle is closed for a new one.
 MAX_CONNECTIONS = 10_000
+# Seconds after which a request that is not complete makes room for a new connection.
+MIN_ARRIVAL_S = 1.0
 # Bytes that are received at once; all connections share the buffer.
 BUFFER_BYTES = 32 * 1024
 # Seconds in which a request may arrive on a connection that a caller believes to last.
@@ -78,21 +80,39 @@
     def add_connection(self, connection: CallerConnection) -> None:
         """Register a connection; close one if there are too many.
 
-        One that is idle is closed, the one that was so for longest, or else the new one
-        itself.
+        The one that was idle for longest is closed, or else the one whose request has
+        been arriving for longest is refused, or else the new one is closed.
 
         :param connection: the new connection.
         """
         if len(self.connections) >= self.max_connections:
             idle = [known for known in self.connections if known.is_idle]
             oldest = min(idle, key=lambda known: known.idle_since, default=None)
-            if oldest is None:
+            slowest = self._find_slowest()
+            if oldest is not None:
+                self.connections.discard(oldest)
+                oldest.close()
+            elif slowest is not None:
+                self.connections.discard(slowest)
+                slowest.refuse(UNAVAILABLE)
+            else:
                 connection.abort()
                 return
-            self.connections.discard(oldest)
-            oldest.close()
         self.connections.add(connection)
 
+    def _find_slowest(self) -> CallerConnection | None:
+        """Return the connection whose first request has been arriving for longest."""
+        latest_s = self.clock() - MIN_ARRIVAL_S
+        arriving = {
+            known: known.request_started_s
+            for known in self.connections
+            if known.task is None
+            and not known.closing
+            and known.request_started_s is not None
+            and known.request_started_s < latest_s
+        }
+        return min(arriving, key=lambda known: arriving[known], default=None)
+
     def refuse_largest(self) -> None:
         """Refuse the largest request that is not complete."""
         largest = max(
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -208,6 +208,54 @@
     asyncio.run(play())
 
 
+def test_request_that_arrives_for_longest_makes_room_for_a_new_connection():
+    # Guards against callers that stop short of their end and take all connections.
+    async def play():
+        server = make_server()
+        server.max_connections = 3
+        connections = []
+        for _ in range(3):
+            connections.append(connect(server))
+            connections[-1].data_received(b"POST /x HTTP/1.1\r\nhost")
+            server.clock.now += 0.6
+        new = connect(server)
+        assert [connection.closing for connection in [*connections, new]] == [
+            True,
+            False,
+            False,
+            False,
+        ]
+        written = connections[0].transport.written
+        assert written.startswith(b"HTTP/1.1 503 ")
+        assert b"retry-after: 1\r\n" in written
+        new.data_received(b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n")
+        assert new.task is not None
+        new.task.cancel()
+        assert len(server.connections) == 3
+
+    asyncio.run(play())
+
+
+def test_large_requests_that_run_leave_memory_for_small_ones():
+    # Guards against refusals of ordinary callers while large bodies are being answered.
+    async def play():
+        limit = 4_000_000
+        server = make_server(limit=limit)
+        large = [connect(server) for _ in range(12)]
+        for connection in large:
+            connection.data_received(build_request([b"x" * 400_000], complete=True))
+        running = [connection for connection in large if connection.task is not None]
+        assert 0.5 * limit < server.held_bytes <= 0.75 * limit + 32_768
+        assert 0 < len(running) < len(large)
+        small = connect(server)
+        small.data_received(build_request([b"x" * 6_000], complete=True))
+        assert small.task is not None
+        for connection in [*running, small]:
+            connection.task.cancel()
+
+    asyncio.run(play())
+
+
 @pytest.mark.parametrize(
     ("memory_mb", "descriptors"), [(80, 600), (160, 3075), (300, 4100), (552, 8192)]
 )
