Check a serving configuration before it is sent

What operators asked for: errors, entries that can never match, limits that contradict each other, and what differs from the version in force. Until now `check` knew only the product's own files, and a gateway refused what it could not decode, but served a route to an absent service with errors.

Change: `jasminewalk check FILE.json [--against FILE.json] [--strict] [--as_json]`.

Not checked: `max_attempts` against the endpoints there are, which the file doesn't name, and `scaling`, which gateways don't read. The version in force is read from a file, not from the store.

--- a/src/jasminewalk/cli.py
+++ b/src/jasminewalk/cli.py
@@ -17,7 +17,7 @@
     JasminewalkError,
     UnknownRequestError,
 )
-from jasminewalk.generated_codes import Code
+from jasminewalk.generated_codes import RESULTS, Code
 from jasminewalk.logs import configure_logging
 
 __all__ = ["Commands", "main"]
@@ -95,15 +95,36 @@
 
         return Action(execute)
 
-    @text_arguments("file")
-    def check(self, file: str) -> Action:
+    @text_arguments("file", "against")
+    def check(
+        self,
+        file: str,
+        against: str = "",
+        strict: bool = False,
+        as_json: bool = False,
+    ) -> Action:
         """Check a settings, load or configuration file without publishing it.
 
-        :param file: YAML file, or directory of configuration files.
+        Of a serving configuration, which gateways read, it shows errors, entries
+        without effect, limits that contradict each other, and what differs from the
+        configuration in force. The exit code is 0 only if there is no error.
+
+        :param file: YAML file, directory of configuration files, or JSON file with a
+            serving configuration.
+        :param against: JSON file with the serving configuration in force.
+        :param strict: fail for warnings, too.
+        :param as_json: print the result for a serving configuration as JSON.
         """
-        from jasminewalk.operators.file_checks import check_file
 
-        return Action(lambda: print(check_file(file)))
+        def execute() -> None:
+            from jasminewalk.operators.file_checks import check_file
+
+            result = check_file(file, against=against, strict=strict, as_json=as_json)
+            print(result.text)
+            if not result.is_valid:
+                sys.exit(RESULTS[Code.BAD_CONFIGURATION].exit_code)
+
+        return Action(execute)
 
     @text_arguments("file", "reason", "settings")
     def publish(
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -31,7 +31,7 @@
     settings = load_settings(write_settings(ENTRY_SETTINGS), EntrySettings)
     assert settings.log.timeout_s == 2.0
     assert settings.peers.heartbeat_s == 0.5
-    assert check_file(write_settings(ENTRY_SETTINGS)).endswith(
+    assert check_file(write_settings(ENTRY_SETTINGS)).text.endswith(
         "valid settings of entry"
     )
 
