Give each test a configuration of its own

Cause: `configuration()` of the tests' fakes handed out one list of routes, and test_traffic_split_lists_all_services changes it; the two files in one process show it (4 failed, 66 passed). No test before looked at that route after it, or all of them were content with it.

Change: each caller gets a copy. Both files in one process: 70 passed.

--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import copy
 import json
 import struct
 from urllib.parse import parse_qs, urlsplit
@@ -74,10 +75,11 @@
 
 
 def configuration(version=1, routes=None):
+    # A copy, as a test that changes it would change it for those after it.
     return {
         "version": version,
-        "routes": ROUTES if routes is None else routes,
-        "services": SERVICES,
+        "routes": copy.deepcopy(ROUTES if routes is None else routes),
+        "services": copy.deepcopy(SERVICES),
         "limits": {"max_body_bytes": 100000, "idle_timeout_ms": 5000},
     }
 
