--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -196,3 +196,15 @@
     assert pool.is_expired(idle)
     idle.popleft()
     assert not pool.is_expired(idle)
+
+
+def test_entry_without_memory_for_one_request_does_not_start(run_command, tmp_path):
+    path = tmp_path / "entry.yaml"
+    path.write_text(
+        "{name: e, failure_domain: a, listen: '127.0.0.1:0', memory_mb: 100, "
+        "log: {address: '127.0.0.1:1'}, instances_address: '127.0.0.1:2', "
+        "peers: {shared_key: '0123456789abcdef'}}"
+    )
+    result = run_command("entry", "--settings", path)
+    assert result.code == 7
+    assert "memory_mb 100 is too little for body_bytes 8388608" in result.err
