--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -107,7 +107,9 @@
 
     def __init__(self, folder):
         self.record_path = Path(folder) / "record.txt"
-        self.record = self.record_path.open("w", encoding="utf-8")
+        self.record_path.unlink(missing_ok=True)
+        # All processes append, so that none writes over the lines of another.
+        self.record = self.record_path.open("a", encoding="utf-8")
         self.folder = tempfile.TemporaryDirectory()
         self.processes = []
         self.gateways = 0
