--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -102,6 +102,10 @@
     }
 
 
+class MeaninglessError(Exception):
+    """What the case needs in order to show anything did not happen."""
+
+
 class Deployment:
     """The processes of one case, and the record of what they did."""
 
@@ -121,6 +125,11 @@
         self.record.write(json.dumps(line) + "\n")
         self.record.flush()
 
+    def read_record(self, event):
+        """Return the lines of the record on one kind of event."""
+        lines = self.record_path.read_text(encoding="utf-8").splitlines()
+        return [line for line in map(json.loads, lines) if line["event"] == event]
+
     def start(self, words, environment=None, cwd=None):
         """Start a process."""
         process = subprocess.Popen(
@@ -213,6 +222,7 @@
     :param folder: folder of the case.
     :param play: coroutine function that returns the answers that break the rule.
     """
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))
     deployment = Deployment(folder)
     try:
         broken = asyncio.run(asyncio.wait_for(play(deployment), 100))
