--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -24,7 +24,9 @@
 def note(event, **fields):
     """Write one line of the record."""
     line = {"at": round(time.time(), 3), "event": event, **fields}
-    print(json.dumps(line), flush=True)
+    # In one piece, as several processes write to one record.
+    sys.stdout.write(json.dumps(line) + "\n")
+    sys.stdout.flush()
 
 
 async def read_message(reader):
