--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -223,6 +223,7 @@
     :param play: coroutine function that returns the answers that break the rule.
     """
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))
+    # An exception of it passes to launch.py, which ends with 2.
     deployment = Deployment(folder)
     try:
         broken = asyncio.run(asyncio.wait_for(play(deployment), 100))
